--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of bambootiller, without input or output."""
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/__init__.py
@@ -0,0 +1,1 @@
+"""The programs of bambootiller and the adapters round the core."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests of the whole workspace, by area and kind."""
