--- a/packages/bambootiller-core/src/bambootiller_core/backend_effects.py
+++ b/packages/bambootiller-core/src/bambootiller_core/backend_effects.py
@@ -1,9 +1,9 @@
 """What the backend's decisions say to the shell round them, and what they are told.
 
-:class:`~bambootiller_core.backend.BackendCore` never touches an engine or a caller. Each
-of its event methods returns a list of effects, which the agent carries out in order; what
-comes of them returns as further events. Requests are named by their ``request_id``, which
-has to be unique among all attempts that reach one agent.
+:class:`~bambootiller_core.backend.BackendCore` never touches an engine or a caller.
+Each of its event methods returns a list of effects, which the agent carries out in
+order; what comes of them returns as further events. Requests are named by their
+``request_id``, which has to be unique among all attempts that reach one agent.
 
 Example::
 
@@ -37,9 +37,9 @@
 def engine_name(key: ModelKey) -> str:
     """The name under which an engine knows a customer's model: ``customer/model``.
 
-    Two customers may give their models the same name, and they never share a replica, so
-    the customer is part of the name. The ``model`` of a call to the engine is this name,
-    with ``:adapter`` behind it where one is used.
+    Two customers may give their models the same name, and they never share a replica,
+    so the customer is part of the name. The ``model`` of a call to the engine is this
+    name, with ``:adapter`` behind it where one is used.
     """
     return f"{key.customer}/{key.model}"
 
@@ -52,10 +52,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Admit:
-    """The request is accepted and waits; ``wait_ms`` is the estimate to its first token.
+    """The request is accepted and waits; ``wait_ms`` is the estimate to its first
+    token.
 
-    ``cold`` says that the wait includes a load. ``Start``, ``Refuse`` or the caller's own
-    cancellation follows.
+    ``cold`` says that the wait includes a load. ``Start``, ``Refuse`` or the caller's
+    own cancellation follows.
     """
 
     request_id: str
@@ -65,14 +66,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Start:
-    """Run the request at the engine or service now; report ``finished`` when it ends."""
+    """Run the request at the engine or service now; report ``finished`` when it
+    ends."""
 
     request_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """The final outcome of a request that was never started. No event about it is due."""
+    """The final outcome of a request that was never started. No event about it is
+    due."""
 
     request_id: str
     refused: Refused
@@ -80,7 +83,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Abort:
-    """The final outcome of a started request: stop it. A later ``finished`` is ignored."""
+    """The final outcome of a started request: stop it. A later ``finished`` is
+    ignored."""
 
     request_id: str
     refused: Refused
@@ -91,9 +95,10 @@
     """Send an order to the engine, once, and report its fate to ``on_order_outcome``.
 
     The same ``order_id`` may be sent again later, when its answer was lost; the engine
-    ignores a repetition. ``model`` is the engine's name, ``adapter`` is empty for orders
-    about the model itself. An order must not be sent later than it was decided: a shell
-    that couldn't send it within ``valid_s`` reports ``OrderRejected("not sent")``.
+    ignores a repetition. ``model`` is the engine's name, ``adapter`` is empty for
+    orders about the model itself. An order must not be sent later than it was decided:
+    a shell that couldn't send it within ``valid_s`` reports ``OrderRejected("not
+    sent")``.
     """
 
     order_id: str
@@ -111,7 +116,8 @@
     """Vacate this instance's slot of ``key`` with the evidence ``GivenBack``.
 
     Emitted only when the engine has confirmed that the model isn't loaded, and no order
-    for it can still be on its way. It is repeated until a table without the slot is seen.
+    for it can still be on its way. It is repeated until a table without the slot is
+    seen.
     """
 
     key: ModelKey
@@ -132,7 +138,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Drained:
-    """The agent that leaves holds no request any more, and no slot, or its time is up."""
+    """The agent that leaves holds no request any more, and no slot, or its time is
+    up."""
 
 
 Effect = Admit | Start | Refuse | Abort | SendOrder | GiveBack | Retired | Drained
@@ -188,8 +195,8 @@
 class Survey:
     """What a slot's placement on this backend server is decided on.
 
-    ``memory_free`` counts all reservations, ``slots_bytes`` what the ``slots`` held here
-    would take if all were loaded, ``tier`` where the engine keeps the checkpoint.
+    ``memory_free`` counts all reservations, ``slots_bytes`` what the ``slots`` held
+    here would take if all were loaded, ``tier`` where the engine keeps the checkpoint.
     """
 
     memory_total: int
