--- a/packages/bambootiller-core/src/bambootiller_core/admission.py
+++ b/packages/bambootiller-core/src/bambootiller_core/admission.py
@@ -20,8 +20,8 @@
 
 from dataclasses import dataclass
 
-from .outcomes import Code, Executed, Refused
-from .types import ModelKey, Request, Tier
+from bambootiller_core.outcomes import Code, Executed, Refused
+from bambootiller_core.types import ModelKey, Request, Tier
 
 #: What a load from a tier takes as a part of one from the remote store, until measured.
 PRIOR_TIER_SHARE = {Tier.MEMORY: 0.15, Tier.DISK: 0.4, Tier.REMOTE: 1.0}
--- a/packages/bambootiller-core/src/bambootiller_core/keepalive.py
+++ b/packages/bambootiller-core/src/bambootiller_core/keepalive.py
@@ -22,16 +22,21 @@
 import math
 from dataclasses import dataclass, field
 
-from .template import Weights
-from .types import ModelKey
+from bambootiller_core.template import Weights
+from bambootiller_core.types import ModelKey
 
 #: Gaps are told apart by factors of the square root of two, from one second to 23 days.
 BINS_PER_DOUBLING = 2
 BINS = 42
+#: Where the middle of a bin lies below its upper edge.
+MIDDLE = 2.0 ** (-0.5 / BINS_PER_DOUBLING)
 #: What a recorded gap still weighs when another one is recorded.
 DECAY = 0.97
-#: The weight of the prior belief against recorded gaps.
+#: Below this weight of recorded gaps the ski-rental bound stands in for them.
 PRIOR_WEIGHT = 3.0
+#: What the gap that hasn't been seen yet weighs, longer than all that have. Without it a
+#: model whose few recorded gaps were short would be kept for ever in the first long one.
+UNSEEN_WEIGHT = 0.5
 #: Never kept longer than this on a guess, whatever the weights say; seconds.
 LONGEST = 86_400.0
 
@@ -64,7 +69,7 @@
         habit.idle_from = None
 
     def idle_since(self, now: float, key: ModelKey) -> None:
-        """The last request of ``key`` ended; while idle, saying it again changes nothing."""
+        """The last request of ``key`` ended; repeating it while idle has no effect."""
         habit = self._habit(key)
         if habit.idle_from is None:
             habit.idle_from = now
@@ -88,7 +93,7 @@
         bound = min(cold_cost / weights.idle_second, LONGEST)
         if habit.seen < self._prior_weight:
             return bound
-        return _least_cost(habit.gaps, weights.idle_second, cold_cost, bound)
+        return _least_cost(habit.gaps, weights.idle_second, cold_cost)
 
     def _habit(self, key: ModelKey) -> _Habit:
         habit = self._habits.get(key)
@@ -114,24 +119,20 @@
     return 2.0 ** (index / BINS_PER_DOUBLING)
 
 
-def _least_cost(
-    gaps: list[float], idle_second: float, cold_cost: float, bound: float
-) -> float:
+def _least_cost(gaps: list[float], idle_second: float, cold_cost: float) -> float:
     """The time to keep at which gaps like the recorded ones cost least.
 
-    Keeping past the ski-rental bound can pay only if the gap ends before long, and the
-    candidates are the upper edges of the bins, behind which no recorded gap ends.
+    The candidates are no time at all and the upper edges of the bins.
     """
-    total = sum(gaps)
-    best_time, best_cost = 0.0, cold_cost * total
+    longer = sum(gaps) + UNSEEN_WEIGHT
+    best_time, best_cost = 0.0, cold_cost * longer
     idle_cost = 0.0
-    longer = total
     for index, weight in enumerate(gaps):
         edge = _edge(index)
         if edge > LONGEST:
             break
-        idle_cost += weight * edge * idle_second
-        longer -= weight
+        idle_cost += weight * edge * MIDDLE * idle_second
+        longer = max(UNSEEN_WEIGHT, longer - weight)
         cost = idle_cost + longer * (edge * idle_second + cold_cost)
         if cost < best_cost:
             best_time, best_cost = edge, cost
--- a/packages/bambootiller-core/src/bambootiller_core/pacing.py
+++ b/packages/bambootiller-core/src/bambootiller_core/pacing.py
@@ -78,6 +78,6 @@
         self._measured_at = now
 
     def stretch(self, now: float) -> float:
-        """By what factor loads are slowed down at present, by this agent's own loads."""
+        """By what factor loads are slowed down now, judged by this agent's own."""
         age = max(0.0, now - self._measured_at)
         return 1.0 + (self._stretch - 1.0) * 0.5 ** (age / HALF_LIFE_S)
--- a/packages/bambootiller-core/src/bambootiller_core/placement.py
+++ b/packages/bambootiller-core/src/bambootiller_core/placement.py
@@ -12,10 +12,10 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from . import rendezvous
-from .admission import PRIOR_TIER_SHARE
-from .template import ModelPolicy
-from .types import ModelKey, Tier
+from bambootiller_core import rendezvous
+from bambootiller_core.admission import PRIOR_TIER_SHARE
+from bambootiller_core.template import ModelPolicy
+from bambootiller_core.types import ModelKey, Tier
 
 #: What a unit of crowding, slots' bytes over memory, weighs against a remote load time.
 CROWDING_WEIGHT = 0.5
--- a/packages/bambootiller-core/src/bambootiller_core/retries.py
+++ b/packages/bambootiller-core/src/bambootiller_core/retries.py
@@ -11,8 +11,8 @@
 import random
 from dataclasses import dataclass
 
-from .outcomes import RETRYABLE, Code, Executed, Refused
-from .types import Request
+from bambootiller_core.outcomes import RETRYABLE, Code, Executed, Refused
+from bambootiller_core.types import Request
 
 #: Attempts of one request, the first one included.
 MOST_ATTEMPTS = 4
--- a/packages/bambootiller-core/src/bambootiller_core/routing.py
+++ b/packages/bambootiller-core/src/bambootiller_core/routing.py
@@ -13,9 +13,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from . import rendezvous
-from .membership import Status
-from .types import LoadFigures, ModelTarget, Request
+from bambootiller_core import rendezvous
+from bambootiller_core.membership import Status
+from bambootiller_core.types import LoadFigures, ModelTarget, Request
 
 #: The wait expected at a holder that has told nothing yet: that of a plain load.
 #: Seconds.
--- a/packages/bambootiller-core/src/bambootiller_core/waiting.py
+++ b/packages/bambootiller-core/src/bambootiller_core/waiting.py
@@ -12,10 +12,12 @@
 import bisect
 import itertools
 
-from .invariants import ensure
-from .types import Request
+from bambootiller_core.invariants import ensure
+from bambootiller_core.types import Request
 
 _Key = tuple[int, float, float, float]
+#: Sorts behind all request ids that are of use.
+_LAST = "\U0010ffff"
 
 
 class WaitingLine:
@@ -40,6 +42,7 @@
         self._waiting: dict[str, tuple[_Key, Request]] = {}
         self._urgent: list[tuple[_Key, str]] = []
         self._batch: list[tuple[_Key, str]] = []
+        self._deadlines: list[tuple[float, str]] = []
         self._credit = 0.0
 
     def __len__(self) -> int:
@@ -55,9 +58,10 @@
             "one-place-in-line",
             f"request {req.request_id} waits already at {now}",
         )
-        key = _key(req, next(self._count))
+        key = self._key_of(req, next(self._count))
         self._waiting[req.request_id] = (key, req)
         bisect.insort(self._line_of(req), (key, req.request_id))
+        bisect.insort(self._deadlines, (req.deadline, req.request_id))
 
     def pop(self, now: float) -> Request | None:
         """Take out the request to start now; None if none waits that is still in time.
@@ -86,21 +90,21 @@
         if entry is None:
             return False
         key, req = entry
-        line = self._line_of(req)
-        at = bisect.bisect_left(line, (key, request_id))
-        del line[at]
+        _take(self._line_of(req), (key, request_id))
+        _take(self._deadlines, (req.deadline, request_id))
         return True
 
     def expired(self, now: float) -> list[Request]:
         """Take out and return the requests whose deadline has passed."""
-        late = [req for _, req in self._waiting.values() if req.deadline <= now]
+        count = bisect.bisect_right(self._deadlines, (now, _LAST))
+        late = [self._waiting[name][1] for _, name in self._deadlines[:count]]
         for req in late:
             self.remove(req.request_id)
         return late
 
     def next_deadline(self) -> float | None:
         """The earliest deadline in the line, or None if it is empty."""
-        return min((req.deadline for _, req in self._waiting.values()), default=None)
+        return self._deadlines[0][0] if self._deadlines else None
 
     def ahead_of(self, req: Request) -> int:
         """How many of the waiting requests are to start before ``req``.
@@ -109,7 +113,7 @@
         its equals. The share of batch work is counted on both sides.
         """
         entry = self._waiting.get(req.request_id)
-        key = entry[0] if entry else _key(req, float("inf"))
+        key = entry[0] if entry else self._key_of(req, float("inf"))
         own = bisect.bisect_left(self._line_of(req), (key, req.request_id))
         share = self.batch_share
         if not req.batch:
@@ -124,6 +128,9 @@
         """All that wait, batch work last, each line in its order of service."""
         return tuple(self._waiting[name][1] for _, name in self._urgent + self._batch)
 
+    def _key_of(self, req: Request, count: float) -> _Key:
+        return (req.priority, req.deadline, -req.standing, count)
+
     def _line_of(self, req: Request) -> list[tuple[_Key, str]]:
         return self._batch if req.batch else self._urgent
 
@@ -134,5 +141,6 @@
         return None
 
 
-def _key(req: Request, count: float) -> _Key:
-    return (req.priority, req.deadline, -req.standing, count)
+def _take(line: list, item: tuple) -> None:
+    """Delete ``item`` from a sorted list that has it."""
+    del line[bisect.bisect_left(line, item)]
