--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line, ``bambootiller``."""
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/operators/fleet.py
@@ -0,0 +1,323 @@
+"""Asking the members of the fleet what they have in force and what they decided.
+
+The members come from the platform's instance list, which lags, and from what the
+members themselves know of one another, which doesn't. While the list is down, the
+members named by ``--peers`` are asked first. Each member is asked by itself, a few at a
+time, and one that doesn't answer is reported as such: silence is a finding here, not an
+error.
+
+    fleet = GrpcFleet(cfg)
+    survey = await fleet.survey()
+    [member.instance for member in survey.silent]
+"""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import aiohttp
+import grpc
+
+from bambootiller.rpc import bambootiller_pb2 as pb
+from bambootiller.rpc.channels import Channels
+from bambootiller.settings import Settings
+
+CALL_SECONDS = 3.0
+ASKED_AT_ONCE = 32
+LIVE = "live"
+LEAVING = "leaving"
+_GONE = ("dead", "leaving")
+
+
+@dataclass(frozen=True, slots=True)
+class MemberRef:
+    """A member to ask. Only the address is sure before it has answered."""
+
+    address: str
+    instance: str = ""
+    role: str = ""
+    zone: str = ""
+    state: str = LIVE
+
+    @property
+    def label(self) -> str:
+        return self.instance or self.address
+
+
+@dataclass(frozen=True, slots=True)
+class MemberStatus:
+    """What a member says of itself."""
+
+    ref: MemberRef
+    instance: str
+    role: str
+    zone: str
+    leaving: bool
+    template_versions: dict[str, int]
+    revision: int
+    members_alive: int
+    members_known: int
+    detail: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """A member that couldn't be asked, and how one noticed."""
+
+    ref: MemberRef
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Survey:
+    """The answers of all members, and the members without one, each by instance."""
+
+    answers: tuple[MemberStatus, ...]
+    silent: tuple[NoAnswer, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Decisions:
+    """The decision records that one member holds about a subject, oldest first."""
+
+    instance: str
+    records: tuple[dict[str, Any], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """What all members together know about a subject."""
+
+    subject: str
+    found: tuple[Decisions, ...]
+    silent: tuple[NoAnswer, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NoMembers:
+    """No member is known, so nobody can be asked."""
+
+    detail: str
+
+
+Progress = Callable[[int, int], None]
+
+
+class Fleet(Protocol):
+    """What the commands need of the fleet; tests put a small fake in its place."""
+
+    async def survey(self, progress: Progress | None = None) -> Survey | NoMembers:
+        """Ask all members for their status."""
+
+    async def explain(
+        self, subject: str, progress: Progress | None = None
+    ) -> Explanation | NoMembers:
+        """Ask all members for their records about a subject."""
+
+    async def close(self) -> None:
+        """Release the connections."""
+
+
+class GrpcFleet:
+    """The fleet over the protocol between processes."""
+
+    def __init__(self, cfg: Settings) -> None:
+        self._cfg = cfg
+        self._channels = Channels(cfg)
+        self._metadata = _metadata(cfg)
+
+    async def survey(self, progress: Progress | None = None) -> Survey | NoMembers:
+        """Ask all members for their status.
+
+        Members that only other members know of are asked in a second round, so that an
+        instance which the lagging list doesn't show yet is counted as well.
+        """
+        refs = await self._members()
+        if isinstance(refs, NoMembers):
+            return refs
+        first = await _ask_all(refs, self._status, progress)
+        known = {item.ref.address for item in first}
+        found = [item for item in first if isinstance(item, MemberStatus)]
+        more = [ref for ref in _members_seen(found) if ref.address not in known]
+        second = await _ask_all(more, self._status, progress)
+        return _survey([*first, *second])
+
+    async def explain(
+        self, subject: str, progress: Progress | None = None
+    ) -> Explanation | NoMembers:
+        """Ask all members for their records about a subject."""
+        survey = await self.survey()
+        if isinstance(survey, NoMembers):
+            return survey
+
+        async def inspect(ref: MemberRef) -> Decisions | NoAnswer:
+            return await self._inspect(ref, subject)
+
+        refs = [status.ref for status in survey.answers]
+        answers = await _ask_all(refs, inspect, progress)
+        found = [item for item in answers if isinstance(item, Decisions)]
+        silent = [item for item in answers if isinstance(item, NoAnswer)]
+        return Explanation(
+            subject,
+            tuple(item for item in found if item.records),
+            (*survey.silent, *silent),
+        )
+
+    async def close(self) -> None:
+        """Close the channels."""
+        await self._channels.close()
+
+    async def _members(self) -> tuple[MemberRef, ...] | NoMembers:
+        listed = await self._listed()
+        refs = {str(peer): MemberRef(str(peer)) for peer in self._cfg.peers}
+        if isinstance(listed, NoMembers):
+            return tuple(refs.values()) or listed
+        refs.update({ref.address: ref for ref in listed})
+        if not refs:
+            return NoMembers("the instance list is empty and --peers names nobody")
+        return tuple(refs.values())
+
+    async def _listed(self) -> tuple[MemberRef, ...] | NoMembers:
+        url = self._cfg.instances_url
+        if url is None:
+            return NoMembers("neither --instances-url nor --peers is set")
+        timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
+        try:
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                async with session.get(url) as answer:
+                    answer.raise_for_status()
+                    return _parse_list(await answer.json(content_type=None))
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as exc:
+            detail = f"--instances-url {url} can't be read: {_text(exc)}"
+            return NoMembers(detail)
+
+    async def _status(self, ref: MemberRef) -> MemberStatus | NoAnswer:
+        try:
+            reply = await self._channels.peer(ref.address).Status(
+                pb.StatusRequest(), timeout=CALL_SECONDS, metadata=self._metadata
+            )
+        except grpc.RpcError as exc:
+            return NoAnswer(ref, _rpc_text(exc))
+        return MemberStatus(
+            ref=ref,
+            instance=reply.instance,
+            role=reply.role,
+            zone=reply.zone,
+            leaving=reply.leaving,
+            template_versions=dict(reply.template_versions),
+            revision=reply.revision,
+            members_alive=reply.members_alive,
+            members_known=reply.members_known,
+            detail=_object(reply.detail_json),
+        )
+
+    async def _inspect(self, ref: MemberRef, subject: str) -> Decisions | NoAnswer:
+        try:
+            reply = await self._channels.peer(ref.address).Inspect(
+                pb.InspectRequest(subject=subject),
+                timeout=CALL_SECONDS,
+                metadata=self._metadata,
+            )
+        except grpc.RpcError as exc:
+            return NoAnswer(ref, _rpc_text(exc))
+        try:
+            records = json.loads(reply.decisions_json or "[]")
+        except ValueError as exc:
+            return NoAnswer(ref, f"the answer isn't JSON: {exc}")
+        kept = tuple(item for item in records if isinstance(item, dict))
+        return Decisions(reply.instance or ref.label, kept)
+
+
+async def _ask_all(
+    refs: Iterable[MemberRef],
+    ask: Callable[[MemberRef], Awaitable[Any]],
+    progress: Progress | None,
+) -> list[Any]:
+    """Ask all, a bounded number at a time; the answers in the order of ``refs``."""
+    refs = list(refs)
+    gate = asyncio.Semaphore(ASKED_AT_ONCE)
+    done = 0
+
+    async def one(ref: MemberRef) -> Any:
+        nonlocal done
+        async with gate:
+            answer = await ask(ref)
+        done += 1
+        if progress is not None:
+            progress(done, len(refs))
+        return answer
+
+    return list(await asyncio.gather(*(one(ref) for ref in refs)))
+
+
+def _survey(items: list[MemberStatus | NoAnswer]) -> Survey:
+    answers = [item for item in items if isinstance(item, MemberStatus)]
+    silent = [item for item in items if isinstance(item, NoAnswer)]
+    # One member may be listed under two addresses, its own and one from --peers.
+    unique = {item.instance: item for item in answers}
+    return Survey(
+        tuple(unique[name] for name in sorted(unique)),
+        tuple(sorted(silent, key=lambda item: item.ref.label)),
+    )
+
+
+def _parse_list(groups: Any) -> tuple[MemberRef, ...]:
+    if not isinstance(groups, list):
+        raise ValueError(f"a list of groups is expected, not {type(groups).__name__}")
+    refs = []
+    for group in groups:
+        if not isinstance(group, dict):
+            raise ValueError(f"a group is an object, not {type(group).__name__}")
+        labels = group.get("labels", {})
+        for target in group.get("targets", []):
+            ref = MemberRef(
+                address=str(target),
+                instance=labels.get("instance", ""),
+                role=labels.get("role", ""),
+                zone=labels.get("zone", ""),
+                state=labels.get("state", LIVE),
+            )
+            refs.append(ref)
+    return tuple(refs)
+
+
+def _members_seen(answers: Iterable[MemberStatus]) -> tuple[MemberRef, ...]:
+    """The members that the answering ones hold for alive, by their own tables."""
+    seen = {}
+    for status in answers:
+        for item in status.detail.get("members", []):
+            if item.get("status") in _GONE or not item.get("address"):
+                continue
+            seen[item["address"]] = MemberRef(
+                address=item["address"],
+                instance=item.get("instance", ""),
+                role=item.get("role", ""),
+                zone=item.get("zone", ""),
+            )
+    return tuple(seen.values())
+
+
+def _metadata(cfg: Settings) -> tuple[tuple[str, str], ...]:
+    if cfg.operator_key is None:
+        return ()
+    return (("authorization", f"Bearer {cfg.operator_key}"),)
+
+
+def _object(text: str) -> dict[str, Any]:
+    try:
+        value = json.loads(text or "{}")
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def _rpc_text(exc: grpc.RpcError) -> str:
+    code = exc.code().name.lower() if hasattr(exc, "code") else "error"
+    details = exc.details() if hasattr(exc, "details") else ""
+    return f"{code}: {details}" if details else code
+
+
+def _text(exc: BaseException) -> str:
+    return str(exc) or type(exc).__name__
--- a/packages/bambootiller/src/bambootiller/settings.py
+++ b/packages/bambootiller/src/bambootiller/settings.py
@@ -41,6 +41,7 @@
     "AGENT",
     "Address",
     "ENTRY",
+    "Examined",
     "OPERATOR",
     "Origin",
     "Problem",
@@ -52,7 +53,7 @@
     "SettingsRejected",
     "click_options",
     "load_settings",
-    "resolve",
+    "examine",
     "rows",
 ]
 
@@ -100,36 +101,43 @@
         return "\n".join(str(problem) for problem in self.problems)
 
 
-def resolve(
-    role: str, flags: Mapping[str, Any], env: Mapping[str, str]
-) -> tuple[Resolved, ...] | SettingsRejected:
-    """Find the value in force and the origin of each row of ``role``.
+@dataclass(frozen=True, slots=True)
+class Examined:
+    """The rows that have a value, and every problem found."""
+
+    resolved: tuple[Resolved, ...]
+    problems: tuple[Problem, ...]
+
+
+def examine(role: str, flags: Mapping[str, Any], env: Mapping[str, str]) -> Examined:
+    """Find the value in force and the origin of each row of ``role``, good or bad.
 
     ``flags`` maps names of rows to the text given on the command line, or to None;
     names that are no rows are left alone, so that a command may have its own arguments.
     """
     outcomes = [_resolve_row(row, role, flags, env) for row in rows(role)]
     problems = [item for item in outcomes if isinstance(item, Problem)]
-    if problems:
-        return SettingsRejected(tuple(problems))
     resolved = tuple(item for item in outcomes if isinstance(item, Resolved))
-    problems = _cross_checks(role, {item.row.name: item for item in resolved})
-    return SettingsRejected(tuple(problems)) if problems else resolved
+    if not problems:
+        problems = _cross_checks(role, {item.row.name: item for item in resolved})
+    return Examined(resolved, tuple(problems))
 
 
 def load_settings(
     role: str, flags: Mapping[str, Any], env: Mapping[str, str]
 ) -> Settings | SettingsRejected:
     """The settings of a process in ``role``, or every reason why it mustn't start."""
-    resolved = resolve(role, flags, env)
-    if isinstance(resolved, SettingsRejected):
-        return resolved
-    return Settings(**{item.row.name: item.value for item in resolved})
+    found = examine(role, flags, env)
+    if found.problems:
+        return SettingsRejected(found.problems)
+    return Settings(**{item.row.name: item.value for item in found.resolved})
 
 
-def click_options(role: str) -> Callable[[Callable], Callable]:
+def click_options(role: str | None) -> Callable[[Callable], Callable]:
     """Decorator that gives a click command an option for each row of ``role``.
 
+    Without a role it gives an option for every row of the table.
+
     The options hand on text. Parsing is left to :func:`load_settings`, so that a bad
     flag and a bad variable get the same message.
 
@@ -152,7 +160,7 @@
     return decorate
 
 
-def _option_help(row: Row, role: str) -> str:
+def _option_help(row: Row, role: str | None) -> str:
     notes = [row.variable]
     if role in row.required:
         notes.append("required")
--- a/tests/settings/cover/test_settings.py
+++ b/tests/settings/cover/test_settings.py
@@ -15,8 +15,8 @@
     Settings,
     SettingsRejected,
     click_options,
+    examine,
     load_settings,
-    resolve,
     rows,
 )
 
@@ -31,8 +31,8 @@
 class TestPrecedence(unittest.TestCase):
     def test_a_flag_goes_before_its_variable_and_a_variable_before_the_default(self):
         env = {"BAMBOOTILLER_DRAIN_SECONDS": "5", "BAMBOOTILLER_GOSSIP_FANOUT": "4"}
-        found = resolve(ENTRY, {**NEEDED, "drain_seconds": "7"}, env)
-        by_name = {item.row.name: (item.value, item.origin) for item in found}
+        found = examine(ENTRY, {**NEEDED, "drain_seconds": "7"}, env)
+        by_name = {item.row.name: (item.value, item.origin) for item in found.resolved}
         self.assertEqual(by_name["drain_seconds"], (7.0, Origin.FLAG))
         self.assertEqual(by_name["gossip_fanout"], (4, Origin.VARIABLE))
         self.assertEqual(by_name["watchers_per_zone"], (2, Origin.DEFAULT))
