Add the entry: HTTP in, validated and authenticated, relayed to agents

Cause: callers need a door: chat completions and completions with server-sent events, the list of models, plain services by path, health and readiness, refusals that say truthfully whether a call ran. Ruled out: a relay that decides while it calls. What happens after each event (another attempt, a wait, the final outcome) is decided by a core without input or output, which tests can drive without sockets. Also ruled out: the caller's request id as the system's own, because two callers with the same one could get each other's answers. Before: no entry.

--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/entry/httpserver.py
@@ -0,0 +1,100 @@
+"""Uvicorn, run inside the process's own loop and without its signal handlers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import uvicorn
+
+from bambootiller import logs
+from bambootiller.entry.exchange import TrackedApplication
+from bambootiller.settings import Address
+
+#: Longer than balancers keep idle connections (60 s is customary), so that it is they
+#: who close them. Closed from here, a request could be on its way. Seconds.
+KEEP_ALIVE_S = 75
+BACKLOG = 2048
+
+log = logs.logger("entry.http")
+
+
+class _Server(uvicorn.Server):
+    """Signals belong to the application object; uvicorn must not take them over."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class HttpServer:
+    """The listening socket and the server on it.
+
+    Example::
+
+        server = HttpServer(app, Address("127.0.0.1", 0))
+        server.bind()        # server.port is known from here on
+        task = asyncio.create_task(server.serve())
+        ...
+        server.close_listener()
+        await server.stop(5.0)
+    """
+
+    def __init__(self, app: TrackedApplication, listen: Address) -> None:
+        config = uvicorn.Config(
+            app,
+            lifespan="off",
+            ws="none",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=1,
+            backlog=BACKLOG,
+        )
+        self._server = _Server(config)
+        self._listen = listen
+        self._socket: socket.socket | None = None
+        self._ended = asyncio.Event()
+
+    @property
+    def port(self) -> int:
+        """The bound port."""
+        return self._socket.getsockname()[1]
+
+    def bind(self) -> None:
+        """Bind the address; :class:`OSError` names the setting if it is taken."""
+        host, port = self._listen.host, self._listen.port
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, port))
+        except OSError as exc:
+            sock.close()
+            raise OSError(f"--http-listen {host}:{port} can't be bound: {exc}") from exc
+        sock.setblocking(False)
+        self._socket = sock
+
+    async def serve(self) -> None:
+        """Serve until :meth:`stop`."""
+        try:
+            await self._server.serve(sockets=[self._socket])
+        finally:
+            self._ended.set()
+
+    def close_listener(self) -> None:
+        """Accept no new connections; those that are open go on."""
+        for server in getattr(self._server, "servers", ()):
+            server.close()
+
+    async def stop(self, seconds: float) -> None:
+        """Close everything, within about ``seconds``."""
+        self._server.should_exit = True
+        try:
+            await asyncio.wait_for(self._ended.wait(), max(0.1, seconds))
+        except TimeoutError:
+            log.warning("connections were cut {} s after the stop", seconds)
+            self._server.force_exit = True
