--- a/packages/bambootiller-core/src/bambootiller_core/decisions.py
+++ b/packages/bambootiller-core/src/bambootiller_core/decisions.py
@@ -1,9 +1,8 @@
 """Bounded records of decisions, from which ``bambootiller explain`` answers.
 
-A decision that nobody can explain afterwards can't be trusted, and a log of every figure
-would outgrow an instance without disks. So each process keeps the last decisions of each
-subject, each with the figures that it was made on, in bounded memory.
-"""
+A decision that nobody can explain afterwards can't be trusted, and a log of every
+figure would outgrow an instance without disks. So each process keeps the last decisions
+of each subject, each with the figures that it was made on, in bounded memory. """
 
 from __future__ import annotations
 
--- a/packages/bambootiller-core/src/bambootiller_core/invariants.py
+++ b/packages/bambootiller-core/src/bambootiller_core/invariants.py
@@ -10,9 +10,8 @@
 class InvariantBroken(Exception):
     """A property that the program guarantees doesn't hold.
 
-    ``name`` is the property's short name as it stands in the proofs page, ``report`` the
-    figures that show the violation.
-    """
+    ``name`` is the property's short name as it stands in the proofs page, ``report``
+    the figures that show the violation. """
 
     def __init__(self, name: str, report: str) -> None:
         super().__init__(f"invariant {name} is broken: {report}")
--- a/packages/bambootiller-core/src/bambootiller_core/ports.py
+++ b/packages/bambootiller-core/src/bambootiller_core/ports.py
@@ -1,10 +1,9 @@
 """The narrow ports through which the shells reach the platform.
 
-Only the key-value service needs more than one call, so only it has a port of its own. The
-outcomes tell apart what a caller must treat differently: ``Unavailable`` says that the
-call took no effect, ``Unknown`` that it may have taken effect although no answer came.
-A writer that gets ``Unknown`` must read before it concludes anything.
-"""
+Only the key-value service needs more than one call, so only it has a port of its own.
+The outcomes tell apart what a caller must treat differently: ``Unavailable`` says that
+the call took no effect, ``Unknown`` that it may have taken effect although no answer
+came. A writer that gets ``Unknown`` must read before it concludes anything. """
 
 from __future__ import annotations
 
@@ -15,7 +14,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """A key with its value and revisions. ``mod_revision`` 0 means that it is absent."""
+    """A key with its value and revisions. ``mod_revision`` 0 means that it is
+    absent."""
 
     key: str
     value: bytes
--- a/packages/bambootiller-core/src/bambootiller_core/template.py
+++ b/packages/bambootiller-core/src/bambootiller_core/template.py
@@ -1,8 +1,8 @@
 """A customer's template as the core uses it.
 
 The border (``bambootiller.templates``) validates what operators write and builds these
-data classes from it. They are immutable; a change is a new template with a higher version.
-"""
+data classes from it. They are immutable; a change is a new template with a higher
+version. """
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 class WhenStoreDown(enum.Enum):
     """What becomes of a non-idempotent call while its claim can't be written.
 
-    ``REFUSE`` answers at once that the call has not run, and when to come back. ``WAIT``
-    keeps trying to claim until the request's own deadline, then refuses as truthfully.
-    """
+    ``REFUSE`` answers at once that the call has not run, and when to come back.
+    ``WAIT`` keeps trying to claim until the request's own deadline, then refuses as
+    truthfully. """
 
     REFUSE = "refuse"
     WAIT = "wait"
@@ -26,9 +26,9 @@
 class ModelPolicy:
     """What a customer decided for one model.
 
-    ``replicas`` caps the loaded replicas everywhere; ``memory_bytes`` is the accelerator
-    memory of one replica, its KV cache included. ``load_ms`` is the operator's estimate of
-    a load from the remote store, until measured ones replace it.
+    ``replicas`` caps the loaded replicas everywhere; ``memory_bytes`` is the
+    accelerator memory of one replica, its KV cache included. ``load_ms`` is the
+    operator's estimate of a load from the remote store, until measured ones replace it.
     """
 
     name: str
@@ -43,7 +43,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ServicePolicy:
-    """A plain service. Paths that start with one of ``non_idempotent`` may not repeat."""
+    """A plain service. Paths that start with one of ``non_idempotent`` may not
+    repeat."""
 
     name: str
     non_idempotent: tuple[str, ...] = ()
@@ -113,7 +114,8 @@
 
 
 def priority_at(caller: CallerPolicy, local: datetime.datetime) -> int:
-    """The caller's priority at a local time: the first window that covers it, or the base.
+    """The caller's priority at a local time: the first window that covers it, or the
+    base.
 
     Example: a pupil with a window 08:00-16:00 at priority 0 has 0 at 09:30 and the base
     priority at 20:00.
--- a/packages/bambootiller-core/src/bambootiller_core/timers.py
+++ b/packages/bambootiller-core/src/bambootiller_core/timers.py
@@ -43,6 +43,9 @@
     def __init__(self) -> None:
         self._heap: list[tuple[float, int, Subscription]] = []
         self._count = itertools.count()
+        #: Called when a new subscription is due before all others, so that a shell that
+        #: sleeps until :meth:`next_due` wakes up and looks again.
+        self.on_earlier: Callable[[], None] | None = None
 
     def every(
         self, name: str, period: float, now: float, callback: Callback
@@ -81,4 +84,6 @@
 
     def _add(self, sub: Subscription) -> Subscription:
         heapq.heappush(self._heap, (sub.due, next(self._count), sub))
+        if self.on_earlier is not None and self._heap[0][2] is sub:
+            self.on_earlier()
         return sub
--- a/packages/bambootiller-core/src/bambootiller_core/types.py
+++ b/packages/bambootiller-core/src/bambootiller_core/types.py
@@ -92,10 +92,10 @@
 class Request:
     """What the decisions need to know of a caller's request; the body stays outside.
 
-    ``deadline`` is a point on the deciding process's own monotonic clock. ``priority`` is
-    0 for the most urgent callers up to 9; ``standing`` is the weight that the customer
-    gives an answer to this caller. ``prefix`` is a hash of the prompt's beginning, or 0.
-    """
+    ``deadline`` is a point on the deciding process's own monotonic clock. ``priority``
+    is 0 for the most urgent callers up to 9; ``standing`` is the weight that the
+    customer gives an answer to this caller. ``prefix`` is a hash of the prompt's
+    beginning, or 0. """
 
     request_id: str
     customer: str
@@ -147,8 +147,8 @@
     """The load of one replica as its agent knows it at this moment.
 
     Travels on every reply, so that entries choose by fresh figures without broadcasts.
-    ``queue_ms`` is the estimated wait of a request that arrives now, load time included.
-    """
+    ``queue_ms`` is the estimated wait of a request that arrives now, load time
+    included. """
 
     running: int = 0
     waiting: int = 0
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/daemon.py
@@ -0,0 +1,78 @@
+"""``bambootillerd``: one process of the system, in the role that its command names."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from typing import Any
+
+import click
+
+from bambootiller import logs
+from bambootiller.settings import SettingsRejected, click_options, load_settings
+from bambootiller_core.types import Role
+
+#: As in the BSD convention: the configuration is at fault, a restart doesn't help.
+EXIT_SETTINGS = 78
+
+
+@click.group()
+def main() -> None:
+    """Serve rarely used language models: the processes of bambootiller.
+
+    Settings come from flags or from variables (BAMBOOTILLER_...); a flag goes first.
+    SIGTERM asks for a planned stop, which cuts no request.
+    """
+
+
+@main.command()
+@click_options("entry")
+def entry(**flags: Any) -> None:
+    """Face callers: HTTP in, routing to the agents."""
+    sys.exit(_run(Role.ENTRY, flags))
+
+
+@main.command()
+@click_options("agent")
+def agent(**flags: Any) -> None:
+    """Stand beside one backend server, its only door."""
+    sys.exit(_run(Role.AGENT, flags))
+
+
+def _run(role: Role, flags: dict[str, Any]) -> int:
+    settings = load_settings(role.value, flags, os.environ)
+    if isinstance(settings, SettingsRejected):
+        click.echo(str(settings), err=True)
+        return EXIT_SETTINGS
+    logs.configure(settings.log_level, settings.instance)
+    return asyncio.run(_serve(role, settings))
+
+
+async def _serve(role: Role, settings: Any) -> int:
+    # Imported here, by role, so that an agent doesn't carry the HTTP server's memory.
+    from bambootiller.app import Application
+    from bambootiller.kv.etcd import EtcdKeyValue
+    from bambootiller.peers import PeerNode
+
+    app = Application(settings, role)
+    app.kv = EtcdKeyValue(settings.kv_url, settings.kv_user, settings.kv_password)
+    app.add(PeerNode(app))
+    if role is Role.ENTRY:
+        from bambootiller.entry import EntryRole
+        from bambootiller.slotkeeping import SlotKeeper
+
+        app.add(SlotKeeper(app))
+        app.add(EntryRole(app))
+    else:
+        from bambootiller.agent import AgentRole
+
+        app.add(AgentRole(app))
+    try:
+        return await app.run()
+    finally:
+        await app.kv.close()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/slotkeeping/keeper.py
@@ -0,0 +1,213 @@
+"""The component that brings slot tables in line with templates and with the fleet."""
+
+from __future__ import annotations
+
+import secrets
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from bambootiller import logs
+from bambootiller.slotkeeping.surveys import survey
+from bambootiller.slotkeeping.worklist import Worklist
+from bambootiller.slotkeeping.writer import TableWriter, Written
+from bambootiller_core import placement
+from bambootiller_core.membership import MemberView, Status
+from bambootiller_core.repair import Repaired, place, repair
+from bambootiller_core.slots import SlotTable
+from bambootiller_core.template import ModelPolicy, Template
+from bambootiller_core.types import Member, ModelKey, Role
+
+if TYPE_CHECKING:
+    from bambootiller.app import Application
+
+TICK = 0.25
+SWEEP_PERIOD = 30.0
+RETRY_DELAY = 1.0
+#: Models examined in one tick; bounds the burst of surveys after a zone is lost.
+BATCH = 16
+#: Agents asked for one placement.
+SAMPLE = 8
+
+log = logs.logger("slotkeeping")
+
+
+class SlotKeeper:
+    """Creates, repairs and places the slots of the models that this entry ranks for."""
+
+    name = "slot keeping"
+
+    def __init__(self, app: Application) -> None:
+        self._app = app
+        self._work = Worklist(app.instance)
+        self._writer = TableWriter(app)
+        self._busy: set[ModelKey] = set()
+        self._draining = False
+
+    async def prepare(self) -> None:
+        """Nothing is held before the start."""
+
+    async def start(self) -> None:
+        """Subscribe to what changes tables' needs, and look at every model once."""
+        app = self._app
+        app.catalogue.subscribe(self._template_changed, self._table_changed)
+        app.membership.subscribe(self._member_changed)
+        app.timers.every("slot keeping", TICK, app.now(), self._tick)
+        app.timers.every("slot sweep", SWEEP_PERIOD, app.now(), self._sweep)
+
+    async def drain(self, seconds: float) -> None:
+        """Start no more changes; one under way is settled by whoever acts next."""
+        self._draining = True
+
+    async def stop(self) -> None:
+        """Nothing to release."""
+
+    def _entries(self) -> list[str]:
+        views = self._app.membership.members(Role.ENTRY)
+        return [view.member.instance for view in views if view.status is Status.ALIVE]
+
+    def _mark(self, key: ModelKey) -> None:
+        self._work.mark(self._app.now(), key, self._entries())
+
+    def _template_changed(self, template: Template) -> None:
+        for model in template.models:
+            self._mark(ModelKey(template.customer, model))
+        for table in self._app.catalogue.tables():
+            if table.key.customer == template.customer:
+                self._mark(table.key)
+
+    def _table_changed(self, table: SlotTable) -> None:
+        self._mark(table.key)
+
+    def _member_changed(self, view: MemberView) -> None:
+        for table in self._app.catalogue.tables():
+            if any(slot.holder == view.member.instance for slot in table.slots):
+                self._mark(table.key)
+
+    def _sweep(self, now: float) -> None:
+        for key in self._all_keys():
+            self._mark(key)
+
+    def _all_keys(self) -> set[ModelKey]:
+        catalogue = self._app.catalogue
+        keys = {table.key for table in catalogue.tables()}
+        for customer in catalogue.customers():
+            models = catalogue.template(customer).models
+            keys.update(ModelKey(customer, model) for model in models)
+        return keys
+
+    def _tick(self, now: float) -> None:
+        if self._draining:
+            return
+        self._mark_gone_holders()
+        for key in self._work.take(now, BATCH):
+            if key not in self._busy:
+                self._busy.add(key)
+                self._app.spawn(f"slots {key}", self._look(key))
+
+    def _mark_gone_holders(self) -> None:
+        for instance in self._app.instances.take_gone():
+            for table in self._app.catalogue.tables():
+                if any(slot.holder == instance for slot in table.slots):
+                    self._mark(table.key)
+
+    async def _look(self, key: ModelKey) -> None:
+        try:
+            if not await self._bring_in_line(key):
+                self._work.postpone(key, self._app.now() + RETRY_DELAY)
+        finally:
+            self._busy.discard(key)
+
+    async def _bring_in_line(self, key: ModelKey) -> bool:
+        """One round for one model; False if something is left to do."""
+        app = self._app
+        template = app.catalogue.template(key.customer)
+        if template is None:
+            # Without the customer's template nothing is decided; a cap of 0 taken from
+            # a template that has not arrived yet would retire every replica.
+            return True
+        policy = template.models.get(key.model)
+        cap = policy.replicas if policy is not None else 0
+        table = app.catalogue.slots(key)
+        token = secrets.token_hex(8)
+        is_gone = app.instances.is_gone
+        fixed = repair(key, table, cap, template.version, is_gone, token)
+        if fixed is None:
+            return True
+        chosen = await self._choose(key, policy, fixed)
+        if not fixed.changed and not chosen:
+            return not fixed.empty
+        after = place(fixed.table, chosen, token)
+        written = await self._writer.write(table, after)
+        self._explain(key, fixed, chosen, written)
+        return written is Written.IN_FORCE and len(chosen) == len(fixed.empty)
+
+    async def _choose(
+        self, key: ModelKey, policy: ModelPolicy | None, fixed: Repaired
+    ) -> dict[int, str]:
+        """An instance for each empty slot, as far as suitable ones answer."""
+        if policy is None or not fixed.empty:
+            return {}
+        holders = {slot.holder for slot in fixed.table.slots if slot.holder}
+        agents = self._free_agents(holders)
+        sample = placement.candidates(key, list(agents), SAMPLE)
+        figures = await survey(
+            self._app.channels, key, [agents[name] for name in sample]
+        )
+        zones = self._zones_of(holders)
+        chosen: dict[int, str] = {}
+        for number in fixed.empty:
+            left = [one for one in figures if one.instance not in chosen.values()]
+            order = placement.rank(policy, left, zones)
+            if not order:
+                break
+            chosen[number] = order[0]
+            zones[agents[order[0]].zone] += 1
+        return chosen
+
+    def _free_agents(self, holders: set[str]) -> dict[str, Member]:
+        """The live agents that may get a slot: those that the platform lists too.
+
+        A holder that was never listed could not be seen to disappear from the list, and
+        its slot would be lost for good if its instance were reclaimed early.
+        """
+        views = self._app.membership.members(Role.AGENT)
+        listed = self._app.instances.listed()
+        return {
+            view.member.instance: view.member
+            for view in views
+            if view.status is Status.ALIVE
+            and view.member.instance not in holders
+            and view.member.instance in listed
+        }
+
+    def _zones_of(self, holders: set[str]) -> Counter[str]:
+        views = self._app.membership.members(Role.AGENT)
+        return Counter(
+            view.member.zone for view in views if view.member.instance in holders
+        )
+
+    def _explain(
+        self, key: ModelKey, fixed: Repaired, chosen: dict[int, str], written: Written
+    ) -> None:
+        app = self._app
+        app.decisions.record(
+            app.now(),
+            f"model/{key}",
+            "slots",
+            written.value,
+            _reason(fixed, chosen),
+            cap=fixed.table.cap,
+            template_version=fixed.table.template_version,
+            placed=", ".join(f"{num}:{who}" for num, who in sorted(chosen.items())),
+            lost=", ".join(fixed.lost),
+            empty=len(fixed.empty) - len(chosen),
+        )
+        app.metrics.incr(f"slots.write.{written.value}")
+
+
+def _reason(fixed: Repaired, chosen: dict[int, str]) -> str:
+    if fixed.lost:
+        return "the platform lists a holder no more"
+    if fixed.changed:
+        return "the template's cap changed"
+    return "a slot had no holder" if chosen else "no agent has room"
