Let a new process confirm its slots by a write of its own before the first load

Cause: slots are in the instance's name and outlive the process. A process that dies while it gives a slot back may leave that write on its way; it would pass its compare long after the next process on the same backend server has loaded the model. A table from a peer may be out of date as well. Ruled out: waiting for the settle time alone, since a write can sit in a frozen key-value service for longer; marking slots as leaving before they are given back, since a process that starts with a stale table doesn't see the mark. Change: slots.confirm, the effect ConfirmSlot, the event on_slot_confirmed, and the setting BackendConfig.confirm_slots, off until the agent's process carries the effect out. Before: a load could be ordered under a slot that is being given back.

--- a/packages/bambootiller-core/src/bambootiller_core/_arrivals.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_arrivals.py
@@ -20,6 +20,8 @@
 
 #: How much longer than its come-back time a refused caller's model is kept, seconds.
 COME_BACK_MARGIN_S = 5.0
+#: After this time without a slot's confirmation, its callers are sent elsewhere.
+CONFIRM_S = 3.0
 #: What a caller is told whose request came before the agent was ready.
 NOT_READY_RETRY_S = 1.0
 
@@ -151,6 +153,8 @@
             refused = self._unknown(req, key)
         if refused is None and not self._state.loadable(key):
             refused = _no(Code.NOT_HOLDER, f"{self._state.instance} may not load {key}")
+        if refused is None:
+            refused = unconfirmed(now, self._state, self._state.replica(key))
         if refused is None:
             refused = self._blocked(now, req, self._state.replica(key))
         if refused is None:
@@ -226,6 +230,15 @@
     return now - part.ordered_at if part.ordered_at else 0.0
 
 
+def unconfirmed(now: float, state: BackendState, replica: Replica) -> Refused | None:
+    """The refusal of a request whose cold model's slot can't be confirmed, or None."""
+    waited = state.unconfirmed_for(now, replica.key)
+    if not replica.part.cold or waited < CONFIRM_S:
+        return None
+    detail = f"the slot of {replica.key} couldn't be confirmed for {waited:.1f} s"
+    return _no(Code.NOT_READY, detail)
+
+
 def load_failed(now: float, blocked_until: float, key: ModelKey) -> Refused:
     """The refusal of a request whose model couldn't be loaded."""
     left = blocked_until - now
--- a/packages/bambootiller-core/src/bambootiller_core/_backend_state.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_backend_state.py
@@ -71,6 +71,8 @@
     taken_over_at: float | None = None
     silent_since: float | None = None
     leaving: Leaving | None = None
+    confirmed: dict[ModelKey, int] = field(default_factory=dict)
+    confirm_asked: dict[ModelKey, float] = field(default_factory=dict)
 
     @property
     def settled_at(self) -> float:
@@ -99,6 +101,19 @@
         slot = self.slot(key)
         return slot is not None and not slot.retiring
 
+    def confirmed_slot(self, key: ModelKey) -> bool:
+        """Whether a write of this process has confirmed the slot that it holds now."""
+        slot = self.slot(key)
+        if slot is None:
+            return False
+        return not self.cfg.confirm_slots or self.confirmed.get(key) == slot.fence
+
+    def unconfirmed_for(self, now: float, key: ModelKey) -> float:
+        """For how long the confirmation of a slot has been awaited, seconds."""
+        if self.confirmed_slot(key) or key not in self.confirm_asked:
+            return 0.0
+        return now - self.confirm_asked[key]
+
     def policy(self, key: ModelKey) -> ModelPolicy | None:
         """What the customer decided for a model, or None if it decided nothing."""
         template = self.templates.get(key.customer)
--- a/packages/bambootiller-core/src/bambootiller_core/_eviction.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_eviction.py
@@ -183,6 +183,7 @@
             and replica.wanted(now)
             and part.attempts.may_load(now)
             and self._state.loadable(replica.key)
+            and self._state.confirmed_slot(replica.key)
             and self._state.policy(replica.key) is not None
             and not self._unload_may_arrive(now, part)
         )
--- a/packages/bambootiller-core/src/bambootiller_core/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_orders.py
@@ -84,7 +84,8 @@
         ensure(
             slot is not None
             and not slot.retiring
-            and replica.released_fence != slot.fence,
+            and replica.released_fence != slot.fence
+            and self._state.confirmed_slot(key),
             "replica-needs-slot",
             f"load of {key} at {now} with slot {slot}, "
             f"released at fence {replica.released_fence}",
--- a/packages/bambootiller-core/src/bambootiller_core/_upkeep.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_upkeep.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bambootiller_core._arrivals import load_failed
+from bambootiller_core._arrivals import CONFIRM_S, load_failed, unconfirmed
 from bambootiller_core._backend_state import BackendState, ServiceKey
 from bambootiller_core._eviction import Eviction
 from bambootiller_core._gate import Gate, adapter_of
@@ -73,6 +73,9 @@
             return _no(Code.UNKNOWN_MODEL, f"{replica.key} was removed")
         if not self._state.loadable(replica.key):
             return _no(Code.NOT_HOLDER, f"the slot of {replica.key} goes elsewhere")
+        refused = unconfirmed(now, self._state, replica)
+        if refused is not None:
+            return refused
         blocked_until = replica.part.attempts.blocked_until
         if replica.part.cold and now < blocked_until:
             return load_failed(now, blocked_until, replica.key)
@@ -195,6 +198,9 @@
 
     def _due_of(self, now: float, replica: Replica) -> list[float | None]:
         times = [replica.gate.next_deadline()]
+        asked_at = self._state.confirm_asked.get(replica.key)
+        if asked_at is not None and replica.part.cold and not replica.idle():
+            times.append(asked_at + CONFIRM_S)
         part = replica.part
         if part.loaded and replica.idle() and replica.unload_at is not None:
             times.append(max(replica.unload_at, replica.wanted_until))
--- a/packages/bambootiller-core/src/bambootiller_core/backend.py
+++ b/packages/bambootiller-core/src/bambootiller_core/backend.py
@@ -24,6 +24,7 @@
 
 from bambootiller_core._arrivals import Arrivals
 from bambootiller_core._backend_state import BackendState, ServiceKey
+from bambootiller_core._confirmations import Confirmations
 from bambootiller_core._drain import Drain
 from bambootiller_core._eviction import Eviction
 from bambootiller_core._loading import Loading
@@ -81,6 +82,7 @@
         self._arrivals = Arrivals(self._state, self._eviction)
         self._upkeep = Upkeep(self._state, self._orders, self._eviction)
         self._drain = Drain(self._state, self._arrivals)
+        self._confirmations = Confirmations(self._state)
         self._now = 0.0
 
     def on_template(self, now: float, template: Template) -> list[Effect]:
@@ -107,6 +109,11 @@
                 replica.released_fence = 0
         return self._settle(now)
 
+    def on_slot_confirmed(self, now: float, key: ModelKey, fence: int) -> list[Effect]:
+        """This process has written the table in which the slot has ``fence``."""
+        self._confirmations.confirmed(now, key, fence)
+        return self._settle(now)
+
     def on_engine_state(self, now: float, engine: EngineState) -> list[Effect]:
         """Take the engine's account of itself; the first one is the take-over."""
         self._loading.on_engine_state(now, engine)
@@ -229,6 +236,7 @@
             self._upkeep.next_due(now),
             self._orders.next_due() if self._state.silent_since is None else None,
             self._drain.next_due(now),
+            self._confirmations.next_due(),
         )
         # What was due up to the latest event has been done, or waits for another event.
         ahead = (at for at in times if at is not None and at > self._now)
@@ -243,6 +251,7 @@
         self._now = now
         self._loading.resend(now)
         self._upkeep.step(now)
+        self._confirmations.step(now)
         self._drain.step(now)
         return self._state.outbox.take()
 
--- a/packages/bambootiller-core/src/bambootiller_core/backend_effects.py
+++ b/packages/bambootiller-core/src/bambootiller_core/backend_effects.py
@@ -136,13 +136,37 @@
     fence: int
 
 
+@dataclass(frozen=True, slots=True)
+class ConfirmSlot:
+    """Write the table with :func:`bambootiller_core.slots.confirm`, then report it.
+
+    Report the fence of this instance's slot in the written table to
+    ``on_slot_confirmed``. Until then the model isn't loaded here, though a replica that
+    is loaded already serves. Repeated until confirmed; only emitted if
+    ``BackendConfig.confirm_slots`` is set.
+    """
+
+    key: ModelKey
+    fence: int
+
+
 @dataclass(frozen=True, slots=True)
 class Drained:
     """The agent that leaves holds no request any more, and no slot, or its time is
     up."""
 
 
-Effect = Admit | Start | Refuse | Abort | SendOrder | GiveBack | Retired | Drained
+Effect = (
+    Admit
+    | Start
+    | Refuse
+    | Abort
+    | SendOrder
+    | GiveBack
+    | Retired
+    | ConfirmSlot
+    | Drained
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,6 +202,10 @@
     ``load_attempts`` failures in a row end a series of loads; the model is then refused
     for ``cool_down_s``. Between attempts, waits grow from ``backoff_s`` by doubling.
     After ``silent_s`` without the engine's state it counts as unreachable.
+    ``confirm_slots`` has each slot confirmed by a write of this process before its
+    first load. Without it, the shell vouches that the tables it passes on stand in the
+    key-value service, and that a slot write of an earlier process arrives, and is known
+    here, within the settle time.
     """
 
     settle_s: float = 10.0
@@ -189,6 +217,7 @@
     silent_s: float = 3.0
     release_repeat_s: float = 2.0
     max_waiting: int = 1000
+    confirm_slots: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller-core/src/bambootiller_core/slots.py
+++ b/packages/bambootiller-core/src/bambootiller_core/slots.py
@@ -40,6 +40,7 @@
     "Superseded",
     "TookEffect",
     "assign",
+    "confirm",
     "create",
     "document_key",
     "reconcile_cap",
@@ -216,6 +217,22 @@
     return _written(replace(_with(table, given), fence=fence), token)
 
 
+def confirm(table: SlotTable, instance: str, token: str) -> SlotTable:
+    """Mark the table as written by a new process of a holder, and change nothing else.
+
+    A process that died may have left a write behind that gives its slot back and hasn't
+    arrived yet. It would take the slot away long after the next process on the same
+    backend server has loaded the model, and a second replica would be loaded elsewhere.
+    Once this write stands, the late one fails by its compare.
+    """
+    ensure(
+        table.slot_of(instance) is not None,
+        "only-holders-confirm",
+        f"{table.key}: {instance} holds no slot",
+    )
+    return _written(table, token)
+
+
 def vacate(table: SlotTable, number: int, evidence: Evidence, token: str) -> SlotTable:
     """Take a slot from its holder, on evidence that the holder can't load any more.
 
