--- a/packages/bambootiller/src/bambootiller/cli/fleet.py
+++ b/packages/bambootiller/src/bambootiller/cli/fleet.py
@@ -140,8 +140,8 @@
 
 
 def _decision_line(record: dict[str, Any]) -> str:
-    ago = record.get("ago_ms")
-    when = f"{ago / 1000:9.3f} s ago" if isinstance(ago, (int, float)) else ""
+    age = record.get("age_s")
+    when = f"{age:9.3f} s ago" if isinstance(age, (int, float)) else ""
     what = f"{record.get('kind', '')}: {record.get('outcome', '')}"
     figures = record.get("figures") or {}
     shown = ", ".join(f"{name} {value}" for name, value in figures.items())
--- a/packages/bambootiller/src/bambootiller/operators/fleet.py
+++ b/packages/bambootiller/src/bambootiller/operators/fleet.py
@@ -26,6 +26,8 @@
 
 CALL_SECONDS = 3.0
 ASKED_AT_ONCE = 32
+#: How many members' tables are read to find those that the list doesn't show.
+TABLES_READ = 2
 LIVE = "live"
 LEAVING = "leaving"
 _GONE = ("dead", "leaving")
@@ -139,8 +141,9 @@
             return refs
         first = await _ask_all(refs, self._status, progress)
         known = {item.ref.address for item in first}
-        found = [item for item in first if isinstance(item, MemberStatus)]
-        more = [ref for ref in _members_seen(found) if ref.address not in known]
+        answering = [item.ref for item in first if isinstance(item, MemberStatus)]
+        seen = await self._seen_by(answering[:TABLES_READ])
+        more = [ref for ref in seen if ref.address not in known]
         second = await _ask_all(more, self._status, progress)
         return _survey([*first, *second])
 
@@ -193,6 +196,23 @@
             detail = f"--instances-url {url} can't be read: {_text(exc)}"
             return NoMembers(detail)
 
+    async def _seen_by(self, refs: list[MemberRef]) -> list[MemberRef]:
+        """The members that a few others hold for alive or in doubt."""
+        # Without a sender the message counts as nobody's, and changes nothing there.
+        request = pb.ExchangeRequest(full=True)
+        seen: dict[str, MemberRef] = {}
+        for ref in refs:
+            stub = self._channels.peer(ref.address)
+            try:
+                reply = await stub.Exchange(request, timeout=CALL_SECONDS)
+            except grpc.RpcError:
+                continue
+            for item in reply.deltas.members:
+                if item.status not in _GONE and item.address:
+                    found = (item.address, item.instance, item.role, item.zone)
+                    seen[item.address] = MemberRef(*found)
+        return list(seen.values())
+
     async def _status(self, ref: MemberRef) -> MemberStatus | NoAnswer:
         try:
             reply = await self._channels.peer(ref.address).Status(
@@ -283,22 +303,6 @@
     return tuple(refs)
 
 
-def _members_seen(answers: Iterable[MemberStatus]) -> tuple[MemberRef, ...]:
-    """The members that the answering ones hold for alive, by their own tables."""
-    seen = {}
-    for status in answers:
-        for item in status.detail.get("members", []):
-            if item.get("status") in _GONE or not item.get("address"):
-                continue
-            seen[item["address"]] = MemberRef(
-                address=item["address"],
-                instance=item.get("instance", ""),
-                role=item.get("role", ""),
-                zone=item.get("zone", ""),
-            )
-    return tuple(seen.values())
-
-
 def _metadata(cfg: Settings) -> tuple[tuple[str, str], ...]:
     if cfg.operator_key is None:
         return ()
