--- a/packages/bambootiller-standins/src/bambootiller_standins/_faults.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/_faults.py
@@ -61,6 +61,7 @@
         """Takes over a mode; ``down`` cuts the open streams at once."""
         if mode is None:
             return
+        mode = FaultMode(mode)
         self.mode = mode
         self.delay_ms = delay_ms
         self.answers_to_lose = count
@@ -115,6 +116,9 @@
             if task in self._cut:
                 return hang_up(request)
             raise
+        except ConnectionError:
+            # The caller closed its connection while a part of the answer was written.
+            return hang_up(request)
         finally:
             self._streams.discard(task)
             self._cut.discard(task)
--- a/packages/bambootiller-standins/src/bambootiller_standins/engine/__init__.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/engine/__init__.py
@@ -8,7 +8,7 @@
 
 from bambootiller_standins.engine._answers import (
     DEFAULT_MAX_TOKENS,
-    answer_tokens,
+    AnswerTokens,
     chat_prompt,
     expected_answer,
     prefix_of,
@@ -30,6 +30,7 @@
 from bambootiller_standins.engine._service import Engine
 
 __all__ = [
+    "AnswerTokens",
     "DEFAULT_MAX_TOKENS",
     "GIB",
     "Engine",
@@ -38,7 +39,6 @@
     "LoadTimes",
     "ModelConfig",
     "Tier",
-    "answer_tokens",
     "append_gone",
     "chat_prompt",
     "expected_answer",
--- a/packages/bambootiller-standins/src/bambootiller_standins/engine/_answers.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/engine/_answers.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+from collections.abc import Sequence
 
 DEFAULT_MAX_TOKENS = 16
 PREFIX_CHARACTERS = 256
@@ -25,18 +26,27 @@
     return model, adapter
 
 
-def answer_tokens(
-    model: str, adapter: str, prompt: str, max_tokens: int, first: int = 0
-) -> list[str]:
-    """Returns the tokens of an answer from place *first* on; each ends in a space."""
-    seed = _SEPARATOR.join((model, adapter, prompt))
-    start = hashlib.sha256(seed.encode())
-    tokens = []
-    for place in range(first, max_tokens):
-        digest = start.copy()
-        digest.update(f"{_SEPARATOR}{place}".encode())
-        tokens.append(digest.hexdigest()[:_TOKEN_DIGITS] + " ")
-    return tokens
+class AnswerTokens(Sequence[str]):
+    """The tokens of an answer from place *first* on, each worked out when it is read.
+
+    >>> list(AnswerTokens("tutor", "", "hello", 5, first=5))
+    []
+    """
+
+    def __init__(
+        self, model: str, adapter: str, prompt: str, max_tokens: int, first: int = 0
+    ) -> None:
+        seed = _SEPARATOR.join((model, adapter, prompt))
+        self._start = hashlib.sha256(seed.encode())
+        self._places = range(first, max_tokens)
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def __getitem__(self, index: int) -> str:
+        digest = self._start.copy()
+        digest.update(f"{_SEPARATOR}{self._places[index]}".encode())
+        return digest.hexdigest()[:_TOKEN_DIGITS] + " "
 
 
 def expected_answer(model: str, adapter: str, prompt: str, max_tokens: int) -> str:
@@ -49,7 +59,7 @@
     >>> whole.startswith(expected_answer("tutor", "", "hello", 3))
     True
     """
-    return "".join(answer_tokens(model, adapter, prompt, max_tokens))
+    return "".join(AnswerTokens(model, adapter, prompt, max_tokens))
 
 
 def chat_prompt(messages: list[dict]) -> str:
--- a/packages/bambootiller-standins/src/bambootiller_standins/engine/_batch.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/engine/_batch.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from bambootiller_standins.engine._answers import AnswerTokens
+
 MS = 0.001
 
 
@@ -34,7 +36,7 @@
     model: str
     priority: int
     prefix: str
-    tokens: list[str]
+    tokens: AnswerTokens
     given: int = 0
     queue: asyncio.Queue[Token | Cut] = field(default_factory=asyncio.Queue)
 
--- a/packages/bambootiller-standins/src/bambootiller_standins/engine/_service.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/engine/_service.py
@@ -209,7 +209,7 @@
             model=model,
             priority=priority,
             prefix=answers.prefix_of(model, adapter, body.text),
-            tokens=answers.answer_tokens(
+            tokens=answers.AnswerTokens(
                 model, adapter, body.text, body.max_tokens, first
             ),
         )
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins, the harness and the load tool."""
--- /dev/null
+++ b/tests/standins/cover/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that each part does what its interface says."""
