--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/instances.py
@@ -0,0 +1,255 @@
+"""The platform's instance list, as lagging evidence of who exists.
+
+The list says three things that no probe can: which processes exist that nobody has met,
+which are about to be taken away, and which are gone for good. Only the last needs care,
+because slots move on it. An instance is gone if an earlier answer had it and a later,
+successful one hasn't. A failed poll says nothing, and the list before it stays in
+force."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
+
+from bambootiller import logs
+from bambootiller_core.types import Member, Role
+
+if TYPE_CHECKING:
+    from bambootiller.app import Application
+
+POLL_SECONDS = 1.5
+POLL_JITTER = 0.33
+POLL_TIMEOUT_SECONDS = 2.0
+#: An answer that drops more than this share of the instances at once is only believed
+#: when the next successful answer says the same.
+IMPLAUSIBLE_SHARE = 0.5
+#: How many gone instances are remembered; far more than are replaced in a day.
+GONE_REMEMBERED = 4096
+LEAVING = "leaving"
+
+log = logs.logger("instances")
+
+
+class _Labels(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    instance: str
+    role: Role
+    zone: str = ""
+    region: str = ""
+    state: str = "live"
+
+
+class _Target(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    targets: list[str]
+    labels: _Labels
+
+
+_ANSWER = TypeAdapter(list[_Target])
+
+
+@dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """An instance as the platform lists it; ``state`` is ``live`` or ``leaving``."""
+
+    instance: str
+    role: Role
+    zone: str
+    region: str
+    address: str
+    state: str
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the platform is about to take the instance away."""
+        return self.state == LEAVING
+
+    def member(self) -> Member:
+        """The listed process as a member that hasn't spoken yet."""
+        return Member(self.instance, self.role, self.zone, self.region, self.address)
+
+
+@dataclass(frozen=True, slots=True)
+class Believed:
+    """The answer is in force; ``gone`` are the instances that it no longer has."""
+
+    gone: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Doubted:
+    """The answer is set aside until a second one confirms it."""
+
+    dropped: int
+
+
+class ListHistory:
+    """The list in force, and what has gone from it. Without input or output.
+
+    What goes wrong: the platform's list service restarts and answers for a moment with
+    an empty or half-filled list, successfully. Believed at once, it would make every
+    slot of the fleet movable while all holders still run, and so break the cap on
+    replicas. One notices by how much an answer drops at once. Such an answer only
+    counts when the next successful answer, a poll later, also lacks the same instances.
+    A real loss of a whole availability zone is confirmed then, one poll late."""
+
+    def __init__(self) -> None:
+        self.available = False
+        self._listed: dict[str, ListedInstance] = {}
+        self._gone: dict[str, None] = {}
+        self._fresh: dict[str, None] = {}
+        self._doubted: frozenset[str] = frozenset()
+
+    def listed(self) -> dict[str, ListedInstance]:
+        """The list in force, by instance."""
+        return dict(self._listed)
+
+    def is_gone(self, instance: str) -> bool:
+        """Whether the instance stood in an earlier answer and not in a later one."""
+        return instance in self._gone
+
+    def answered(self, answer: list[ListedInstance]) -> Believed | Doubted:
+        """Take over a successful answer."""
+        self.available = True
+        found = {item.instance: item for item in answer}
+        missing = frozenset(self._listed) - frozenset(found)
+        implausible = len(missing) > IMPLAUSIBLE_SHARE * len(self._listed)
+        gone = missing & self._doubted if implausible else missing
+        self._doubted = missing - gone
+        self._listed.update(found)
+        self._remember(sorted(gone))
+        for name in found:
+            self._gone.pop(name, None)
+        if self._doubted:
+            return Doubted(len(self._doubted))
+        return Believed(tuple(sorted(gone)))
+
+    def take_gone(self) -> tuple[str, ...]:
+        """The instances that went since the last call."""
+        taken, self._fresh = tuple(self._fresh), {}
+        return taken
+
+    def failed(self) -> None:
+        """A poll failed: the list in force stays."""
+        self.available = False
+
+    def _remember(self, gone: list[str]) -> None:
+        for name in gone:
+            del self._listed[name]
+            self._gone[name] = None
+            self._fresh[name] = None
+        while len(self._gone) > GONE_REMEMBERED:
+            del self._gone[next(iter(self._gone))]
+
+
+class InstanceList:
+    """Polls the instance list; see :class:`ListHistory` for what it concludes.
+
+    Example::
+
+        app.instances.is_gone("i-12")           # evidence for moving its slots
+        app.instances.listed()["i-13"].leaving  # about to be taken away
+    """
+
+    def __init__(self, app: Application) -> None:
+        self._app = app
+        self._history = ListHistory()
+        self._listeners: list[Callable[[], None]] = []
+        self._session: aiohttp.ClientSession | None = None
+        self._task: asyncio.Task | None = None
+
+    @property
+    def available(self) -> bool:
+        """Whether the latest poll succeeded."""
+        return self._history.available
+
+    def listed(self) -> dict[str, ListedInstance]:
+        """The list in force, by instance."""
+        return self._history.listed()
+
+    def is_gone(self, instance: str) -> bool:
+        """Whether the instance stood in an earlier answer and not in a later one."""
+        return self._history.is_gone(instance)
+
+    def take_gone(self) -> tuple[str, ...]:
+        """The instances that went since the last call; for one caller."""
+        return self._history.take_gone()
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each successful poll."""
+        self._listeners.append(listener)
+
+    async def start(self) -> None:
+        """Poll once, then go on in the background; without a URL do nothing."""
+        if self._app.settings.instances_url is None:
+            return
+        limit = aiohttp.ClientTimeout(total=POLL_TIMEOUT_SECONDS)
+        self._session = aiohttp.ClientSession(timeout=limit)
+        await self.poll()
+        self._task = self._app.spawn("instance list", self._poll_forever())
+
+    async def stop(self) -> None:
+        """End polling."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._session is not None:
+            await self._session.close()
+
+    async def poll(self) -> None:
+        """Ask once, and take the answer over if there is one."""
+        answer = await self._ask()
+        if answer is None:
+            self._history.failed()
+            self._app.metrics.incr("instances.poll_failed")
+            return
+        outcome = self._history.answered(answer)
+        if isinstance(outcome, Doubted):
+            log.warning("the list drops {} at once; waiting", outcome.dropped)
+        elif outcome.gone:
+            log.info("gone from the list: {}", ", ".join(outcome.gone))
+        for listener in tuple(self._listeners):
+            listener()
+
+    async def _poll_forever(self) -> None:
+        while True:
+            jitter = self._app.rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+            await asyncio.sleep(POLL_SECONDS * jitter)
+            await self.poll()
+
+    async def _ask(self) -> list[ListedInstance] | None:
+        url = self._app.settings.instances_url
+        try:
+            async with self._session.get(url) as response:
+                if response.status != 200:
+                    return None
+                return _listed(await response.json(content_type=None))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
+            log.debug("instance list at {}: {}", url, exc)
+            return None
+
+
+def _listed(form: Any) -> list[ListedInstance] | None:
+    try:
+        entries = _ANSWER.validate_python(form)
+    except ValidationError as exc:
+        log.warning("the instance list isn't valid: {}", exc)
+        return None
+    return [
+        ListedInstance(
+            entry.labels.instance,
+            entry.labels.role,
+            entry.labels.zone,
+            entry.labels.region,
+            entry.targets[0],
+            entry.labels.state,
+        )
+        for entry in entries
+        if entry.targets
+    ]
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/peering/__init__.py
@@ -0,0 +1,2 @@
+"""The parts of :mod:`bambootiller.peers`: calls, wire forms, the watch, the
+servicer."""
