--- a/packages/bambootiller-standins/src/bambootiller_standins/engine/_service.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/engine/_service.py
@@ -14,6 +14,7 @@
 from bambootiller_standins._server import StandIn
 from bambootiller_standins.engine import _answers as answers
 from bambootiller_standins.engine._batch import BatchTiming, Cut, Sequence
+from bambootiller_standins.engine._cachecalls import export_prefix, import_prefix
 from bambootiller_standins.engine._completions import (
     DONE,
     AnswerForm,
@@ -81,6 +82,8 @@
             web.post("/orders", self._post_order),
             web.get("/state", self._get_state),
             web.get("/events", self._get_events),
+            web.post("/kv/export", self._export_prefix),
+            web.post("/kv/import", self._import_prefix),
             web.get("/health", self._get_health),
             web.get("/control", self._get_control),
             web.get("/control/runs", self._get_runs),
@@ -280,6 +283,12 @@
         events = self.cache.after(_whole(request, "after"))
         return web.json_response({"events": [asdict(event) for event in events]})
 
+    async def _export_prefix(self, request: web.Request) -> web.Response:
+        return await export_prefix(request, self.cache)
+
+    async def _import_prefix(self, request: web.Request) -> web.Response:
+        return await import_prefix(request, self.cache)
+
     async def _get_health(self, request: web.Request) -> web.Response:
         return web.json_response({"incarnation": self.state.incarnation})
 
--- a/packages/bambootiller-standins/src/bambootiller_standins/harness/_fleet.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/harness/_fleet.py
@@ -84,14 +84,7 @@
         """Starts the platform."""
         timeout = aiohttp.ClientTimeout(total=CONTROL_SECONDS)
         self._session = aiohttp.ClientSession(timeout=timeout)
-        specs = [
-            platform.key_value_spec(self.options),
-            platform.instance_list_spec(self.options),
-        ]
-        if self.options.weight_store:
-            specs.append(platform.weight_store_spec(self.options))
-        if self.options.statsd:
-            specs.append(platform.statsd_spec())
+        specs = platform.platform_specs(self.options)
         await asyncio.gather(*(self._spawn(spec) for spec in specs))
         await self.publish()
 
--- a/packages/bambootiller-standins/src/bambootiller_standins/harness/_platform.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/harness/_platform.py
@@ -52,6 +52,16 @@
     return ProcessSpec(STATSD, standin_command("statsd"), {})
 
 
+def platform_specs(options: PlatformOptions) -> list[ProcessSpec]:
+    """Returns how all of the platform's processes are started."""
+    specs = [key_value_spec(options), instance_list_spec(options)]
+    if options.weight_store:
+        specs.append(weight_store_spec(options))
+    if options.statsd:
+        specs.append(statsd_spec())
+    return specs
+
+
 def engine_spec(name: str, cfg: EngineConfig, folder: Path) -> ProcessSpec:
     """Returns how an engine is started; its settings are written to *folder*."""
     path = folder / f"{name}.json"
--- a/tests/standins/cover/test_engine.py
+++ b/tests/standins/cover/test_engine.py
@@ -9,6 +9,7 @@
     ModelConfig,
     chat_prompt,
     expected_answer,
+    prefix_of,
 )
 from bambootiller_standins.testing import StandInTestCase, eventually
 
@@ -201,6 +202,17 @@
 
         await eventually(shown, "one runs and one waits")
 
+    async def test_an_exported_prefix_can_be_imported_elsewhere(self):
+        first = await self.engine_of()
+        await self.loaded()
+        await (await self.ask()).read()
+        name = {"model": "tutor", "prefix": prefix_of("tutor", "", "hello")}
+        blob = await self.post(first.url + "/kv/export", name)
+        second = await self.engine_of()
+        self.assertFalse(second.cache.holds(**name))
+        await self.post(second.url + "/kv/import", blob)
+        self.assertTrue(second.cache.holds(**name))
+
     async def test_cache_events_come_with_gaps_in_their_numbers(self):
         await self.engine_of(event_lag_ms=1, event_gap_every=2)
         await self.loaded()
