--- a/packages/bambootiller-core/src/bambootiller_core/rendezvous.py
+++ b/packages/bambootiller-core/src/bambootiller_core/rendezvous.py
@@ -14,7 +14,7 @@
 
 def weight(subject: str, name: str) -> int:
     """The weight of ``name`` for ``subject``; equal in every process and run."""
-    return xxhash.xxh3_64_intdigest(f"{subject}\0{name}")
+    return xxhash.xxh3_64_intdigest(f"{subject}\0{name}".encode())
 
 
 def ranked(subject: str, names: Iterable[str]) -> list[str]:
--- /dev/null
+++ b/tests/slotkeeping/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of slot keeping."""
