--- a/packages/bambootiller-core/src/bambootiller_core/keepalive.py
+++ b/packages/bambootiller-core/src/bambootiller_core/keepalive.py
@@ -34,8 +34,9 @@
 DECAY = 0.97
 #: Below this weight of recorded gaps the ski-rental bound stands in for them.
 PRIOR_WEIGHT = 3.0
-#: What the gap that hasn't been seen yet weighs, longer than all that have. Without it a
-#: model whose few recorded gaps were short would be kept for ever in the first long one.
+#: What the gap that hasn't been seen yet weighs, longer than all that have. Without it
+#: a model whose few recorded gaps were short would be kept for ever in the first long
+#: one.
 UNSEEN_WEIGHT = 0.5
 #: Never kept longer than this on a guess, whatever the weights say; seconds.
 LONGEST = 86_400.0
--- a/packages/bambootiller-core/src/bambootiller_core/routing.py
+++ b/packages/bambootiller-core/src/bambootiller_core/routing.py
@@ -17,19 +17,16 @@
 from bambootiller_core.membership import Status
 from bambootiller_core.types import LoadFigures, ModelTarget, Request
 
-#: The wait expected at a holder that has told nothing yet: that of a plain load.
-#: Seconds.
+#: The load time of a model of which the entry knows nothing. Seconds.
 UNKNOWN_WAIT_S = 10.0
 #: What each of the entry's own requests adds to a wait that doesn't include it.
 #: Seconds.
 IN_FLIGHT_S = 0.1
 #: Waits that differ by less than this are equal. Seconds.
 EQUAL_S = 0.25
-#: A cold holder is preferred to a warm one only if its wait is less by this factor.
+#: A holder that would have to load first, or one that others wouldn't choose first, is
+#: preferred only if its wait is less by this factor.
 SECOND_LOAD_MARGIN = 0.8
-#: Among cold holders, one is known to be better only if its wait is less by this
-#: factor.
-COLD_MARGIN = 0.5
 #: The most that a cached prefix or a resident adapter is worth. Seconds.
 AFFINITY_S = 0.5
 #: Figures older than this tell nothing more of a holder that had its model loaded.
@@ -52,6 +49,7 @@
     figures_age: float = 0.0
     affinity: float = 0.0
     in_flight: int = 0
+    load_s: float = UNKNOWN_WAIT_S
 
 
 def rank(
@@ -69,8 +67,8 @@
 def wait_of(cand: Candidate) -> float:
     """The wait in seconds that a request sent to ``cand`` now is expected to have."""
     figures = cand.figures
-    if figures is None:
-        return UNKNOWN_WAIT_S
+    if figures is None or cand.figures_age > STALE_S:
+        return cand.load_s
     each = IN_FLIGHT_S
     if figures.loaded and figures.waiting:
         each = max(each, figures.queue_ms / 1000.0 / figures.waiting)
@@ -136,7 +134,7 @@
     if len(order) < 2:
         return order
     best = min(order, key=lambda cand: (wait_of(cand), place[cand.instance]))
-    if wait_of(best) < wait_of(order[0]) * COLD_MARGIN:
+    if wait_of(best) < wait_of(order[0]) * SECOND_LOAD_MARGIN:
         order.remove(best)
         order.insert(0, best)
     return order
--- a/packages/bambootiller-standins/src/bambootiller_standins/experiments/storemodel.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/experiments/storemodel.py
@@ -17,8 +17,8 @@
 class StoreModel:
     """Serves transfers; each has a length in seconds that it takes at full speed.
 
-    Up to ``full_speed`` transfers run at full speed. With more, all get an equal part of
-    what the store gives in total. ``set_speed`` changes the whole store's speed.
+    Up to ``full_speed`` transfers run at full speed. With more, all get an equal part
+    of what the store gives in total. ``set_speed`` changes the whole store's speed.
     """
 
     def __init__(self, time: VirtualTime, full_speed: int = 4) -> None:
--- a/packages/bambootiller-standins/src/bambootiller_standins/experiments/world.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/experiments/world.py
@@ -1,7 +1,8 @@
 """What a scenario is made of: the customer's sizes, its models, arrivals and faults.
 
-Files in TOML are checked by pydantic models here and become data classes, from which the
-generators draw with a seed. The same seed gives the same arrivals under every policy.
+Files in TOML are checked by pydantic models here and become data classes, from which
+the generators draw with a seed. The same seed gives the same arrivals under every
+policy.
 """
 
 from __future__ import annotations
@@ -35,6 +36,7 @@
     model_gib: tuple[float, float]
     replicas: tuple[int, int]
     warm_up_s: tuple[float, float]
+    max_running: int = pydantic.Field(ge=1)
 
 
 class Sizes(_Strict):
@@ -62,7 +64,7 @@
 
 
 class ScenarioFile(_Strict):
-    """A scenario as its file says it. ``arrivals`` name generators and their settings."""
+    """A scenario as its file says it; ``arrivals`` are generators' settings."""
 
     name: str
     title: str
@@ -108,11 +110,12 @@
     template: Template
     models: tuple[ModelFacts, ...]
     servers: tuple[ServerFacts, ...]
-    by_key: dict[ModelKey, ModelFacts] = field(default_factory=dict)
+    by_key: dict[ModelKey, ModelFacts] = field(default_factory=dict, repr=False)
 
-    def of_group(self, group: str) -> tuple[ModelFacts, ...]:
-        """The models of one group, most used first."""
-        return tuple(model for model in self.models if model.group == group)
+    def of_group(self, index: int) -> tuple[ModelFacts, ...]:
+        """The models of the customer's group at ``index``, most used first."""
+        name = self.sizes.groups[index].name
+        return tuple(model for model in self.models if model.group == name)
 
 
 def load_sizes(name: str) -> Sizes:
@@ -126,6 +129,11 @@
     return ScenarioFile.model_validate(tomllib.loads(path.read_text()))
 
 
+def load_scenario_named(name: str) -> ScenarioFile:
+    """Read ``scenarios/NAME.toml``."""
+    return load_scenario(HERE / "scenarios" / f"{name}.toml")
+
+
 def all_scenarios() -> tuple[ScenarioFile, ...]:
     """The scenarios that ship with the experiments, by file name."""
     return tuple(load_scenario(path) for path in sorted(HERE.glob("scenarios/*.toml")))
@@ -167,7 +175,7 @@
             memory_bytes=int(gib * GIB),
             adapter_bytes=GIB // 8,
             load_ms=round((transfer + warm_up) * 1000),
-            max_running=8,
+            max_running=group.max_running,
             token_ms=rng.uniform(15.0, 30.0),
         )
         key = ModelKey(sizes.customer, name)
--- a/tests/policy/cover/test_retries.py
+++ b/tests/policy/cover/test_retries.py
@@ -39,7 +39,7 @@
         """A second certificate for one lot.
 
         Symptom: a call ran twice. Sequence: the call reaches the backend server, the
-        stream breaks off, the entry tries another one. Cause: "not known" taken for "not
+        stream breaks off, the entry tries another. Cause: "not known" taken for "not
         run".
         """
         unknown = refusal(Code.BACKEND_FAILED, Executed.UNKNOWN)
