Let a new entry see that a holder went before it started, and ask the probes too

Cause: "gone" meant "listed to me earlier and no more". An entry that starts after an instance was reclaimed never saw it, so once all entries are replaced the slots of that instance stay put for good. And a list that drops a running instance moved its slots although probes still answered. Ruled out: a lease of the holder (a paused holder acts after its lease); a shorter count (the list lags, and only successful answers may count). Change: a holder that 40 successful answers in a row don't list is gone; the slot keeper asks that the membership knows it as dead or not at all as well. Before: without the count, test_a_holder_that_nobody_lists_for_long_is_gone_for_a_new_process fails by construction (is_gone had no such case). Conclusion: rests on the assumption that the list lags less than a minute; stated in the class.

--- a/packages/bambootiller/src/bambootiller/instances.py
+++ b/packages/bambootiller/src/bambootiller/instances.py
@@ -28,6 +28,9 @@
 #: An answer that drops more than this share of the instances at once is only believed
 #: when the next successful answer says the same.
 IMPLAUSIBLE_SHARE = 0.5
+#: An instance that this process never saw listed counts as gone after this many
+#: successful answers without it, a minute's worth: far longer than the list lags.
+UNLISTED_ANSWERS = 40
 #: How many gone instances are remembered; far more than are replaced in a day.
 GONE_REMEMBERED = 4096
 LEAVING = "leaving"
@@ -106,14 +109,26 @@
         self._gone: dict[str, None] = {}
         self._fresh: dict[str, None] = {}
         self._doubted: frozenset[str] = frozenset()
+        self._unlisted: dict[str, int] = {}
 
     def listed(self) -> dict[str, ListedInstance]:
         """The list in force, by instance."""
         return dict(self._listed)
 
     def is_gone(self, instance: str) -> bool:
-        """Whether the instance stood in an earlier answer and not in a later one."""
-        return instance in self._gone
+        """Whether the platform has taken the instance away.
+
+        Either an earlier answer had it and a later one hasn't, or nobody has listed it
+        for a minute. The second matters to a process that starts after the instance
+        went: it never sees the instance listed, and without this rule the slots that
+        the instance held would stay with it for good. Slots are given to listed
+        instances only, so a holder that is merely not listed yet doesn't occur.
+        """
+        if instance in self._gone:
+            return True
+        if instance not in self._listed:
+            self._unlisted.setdefault(instance, 0)
+        return False
 
     def answered(self, answer: list[ListedInstance]) -> Believed | Doubted:
         """Take over a successful answer."""
@@ -124,7 +139,7 @@
         gone = missing & self._doubted if implausible else missing
         self._doubted = missing - gone
         self._listed.update(found)
-        self._remember(sorted(gone))
+        self._remember(sorted(gone | self._long_unlisted(found)))
         for name in found:
             self._gone.pop(name, None)
         if self._doubted:
@@ -140,9 +155,20 @@
         """A poll failed: the list in force stays."""
         self.available = False
 
+    def _long_unlisted(self, found: dict[str, ListedInstance]) -> set[str]:
+        """Count an answer for the names that were asked for and aren't listed."""
+        for name in list(self._unlisted):
+            self._unlisted[name] += 1
+            if name in found:
+                del self._unlisted[name]
+        past = {name for name, n in self._unlisted.items() if n >= UNLISTED_ANSWERS}
+        for name in past:
+            del self._unlisted[name]
+        return past
+
     def _remember(self, gone: list[str]) -> None:
         for name in gone:
-            del self._listed[name]
+            self._listed.pop(name, None)
             self._gone[name] = None
             self._fresh[name] = None
         while len(self._gone) > GONE_REMEMBERED:
@@ -175,7 +201,8 @@
         return self._history.listed()
 
     def is_gone(self, instance: str) -> bool:
-        """Whether the instance stood in an earlier answer and not in a later one."""
+        """Whether the platform has taken the instance away, see
+        :class:`ListHistory`."""
         return self._history.is_gone(instance)
 
     def take_gone(self) -> tuple[str, ...]:
--- a/packages/bambootiller/src/bambootiller/slotkeeping/keeper.py
+++ b/packages/bambootiller/src/bambootiller/slotkeeping/keeper.py
@@ -129,8 +129,7 @@
         cap = policy.replicas if policy is not None else 0
         table = app.catalogue.slots(key)
         token = secrets.token_hex(8)
-        is_gone = app.instances.is_gone
-        fixed = repair(key, table, cap, template.version, is_gone, token)
+        fixed = repair(key, table, cap, template.version, self._is_gone, token)
         if fixed is None:
             return True
         chosen = await self._choose(key, policy, fixed)
@@ -141,6 +140,17 @@
         self._explain(key, fixed, chosen, written)
         return written is Written.IN_FORCE and len(chosen) == len(fixed.empty)
 
+    def _is_gone(self, instance: str) -> bool:
+        """Whether an instance can't come back: the platform and the probes agree.
+
+        What goes wrong with the list alone: a list that drops a running instance by
+        mistake would let its slots move while its replicas are loaded. The holder shows
+        by answering probes. A dead member alone is no evidence, it may be paused.
+        """
+        if not self._app.instances.is_gone(instance):
+            return False
+        return self._app.membership.status_of(instance) in (None, Status.DEAD)
+
     async def _choose(
         self, key: ModelKey, policy: ModelPolicy | None, fixed: Repaired
     ) -> dict[int, str]:
--- a/packages/bambootiller/src/bambootiller/slotkeeping/writer.py
+++ b/packages/bambootiller/src/bambootiller/slotkeeping/writer.py
@@ -67,7 +67,7 @@
 
         The write may have taken effect. Writing again without looking would meet its
         own effect as a conflict and count it as somebody else's; the writer's token in
-        the value tells whose write it was. """
+        the value tells whose write it was."""
         for _ in range(READ_BACK_TRIES):
             found = await self._app.kv.get(key)
             if isinstance(found, Found):
--- /dev/null
+++ b/tests/slotkeeping/failures/test_gone_before_start.py
@@ -0,0 +1,57 @@
+"""Instances that went before the process that has to repair their slots started."""
+
+import unittest
+
+from bambootiller.instances import UNLISTED_ANSWERS, ListedInstance, ListHistory
+from bambootiller_core.types import Role
+
+
+def listed(*names):
+    return [
+        ListedInstance(name, Role.AGENT, "az-1", "r1", "127.0.0.1:1", "live")
+        for name in names
+    ]
+
+
+class GoneBeforeStartTests(unittest.TestCase):
+    def test_a_holder_that_nobody_lists_for_long_is_gone_for_a_new_process(self):
+        """Symptom: a slot stays with a reclaimed instance for good; its model is cold.
+
+        Sequence: the instance is reclaimed; all entries are replaced; the new ones
+        never saw the instance listed. Cause: gone meant only "was listed to me
+        earlier". """
+        history = ListHistory()
+        self.assertFalse(history.is_gone("i-9"))
+        for _ in range(UNLISTED_ANSWERS):
+            history.answered(listed("i-1", "i-2"))
+        self.assertTrue(history.is_gone("i-9"))
+        self.assertIn("i-9", history.take_gone())
+
+    def test_a_failed_poll_does_not_count_against_an_unlisted_holder(self):
+        """Symptom: slots move while the list is down.
+
+        Sequence: the list is down for minutes; a holder was never listed to this entry.
+        Cause: counting time instead of successful answers.
+        """
+        history = ListHistory()
+        history.is_gone("i-9")
+        for _ in range(2 * UNLISTED_ANSWERS):
+            history.failed()
+        self.assertFalse(history.is_gone("i-9"))
+
+    def test_a_holder_that_appears_in_an_answer_counts_anew(self):
+        """Symptom: a running instance loses its slot.
+
+        Sequence: the lagging list shows the holder late, then an answer lacks it once.
+        Cause: counting answers without it that lay before the one that had it.
+        """
+        history = ListHistory()
+        history.is_gone("i-9")
+        for _ in range(UNLISTED_ANSWERS - 1):
+            history.answered(listed("i-1", "i-2"))
+        history.answered(listed("i-1", "i-2", "i-9"))
+        self.assertFalse(history.is_gone("i-9"))
+
+
+if __name__ == "__main__":
+    unittest.main()
