--- a/packages/bambootiller/src/bambootiller/entry/relay/core.py
+++ b/packages/bambootiller/src/bambootiller/entry/relay/core.py
@@ -278,6 +278,7 @@
     def _is_probe(self, refused: Refused) -> bool:
         return (
             self._is_service
+            and not self._headed
             and refused.code in _NOT_HERE
             and refused.executed is Executed.NO
             and self._probes < MOST_PROBES
--- a/tests/entry/common/backend.py
+++ b/tests/entry/common/backend.py
@@ -5,6 +5,7 @@
 import grpc
 
 from bambootiller.rpc import bambootiller_pb2 as pb, bambootiller_pb2_grpc as api
+from bambootiller.rpc.server import SERVER_OPTIONS
 
 LOADED = pb.Load(running=1, queue_ms=10, loaded=True, free_bytes=1)
 
@@ -91,7 +92,8 @@
         self._server = None
 
     async def start(self):
-        self._server = grpc.aio.server()
+        # As agents do; the default answers keep-alive pings by closing the connection.
+        self._server = grpc.aio.server(options=SERVER_OPTIONS)
         api.add_BackendServicer_to_server(self, self._server)
         port = self._server.add_insecure_port("127.0.0.1:0")
         self.address = f"127.0.0.1:{port}"
--- a/tests/entry/common/bench.py
+++ b/tests/entry/common/bench.py
@@ -142,7 +142,8 @@
         await self.entry.start()
         self.addAsyncCleanup(self.app.channels.close)
         self.addAsyncCleanup(self.entry.stop)
-        self.session = aiohttp.ClientSession(f"http://127.0.0.1:{self.app.http_port}")
+        self.base = f"http://127.0.0.1:{self.app.http_port}"
+        self.session = aiohttp.ClientSession()
         self.addAsyncCleanup(self.session.close)
 
     async def asyncTearDown(self):
@@ -188,7 +189,7 @@
         sent = {"Authorization": f"Bearer {key}", **(headers or {})}
         async with asyncio.timeout(BOUND_SECONDS):
             # The client would spell the path anew otherwise.
-            url = yarl.URL(path, encoded=True)
+            url = yarl.URL(self.base + path, encoded=True)
             async with self.session.request(method, url, headers=sent, **more) as resp:
                 return resp.status, resp.headers, await resp.read()
 
