--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/agent/service_run.py
@@ -0,0 +1,134 @@
+"""Running a call of a plain service.
+
+Nothing here is ever sent twice. That takes some care with the client library, which
+sends requests of certain methods again by itself if a kept connection turns out closed:
+see :class:`ServiceClient`.
+"""
+
+from __future__ import annotations
+
+import aiohttp
+from yarl import URL
+
+from bambootiller.agent.calls import Call
+from bambootiller.agent.engine import CONNECT_SECONDS
+from bambootiller.agent.pieces import AnswerHead, Completed, Data, Final
+from bambootiller_core.outcomes import Code, Executed, Refused
+
+ELSEWHERE_RETRY_MS = 100
+
+#: They concern one connection, or are set anew here.
+NOT_FORWARDED = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-request-id",
+    }
+)
+NOT_ADDED = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+
+
+class ServiceClient:
+    """Connections to the plain services beside this agent, by name.
+
+    Each call gets a connection of its own. What goes wrong with kept ones: the service
+    reads a request, runs it and dies before it answers; the library takes the closed
+    connection for one that had been idle too long, and sends a GET, PUT or DELETE once
+    more. A path that is declared non-idempotent would run twice, seen only as two
+    arrivals at the service. A new connection leaves no such doubt, and no retry.
+
+    Redirects aren't followed, for they would be a second call, and cookies aren't kept,
+    for they would carry one caller's session into the calls of another.
+    """
+
+    def __init__(self, urls: dict[str, str]) -> None:
+        self._urls = {name: url.rstrip("/") for name, url in urls.items()}
+        self._opened: aiohttp.ClientSession | None = None
+
+    def __contains__(self, service: str) -> bool:
+        return service in self._urls
+
+    def url(self, service: str, path: str) -> URL:
+        """Where a call goes; the path is passed on as it was spelled."""
+        return URL(self._urls[service] + path, encoded=True)
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """The session of all calls; the core decides how many run."""
+        if self._opened is None:
+            self._opened = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+            )
+        return self._opened
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._opened is not None:
+            await self._opened.close()
+            self._opened = None
+
+
+async def run_service(client: ServiceClient, call: Call) -> Final:
+    """Forward one call and stream its answer into the call's outbox."""
+    target = call.req.target
+    if not target.path.startswith("/"):
+        # Appended to "http://host:80", a path such as "@other/" names another host.
+        return _bad(f"path {target.path!r} must begin with '/'")
+    headers = [
+        (name, value)
+        for name, value in call.body.headers
+        if name.lower() not in NOT_FORWARDED
+    ]
+    headers.append(("X-Request-Id", call.name))
+    limit = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
+    call.sent = True
+    try:
+        async with client.session.request(
+            target.method,
+            client.url(target.service, target.path),
+            headers=headers,
+            skip_auto_headers=NOT_ADDED,
+            data=call.body.body or None,
+            allow_redirects=False,
+            timeout=limit,
+        ) as response:
+            return await _pass_on(call, response)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        call.sent = False
+        return _failed(Executed.NO, f"the service can't be reached: {exc}")
+    except aiohttp.InvalidURL as exc:
+        call.sent = False
+        return _bad(f"path {target.path!r} makes no address: {exc}")
+    except (aiohttp.ClientError, OSError, ValueError) as exc:
+        return _failed(Executed.UNKNOWN, f"the service's answer was cut: {exc!r}")
+
+
+async def _pass_on(call: Call, response: aiohttp.ClientResponse) -> Final:
+    headers = tuple(
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in NOT_FORWARDED
+    )
+    await call.put(AnswerHead(response.status, headers))
+    async for data in response.content.iter_any():
+        if data:
+            await call.put(Data(data))
+    return Completed()
+
+
+def _bad(detail: str) -> Refused:
+    return Refused(Code.BAD_REQUEST, Executed.NO, detail, 0)
+
+
+def _failed(executed: Executed, detail: str) -> Refused:
+    return Refused(Code.BACKEND_FAILED, executed, detail, ELSEWHERE_RETRY_MS)
