Make the test runner name a test that hangs, and test files that discovery passes over

Cause: a hanging test kept a run from saying anything for ten minutes and then ended it without naming the test or the failures before it; a folder without __init__.py is passed over in silence. Ruled out: a time limit for each test by signal (it can't interrupt a loop that is in use, and leaves the tests' child processes behind). Failures are printed when they happen. A test file that wasn't discovered counts as failed. Conclusion: a run always says what it got to.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -4,13 +4,13 @@
     python -m tests settings cli    two areas
     python -m tests --long          with the long randomised runs
 
-Prints each failure, the tests that are known to fail, and as the last line, alone on
-it, ``N passed, N failed``. The exit code is 0 if nothing failed but what KNOWN-RED.txt
-names. A skipped test counts as failed, because what isn't run proves nothing.
+Prints each failure when it happens, the tests that are known to fail, and as the last
+line, alone on it, ``N passed, N failed``. The exit code is 0 if nothing failed but what
+KNOWN-RED.txt names. A skipped test counts as failed, because what isn't run proves
+nothing.
 """
 
 import argparse
-import faulthandler
 import os
 import sys
 import time
@@ -19,13 +19,13 @@
 from pathlib import Path
 
 from tests.common import known_red, profiles
+from tests.common.watchdog import Watchdog
 
 ROOT = Path(__file__).resolve().parent.parent
 SLOWEST_SHOWN = 5
 SLOW_SECONDS = 1.0
-#: A test that hangs would keep CI from saying anything at all. After this time the
-#: stacks of all threads are printed and the run ends without a closing line.
-HANG_SECONDS = 600
+#: The longest time for one test; see the module watchdog.
+HANG_SECONDS = 180
 HANG_SECONDS_LONG = 3600
 
 
@@ -39,22 +39,24 @@
 
 
 class Result(unittest.TestResult):
-    """Collects verdicts by test and prints one character for each, 70 on a line."""
+    """Collects verdicts by test and prints a character for each, 70 on a line."""
 
-    def __init__(self, hang_seconds: float) -> None:
+    def __init__(self, watchdog: Watchdog | None = None) -> None:
         super().__init__()
         self.tally = Tally()
-        self._hang_seconds = hang_seconds
+        self._watchdog = watchdog
         self._began = 0.0
 
     def startTest(self, test):
         super().startTest(test)
-        faulthandler.dump_traceback_later(self._hang_seconds, exit=True)
+        if self._watchdog is not None:
+            self._watchdog.begin(test.id())
         self._began = time.monotonic()
 
     def stopTest(self, test):
         super().stopTest(test)
-        faulthandler.cancel_dump_traceback_later()
+        if self._watchdog is not None:
+            self._watchdog.end()
         name = test.id()
         self.tally.seconds[name] = time.monotonic() - self._began
         self.tally.ran.append(name)
@@ -93,6 +95,7 @@
         name = test.id()
         earlier = self.tally.failed.get(name)
         self.tally.failed[name] = f"{earlier}\n{text}" if earlier else text
+        print(f"\nFAILED {name}\n{text}", flush=True)
 
 
 def discover(areas: list[str]) -> unittest.TestSuite:
@@ -105,18 +108,32 @@
     return suite
 
 
+def undiscovered(tests: Path) -> dict[str, str]:
+    """Test files that discovery passes over in silence, with the reason."""
+    found = {}
+    for path in sorted(tests.rglob("test_*.py")):
+        folder = path.parent
+        while folder != tests:
+            if not (folder / "__init__.py").exists():
+                place = folder.relative_to(tests)
+                name = str(path.relative_to(tests))
+                found[name] = f"never ran: tests/{place} has no __init__.py"
+            folder = folder.parent
+    return found
+
+
 def _all_areas() -> list[str]:
     folders = (ROOT / "tests").iterdir()
     return sorted(item.name for item in folders if (item / "__init__.py").exists())
 
 
 def report(tally: Tally, known: tuple[known_red.KnownRed, ...]) -> int:
-    """Print failures and the closing line; return the exit code."""
+    """Print what failed and the closing line; return the exit code."""
     print()
-    for name, text in tally.failed.items():
-        print(f"\nFAILED {name}\n{text}")
     _print_slowest(tally)
     expected = {entry.test for entry in known}
+    for name in tally.failed:
+        print(f"failed: {name}")
     for entry in known:
         verdict = "failed as known" if entry.test in tally.failed else "didn't fail"
         print(f"KNOWN-RED ({verdict}): {entry.test} | {entry.cause} | {entry.issue}")
@@ -151,8 +168,24 @@
         print("0 passed, 1 failed")
         return 1
     print(f"Hypothesis profile {profiles.load()}: examples derive from each test")
-    result = Result(HANG_SECONDS_LONG if options.long else HANG_SECONDS)
-    discover(options.areas).run(result)
+    return run(
+        options.areas, HANG_SECONDS_LONG if options.long else HANG_SECONDS, known
+    )
+
+
+def run(
+    areas: list[str], hang_seconds: float, known: tuple[known_red.KnownRed, ...]
+) -> int:
+    """Run the tests of the areas and report; return the exit code."""
+
+    def on_hang(name: str) -> None:
+        result.tally.failed[name] = "hung"
+        report(result.tally, known)
+
+    result = Result(Watchdog(hang_seconds, on_hang))
+    discover(areas).run(result)
+    if not areas:
+        result.tally.failed.update(undiscovered(ROOT / "tests"))
     return report(result.tally, known)
 
 
--- a/tests/frame/cover/test_runner.py
+++ b/tests/frame/cover/test_runner.py
@@ -2,15 +2,15 @@
 
 import contextlib
 import io
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
 
-from tests.__main__ import Result, report
+from tests.__main__ import ROOT, Result, report, undiscovered
 from tests.common import known_red
 
-HANG_SECONDS = 600
-
 
 class Sample(unittest.TestCase):
     """Run by the tests below one by one, never discovered: no name begins with test."""
@@ -34,7 +34,7 @@
     """The exit code and the lines printed for a run of the named samples."""
     out = io.StringIO()
     with contextlib.redirect_stdout(out):
-        result = Result(HANG_SECONDS)
+        result = Result()
         unittest.TestSuite(Sample(name) for name in names).run(result)
         code = report(result.tally, known)
     return code, out.getvalue().splitlines()
@@ -66,6 +66,52 @@
         self.assertEqual(verdict()[0], 1)
 
 
+HANGING = """
+import asyncio, sys, unittest
+from tests.__main__ import Result, Watchdog, report
+
+class Hanging(unittest.IsolatedAsyncioTestCase):
+    async def test_it(self):
+        await asyncio.Event().wait()
+
+result = Result(Watchdog(0.2, lambda name: report_hang(name)))
+
+def report_hang(name):
+    result.tally.failed[name] = "hung"
+    report(result.tally, ())
+
+Hanging("test_it").run(result)
+"""
+
+
+class TestHangs(unittest.TestCase):
+    def test_a_hanging_test_is_named_with_its_stacks_and_the_run_closes(self):
+        """Symptom: CI ends by its own time limit and says nothing.
+
+        A test awaits an event that never comes; nothing after it runs.
+        """
+        done = subprocess.run(
+            [sys.executable, "-c", HANGING], capture_output=True, text=True, cwd=ROOT
+        )
+        self.assertEqual(done.returncode, 1, done.stderr)
+        self.assertIn("HUNG __main__.Hanging.test_it", done.stdout)
+        self.assertIn("line 7, in test_it", done.stderr)
+        self.assertEqual(done.stdout.splitlines()[-1], "0 passed, 1 failed")
+
+
+class TestDiscovery(unittest.TestCase):
+    def test_a_test_file_that_discovery_would_pass_over_is_reported(self):
+        with tempfile.TemporaryDirectory() as folder:
+            area = Path(folder, "area", "cover")
+            area.mkdir(parents=True)
+            (area / "__init__.py").touch()
+            (area / "test_x.py").touch()
+            found = undiscovered(Path(folder))
+            self.assertEqual(list(found), ["area/cover/test_x.py"])
+            (area.parent / "__init__.py").touch()
+            self.assertEqual(undiscovered(Path(folder)), {})
+
+
 class TestKnownRed(unittest.TestCase):
     def read(self, text):
         with tempfile.TemporaryDirectory() as folder:
