Show new and removed parts of a template field by field

Cause: the first change of a customer listed whole sections as quoted JSON, cut in the middle. Ruled out: listing nothing for a first template (its record would say nothing of what was decided). Change: a part that is absent on one side is compared field by field; an acceptance prints 12 lines and names the command for the rest. `make prove` runs the model checking before the long runs. Before: "models: (absent) -> {\"feedback\": ...". Conclusion: records read alike for first and later changes.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 	$(RUN) -m black --quiet $(SOURCES)
 
 prove: $(READY)
+	$(RUN) -m spec --variants
 	$(RUN) -m tests --long
 
 experiments: $(READY)
--- a/packages/bambootiller/src/bambootiller/cli/outcomes.py
+++ b/packages/bambootiller/src/bambootiller/cli/outcomes.py
@@ -28,6 +28,9 @@
 from bambootiller.templates import TemplateRejected
 from bambootiller_core.ports import Unavailable
 
+#: A first template differs in every field; an acceptance needn't repeat them all.
+MOST_LINES = 12
+
 
 @dataclass(frozen=True, slots=True)
 class Ending:
@@ -79,7 +82,10 @@
 def _(outcome: Applied) -> Ending:
     record = outcome.record
     lines = [f"{record.customer}: version {record.version} is accepted"]
-    lines += record_lines(record)[1:]
+    listed = record_lines(record)[1:]
+    lines += listed[:MOST_LINES]
+    if len(listed) > MOST_LINES:
+        lines.append(f"    ... (all in `bambootiller audit {record.customer}`)")
     return Ending(Exit.OK, "\n".join(lines))
 
 
--- a/packages/bambootiller/src/bambootiller/operators/differences.py
+++ b/packages/bambootiller/src/bambootiller/operators/differences.py
@@ -45,7 +45,8 @@
 
 
 def _walk(left: Any, right: Any, path: str) -> Iterator[Difference]:
-    if isinstance(left, Mapping) and isinstance(right, Mapping):
+    if _are_parts(left, right):
+        left, right = left or {}, right or {}
         for name in sorted(set(left) | set(right)):
             inner = f"{path}.{name}" if path else name
             yield from _walk(left.get(name), right.get(name), inner)
@@ -53,6 +54,12 @@
         yield Difference(path, _json(left), _json(right))
 
 
+def _are_parts(left: Any, right: Any) -> bool:
+    """Whether both have fields of their own; what is absent counts as without any."""
+    present = [value for value in (left, right) if value is not None]
+    return all(isinstance(value, Mapping) for value in present) and any(present)
+
+
 def _same(left: Any, right: Any) -> bool:
     if _is_text_list(left) and _is_text_list(right):
         return sorted(left) == sorted(right)
--- a/tests/cli/cover/test_changes.py
+++ b/tests/cli/cover/test_changes.py
@@ -114,5 +114,17 @@
         (difference,) = differences(before, after)
         self.assertEqual(str(difference), "adapters: +c -a")
 
+    def test_a_new_or_removed_part_is_shown_field_by_field(self):
+        model = {"models": {"tutor": {"replicas": 1, "adapters": []}}}
+        found = [str(item) for item in differences({}, model)]
+        self.assertEqual(
+            found,
+            [
+                "models.tutor.adapters: (absent) -> []",
+                "models.tutor.replicas: (absent) -> 1",
+            ],
+        )
+        self.assertEqual(len(differences(model, {"models": {}})), 2)
+
     def test_true_and_one_differ(self):
         self.assertEqual(len(differences({"batch": True}, {"batch": 1})), 1)
