--- a/packages/bambootiller/src/bambootiller/settings.py
+++ b/packages/bambootiller/src/bambootiller/settings.py
@@ -2,8 +2,8 @@
 
 The fields of :class:`Settings` are the one table: each carries a :class:`Row` with its
 parser, default, roles, help and units. The command line's options, the reading of the
-environment, the list that ``bambootiller settings`` prints and the operators' page all
-derive from these rows.
+environment, the messages and the list that ``bambootiller settings`` prints all derive
+from these rows.
 
 A flag goes before its variable, and a variable before the default. An empty variable
 counts as not set, because unit files and container specifications often pass one on.
