--- a/packages/bambootiller-core/src/bambootiller_core/_claim_book.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_claim_book.py
@@ -160,6 +160,11 @@
             self.give_up(now, entry.attempt.token)
         return settled
 
+    def waits_for_holder(self, token: str) -> bool:
+        """Whether the attempt has met the claim of another, which may run the call."""
+        entry = self._entries.get(token)
+        return entry is not None and entry.holder_seen is not None
+
     # What the key-value service is asked.
 
     def next_write(self, now: float) -> ClaimWrite | None:
@@ -338,6 +343,7 @@
         if isinstance(claim, MalformedClaim):
             return self._settle(now, entry, Taken(None))
         if claim.state is ClaimState.RELEASED:
+            entry.holder_seen = None
             entry.base = revision
             self._schedule(entry, Phase.WRITE, now)
             return []
--- a/packages/bambootiller/src/bambootiller/agent/calls.py
+++ b/packages/bambootiller/src/bambootiller/agent/calls.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bambootiller.agent.answer_copy import AnswerCopy
 from bambootiller.agent.outbox import Outbox
@@ -39,7 +39,8 @@
     ``sent`` turns true just before the first byte may go to the backend server, and
     back only if no connection was made. Whatever is told of the call rests on it.
     ``first_piece`` is called when the answer begins; ``copy`` is set while the answer
-    is kept for repeats.
+    is kept for repeats; ``taken_elsewhere`` tells whether another attempt has claimed
+    the call and may run it.
     """
 
     name: str
@@ -50,6 +51,7 @@
     sent: bool = False
     first_piece: Callable[[], None] | None = None
     copy: AnswerCopy | None = None
+    taken_elsewhere: Callable[[], bool] = lambda: False
 
     @property
     def is_model(self) -> bool:
@@ -65,15 +67,13 @@
             self.copy.note(piece)
         await self.outbox.put(piece)
 
-    def truthful(self, refused: Refused) -> Refused:
-        """The refusal with what is known here of whether the call has run.
+    def aborted(self, refused: Refused) -> Refused:
+        """The refusal of a started call, with what is known here of whether it has run.
 
         A call that has been sent may have run, whoever refuses it and why. One that
-        hasn't been sent never will be, because its task is ended with the refusal.
+        hasn't been sent never will be, because its task is ended with the refusal; but
+        if it waits for the answer of another attempt, the caller's call may have run.
         """
-        executed = refused.executed
-        if self.sent and executed is Executed.NO:
-            executed = Executed.UNKNOWN
-        if not self.sent and executed is Executed.UNKNOWN:
-            executed = Executed.NO
-        return Refused(refused.code, executed, refused.detail, refused.retry_after_ms)
+        may_have_run = self.sent or self.taken_elsewhere()
+        executed = Executed.UNKNOWN if may_have_run else Executed.NO
+        return replace(refused, executed=executed)
--- a/packages/bambootiller/src/bambootiller/agent/claims.py
+++ b/packages/bambootiller/src/bambootiller/agent/claims.py
@@ -74,6 +74,7 @@
         attempt = self._attempt(call, when_down)
         fut = asyncio.get_running_loop().create_future()
         self._waiting[attempt.token] = fut
+        call.taken_elsewhere = lambda: self._book.waits_for_holder(attempt.token)
         self._book.want(self._app.now(), attempt)
         self._wake.set()
         try:
--- a/packages/bambootiller/src/bambootiller/agent/driver.py
+++ b/packages/bambootiller/src/bambootiller/agent/driver.py
@@ -162,7 +162,7 @@
         request_id = call.req.request_id
         ok = isinstance(final, Completed)
         if self._calls.pop(request_id, None) is not None:
-            call.outbox.end(final if ok else call.truthful(final))
+            call.outbox.end(final)
             tokens = final.tokens if ok else 0
             now = self._app.now()
             self._carry_out(self.core.finished(now, request_id, tokens, ok))
@@ -175,7 +175,7 @@
         call = self._calls.pop(request_id, None)
         if call is None:
             return
-        call.outbox.end(call.truthful(refused))
+        call.outbox.end(call.aborted(refused))
         self._end_task(call)
 
     def _end_task(self, call: Call) -> None:
--- a/packages/bambootiller/src/bambootiller/agent/service_run.py
+++ b/packages/bambootiller/src/bambootiller/agent/service_run.py
@@ -1,8 +1,8 @@
 """Running a call of a plain service.
 
 Nothing here is ever sent twice. That takes some care with the client library, which
-sends requests of certain methods again by itself if a kept connection turns out closed:
-see :class:`ServiceClient`.
+sends requests of certain methods again by itself if their connection ends without an
+answer: see :func:`send_once`.
 """
 
 from __future__ import annotations
@@ -36,14 +36,35 @@
 NOT_ADDED = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
+class AnswerCut(aiohttp.ClientError):
+    """The connection ended after the call may have been sent, without an answer."""
+
+
+async def send_once(
+    req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the client library from sending a request a second time.
+
+    What goes wrong: the service reads a GET, PUT or DELETE, runs it and dies before it
+    answers. The library counts those methods as idempotent, whatever the template says
+    of the path, and sends the request once more on a new connection. A non-idempotent
+    call then runs twice under one claim; it shows only as two arrivals at the service.
+    The library repeats after certain errors alone, so these are given another type.
+    """
+    try:
+        return await handler(req)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        # No connection was made; these aren't repeated, and tell that nothing ran.
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        raise AnswerCut(repr(exc)) from exc
+
+
 class ServiceClient:
     """Connections to the plain services beside this agent, by name.
 
-    Each call gets a connection of its own. What goes wrong with kept ones: the service
-    reads a request, runs it and dies before it answers; the library takes the closed
-    connection for one that had been idle too long, and sends a GET, PUT or DELETE once
-    more. A path that is declared non-idempotent would run twice, seen only as two
-    arrivals at the service. A new connection leaves no such doubt, and no retry.
+    Each call gets a connection of its own: of a kept one that turns out closed, nobody
+    can tell whether the service read the call or had closed it before.
 
     Redirects aren't followed, for they would be a second call, and cookies aren't kept,
     for they would carry one caller's session into the calls of another.
@@ -68,6 +89,7 @@
                 connector=aiohttp.TCPConnector(limit=0, force_close=True),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
+                middlewares=(send_once,),
             )
         return self._opened
 
