--- a/packages/bambootiller-core/src/bambootiller_core/documents.py
+++ b/packages/bambootiller-core/src/bambootiller_core/documents.py
@@ -113,19 +113,17 @@
         every copy. A document held at a higher revision than the read's stays: it was
         written after the read, and a peer's watch was faster than this answer.
         """
-        accepted = [document for document in found if self._is_new(document)]
         present = {document.key for document in found}
-        for key, held in tuple(self._held.items()):
-            if not key.startswith(prefix) or key in present or held.deleted:
-                continue
-            if held.revision <= revision:
-                accepted.append(Document(key, revision, b"", deleted=True))
-        for document in accepted:
-            self.offer(document)
+        absent = [
+            Document(key, revision, b"", deleted=True)
+            for key, held in self._held.items()
+            if key.startswith(prefix) and key not in present and not held.deleted
+        ]
+        outcomes = [self.offer(document) for document in (*found, *absent)]
         self.revision = max(self.revision, revision)
         self._prefixes_read.add(prefix)
         self.complete = self.complete or self._prefixes_read.issuperset(PREFIXES)
-        return accepted
+        return [one.document for one in outcomes if isinstance(one, Accepted)]
 
     def missing(self, heads: Iterable[Head]) -> list[Head]:
         """Those of ``heads`` that are later than what is held here."""
@@ -168,9 +166,6 @@
             if document.key.startswith(prefix):
                 listener(document)
 
-    def _is_new(self, document: Document) -> bool:
-        return document.revision > self.revision_of(document.key)
-
     def _store(self, document: Document, held: Document | None) -> None:
         ensure(
             held is None or document.revision > held.revision,
--- a/packages/bambootiller/src/bambootiller/peering/calls.py
+++ b/packages/bambootiller/src/bambootiller/peering/calls.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
-from collections.abc import Iterable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any
 
 import grpc
 
@@ -82,33 +83,44 @@
     async def _exchange(
         self, address: str, message: Message, timeout: float
     ) -> pb.ExchangeReply | None:
-        request = wire.request_of(message)
-        self._traffic.sent(request)
-        try:
-            stub = self._app.channels.peer(address)
-            reply = await stub.Exchange(request, timeout=timeout)
-        except grpc.aio.AioRpcError:
-            self._traffic.failed()
-            return None
-        self._traffic.received(reply)
-        return reply
+        stub = self._app.channels.peer(address)
+        return await self._call(stub.Exchange, wire.request_of(message), timeout)
 
     async def _fetch(self, effect: FetchFrom) -> None:
+        stub = self._app.channels.peer(effect.to.address)
         request = pb.FetchRequest(keys=effect.keys)
-        self._traffic.sent(request)
-        try:
-            stub = self._app.channels.peer(effect.to.address)
-            reply = await stub.Fetch(request, timeout=effect.timeout)
-        except grpc.aio.AioRpcError:
-            self._traffic.failed()
-            now = self._app.now()
+        reply = await self._call(stub.Fetch, request, effect.timeout)
+        now = self._app.now()
+        if reply is None:
             self.carry_out(self._gossip.on_failed(now, effect.ticket))
             return
-        self._traffic.received(reply)
         found = [wire.from_document(form) for form in reply.documents]
-        now = self._app.now()
         self.carry_out(self._gossip.on_fetched(now, effect.ticket, found))
 
+    async def _call(
+        self, method: Callable[..., Any], request: Any, timeout: float
+    ) -> Any | None:
+        """One RPC; None if it wasn't answered.
+
+        What goes wrong: a channel is closed under a call, because its process is gone,
+        and gRPC then ends the call as cancelled, or as a wrong use of the channel.
+        Taken for a cancellation of this task, the call's ticket would never be settled.
+        One notices that nobody has cancelled the task itself.
+        """
+        self._traffic.sent(request)
+        try:
+            reply = await method(request, timeout=timeout)
+        except (grpc.aio.AioRpcError, grpc.aio.UsageError):
+            self._traffic.failed()
+            return None
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            self._traffic.failed()
+            return None
+        self._traffic.received(reply)
+        return reply
+
     async def _let_go(self, member: Member) -> None:
         """Close a channel that was only needed once.
 
--- a/packages/bambootiller/src/bambootiller/peering/servicer.py
+++ b/packages/bambootiller/src/bambootiller/peering/servicer.py
@@ -69,7 +69,7 @@
             instance=app.instance,
             role=app.role.value,
             zone=app.settings.zone,
-            leaving=self._node.leaving,
+            leaving=self._node.leaving or app.leaving,
             template_versions=app.catalogue.template_versions(),
             revision=self._node.gossip.documents.revision,
             members_alive=membership.alive_count(),
--- a/tests/membership/cover/test_etcd.py
+++ b/tests/membership/cover/test_etcd.py
@@ -23,6 +23,7 @@
     Unknown,
 )
 from bambootiller_standins.keyvalue import KeyValueService
+from bambootiller_standins.testing import eventually
 
 KEY = "/bambootiller/templates/forge"
 PREFIX = "/bambootiller/templates/"
@@ -191,8 +192,8 @@
         with unittest.mock.patch.object(etcd, "WATCH_QUIET_SECONDS", 0.05):
             batches = self.kv.watch(PREFIX, 1)
             waiting = asyncio.ensure_future(self._next(batches))
-            while self.service.counts.watches_opened < 3:
-                await asyncio.sleep(0.01)
+            counts = self.service.counts
+            await eventually(lambda: counts.watches_opened >= 3)
             revision = await self.put(b"1")
             (change,) = await waiting
         self.assertEqual(change.record.mod_revision, revision)
