--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -28,6 +28,10 @@
 HANG_SECONDS = 180
 HANG_SECONDS_LONG = 3600
 
+#: gRPC's own handlers at a fork are for children that go on using it. The children of
+#: tests are other programs, so the handlers would only add lines between results.
+GRPC_VARIABLES = {"GRPC_ENABLE_FORK_SUPPORT": "0", "GRPC_VERBOSITY": "ERROR"}
+
 
 @dataclass
 class Tally:
@@ -160,6 +164,8 @@
     unknown = sorted(set(options.areas) - set(_all_areas()))
     if unknown:
         parser.error(f"AREA {unknown[0]!r}; allowed: {', '.join(_all_areas())}")
+    for name, value in GRPC_VARIABLES.items():
+        os.environ.setdefault(name, value)
     if options.long:
         os.environ[profiles.LONG_VARIABLE] = "1"
     known = known_red.read(ROOT / "KNOWN-RED.txt")
