Measure real processes: fleets of several sizes, the target's state in one, requests, streams

Cause: isolated parts don't show what a whole process spends, nor how long a change or a repair takes between processes. Ruled out: starting 3,790 processes; one real process is put among members that are told of and listed, of which only the few answer that it would choose as its peers. Change: measurements `whole`, `fleet`, `gossip`, `requests`, `streams` and `channels`. Before: no figures of real processes.

--- a/packages/bambootiller-standins/src/bambootiller_standins/capacity/__main__.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/capacity/__main__.py
@@ -11,7 +11,14 @@
 import click
 
 # Importing these fills the registry.
-from bambootiller_standins.capacity import _isolated  # noqa: F401
+from bambootiller_standins.capacity import (  # noqa: F401
+    _channels,
+    _fleet,
+    _gossip,
+    _isolated,
+    _requests,
+    _whole,
+)
 from bambootiller_standins.capacity._registry import MEASUREMENTS, Effort
 
 
--- a/packages/bambootiller-standins/src/bambootiller_standins/capacity/child.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/capacity/child.py
@@ -3,7 +3,8 @@
 ``python -m bambootiller_standins.capacity.child memory members 3790`` builds the state
 and prints what it takes; ``... traced members 3790`` the same as the interpreter counts
 it; ``... work rest_second 3790`` the processor time of one piece of work; ``... imports
-NAME`` what a process holds after importing a role's modules. Memory that a process has
+NAME`` what a process holds after importing a role's modules; ``... channels PORTS``
+what connections take. Memory that a process has
 freed stays with it, so sizes measured one after the other in one process would hide
 each other.
 """
@@ -122,11 +123,34 @@
     return (time.process_time() - begun) / repeats, longest
 
 
+def channels(ports: str) -> dict[str, float]:
+    """What connections to these local ports take, each used for one call."""
+    import asyncio
+    from types import SimpleNamespace
+
+    from bambootiller.rpc import bambootiller_pb2 as pb
+    from bambootiller.rpc.channels import Channels
+
+    settings = SimpleNamespace(tls_cert=None, tls_key=None, tls_ca=None)
+
+    async def open_all() -> int:
+        opened = Channels(settings)
+        addresses = [f"127.0.0.1:{port}" for port in ports.split(",")]
+        await opened.peer(addresses[0]).Status(pb.StatusRequest())
+        before = resident()
+        for address in addresses[1:]:
+            await opened.peer(address).Status(pb.StatusRequest())
+        await asyncio.sleep(1.0)
+        return resident() - before
+
+    return {"bytes": asyncio.run(open_all())}
+
+
 def main(arguments: list[str]) -> None:
     """Carry out what the arguments name."""
     kind, name = arguments[:2]
-    if kind == "imports":
-        figures = imports(name)
+    if kind in ("imports", "channels"):
+        figures = {"imports": imports, "channels": channels}[kind](name)
     else:
         figures = {"memory": memory, "traced": traced, "work": work}[kind](
             name, int(arguments[2])
