Name the files that the formatter would change when the lint check fails

Ruled out: printing the differences (long, and `make format` mends them). Change: all three checks run, each with its findings, and any failure fails the target. Before: "make: *** [lint] Error 1". Conclusion: what is not clean is seen at once.

--- a/Makefile
+++ b/Makefile
@@ -38,9 +38,9 @@
 	$(RUN) -m tests $(AREAS)
 
 lint: $(READY)
-	$(RUN) -m black --check --quiet $(SOURCES)
-	$(RUN) -m isort --check --quiet $(SOURCES)
-	$(RUN) -m flake8 $(SOURCES)
+	@code=0; for check in "black --check" "isort --check" flake8; do \
+		$(RUN) -m $$check $(SOURCES) || code=1; \
+	done; exit $$code
 
 format: $(READY)
 	$(RUN) -m isort --quiet $(SOURCES)
