Weigh waiting callers in the keep-alive, and measure bursts against the right bare load time

Cause: the keep-alive counted a class that comes back after an hour like one caller. And the experiments took the bare load time at a caller's arrival, when a load under way had already moved the checkpoint to memory, so that bursts seemed 1.5 to 1.8 times slower than a bare load. Ruled out: a slower queue behind the load (with 32 places the class of 30 fits into one batch). Change: each bin of gaps also counts the callers whom a cold start would have kept waiting.

--- a/packages/bambootiller-core/src/bambootiller_core/keepalive.py
+++ b/packages/bambootiller-core/src/bambootiller_core/keepalive.py
@@ -2,8 +2,10 @@
 
 Keeping a model costs idle accelerator seconds, unloading it costs its next callers a
 cold start. Both costs are the customer's own weights. For each model the lengths of its
-idle gaps are kept in a small histogram with logarithmic bins that forgets slowly; the
-time to keep it is the one at which the expected cost over that histogram is least.
+idle gaps are kept in a small histogram with logarithmic bins that forgets slowly, and
+with each bin how many callers a cold start after such a gap would have kept waiting: a
+class that comes after an hour weighs more than a lone caller. The time to keep a model
+is the one at which the expected cost over that histogram is least.
 
 While little is known, the bound of the ski-rental problem stands in: keep the model
 until idling has cost as much as the cold start would. Whatever the gaps turn out to be,
@@ -38,6 +40,8 @@
 #: a model whose few recorded gaps were short would be kept for ever in the first long
 #: one.
 UNSEEN_WEIGHT = 0.5
+#: Callers within this time of the one that ended a gap would wait for the same load.
+TYPICAL_LOAD_S = 5.0
 #: Never kept longer than this on a guess, whatever the weights say; seconds.
 LONGEST = 86_400.0
 
@@ -47,8 +51,19 @@
     """What is known of one model's use."""
 
     idle_from: float | None = None
-    seen: float = 0.0
     gaps: list[float] = field(default_factory=lambda: [0.0] * BINS)
+    callers: list[float] = field(default_factory=lambda: [0.0] * BINS)
+    ended_at: float = 0.0
+    ended_bin: int | None = None
+
+    def seen(self) -> float:
+        """The weight of all recorded gaps."""
+        return sum(self.gaps)
+
+    def callers_each(self) -> float:
+        """How many callers a cold start would have kept waiting, on average."""
+        seen = self.seen()
+        return sum(self.callers) / seen if seen > 0.0 else 1.0
 
 
 class KeepAlive:
@@ -65,8 +80,9 @@
         """A request for ``key`` arrived, and with it an idle gap ended, if one ran."""
         habit = self._habit(key)
         if habit.idle_from is None:
+            _record_follower(habit, now)
             return
-        _record(habit, now - habit.idle_from, self._decay)
+        _record(habit, now, self._decay)
         habit.idle_from = None
 
     def idle_since(self, now: float, key: ModelKey) -> None:
@@ -91,10 +107,10 @@
         cold_cost = weights.cold_second * load_s
         if weights.idle_second <= 0.0:
             return LONGEST
-        bound = min(cold_cost / weights.idle_second, LONGEST)
-        if habit.seen < self._prior_weight:
-            return bound
-        return _least_cost(habit.gaps, weights.idle_second, cold_cost)
+        if habit.seen() < self._prior_weight:
+            bound = cold_cost * habit.callers_each() / weights.idle_second
+            return min(bound, LONGEST)
+        return _least_cost(habit, weights.idle_second, cold_cost)
 
     def _habit(self, key: ModelKey) -> _Habit:
         habit = self._habits.get(key)
@@ -103,10 +119,29 @@
         return habit
 
 
-def _record(habit: _Habit, gap: float, decay: float) -> None:
+def _record(habit: _Habit, now: float, decay: float) -> None:
+    """A gap has ended: note it, and its first caller."""
     habit.gaps = [weight * decay for weight in habit.gaps]
-    habit.seen = habit.seen * decay + 1.0
-    habit.gaps[_bin(gap)] += 1.0
+    habit.callers = [callers * decay for callers in habit.callers]
+    index = _bin(now - habit.idle_from)
+    habit.gaps[index] += 1.0
+    habit.callers[index] += 1.0
+    habit.ended_at = now
+    habit.ended_bin = index
+
+
+def _record_follower(habit: _Habit, now: float) -> None:
+    """A caller came soon after the one that ended a gap.
+
+    A cold start would have kept both waiting, this one for what is left of the load.
+    """
+    if habit.ended_bin is None:
+        return
+    left = 1.0 - (now - habit.ended_at) / TYPICAL_LOAD_S
+    if left <= 0.0:
+        habit.ended_bin = None
+        return
+    habit.callers[habit.ended_bin] += left
 
 
 def _bin(gap: float) -> int:
@@ -120,21 +155,24 @@
     return 2.0 ** (index / BINS_PER_DOUBLING)
 
 
-def _least_cost(gaps: list[float], idle_second: float, cold_cost: float) -> float:
+def _least_cost(habit: _Habit, idle_second: float, cold_cost: float) -> float:
     """The time to keep at which gaps like the recorded ones cost least.
 
     The candidates are no time at all and the upper edges of the bins.
     """
-    longer = sum(gaps) + UNSEEN_WEIGHT
-    best_time, best_cost = 0.0, cold_cost * longer
+    longer = habit.seen() + UNSEEN_WEIGHT
+    unseen_callers = UNSEEN_WEIGHT * habit.callers_each()
+    waiting = sum(habit.callers) + unseen_callers
+    best_time, best_cost = 0.0, cold_cost * waiting
     idle_cost = 0.0
-    for index, weight in enumerate(gaps):
+    for index, weight in enumerate(habit.gaps):
         edge = _edge(index)
         if edge > LONGEST:
             break
         idle_cost += weight * edge * MIDDLE * idle_second
         longer = max(UNSEEN_WEIGHT, longer - weight)
-        cost = idle_cost + longer * (edge * idle_second + cold_cost)
+        waiting = max(unseen_callers, waiting - habit.callers[index])
+        cost = idle_cost + longer * edge * idle_second + waiting * cold_cost
         if cost < best_cost:
             best_time, best_cost = edge, cost
     return best_time
--- a/packages/bambootiller-standins/src/bambootiller_standins/experiments/arrivals.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/experiments/arrivals.py
@@ -133,7 +133,8 @@
     """Many callers open one model, or several, within ``within_s`` seconds of ``at``.
 
     ``models`` are drawn from the group, each is opened by ``callers``. With ``every_s``
-    the burst comes again, as a class does that meets each day.
+    the burst comes again, as a class does that meets each day, or with ``redraw`` one
+    for other models.
     """
 
     at: float
@@ -141,6 +142,7 @@
     models: int = 1
     within_s: float = 2.0
     every_s: float | None = None
+    redraw: bool = False
     jitter_s: float = 0.0
 
 
@@ -162,6 +164,8 @@
         if cfg.every_s is None:
             break
         at += cfg.every_s
+        if cfg.redraw:
+            chosen = rng.sample(world.of_group(cfg.group), cfg.models)
     return made
 
 
--- a/packages/bambootiller-standins/src/bambootiller_standins/experiments/entrymodel.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/experiments/entrymodel.py
@@ -145,6 +145,7 @@
                 call.relay.chunk("", 1)
                 if call.record.first_token_at is None:
                     call.record.first_token_at = now
+                    call.record.served_by = target
             case "answered":
                 self._board.answered(now, target)
                 ranked = self._ranked(call)
--- a/packages/bambootiller-standins/src/bambootiller_standins/experiments/measures.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/experiments/measures.py
@@ -34,7 +34,8 @@
 
     ``cold`` is the time to the first token of the callers, batch work apart, who found
     no replica loaded; ``first_token`` the same of all callers, batch work apart.
-    ``stretch`` is the cold time of a burst over the bare load time of its model.
+    ``stretch`` is the cold time of a burst over the bare load time of its model at the
+    holder that served it, ``stretch_to_best`` the same over the least of all holders.
     ``cost`` is the customer's own weighting of waiting and idling.
     """
 
@@ -47,9 +48,11 @@
     cold: Tail
     first_token: Tail
     stretch: Tail
+    stretch_to_best: Tail
     idle_h: float
     loaded_h: float
     loads: int
+    most_transfers: int
     cost: float
     cold_cost: float
     idle_cost: float
@@ -85,6 +88,7 @@
     total = max(1, len(records))
     people = [record for record in records if not record.arrival.batch]
     cold = [record for record in people if record.cold]
+    burst = _burst(cold)
     cold_samples = _first_tokens(cold)
     cold_cost = sizes.cold_second * sum(cold_samples)
     unanswered_cost = sizes.cold_second * sum(
@@ -103,10 +107,12 @@
         weighted=_weighted(records),
         cold=tail(cold_samples),
         first_token=tail(_first_tokens(people)),
-        stretch=tail(_stretches(cold)),
+        stretch=tail(_known(record.stretch for record in burst)),
+        stretch_to_best=tail(_known(record.stretch_to_best for record in burst)),
         idle_h=result.idle_s / 3600.0,
         loaded_h=result.loaded_s / 3600.0,
         loads=result.loads,
+        most_transfers=result.most_transfers,
         cost=cold_cost + unanswered_cost + idle_cost,
         cold_cost=cold_cost,
         idle_cost=idle_cost,
@@ -126,17 +132,18 @@
     ]
 
 
-def _stretches(cold: Iterable[Record]) -> list[float]:
+def _burst(cold: Iterable[Record]) -> list[Record]:
     return [
-        record.first_token_s / record.bare_load_s
+        record
         for record in cold
-        if record.ending is Ending.ANSWERED
-        and record.first_token_s is not None
-        and record.bare_load_s > 0
-        and record.arrival.tag == "burst"
+        if record.ending is Ending.ANSWERED and record.arrival.tag == "burst"
     ]
 
 
+def _known(values: Iterable[float | None]) -> list[float]:
+    return [value for value in values if value is not None]
+
+
 def _weighted(records: Sequence[Record]) -> float:
     offered = sum(record.arrival.standing for record in records)
     given = sum(
--- a/packages/bambootiller-standins/src/bambootiller_standins/experiments/records.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/experiments/records.py
@@ -19,11 +19,16 @@
 
 @dataclass(slots=True, eq=False)
 class Record:
-    """One caller's request. ``cold`` if no replica was loaded when it arrived."""
+    """One caller's request. ``cold`` if no replica was loaded when it arrived.
+
+    ``bare_load_s`` are the load times at each holder at that time, with nothing else
+    going on; ``served_by`` is the holder that the first token came from.
+    """
 
     arrival: Arrival
     cold: bool
-    bare_load_s: float
+    bare_load_s: dict[str, float]
+    served_by: str = ""
     first_token_at: float | None = None
     ended_at: float | None = None
     answered: bool = False
@@ -42,6 +47,21 @@
             return None
         return self.first_token_at - self.arrival.at
 
+    @property
+    def stretch(self) -> float | None:
+        """First-token time over the bare load time at the holder that served."""
+        bare = self.bare_load_s.get(self.served_by)
+        if bare is None or self.first_token_s is None:
+            return None
+        return self.first_token_s / bare
+
+    @property
+    def stretch_to_best(self) -> float | None:
+        """First-token time over the least bare load time of all holders."""
+        if not self.bare_load_s or self.first_token_s is None:
+            return None
+        return self.first_token_s / min(self.bare_load_s.values())
+
     @property
     def ending(self) -> Ending:
         """How the request ended."""
