Send the entry's small writes at once, and listen before saying that it has started

Cause: through an entry the first token came some 50 ms later than from the engine itself; a caller that connected as soon as the port was known was refused. Ruled out: the relay and gRPC as the cause of the delay: the entry's own part of a streamed token costs 5 to 8 microseconds (a trial without sockets). Another event loop: a trial with uvloop took about 15% off a token's processor time, too little for a further dependency. Change: the listening socket names its protocol, without which asyncio doesn't set TCP_NODELAY on accepted connections; it listens from the bind on. A broken attempt has the membership probe that agent next. Answers of plain services without a content type get none.

--- a/packages/bambootiller/src/bambootiller/entry/httpapp.py
+++ b/packages/bambootiller/src/bambootiller/entry/httpapp.py
@@ -55,6 +55,8 @@
     """The whole HTTP application of an entry."""
     closer = ConnectionCloser(lambda: readiness().leaving)
     app = falcon.asgi.App(middleware=[closer])
+    # A service's answer without a content type goes on without one.
+    app.resp_options.default_media_type = None
     app.add_error_handler(Exception, _unexpected)
     app.add_error_handler(falcon.HTTPError, _http_error)
     # Left to the outermost wrapper, which stops the process.
--- a/packages/bambootiller/src/bambootiller/entry/httpserver.py
+++ b/packages/bambootiller/src/bambootiller/entry/httpserver.py
@@ -65,13 +65,19 @@
         return self._socket.getsockname()[1]
 
     def bind(self) -> None:
-        """Bind the address; :class:`OSError` names the setting if it is taken."""
+        """Bind and listen; :class:`OSError` names the setting if that fails."""
         host, port = self._listen.host, self._listen.port
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
+        # With the protocol left out, asyncio doesn't take accepted sockets for TCP and
+        # leaves small writes waiting for the caller's acknowledgement: each token that
+        # follows another closely comes some 40 ms late.
+        sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             sock.bind((host, port))
+            # Listening from here on: whoever is told that the process has started may
+            # connect at once, before the server's task has had its first turn.
+            sock.listen(BACKLOG)
         except OSError as exc:
             sock.close()
             raise OSError(f"--http-listen {host}:{port} can't be bound: {exc}") from exc
@@ -85,6 +91,10 @@
         finally:
             self._ended.set()
 
+    def close(self) -> None:
+        """Release the port of a server that hasn't served."""
+        self._socket.close()
+
     def close_listener(self) -> None:
         """Accept no new connections; those that are open go on."""
         for server in getattr(self._server, "servers", ()):
--- a/packages/bambootiller/src/bambootiller/entry/relay/driver.py
+++ b/packages/bambootiller/src/bambootiller/entry/relay/driver.py
@@ -295,7 +295,7 @@
         now = self._now()
         pending = self._pending
         if pending is not None:
-            self._routing.board.failed(now, pending.instance, self._call.key)
+            self._routing.broken(now, pending.instance, self._call.key)
             self._record.broken(now, pending.instance, detail)
         ranked = self._routing.ranked(now, self._call)
         self._next = self._core.broken(now, detail, ranked)
@@ -322,7 +322,7 @@
         """An agent that said nothing until the deadline is counted as failing."""
         pending = self._pending
         if pending is not None and not pending.heard:
-            self._routing.board.failed(self._now(), pending.instance, self._call.key)
+            self._routing.broken(self._now(), pending.instance, self._call.key)
 
     def _silent(self, pending: _Pending) -> None:
         if self._pending is pending:
--- a/packages/bambootiller/src/bambootiller/entry/routing.py
+++ b/packages/bambootiller/src/bambootiller/entry/routing.py
@@ -28,6 +28,8 @@
 
     def view(self, instance: str) -> MemberView | None: ...
 
+    def probe_soon(self, instance: str) -> None: ...
+
 
 class Tables(Protocol):
     """As much of the catalogue as routing reads."""
@@ -76,6 +78,11 @@
             slots=self._tables.slots_revision(call.key),
         )
 
+    def broken(self, now: float, instance: str, key: ModelKey) -> None:
+        """An attempt at an agent broke off; the membership looks at it next."""
+        self.board.failed(now, instance, key)
+        self._members.probe_soon(instance)
+
     def forget(self, instance: str) -> None:
         """An agent is dead."""
         self.board.forget(instance)
--- a/tests/entry/cover/test_answers.py
+++ b/tests/entry/cover/test_answers.py
@@ -90,6 +90,17 @@
         names = {item.name for item in call.headers}
         self.assertNotIn("authorization", names)
 
+    async def test_an_answer_without_a_body_or_a_type_gets_none(self):
+        async def script(stream):
+            await stream.head(204)
+            await stream.done()
+
+        self.scripts(script)
+        for method in ("DELETE", "HEAD"):
+            status, headers, body = await self.call(method, "/services/push/old")
+            self.assertEqual((status, body), (204, b""))
+            self.assertNotIn("Content-Type", headers)
+
     async def test_a_long_answer_is_passed_on_whole(self):
         parts = [bytes([number]) * 50_000 for number in range(20)]
 
