Part what is known of members from the client that asks them

Cause: `bambootiller key new` and `template check` loaded the libraries for gRPC and HTTP. Ruled out: importing inside every function. Change: operators/members.py holds the values and the port, operators/fleet.py the client, which is loaded when a command asks the fleet.

--- a/packages/bambootiller/src/bambootiller/cli/fleet.py
+++ b/packages/bambootiller/src/bambootiller/cli/fleet.py
@@ -8,7 +8,7 @@
 from bambootiller.cli.outcomes import finish
 from bambootiller.cli.output import Progress, print_json, table
 from bambootiller.cli.wiring import json_option, wiring
-from bambootiller.operators.fleet import (
+from bambootiller.operators.members import (
     Explanation,
     Fleet,
     MemberStatus,
--- a/packages/bambootiller/src/bambootiller/cli/outcomes.py
+++ b/packages/bambootiller/src/bambootiller/cli/outcomes.py
@@ -22,7 +22,7 @@
     OutcomeUnknown,
     Unchanged,
 )
-from bambootiller.operators.fleet import NoMembers
+from bambootiller.operators.members import NoMembers
 from bambootiller.operators.waiting import InForce, NotInForce
 from bambootiller.settings import SettingsRejected
 from bambootiller.templates import TemplateRejected
--- a/packages/bambootiller/src/bambootiller/cli/wiring.py
+++ b/packages/bambootiller/src/bambootiller/cli/wiring.py
@@ -18,7 +18,7 @@
 
 from bambootiller.cli.outcomes import finish
 from bambootiller.operators.changes import Author
-from bambootiller.operators.fleet import Fleet, GrpcFleet
+from bambootiller.operators.members import Fleet
 from bambootiller.settings import (
     OPERATOR,
     Problem,
@@ -38,11 +38,20 @@
 
 def open_kv(cfg: Settings) -> KeyValue:
     """The key-value service of the settings."""
+    # Imported here, like the fleet below, so that a command which needs neither starts
+    # without loading their libraries.
     from bambootiller.kv.etcd import EtcdKeyValue
 
     return EtcdKeyValue(cfg.kv_url, cfg.kv_user, cfg.kv_password)
 
 
+def open_fleet(cfg: Settings) -> Fleet:
+    """The fleet of the settings."""
+    from bambootiller.operators.fleet import GrpcFleet
+
+    return GrpcFleet(cfg)
+
+
 @dataclass(frozen=True)
 class Wiring:
     """How a command reaches the world."""
@@ -50,7 +59,7 @@
     flags: Mapping[str, Any] = field(default_factory=dict)
     env: Mapping[str, str] = field(default_factory=lambda: os.environ)
     open_kv: Callable[[Settings], KeyValue] = open_kv
-    open_fleet: Callable[[Settings], Fleet] = GrpcFleet
+    open_fleet: Callable[[Settings], Fleet] = open_fleet
     now: Callable[[], float] = time.monotonic
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
 
--- a/packages/bambootiller/src/bambootiller/operators/waiting.py
+++ b/packages/bambootiller/src/bambootiller/operators/waiting.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from bambootiller.operators.fleet import (
+from bambootiller.operators.members import (
     LEAVING,
     Fleet,
     MemberStatus,
--- a/tests/cli/cover/test_fleet.py
+++ b/tests/cli/cover/test_fleet.py
@@ -6,7 +6,8 @@
 import grpc
 from aiohttp import web
 
-from bambootiller.operators.fleet import GrpcFleet, NoMembers
+from bambootiller.operators.fleet import GrpcFleet
+from bambootiller.operators.members import NoMembers
 from bambootiller.rpc import bambootiller_pb2 as pb, bambootiller_pb2_grpc as api
 from bambootiller.settings import Address, Settings
 
--- a/tests/cli/fakes.py
+++ b/tests/cli/fakes.py
@@ -8,7 +8,7 @@
 
 from bambootiller.cli.main import main
 from bambootiller.cli.wiring import Wiring
-from bambootiller.operators.fleet import (
+from bambootiller.operators.members import (
     Decisions,
     Explanation,
     MemberRef,
