Bound the tries of a fetch, and end one that brings nothing

Cause: a fetch that failed was repeated at another peer at once and without end, so a process cut off from all peers, whose calls fail at once, would have called them in a tight loop; an answer of a peer that is itself behind was followed by the same question again. Ruled out: a pause between tries, which would delay the one useful second try as well. Change: at most three peers in a row; an answer that brought nothing ends the fetch; the next comparison of digests finds what is still missing. Fetching and candidates are modules of their own. An answer of the key-value service that isn't an object no longer stops the process; members without an address are left out. A test for a zone whose only watcher dies. Before: test_a_fetch_is_given_up_after_a_few_peers_and_nothing_is_asked_in_vain had no bound to test. Conclusion: the loop was found by reading, not by a run.

--- a/packages/bambootiller-core/src/bambootiller_core/_gossip_types.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_gossip_types.py
@@ -30,6 +30,7 @@
     join_interval_most: float = 4.0
     full_timeout: float = 3.0
     fetch_timeout: float = 1.5
+    fetch_tries: int = 3
     fetch_keys: int = 64
     fetch_bytes: int = 2 * 2**20
     inline_bytes: int = 1024
--- a/packages/bambootiller-core/src/bambootiller_core/_messages.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_messages.py
@@ -4,15 +4,13 @@
 
 from dataclasses import dataclass, replace
 
+from bambootiller_core._fetching import COMPLETE_MARK
 from bambootiller_core._gossip_types import GossipConfig, Message
 from bambootiller_core._outbox import Outbox, Subject, subject_of
 from bambootiller_core._statements import Statement, Status, supersedes
 from bambootiller_core.documents import Documents, Head
 from bambootiller_core.membership import Membership
 
-#: The head under which a full message says that the sender's documents are complete.
-COMPLETE_MARK = "/bambootiller/complete"
-
 
 @dataclass(frozen=True, slots=True)
 class Composer:
--- a/packages/bambootiller-core/src/bambootiller_core/_tickets.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_tickets.py
@@ -48,10 +48,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Fetched:
-    """Documents were asked for."""
+    """Documents were asked for; ``tries`` counts the peers asked in a row."""
 
     member: Member
     heads: tuple[Head, ...]
+    tries: int
 
 
 Purpose = ProbedDirectly | ProbedThrough | Pushed | Compared | Joined | Fetched
--- a/packages/bambootiller-core/src/bambootiller_core/gossip.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gossip.py
@@ -30,6 +30,7 @@
 import random
 from collections.abc import Iterable, Sequence
 
+from bambootiller_core._fetching import Fetching
 from bambootiller_core._gossip_types import (
     Effect,
     FetchFrom,
@@ -38,7 +39,7 @@
     Message,
     Send,
 )
-from bambootiller_core._messages import COMPLETE_MARK, Composer, telling
+from bambootiller_core._messages import Composer, telling
 from bambootiller_core._outbox import Outbox
 from bambootiller_core._tickets import (
     Compared,
@@ -74,8 +75,7 @@
         self._outbox = Outbox()
         self._composer = Composer(membership, documents, self._outbox, self.cfg)
         self._tickets = Tickets()
-        self._fetching: dict[str, tuple[int, float]] = {}
-        self._wanted: dict[str, int] | None = None
+        self._fetching = Fetching(documents, self.cfg)
         self._pushed_at = -math.inf
         self._targets: list[str] = []
         self._compare_due = 0.0
@@ -161,7 +161,7 @@
             case Compared(member, again):
                 effects += self._compared(now, member, again, message)
             case Joined():
-                self._expect_all(message)
+                self._fetching.expect_all(message.heads)
         return effects + self._push(now)
 
     def on_failed(self, now: float, ticket: int) -> list[Effect]:
@@ -171,8 +171,8 @@
                 return self._probed(now, probed, answered_by="")
             case ProbedThrough() as probed:
                 return self._probed_through(now, probed, False, False)
-            case Fetched(member, heads):
-                return self._fetch_elsewhere(now, member, heads)
+            case Fetched() as failed:
+                return self._fetch_elsewhere(now, failed)
         return []
 
     def on_fetched(
@@ -181,12 +181,11 @@
         """The answer to a :class:`FetchFrom` came."""
         fetched = self._tickets.close(ticket)
         effects = self.offer(now, documents)
-        if isinstance(fetched, Fetched):
-            for head in fetched.heads:
-                self._fetching.pop(head.key, None)
-            if documents:
-                effects += self._fetch(now, fetched.member, fetched.heads)
-        self._note_complete()
+        if isinstance(fetched, Fetched) and self._fetching.end(fetched.heads):
+            # The answer is bounded, so there may be a rest. An answer that brought
+            # nothing isn't followed by another question: the peer may be behind.
+            effects += self._fetch(now, fetched.member, fetched.heads)
+        self._fetching.note_complete()
         return effects
 
     def ping(self, instance: str) -> Message:
@@ -201,62 +200,33 @@
         effects = []
         if teller is not None and teller.status is not Status.DEAD:
             effects = self._fetch(now, teller.member, message.heads)
-        self._note_complete()
+        self._fetching.note_complete()
         return effects
 
-    def _fetch(self, now: float, teller: Member, heads: Iterable[Head]) -> list[Effect]:
+    def _fetch(
+        self, now: float, teller: Member, heads: Iterable[Head], tries: int = 1
+    ) -> list[Effect]:
         """Ask ``teller`` for what is missing here and isn't being fetched already."""
-        lacking = [
-            head
-            for head in self.documents.missing(heads)
-            if head.key != COMPLETE_MARK and not self._is_fetched(now, head)
-        ]
         effects: list[Effect] = []
-        for start in range(0, len(lacking), self.cfg.fetch_keys):
-            batch = tuple(lacking[start : start + self.cfg.fetch_keys])
-            for head in batch:
-                until = now + self.cfg.fetch_timeout
-                self._fetching[head.key] = (head.revision, until)
-            ticket = self._tickets.open(Fetched(teller, batch))
+        for batch in self._fetching.begin(now, heads):
+            ticket = self._tickets.open(Fetched(teller, batch, tries))
             keys = tuple(head.key for head in batch)
             effects.append(FetchFrom(ticket, teller, keys, self.cfg.fetch_timeout))
         return effects
 
-    def _fetch_elsewhere(
-        self, now: float, failed: Member, heads: Iterable[Head]
-    ) -> list[Effect]:
+    def _fetch_elsewhere(self, now: float, failed: Fetched) -> list[Effect]:
         """Fetch from another peer, which by now most likely holds the documents too.
 
         The teller may have died right after it told, and others don't tell again for
-        ever; waiting for the next comparison would take longer than a change may.
-        """
-        for head in heads:
-            self._fetching.pop(head.key, None)
-        peers = [peer for peer in self.membership.peers() if peer != failed]
-        return self._fetch(now, self._rng.choice(peers), heads) if peers else []
-
-    def _is_fetched(self, now: float, head: Head) -> bool:
-        revision, until = self._fetching.get(head.key, (0, 0.0))
-        return revision >= head.revision and until > now
-
-    def _expect_all(self, message: Message) -> None:
-        """Note what has to be held before the documents count as complete.
-
-        Only a peer whose own documents are complete gives that right: two processes
-        that start in an outage would otherwise confirm each other's emptiness.
+        ever; waiting for the next comparison would take longer than a change may. The
+        tries are bounded, because a process that is cut off fails at once each time.
         """
-        if any(head.key == COMPLETE_MARK for head in message.heads):
-            heads = (head for head in message.heads if head.key != COMPLETE_MARK)
-            self._wanted = {head.key: head.revision for head in heads}
-            self._note_complete()
-
-    def _note_complete(self) -> None:
-        if self.documents.complete or self._wanted is None:
-            return
-        held = self.documents.revision_of
-        if all(held(key) >= revision for key, revision in self._wanted.items()):
-            self.documents.complete = True
-            self._wanted = None
+        self._fetching.end(failed.heads)
+        peers = [peer for peer in self.membership.peers() if peer != failed.member]
+        if not peers or failed.tries >= self.cfg.fetch_tries:
+            return []
+        teller = self._rng.choice(peers)
+        return self._fetch(now, teller, failed.heads, failed.tries + 1)
 
     def _carry_out(self, probes: Iterable[ProbeEffect]) -> list[Effect]:
         return [effect for probe in probes for effect in self._sends_of(probe)]
--- a/packages/bambootiller-core/src/bambootiller_core/membership.py
+++ b/packages/bambootiller-core/src/bambootiller_core/membership.py
@@ -23,6 +23,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
+from bambootiller_core._candidates import Candidates
 from bambootiller_core._health import LocalHealth
 from bambootiller_core._member_table import Entry, Listener, MemberTable, MemberView
 from bambootiller_core._membership_config import MembershipConfig
@@ -85,7 +86,7 @@
         self.on_news: Callable[[Statement], None] = lambda statement: None
         self._rng = rng
         self._table = MemberTable(Statement(me, Status.ALIVE), self.cfg.sizes)
-        self._candidates: dict[str, Member] = {}
+        self._candidates = Candidates(rng)
         self._round = ProbeRound(rng)
         self._under_way = ProbesUnderWay()
         self._probe_due = 0.0
@@ -131,7 +132,7 @@
 
     def candidates(self) -> tuple[Member, ...]:
         """Listed processes that haven't been met yet."""
-        return tuple(self._candidates.values())
+        return self._candidates.all()
 
     def statement_of(self, instance: str) -> Statement | None:
         """What is told to others about ``instance``; None if nothing is."""
@@ -178,11 +179,7 @@
         probed, and becomes a member by its own answer, because the list also shows
         processes that don't run yet or no longer.
         """
-        found = {member.instance: member for member in members}
-        found.pop(self.me.instance, None)
-        self._candidates = {
-            name: member for name, member in found.items() if self._unmet(member)
-        }
+        self._candidates.replace(member for member in members if self._unmet(member))
         self._table.set_listed_leaving(leaving)
 
     def probe_soon(self, instance: str) -> None:
@@ -242,6 +239,8 @@
 
     def _unmet(self, listed: Member) -> bool:
         """Whether a listed process is unknown, or dead and now at another address."""
+        if listed.instance == self.me.instance or listed.address == self.me.address:
+            return False
         entry = self._table.get(listed.instance)
         if entry is None:
             met = (member.address for member in self.others())
@@ -263,23 +262,12 @@
 
     def _hold(self, now: float, new: Statement, quiet: bool = False) -> None:
         entry = self._table.hold(now, new, quiet)
-        self._drop_candidates(new.member)
+        self._candidates.met(new.member)
         if new.status is Status.SUSPECT:
             entry.dies_at = now + self._suspicion()
         if not quiet:
             self.on_news(new)
 
-    def _drop_candidates(self, met: Member) -> None:
-        """Forget the candidates that ``met`` was; a seed is known by its address
-        only."""
-        same = [
-            name
-            for name, member in self._candidates.items()
-            if name == met.instance or member.address == met.address
-        ]
-        for name in same:
-            del self._candidates[name]
-
     def _state_own(self, own: Statement) -> None:
         self._table.state_own(own)
         self.on_news(own)
@@ -377,9 +365,9 @@
         target = self._next_target()
         if target is not None:
             probes.append(self._direct(target))
-        if self._candidates:
-            name = self._rng.choice(sorted(self._candidates))
-            probes.append(self._direct(self._candidates[name]))
+        candidate = self._candidates.draw()
+        if candidate is not None:
+            probes.append(self._direct(candidate))
         return probes
 
     def _next_target(self) -> Member | None:
--- a/packages/bambootiller/src/bambootiller/kv/etcd.py
+++ b/packages/bambootiller/src/bambootiller/kv/etcd.py
@@ -187,7 +187,7 @@
                 url, json=body, headers=headers, timeout=limit
             ) as response:
                 await self._check(response)
-                return await response.json(content_type=None)
+                return _form(await response.json(content_type=None))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise _NoEffect(_describe(exc)) from exc
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
@@ -224,7 +224,7 @@
         ) as response:
             await self._check(response)
             while line := await response.content.readline():
-                batch = _batch(json.loads(line))
+                batch = _batch(_form(json.loads(line)))
                 if batch:
                     yield batch
         raise _Unanswered("the watch was closed by the service")
@@ -268,6 +268,12 @@
         self._first = (self._first + 1) % len(self._urls)
 
 
+def _form(answer: Any) -> Form:
+    if not isinstance(answer, dict):
+        raise _Unanswered("the answer isn't a JSON object")
+    return answer
+
+
 def _batch(form: Form) -> tuple[Changed, ...]:
     if "error" in form:
         raise _Unanswered(f"the watch failed: {form['error']}")
--- a/packages/bambootiller/src/bambootiller/peering/wire.py
+++ b/packages/bambootiller/src/bambootiller/peering/wire.py
@@ -1,7 +1,8 @@
 """Gossip messages between the core's data classes and the protocol's messages.
 
-What comes from another process is checked here. A member with an unknown role or
-status, as a newer program might send, is left out; the rest of the message counts."""
+What comes from another process is checked here. A member without a name or an address,
+or with an unknown role or status, as a newer program might send, is left out; the rest
+of the message counts."""
 
 from __future__ import annotations
 
@@ -117,4 +118,4 @@
     member = Member(
         form.instance, role, form.zone, form.region, form.address, form.incarnation
     )
-    return Statement(member, status) if form.instance else None
+    return Statement(member, status) if form.instance and form.address else None
--- a/tests/membership/common/nodes.py
+++ b/tests/membership/common/nodes.py
@@ -106,9 +106,8 @@
         """A node in a zone of its own that knows the first one's address."""
         number = len(self.nodes) + 1
         peers = tuple(one.address for one in self.nodes[:1])
-        cfg = settings(
-            instance, self.service.url, zone=f"az-{number}", peers=peers, **more
-        )
+        more.setdefault("zone", f"az-{number}")
+        cfg = settings(instance, self.service.url, peers=peers, **more)
         made = await node(cfg).start()
         self.nodes.append(made)
         self.addAsyncCleanup(made.kill)
--- a/tests/membership/cover/test_etcd.py
+++ b/tests/membership/cover/test_etcd.py
@@ -112,6 +112,7 @@
             (504, "context deadline exceeded"),
             (500, ""),
             (200, "not json"),
+            (200, "null"),
         ]
         for status, text in turned_away + open_ended:
             with self.subTest(status=status, text=text):
--- a/tests/membership/cover/test_gossip.py
+++ b/tests/membership/cover/test_gossip.py
@@ -146,6 +146,19 @@
         again = _fetches(gossip.on_failed(2.0, fetch.ticket))[0]
         self.assertEqual((again.to.instance, again.keys), ("b", (KEY,)))
 
+    def test_a_fetch_is_given_up_after_a_few_peers_and_nothing_is_asked_in_vain(self):
+        gossip = lone("a", "b")
+        told = Message("a", heads=tuple(_heads([document(7)])))
+        fetch = _fetches(gossip.on_request(1.0, told).effects)[0]
+        behind = gossip.on_fetched(1.1, fetch.ticket, [document(6)])
+        self.assertEqual(_fetches(behind), [])
+        fetches = _fetches(gossip.on_request(1.2, told).effects)
+        tries = 0
+        while fetches:
+            tries += 1
+            fetches = _fetches(gossip.on_failed(1.2, fetches[0].ticket))
+        self.assertEqual(tries, gossip.cfg.fetch_tries)
+
     def test_an_answer_is_bounded_and_the_rest_is_asked_for_again(self):
         net = network(2)
         first = net.nodes["n-0"]
--- a/tests/membership/failures/test_outages.py
+++ b/tests/membership/failures/test_outages.py
@@ -87,6 +87,26 @@
             lambda: all(one.app.documents.get(KEY).deleted for one in self.nodes)
         )
 
+    async def test_a_zone_whose_only_watcher_died_gets_another_one(self):
+        """Symptom: changes no longer reach a zone, and nothing looks broken there.
+
+        Sequence: one process of the zone watches for all; it is killed; a template is
+        changed. Cause: nobody took its place. Who watches follows from the members that
+        are alive, so the next in rank begins when the death is known.
+        """
+        cfg = {"zone": "az-1", "watchers_per_zone": 1}
+        for number in range(3):
+            await self.start(f"i-{number}", **cfg)
+        await eventually(lambda: len(self._watching()) == 1)
+        watcher = self._watching()[0]
+        await watcher.kill()
+        self.nodes.remove(watcher)
+        await eventually(lambda: len(self._watching()) == 1)
+        await self.all_hold(await self.write(b"{}"))
+
+    def _watching(self) -> list:
+        return [one for one in self.nodes if one.node.detail()["watcher"]]
+
     def _order(self, mode: FaultMode) -> None:
         self.service.faults.apply(FaultOrder(mode=mode))
 
