Tie the specification's slot tables and memory ledger to the core's, step by step

Cause: a specification that holds says nothing of a core that follows other rules. Ruled out: comparing final states alone, which hides two faults that cancel out. The specification's memory takes an engine's account for what it says of unloads; its claims let an attempt that gave up clear up behind itself, as the core's do.

--- a/spec/_slots_agents.py
+++ b/spec/_slots_agents.py
@@ -128,7 +128,7 @@
         number = table.index(slot)
         if slot.retiring:
             return table[:number] + table[number + 1 :]
-        return changed(table, number, Slot(fence=slot.fence))
+        return changed(table, number, Slot())
 
     # The engine and the wire to it.
 
--- a/spec/_slots_state.py
+++ b/spec/_slots_state.py
@@ -19,7 +19,10 @@
 
 
 class Slot(NamedTuple):
-    """One slot of the table: its holder, its fencing number, whether it must go."""
+    """
+    One slot of the table: its holder, the fencing number of its assignment (an empty
+    slot's is 0), and whether it must go.
+    """
 
     holder: int = FREE
     fence: int = 0
--- a/spec/claims.py
+++ b/spec/claims.py
@@ -30,7 +30,7 @@
 IDLE, CLAIMING, UNSURE, OWNER, TAKEN = "idle", "claiming", "unsure", "owner", "taken"
 SENT, RELEASING, STOPPED, DEAD = "sent", "releasing", "stopped", "dead"
 NOT_YET, NOT_RUN, UNKNOWN, RESULT = "", "no", "unknown", "result"
-CREATE, RECLAIM, RELEASE, NO_WRITE = "create", "reclaim", "release", ""
+CREATE, RECLAIM, NO_WRITE, RELEASE = "create", "reclaim", "", "release"
 FREE = -1
 # An attempt before those of the model, which released the claim that it had.
 EARLIER = -2
@@ -38,12 +38,13 @@
 
 class Attempt(NamedTuple):
     """
-    One attempt: where it stands, its write on the wire, its call on the wire, whether
-    the backend server ran it, and what the caller was told.
+    One attempt: where it stands, its claim on the wire, its release on the wire, its
+    call on the wire, whether the backend server ran it, and what the caller was told.
     """
 
     phase: str = IDLE
     write: str = NO_WRITE
+    release: bool = False
     call: bool = False
     ran: bool = False
     answer: str = NOT_YET
@@ -253,16 +254,26 @@
     def attempt_releases(self, state: State):
         """A holder that has sent nothing marks its claim released and stops."""
         for number, attempt in self._running(state, OWNER):
-            values = {"phase": RELEASING, "write": RELEASE}
+            values = {"phase": RELEASING, "release": True}
             values["answer"] = self._answer(attempt, NOT_RUN)
             if self.without("release_and_go_on"):
                 values["answer"] = attempt.answer
             yield (number,), self._with(state, number, **values)
 
+    @step
+    def attempt_clears_up(self, state: State):
+        """
+        One that gave up sees to it that no claim of its own stays behind: it writes a
+        released one over it, or in its place, where it would make the late one fail.
+        """
+        for number, attempt in self._running(state, STOPPED):
+            if attempt.answer == NOT_RUN and not attempt.release:
+                yield (number,), self._with(state, number, release=True)
+
     @step_only_in("release_after_send")
     def attempt_releases_after_send(self, state: State):
         for number, attempt in self._running(state, SENT):
-            values = {"phase": STOPPED, "write": RELEASE, "answer": UNKNOWN}
+            values = {"phase": STOPPED, "release": True, "answer": UNKNOWN}
             yield (number,), self._with(state, number, **values)
 
     # The backend server and the wire to it.
@@ -307,33 +318,41 @@
 
     # The key-value service.
 
+    @staticmethod
+    def _writes(state: State):
+        """The writes on the wire, and the state in which each is there no more."""
+        for number, attempt in enumerate(state.attempts):
+            if attempt.write != NO_WRITE:
+                after = Claims._with(state, number, write=NO_WRITE)
+                yield number, attempt.write, after
+            if attempt.release:
+                yield number, RELEASE, Claims._with(state, number, release=False)
+
     @step
     def write_lands(self, state: State):
         if not state.service_up:
             return
-        for number, attempt in enumerate(state.attempts):
-            if attempt.write == NO_WRITE:
-                continue
-            after = self._with(state, number, write=NO_WRITE)
-            if self._succeeds(state, number, attempt.write):
-                released = attempt.write == RELEASE
+        for number, write, after in self._writes(state):
+            if self._succeeds(state, number, write):
+                released = write == RELEASE
                 after = after._replace(
                     owner=number, released=released, current=frozenset()
                 )
-            yield (number, attempt.write), after
+            yield (number, write), after
 
     def _succeeds(self, state: State, number: int, write: str) -> bool:
+        on_present_revision = state.owner == FREE or number in state.current
         if write == CREATE:
             return state.owner == FREE
         if write == RELEASE:
-            return state.owner == number and not state.released
+            own = state.owner == number and not state.released
+            return own or on_present_revision
         return number in state.current or self.without("reclaim_without_compare")
 
     @step
     def write_is_lost(self, state: State):
-        for number, attempt in enumerate(state.attempts):
-            if attempt.write != NO_WRITE:
-                yield (number,), self._with(state, number, write=NO_WRITE)
+        for number, write, after in self._writes(state):
+            yield (number, write), after
 
     @step
     def service_fails(self, state: State):
--- a/spec/memory.py
+++ b/spec/memory.py
@@ -148,8 +148,7 @@
         early = self.without("release_memory_before_confirm")
         for number, model in enumerate(state.models):
             if model.entry == HELD and not model.unload:
-                values = {"entry": NONE if early else LEAVING}
-                values |= {"unload": True, "changed": True}
+                values = {"entry": NONE if early else LEAVING, "unload": True}
                 yield (number,), self._with(state, number, **values)
 
     @step
@@ -173,11 +172,11 @@
         if not state.agent_up:
             return
         for number, model in enumerate(state.models):
-            if model.entry != LEAVING or model.unload:
+            if model.entry != LEAVING:
                 continue
-            if model.phase in (ABSENT, LOADED):
-                entry = NONE if model.phase == ABSENT else HELD
-                values = {"entry": entry, "changed": True}
+            refused = model.phase == LOADED and not model.unload
+            if model.phase == ABSENT or refused:
+                values = {"entry": HELD if refused else NONE, "changed": True}
                 yield (number,), self._with(state, number, **values)
 
     @step
@@ -205,7 +204,7 @@
             present = (n for n, m in enumerate(state.models) if m.phase != ABSENT)
             # Orders that are open say nothing yet, whenever the report was taken.
             models = tuple(
-                m._replace(changed=m.load != LAST or m.unload or m.entry == ORDERED)
+                m._replace(changed=m.load != LAST or m.entry == ORDERED)
                 for m in state.models
             )
             yield (), state._replace(models=models, report=frozenset(present))
--- a/spec/slots.py
+++ b/spec/slots.py
@@ -15,7 +15,7 @@
 """
 
 from collections.abc import Iterator
-from itertools import combinations
+from itertools import combinations, permutations
 
 from spec._model import Variant, changed, invariant, specification, step, step_only_in
 from spec._slots_agents import AgentSteps
@@ -212,7 +212,7 @@
         """Retiring slots come back first, under new numbers; then new ones come."""
         retiring = [n for n, slot in enumerate(state.table) if slot.retiring]
         back = min(missing, len(retiring))
-        for chosen in combinations(retiring, back):
+        for chosen in permutations(retiring, back):
             table, fence = state.table, state.fence
             for number in chosen:
                 fence += not self.without("keep_at_same_fence")
