--- a/tests/agent/common/bench.py
+++ b/tests/agent/common/bench.py
@@ -34,7 +34,13 @@
         "customer": "forge",
         "version": version,
         "models": {
-            "tutor": {"replicas": 2, "memory_bytes": "1GiB", "load_ms": 100},
+            "tutor": {
+                "replicas": 2,
+                "memory_bytes": "1GiB",
+                "load_ms": 100,
+                "adapters": ["java"],
+                "adapter_bytes": "64MiB",
+            },
         },
         "services": {
             "certificates": {
@@ -135,7 +141,9 @@
     )
 
 
-def question(name, tokens=6, continue_text="", continue_tokens=0, prompt="why?"):
+def question(
+    name, tokens=6, continue_text="", continue_tokens=0, prompt="why?", adapter=""
+):
     """A call of the model."""
     return pb.ServeRequest(
         request_id=name,
@@ -143,6 +151,7 @@
         caller="clerk",
         model=pb.ModelCall(
             model="tutor",
+            adapter=adapter,
             api="completions",
             body=json.dumps({"prompt": prompt, "max_tokens": tokens}).encode(),
             max_tokens=tokens,
--- a/tests/agent/cover/test_serving.py
+++ b/tests/agent/cover/test_serving.py
@@ -42,6 +42,12 @@
         self.assertEqual(done.finish_reason, "length")
         self.assertTrue(done.load.loaded)
 
+    async def test_a_call_of_an_adapter_is_answered_through_it(self):
+        agent = await self.agent()
+        events = await agent.serve(question("r-1", adapter="java"))
+        wanted = expected_answer("forge/tutor", "java", "why?", 6)
+        self.assertEqual(text_of(events), wanted)
+
     async def test_crossed_calls_each_get_their_own_answer(self):
         agent = await self.agent()
         prompts = [f"question {number}" for number in range(20)]
