Prove the backend's decisions by randomised runs, and mend what they found

Cause: the first state had been tried with links that neither lose nor delay anything. Change: 1. the ledger and the take-over count with the time as of which the engine's state was current (on_engine_state takes it); 2. such an order is closed and decided anew, and sending again asserts the reservation; 3. a slot that comes back gets a new fence, offers hold for one fence; 4. a listing counts once.

--- a/packages/bambootiller-core/src/bambootiller_core/_backend_state.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_backend_state.py
@@ -47,8 +47,9 @@
 class BackendState:
     """All that one agent knows and has decided.
 
-    ``taken_over_at`` is when the engine's state was first read, ``silent_since`` since
-    when it can't be read; None if that isn't so.
+    ``taken_over_at`` is when the engine's state was first read, ``engine_as_of`` a time
+    at which the known state was still current, ``silent_since`` since when it can't be
+    read.
     """
 
     instance: str
@@ -68,6 +69,7 @@
     replicas: dict[ModelKey, Replica] = field(default_factory=dict)
     services: dict[ServiceKey, Gate] = field(default_factory=dict)
     engine: EngineState | None = None
+    engine_as_of: float = 0.0
     taken_over_at: float | None = None
     silent_since: float | None = None
     leaving: Leaving | None = None
@@ -82,8 +84,9 @@
         return self.taken_over_at + self.cfg.settle_s
 
     def settled(self, now: float) -> bool:
-        """Whether the settle time since the take-over has passed."""
-        return now >= self.settled_at
+        """Whether the settle time since the take-over has passed, and the engine's
+        state was read after it. An order that arrived late in it would be unknown."""
+        return now >= self.settled_at and self.engine_as_of >= self.settled_at
 
     def silent(self, now: float) -> bool:
         """Whether the engine counts as unreachable."""
--- a/packages/bambootiller-core/src/bambootiller_core/_drain.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_drain.py
@@ -55,7 +55,7 @@
             leaving.drained = True
             self._state.outbox.put(Drained())
 
-    def next_due(self, now: float) -> float | None:
+    def next_due(self) -> float | None:
         """When :meth:`step` has to be called at the latest, or None."""
         times = []
         leaving = self._state.leaving
@@ -64,14 +64,14 @@
         for key, replica in self._state.replicas.items():
             slot = self._state.slot(key)
             if slot is not None and self._releasing(slot) and replica.part.cold:
-                times.append(self._release_at(now, replica))
+                times.append(self._release_at(replica, slot))
         return min(times, default=None)
 
     def _release(self, now: float, key: ModelKey, slot: Slot) -> None:
         replica = self._state.replica(key)
         if not self._releasing(slot) or not self._may_release(now, replica):
             return
-        if now < self._release_at(now, replica):
+        if now < self._release_at(replica, slot):
             return
         ensure(
             replica.part.cold and replica.idle(),
@@ -97,17 +97,13 @@
             and replica.idle()
             and self._state.settled(now)
             and self._state.silent_since is None
-            and not self._state.ledger.under_way(now, replica.key)
+            and not self._state.ledger.under_way(replica.key)
         )
 
-    def _release_at(self, now: float, replica: Replica) -> float:
-        if replica.released_fence:
+    def _release_at(self, replica: Replica, slot: Slot) -> float:
+        if replica.released_fence == slot.fence:
             return replica.released_at + self._state.cfg.release_repeat_s
-        expiry = self._state.ledger.next_expiry(now)
-        earliest = self._state.settled_at
-        if expiry is not None and self._state.ledger.under_way(now, replica.key):
-            earliest = max(earliest, expiry)
-        return earliest
+        return 0.0
 
     def _refuse_hopeless(self, now: float, replica: Replica, deadline: float) -> None:
         policy = self._state.policy(replica.key)
--- a/packages/bambootiller-core/src/bambootiller_core/_loading.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_loading.py
@@ -35,7 +35,7 @@
         self._orders = orders
         self._over: deque[str] = deque(maxlen=INCARNATIONS)
 
-    def on_engine_state(self, now: float, engine: EngineState) -> None:
+    def on_engine_state(self, now: float, engine: EngineState, as_of: float) -> None:
         """Take the engine's state, unless it is older than what is known."""
         state = self._state
         if self._outdated(engine):
@@ -47,7 +47,8 @@
         elif known.incarnation != engine.incarnation:
             self._over.append(known.incarnation)
             self._engine_restarted(now)
-        state.ledger.learn(now, engine)
+        state.engine_as_of = max(state.engine_as_of, as_of)
+        state.ledger.learn(as_of, engine)
         reports = {key_of(report.model): report for report in engine.models}
         for key in sorted(reports.keys() | state.replicas.keys()):
             self._observe(now, state.replica(key), reports.get(key))
@@ -59,18 +60,17 @@
         order = self._orders.answered(now, order_id, outcome)
         if order is None or not isinstance(outcome, OrderRejected):
             return
+        self._state.ledger.expire()
         replica, part = self._part_of(order)
         if part.order_id != order_id:
             return
         part.order_id = ""
-        self._state.ledger.expire(now)
+        self._state.note(now, replica.key, order.kind.value, "rejected", outcome.reason)
         if order.loads:
             part.phase = ReplicaPhase.COLD
             self._load_failed(now, replica, part, order.item.adapter, outcome.reason)
-            return
-        # The unload is refused, so the model is still there: the engine's next state
-        # says in which phase. Until then it stays closed, since that state is awaited.
-        self._state.note(now, replica.key, "unload", "rejected", outcome.reason)
+        # A refused unload leaves the model where it is. The engine's next state says in
+        # which phase; until then it stays closed to requests.
 
     def resend(self, now: float) -> None:
         """Send lost orders again; give up a load that got no answer too often."""
@@ -79,6 +79,8 @@
         for order in self._orders.overdue(now):
             if not order.loads:
                 self._orders.send_again(now, order)
+            elif not self._state.ledger.holds(order.item):
+                self._never_arrived(order)
             elif self._still_wanted(now, order):
                 self._orders.send_again(now, order)
             else:
@@ -237,6 +239,18 @@
         reason = f"no answer to {order.sends} copies of the order"
         self._load_failed(now, replica, part, order.item.adapter, reason)
 
+    def _never_arrived(self, order: OpenOrder) -> None:
+        """No copy of a load can arrive any more, and the engine knows of none.
+
+        Its memory has been released then, and may be promised to others. So it isn't
+        sent again as it is: what still wants the model asks for memory anew.
+        """
+        _, part = self._part_of(order)
+        self._orders.close(order.order_id)
+        if part.order_id == order.order_id:
+            part.phase = ReplicaPhase.COLD
+            part.order_id = ""
+
     def _part_of(self, order: OpenOrder) -> tuple[Replica, Part]:
         replica = self._state.replica(order.item.key)
         name = order.item.adapter
--- a/packages/bambootiller-core/src/bambootiller_core/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_orders.py
@@ -25,8 +25,6 @@
 
 #: How long a decided order may wait for its sending, seconds.
 VALID_S = 2.0
-#: A shell that reports this hasn't sent the order at all.
-NOT_SENT = "not sent"
 
 LOADING_KINDS = frozenset({OrderKind.LOAD, OrderKind.LOAD_ADAPTER})
 
@@ -138,9 +136,6 @@
             self._part_of(order).unload_until = now
         if not isinstance(outcome, OrderRejected):
             return None
-        if outcome.reason == NOT_SENT:
-            order.lost = True
-            return None
         self.close(order_id)
         return order
 
--- a/packages/bambootiller-core/src/bambootiller_core/_upkeep.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_upkeep.py
@@ -23,7 +23,7 @@
 
     def step(self, now: float) -> None:
         """Go over everything once; cheap for what has nothing to do."""
-        self._state.ledger.expire(now)
+        self._state.ledger.expire()
         for key, gate in self._state.services.items():
             self._keep_service(now, key, gate)
         for replica in self._state.replicas.values():
@@ -215,11 +215,7 @@
         """When a load that has to wait by the time alone may be tried."""
         part = replica.part
         due = max(part.attempts.retry_at, part.unload_until)
-        if self._state.taken_over_at is not None:
-            due = max(due, self._state.settled_at)
-        expiry = self._state.ledger.next_expiry(now)
-        waits = [at for at in (due, expiry) if at is not None and at > now]
-        return min(waits, default=None)
+        return due if due > now else None
 
 
 def _no(code: Code, detail: str) -> Refused:
--- a/packages/bambootiller-core/src/bambootiller_core/backend.py
+++ b/packages/bambootiller-core/src/bambootiller_core/backend.py
@@ -99,14 +99,6 @@
     def on_slot_table(self, now: float, table: SlotTable) -> list[Effect]:
         """Take a model's slot table; the newest one is the last that comes."""
         self._state.tables[table.key] = table
-        slot = table.slot_of(self._state.instance)
-        if slot is not None:
-            replica = self._state.replica(table.key)
-            if not slot.retiring and self._state.leaving is None:
-                # The cap was raised again before the slot was removed. The removal that
-                # was offered can't take effect any more: it would have had to replace
-                # the table in which the slot was still retiring.
-                replica.released_fence = 0
         return self._settle(now)
 
     def on_slot_confirmed(self, now: float, key: ModelKey, fence: int) -> list[Effect]:
@@ -114,9 +106,17 @@
         self._confirmations.confirmed(now, key, fence)
         return self._settle(now)
 
-    def on_engine_state(self, now: float, engine: EngineState) -> list[Effect]:
-        """Take the engine's account of itself; the first one is the take-over."""
-        self._loading.on_engine_state(now, engine)
+    def on_engine_state(
+        self, now: float, engine: EngineState, as_of: float | None = None
+    ) -> list[Effect]:
+        """Take the engine's account of itself; the first one is the take-over.
+
+        ``as_of`` is a time at which the engine's state still was as told: the time at
+        which it was asked for, since the answer may have been on its way for long. Of
+        a long poll that ended without news, it may be the end of the wait. By default
+        it is ``now``.
+        """
+        self._loading.on_engine_state(now, engine, now if as_of is None else as_of)
         return self._settle(now)
 
     def on_engine_silent(self, now: float) -> list[Effect]:
@@ -235,7 +235,7 @@
         times = (
             self._upkeep.next_due(now),
             self._orders.next_due() if self._state.silent_since is None else None,
-            self._drain.next_due(now),
+            self._drain.next_due(),
             self._confirmations.next_due(),
         )
         # What was due up to the latest event has been done, or waits for another event.
--- a/packages/bambootiller-core/src/bambootiller_core/backend_effects.py
+++ b/packages/bambootiller-core/src/bambootiller_core/backend_effects.py
@@ -116,8 +116,9 @@
     """Vacate this instance's slot of ``key`` with the evidence ``GivenBack``.
 
     Emitted only when the engine has confirmed that the model isn't loaded, and no order
-    for it can still be on its way. It is repeated until a table without the slot is
-    seen.
+    for it can still be on its way; holds for the slot at ``fence`` only, so a writer
+    that finds it at another one must leave it as it is. It is repeated until a table
+    without the slot is seen.
     """
 
     key: ModelKey
@@ -129,7 +130,7 @@
     """Remove this instance's retiring slot of ``key`` with the evidence ``GivenBack``.
 
     Under the same conditions as :class:`GiveBack`, and repeated like it. A writer that
-    finds the slot no longer retiring must leave it as it is.
+    finds the slot at another fence, or no longer retiring, must leave it as it is.
     """
 
     key: ModelKey
--- a/packages/bambootiller-core/src/bambootiller_core/memory.py
+++ b/packages/bambootiller-core/src/bambootiller_core/memory.py
@@ -2,8 +2,9 @@
 
 Memory is reserved before an order to load leaves, and released only when the engine's
 own state shows that the thing isn't there and no copy of an order for it can still
-arrive. Of the ledger and the engine's report the larger counts. So memory is never
-promised twice, whether answers are lost, orders are late or the engine restarts.
+arrive, or have arrived unseen. Of the ledger and the engine's report the larger counts.
+So memory is never promised twice, whether answers are lost, orders are late or the
+engine restarts.
 
 Example::
 
@@ -49,9 +50,10 @@
 class _Entry:
     memory_bytes: int
     copies: dict[str, list[_Copy]] = field(default_factory=dict)
+    listed: set[str] = field(default_factory=set)
 
-    def under_way(self, now: float) -> bool:
-        return any(copy.until > now for sent in self.copies.values() for copy in sent)
+    def under_way(self, as_of: float) -> bool:
+        return any(copy.until > as_of for sent in self.copies.values() for copy in sent)
 
 
 class Ledger:
@@ -65,15 +67,21 @@
         self._entries: dict[Item, _Entry] = {}
         self._state: EngineState | None = None
         self._reports: dict[ModelKey, ModelReport] = {}
+        self._as_of = 0.0
 
     @property
     def total(self) -> int:
         """The engine's memory; 0 until its first state is known."""
         return self._state.memory_total if self._state else 0
 
-    def learn(self, now: float, state: EngineState) -> None:
-        """Take the engine's newest state: settle orders, adopt and release memory."""
+    def learn(self, as_of: float, state: EngineState) -> None:
+        """Take the engine's newest state: settle orders, adopt and release memory.
+
+        ``as_of`` is a time at which the state was still current. That a state doesn't
+        show an order says nothing if the order may have arrived after it.
+        """
         self._state = state
+        self._as_of = max(self._as_of, as_of)
         self._reports = {key_of(report.model): report for report in state.models}
         for entry in self._entries.values():
             _forget_listed(entry, state)
@@ -81,12 +89,12 @@
             self._adopt(Item(key), report.memory_bytes)
             for adapter in report.adapters:
                 self._adopt(Item(key, adapter), 0)
-        self.expire(now)
+        self.expire()
 
-    def expire(self, now: float) -> None:
+    def expire(self) -> None:
         """Release what isn't at the engine once no order for it can arrive."""
         for item, entry in list(self._entries.items()):
-            if not self._present(item) and not self._awaited(item, entry, now):
+            if not self._present(item) and not self._awaited(entry):
                 del self._entries[item]
 
     def reserve(
@@ -113,10 +121,14 @@
         )
 
     def sent_again(self, item: Item, order_id: str, arrives_until: float) -> None:
-        """Another copy of an order is about to be sent."""
+        """Another copy of an order is about to be sent; its memory is still held."""
         entry = self._entries.get(item)
-        if entry is not None:
-            entry.copies.setdefault(order_id, []).append(_Copy(arrives_until))
+        ensure(
+            entry is not None,
+            "memory-never-overcommitted",
+            f"order {order_id} for {item} is sent again, its memory isn't reserved",
+        )
+        entry.copies.setdefault(order_id, []).append(_Copy(arrives_until))
 
     def answered(self, item: Item, order_id: str, outcome: OrderOutcome) -> None:
         """Note what is known of the latest copy of an order."""
@@ -148,6 +160,10 @@
         """What can still be reserved; negative if the engine reports more than that."""
         return self.total - self._headroom - self.committed()
 
+    def holds(self, item: Item) -> bool:
+        """Whether anything is reserved for ``item``."""
+        return item in self._entries
+
     def held(self, item: Item) -> int:
         """What is reserved for ``item``; a model's own part without its adapters."""
         entry = self._entries.get(item)
@@ -163,25 +179,14 @@
         report = self._reports.get(key)
         return max(held, report.memory_bytes if report else 0)
 
-    def under_way(self, now: float, key: ModelKey) -> bool:
-        """Whether an order that loads anything of ``key`` may still arrive."""
+    def under_way(self, key: ModelKey) -> bool:
+        """Whether an order for ``key`` may arrive, or have arrived unseen."""
         return any(
-            self._awaited(item, entry, now)
+            self._awaited(entry)
             for item, entry in self._entries.items()
             if item.key == key
         )
 
-    def next_expiry(self, now: float) -> float | None:
-        """When the next copy of an order can no longer arrive, or None."""
-        ends = (
-            copy.until
-            for entry in self._entries.values()
-            for sent in entry.copies.values()
-            for copy in sent
-            if copy.until > now
-        )
-        return min(ends, default=None)
-
     def committed(self) -> int:
         """The larger of the reservations and of what the engine reports.
 
@@ -210,8 +215,12 @@
             return False
         return not item.adapter or item.adapter in report.adapters
 
-    def _awaited(self, item: Item, entry: _Entry, now: float) -> bool:
-        if entry.under_way(now):
+    def _awaited(self, entry: _Entry) -> bool:
+        # The settle time alone doesn't settle an order: one that arrived shortly before
+        # its end isn't in a state that was read before. Counting it out then releases
+        # memory, or a slot, of a load that goes on, seen as too much memory in use or
+        # as a model loaded without a slot. So the state must be from after the end.
+        if entry.under_way(self._as_of):
             return True
         orders = self._state.orders if self._state else {}
         return any(
@@ -223,15 +232,18 @@
     """Drop the copies that the engine's state shows as arrived.
 
     A copy that was lost beside an arrived one stays: if the engine restarts, it forgets
-    which orders it has seen, and the late copy would load the model once more.
+    which orders it has seen, and the late copy would load the model once more. So an
+    order's listing counts once, however many states repeat it.
     """
     for order_id, sent in list(entry.copies.items()):
         if order_id not in state.orders:
             continue
-        left = [] if len(sent) == 1 else [copy for copy in sent if not copy.taken]
-        entry.copies[order_id] = left
-        if not left and state.orders[order_id] is not OrderState.PENDING:
+        if order_id not in entry.listed:
+            entry.listed.add(order_id)
+            sent[:] = [] if len(sent) == 1 else [c for c in sent if not c.taken]
+        if not sent and state.orders[order_id] is not OrderState.PENDING:
             del entry.copies[order_id]
+            entry.listed.discard(order_id)
 
 
 def describe(ledger: Ledger) -> dict[str, int]:
--- a/packages/bambootiller-core/src/bambootiller_core/slots.py
+++ b/packages/bambootiller-core/src/bambootiller_core/slots.py
@@ -20,6 +20,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
@@ -183,19 +184,19 @@
 def reconcile_cap(table: SlotTable, cap: int, version: int, token: str) -> SlotTable:
     """Bring the number of slots in line with a template's cap.
 
-    A raised cap first takes back slots that were to retire, then adds empty ones. A
-    lowered cap removes empty slots at once and marks held ones as retiring, the highest
-    numbers first. A template older than the table's leaves the table as it is, so that
-    a process that lags behind can't undo an operator's change.
+    A raised cap first takes back slots that were to retire, at a new fence, then adds
+    empty ones. A lowered cap removes empty slots at once and marks held ones as
+    retiring, the highest numbers first. A template older than the table's leaves the
+    table as it is, so that a process that lags behind can't undo an operator's change.
     """
     if version < table.template_version:
         return table
     surplus = sum(not slot.retiring for slot in table.slots) - cap
-    slots = _with_fewer(table.slots, surplus) if surplus > 0 else table.slots
+    changed = replace(table, cap=cap, template_version=version)
+    if surplus > 0:
+        changed = _with_fewer(changed, surplus)
     if surplus < 0:
-        slots = _with_more(table.slots, -surplus)
-    slots = tuple(slot for slot in slots if slot.holder or not slot.retiring)
-    changed = replace(table, slots=slots, cap=cap, template_version=version)
+        changed = _with_more(changed, -surplus)
     return _written(changed, token)
 
 
@@ -351,32 +352,34 @@
     return table
 
 
-def _with_fewer(slots: tuple[Slot, ...], surplus: int) -> tuple[Slot, ...]:
-    live = [slot for slot in slots if not slot.retiring]
+def _with_fewer(table: SlotTable, surplus: int) -> SlotTable:
+    live = [slot for slot in table.slots if not slot.retiring]
     live.sort(key=lambda slot: (bool(slot.holder), -slot.number))
     chosen = {slot.number for slot in live[:surplus]}
-    return tuple(
+    slots = (
         replace(slot, retiring=True) if slot.number in chosen else slot
-        for slot in slots
+        for slot in table.slots
     )
+    kept = tuple(slot for slot in slots if slot.holder or not slot.retiring)
+    return replace(table, slots=kept)
 
 
-def _with_more(slots: tuple[Slot, ...], missing: int) -> tuple[Slot, ...]:
+def _with_more(table: SlotTable, missing: int) -> SlotTable:
     # Retiring slots come back first: their replicas may still be loaded, and new slots
     # beside them would let more replicas be loaded than the template ever decided.
-    retiring = [slot.number for slot in slots if slot.retiring and slot.holder]
-    kept = set(retiring[:missing])
-    result = [
-        replace(slot, retiring=False) if slot.number in kept else slot for slot in slots
-    ]
-    taken = {slot.number for slot in slots}
-    number = 0
-    for _ in range(missing - len(kept)):
-        while number in taken:
-            number += 1
-        taken.add(number)
-        result.append(Slot(number))
-    return tuple(sorted(result, key=lambda slot: slot.number))
+    retiring = [slot for slot in table.slots if slot.retiring][:missing]
+    for slot in retiring:
+        # At a new fence: the holder may have offered the retiring slot back already.
+        # If the cap were lowered once more, that offer would remove the slot again,
+        # though the holder has loaded the model since it saw the slot come back.
+        fence = table.fence + 1
+        table = _with(table, replace(slot, retiring=False, fence=fence))
+        table = replace(table, fence=fence)
+    taken = {slot.number for slot in table.slots}
+    free = (number for number in itertools.count() if number not in taken)
+    added = tuple(Slot(next(free)) for _ in range(missing - len(retiring)))
+    slots = sorted(table.slots + added, key=lambda slot: slot.number)
+    return replace(table, slots=tuple(slots))
 
 
 def _fault(table: SlotTable) -> str:
--- a/tests/core/common/samples.py
+++ b/tests/core/common/samples.py
@@ -1,5 +1,5 @@
 """Templates, tables and requests for the tests of the backend's decisions, and a driver
-that plays the shell with an engine that answers at once."""
+that plays the shell with an engine that answers at once, unless ``hold`` is set."""
 
 import random
 
@@ -65,31 +65,46 @@
 class Bench:
     """A core with an engine; ``act`` carries effects out and keeps the others."""
 
-    def __init__(self, total_gib: int = 10, settled: bool = True, **models: int):
+    def __init__(
+        self,
+        total_gib: int = 10,
+        settled: bool = True,
+        engine: FakeEngine | None = None,
+        confirm: bool = False,
+        **models: int,
+    ):
         models = models or {"a": 4, "b": 4, "c": 4}
         self.now = 0.0
         self.decisions = DecisionLog()
-        cfg = BackendConfig(settle_s=SETTLE_S)
+        cfg = BackendConfig(settle_s=SETTLE_S, confirm_slots=confirm)
         self.core = BackendCore(ME, cfg, self.decisions, random.Random(1))
-        self.engine = FakeEngine(total_gib * GIB)
+        self.engine = engine or FakeEngine(total_gib * GIB)
         self.seen = []
+        self.hold = False
+        self.held: list[SendOrder] = []
         self.act(self.core.on_template(self.now, template(**models)))
         for model in models:
             self.act(self.core.on_slot_table(self.now, table(model)))
         self.read()
         if settled:
             self.wait(SETTLE_S)
+            self.read()
 
     def act(self, effects):
         """Carry out orders at once, note everything, and return the effects."""
         self.seen += effects
         for effect in effects:
-            if isinstance(effect, SendOrder):
+            if isinstance(effect, SendOrder) and self.hold:
+                self.held.append(effect)
+            elif isinstance(effect, SendOrder):
                 reason = self.engine.take(effect)
-                outcome = OrderRejected(reason) if reason else OrderTaken()
-                self.act(self.core.on_order_outcome(self.now, effect.order_id, outcome))
+                self.answer(effect, OrderRejected(reason) if reason else OrderTaken())
         return effects
 
+    def answer(self, order, outcome):
+        """The core learns what became of an order."""
+        return self.act(self.core.on_order_outcome(self.now, order.order_id, outcome))
+
     def read(self):
         """Let the core read the engine's state."""
         return self.act(self.core.on_engine_state(self.now, self.engine.state()))
@@ -124,6 +139,14 @@
         """The effects of one type that were seen, in order."""
         return [effect for effect in self.seen if isinstance(effect, kind)]
 
+    def orders(self) -> list[tuple[str, str]]:
+        """The kind and model of all orders sent."""
+        return [(o.kind.value, o.key.model) for o in self.of_type(SendOrder)]
+
+    def tell(self, table: slots.SlotTable):
+        """The core learns of a slot table."""
+        return self.act(self.core.on_slot_table(self.now, table))
+
     def refusals(self) -> dict[str, str]:
         """The code by request of all refusals seen."""
         found = [e for e in self.seen if hasattr(e, "refused")]
