Look only at members that aren't alive when time passes

Cause: processor time of a node at rest grew with the fleet, by a scan of all members five times in each probe interval. Ruled out: scanning less often, which would delay deaths. Change: the member table keeps the names of those that are suspected, leaving or dead. Conclusion: the cost was small; it is the growth that had to go.

--- a/packages/bambootiller-core/src/bambootiller_core/_member_table.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_member_table.py
@@ -56,6 +56,7 @@
         self.quiet: set[str] = set()
         self._sizes = sizes
         self._dead = 0
+        self._not_alive: set[str] = set()
         # Routing asks for the views with each request, and they seldom change.
         self._views: dict[Role | None, tuple[MemberView, ...]] = {}
         self._entries: dict[str, Entry] = {}
@@ -74,6 +75,10 @@
         """The entry of another member, or None."""
         return self._entries.get(instance)
 
+    def not_alive(self) -> list[Entry]:
+        """The entries that are suspected, leaving or dead; few in a healthy fleet."""
+        return [self._entries[name] for name in sorted(self._not_alive)]
+
     def views(self, role: Role | None) -> tuple[MemberView, ...]:
         """All members of a role, this process included, by instance."""
         views = self._views.get(role)
@@ -125,7 +130,9 @@
         entry.dies_at = math.inf
         self._peers = None
         self._views.clear()
-        self._mark_quiet(entry, quiet)
+        self._mark(self._not_alive, entry, new.status is not Status.ALIVE)
+        entry.quiet = quiet
+        self._mark(self.quiet, entry, quiet)
         self._notify(entry)
         return entry
 
@@ -133,6 +140,7 @@
         """Forget a dead member."""
         self._dead -= self._entries.pop(instance).status is Status.DEAD
         self.quiet.discard(instance)
+        self._not_alive.discard(instance)
         self._views.clear()
 
     def state_own(self, own: Statement) -> None:
@@ -163,12 +171,11 @@
         known = [entry.member for entry in self if entry.status is not Status.DEAD]
         return _peerset.choose(self.own.member, known, self._sizes)
 
-    def _mark_quiet(self, entry: Entry, quiet: bool) -> None:
-        entry.quiet = quiet
-        if quiet:
-            self.quiet.add(entry.member.instance)
+    def _mark(self, names: set[str], entry: Entry, marked: bool) -> None:
+        if marked:
+            names.add(entry.member.instance)
         else:
-            self.quiet.discard(entry.member.instance)
+            names.discard(entry.member.instance)
 
     def _notify(self, entry: Entry) -> None:
         view = self.view_of(entry)
--- a/packages/bambootiller-core/src/bambootiller_core/membership.py
+++ b/packages/bambootiller-core/src/bambootiller_core/membership.py
@@ -305,7 +305,7 @@
             return
         self._under_way.disregard_all()
         self._probe_due = now
-        for entry in self._table:
+        for entry in self._table.not_alive():
             if entry.dies_at < math.inf:
                 entry.dies_at = now + self._suspicion()
                 self._round.hurry(entry.member.instance)
@@ -327,7 +327,7 @@
         from anybody takes them back.
         """
         forgotten = now - self.cfg.forget_dead
-        for entry in self._table:
+        for entry in self._table.not_alive():
             if entry.dies_at <= now:
                 quiet = self.health.cut_off(now)
                 self._hold(now, with_status(entry.statement, Status.DEAD), quiet)
@@ -384,7 +384,8 @@
 
         The probe tells it that it is taken for dead, and it refutes.
         """
-        dead = [entry.member for entry in self._table if entry.status is Status.DEAD]
+        held = self._table.not_alive()
+        dead = [entry.member for entry in held if entry.status is Status.DEAD]
         return [self._direct(self._rng.choice(dead))] if dead else []
 
     def _helpers(self, target: str) -> tuple[Member, ...]:
