Give no slot away while retiring ones make up the cap

Cause: the model checker's finding. After a cap is lowered from 2 to 1, the slot that stays may be given back; assigned anew, its model is loaded elsewhere while the retiring replica still is. Ruled out: taking the retiring slot back instead, which would undo the holder's unload under way and isn't what the specification says. Change: slots.placeable tells which empty slots may be given away; assign leaves the table as it is beyond that. Evidence types move to a module of their own, the file had grown. Before: assign gave the slot away (the new test fails against that code, the table has a holder). Conclusion: the cap counts retiring holders. Repair still offers such slots for placing; the placement then changes nothing. It should ask placeable.

--- a/packages/bambootiller-core/src/bambootiller_core/slots.py
+++ b/packages/bambootiller-core/src/bambootiller_core/slots.py
@@ -25,6 +25,12 @@
 from dataclasses import dataclass, replace
 
 from bambootiller_core._slot_codec import Malformed, decode_fields, encode_fields
+from bambootiller_core._slot_evidence import (
+    Evidence,
+    FenceConfirmed,
+    GivenBack,
+    InstanceGone,
+)
 from bambootiller_core.invariants import ensure
 from bambootiller_core.types import ModelKey
 
@@ -44,6 +50,7 @@
     "confirm",
     "create",
     "document_key",
+    "placeable",
     "reconcile_cap",
     "remove_retired",
     "settle",
@@ -137,34 +144,6 @@
         return slot is not None and not slot.retiring
 
 
-@dataclass(frozen=True, slots=True)
-class GivenBack:
-    """The holder itself says that the model isn't loaded and no order is on its way."""
-
-    instance: str
-
-
-@dataclass(frozen=True, slots=True)
-class InstanceGone:
-    """The platform listed the instance earlier and, in a later answer, no more."""
-
-    instance: str
-
-
-@dataclass(frozen=True, slots=True)
-class FenceConfirmed:
-    """The instance's engine took an unload at the higher ``fence`` and confirmed it.
-
-    Valid only for engines that refuse lower numbers from then on.
-    """
-
-    instance: str
-    fence: int
-
-
-Evidence = GivenBack | InstanceGone | FenceConfirmed
-
-
 def document_key(key: ModelKey) -> str:
     """Where a model's slot table is stored."""
     return f"{PREFIX}{key.customer}/{key.model}"
@@ -200,8 +179,23 @@
     return _written(changed, token)
 
 
+def placeable(table: SlotTable) -> tuple[int, ...]:
+    """The numbers of the empty slots that may be given to an instance now.
+
+    A retiring slot counts until its holder has confirmed the unload. Otherwise, after a
+    cap was lowered from 2 to 1, a slot that was given back could be loaded elsewhere
+    while the retiring replica still is: two replicas under a cap of one.
+    """
+    room = max(0, table.cap - len(table.holders()))
+    empty = tuple(slot.number for slot in table.slots if not slot.holder)
+    return empty[:room]
+
+
 def assign(table: SlotTable, number: int, instance: str, token: str) -> SlotTable:
-    """Give an empty slot to ``instance``, at a fence above all earlier ones."""
+    """Give an empty slot to ``instance``, at a fence above all earlier ones.
+
+    The table is left as it is while its holders make up the cap, see :func:`placeable`.
+    """
     slot = _numbered(table, number)
     ensure(
         bool(instance) and not slot.holder and not slot.retiring,
@@ -213,6 +207,8 @@
         "one-slot-per-holder",
         f"{table.key}: {instance} holds {table.slot_of(instance)}, slot {number} too",
     )
+    if len(table.holders()) >= table.cap:
+        return table
     fence = max(table.fence, slot.fence) + 1
     given = replace(slot, holder=instance, fence=fence)
     return _written(replace(_with(table, given), fence=fence), token)
--- a/tests/core/common/world.py
+++ b/tests/core/common/world.py
@@ -231,7 +231,7 @@
         """An entry gives an empty slot to this backend server or to another."""
         name = list(MODELS)[model % len(MODELS)]
         table = self.tables[name]
-        empty = [s.number for s in table.slots if not s.holder and not s.retiring]
+        empty = slots.placeable(table)
         instance = ME if here else OTHER
         if empty and table.slot_of(instance) is None:
             self.versions += 1
--- a/tests/core/cover/test_slots.py
+++ b/tests/core/cover/test_slots.py
@@ -74,6 +74,15 @@
         self.assertEqual([s.retiring for s in table.slots], [False, True, True])
         self.assertFalse(table.loadable("i-2"))
 
+    def test_no_slot_is_given_away_while_retiring_ones_make_up_the_cap(self):
+        table = slots.reconcile_cap(table_of(2, {0: "i-1", 1: "i-2"}), 1, 2, "w2")
+        table = slots.vacate(table, 0, GivenBack("i-1"), "w3")
+        self.assertEqual(slots.placeable(table), ())
+        self.assertIs(slots.assign(table, 0, "i-3", "w4"), table)
+        table = slots.remove_retired(table, 1, GivenBack("i-2"), "w5")
+        self.assertEqual(slots.placeable(table), (0,))
+        self.assertEqual(slots.assign(table, 0, "i-3", "w6").holders(), ("i-3",))
+
     def test_a_raised_cap_takes_back_retiring_slots_before_adding_new_ones(self):
         table = slots.reconcile_cap(table_of(2, {0: "i-1", 1: "i-2"}), 1, 2, "w2")
         table = slots.reconcile_cap(table, 2, 3, "w3")
