--- a/packages/bambootiller/src/bambootiller/agent/servicer.py
+++ b/packages/bambootiller/src/bambootiller/agent/servicer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING
@@ -51,8 +52,9 @@
             request=request.request_id, customer=request.customer, model=model
         ):
             try:
-                async for event in self._serve(request):
-                    yield event
+                async with contextlib.aclosing(self._serve(request, context)) as events:
+                    async for event in events:
+                        yield event
             except (asyncio.CancelledError, GeneratorExit):
                 raise
             except Exception as exc:
@@ -77,7 +79,9 @@
             leaving=survey.leaving,
         )
 
-    async def _serve(self, message: pb.ServeRequest) -> AsyncIterator[pb.ServeEvent]:
+    async def _serve(
+        self, message: pb.ServeRequest, context: grpc.aio.ServicerContext
+    ) -> AsyncIterator[pb.ServeEvent]:
         writer = EventWriter(message.request_id)
         arrived_at = self._app.now()
         await self._reach_revisions(message)
@@ -87,13 +91,22 @@
             self._count(refused)
             yield writer.refused(refused, None)
             return
+        # If the caller goes while an event is being sent, gRPC doesn't resume this
+        # generator; without the callback the engine would work on for nobody.
+        context.add_done_callback(lambda done: self._ended(call))
         self._driver.arrive(call)
         try:
             async for event in self._events(call, writer):
                 yield event
         finally:
-            # After the final event this does nothing; before it, the caller has gone.
+            self._ended(call)
+
+    def _ended(self, call: Call) -> None:
+        """The RPC is over: nothing to do after its final event, else end the work."""
+        try:
             self._driver.cancel(call)
+        except Exception as exc:
+            self._app.fail(exc)
 
     async def _events(
         self, call: Call, writer: EventWriter
