Ask the store's pacer before a load from the remote store

Cause: pacing.StorePacer was written and tested, but nothing asked it; one agent ordered as many loads from the store at once as its memory allowed. Ruled out: counting loads up and down at each event that may end one. A forgotten count would hold loads back for ever; what is under way is read off the replicas at each step instead. Change: _store_loads.py between eviction and the pacer. A load that is put off keeps its memory and is noted in the model's decisions.

--- a/packages/bambootiller-core/src/bambootiller_core/_eviction.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_eviction.py
@@ -12,6 +12,7 @@
 from bambootiller_core._backend_state import BackendState
 from bambootiller_core._gate import adapter_of
 from bambootiller_core._orders import Orders
+from bambootiller_core._store_loads import StoreLoads
 from bambootiller_core.admission import come_back_ms
 from bambootiller_core.memory import Item
 from bambootiller_core.outcomes import Code, Executed, Refused
@@ -66,9 +67,10 @@
 class Eviction:
     """Provides memory for one agent's loads."""
 
-    def __init__(self, state: BackendState, orders: Orders) -> None:
+    def __init__(self, state: BackendState, orders: Orders, store: StoreLoads) -> None:
         self._state = state
         self._orders = orders
+        self._store = store
 
     def provide(self, now: float) -> None:
         """Order what fits, make room for what doesn't, refuse what can't be helped."""
@@ -96,8 +98,11 @@
         ledger = self._state.ledger
         missing = max(0, want.memory_bytes - ledger.held(want.item))
         if missing <= budget.free and ledger.fits(want.item, want.memory_bytes):
+            # What is put off for the weight store keeps its memory: otherwise a less
+            # urgent model would take it, and the urgent one would have to evict it.
             budget.take(missing)
-            self._order(now, want)
+            if want.adapter or self._store.may_start(now, want.replica, want.urgency):
+                self._order(now, want)
             return
         short = missing - max(budget.free, 0) - budget.coming
         if short > 0:
--- a/packages/bambootiller-core/src/bambootiller_core/backend.py
+++ b/packages/bambootiller-core/src/bambootiller_core/backend.py
@@ -30,6 +30,7 @@
 from bambootiller_core._loading import Loading
 from bambootiller_core._orders import Orders
 from bambootiller_core._requests import Outbox, RequestBook
+from bambootiller_core._store_loads import StoreLoads
 from bambootiller_core._upkeep import Upkeep
 from bambootiller_core.backend_effects import (
     BackendConfig,
@@ -77,7 +78,8 @@
             ledger=Ledger(cfg.headroom_bytes),
         )
         self._orders = Orders(self._state)
-        self._eviction = Eviction(self._state, self._orders)
+        self._store = StoreLoads(self._state)
+        self._eviction = Eviction(self._state, self._orders, self._store)
         self._loading = Loading(self._state, self._orders)
         self._arrivals = Arrivals(self._state, self._eviction)
         self._upkeep = Upkeep(self._state, self._orders, self._eviction)
@@ -237,6 +239,7 @@
             self._orders.next_due() if self._state.silent_since is None else None,
             self._drain.next_due(),
             self._confirmations.next_due(),
+            self._store.next_due(),
         )
         # What was due up to the latest event has been done, or waits for another event.
         ahead = (at for at in times if at is not None and at > self._now)
@@ -250,6 +253,7 @@
         """Bring everything in line after an event, and hand out the effects."""
         self._now = now
         self._loading.resend(now)
+        self._store.step(now)
         self._upkeep.step(now)
         self._confirmations.step(now)
         self._drain.step(now)
--- a/tests/core/cover/test_backend_loading.py
+++ b/tests/core/cover/test_backend_loading.py
@@ -67,6 +67,21 @@
         expected = ["load", "load_adapter", "unload_adapter", "load_adapter"]
         self.assertEqual(kinds, expected)
 
+    def test_no_more_loads_than_the_store_serves_at_full_speed_the_urgent_first(self):
+        bench = Bench(60, **{name: 4 for name in "bcdefg"})
+        for priority, model in enumerate("bcdef"):
+            bench.arrive(f"r-{model}", model, priority=priority + 3)
+        self.assertEqual([model for _, model in bench.orders()], list("bcde"))
+        bench.arrive("r-g", "g", priority=0)
+        self.assertEqual(len(bench.orders()), 4)
+        bench.engine.finish_one()
+        bench.read()
+        self.assertEqual([model for _, model in bench.orders()], list("bcdeg"))
+        bench.carry_out()
+        self.assertEqual(len(bench.of_type(Start)), 6)
+        reasons = [d.outcome for d in bench.decisions.about("model/forge/f")]
+        self.assertEqual(reasons[0], "put off")
+
     def test_a_survey_tells_memory_slots_and_tier(self):
         bench = Bench(10, a=4, b=4)
         bench.load("a")
