--- a/packages/bambootiller-standins/src/bambootiller_standins/load/__main__.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/load/__main__.py
@@ -55,6 +55,7 @@
     "--max-tokens", default=16, show_default=True, help="Tokens of an answer."
 )
 @click.option("--prompts", default=50, show_default=True, help="Different prompts.")
+@click.option("--customer", default="", help="Whose models they are, behind an entry.")
 @click.option("--timeout-ms", type=int, help="Time that each request is given.")
 def main(
     urls: tuple[str, ...],
--- a/packages/bambootiller-standins/src/bambootiller_standins/load/_client.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/load/_client.py
@@ -101,7 +101,9 @@
 def _expected(plan: LoadPlan, req: PlannedRequest) -> str:
     model, adapter = split_model(req.model)
     prompt = chat_prompt(_messages(req)) if plan.chat else req.prompt
-    return expected_answer(model, adapter, prompt, plan.max_tokens)
+    # Engines know a customer's model by both names, so that none is shared.
+    name = f"{plan.customer}/{model}" if plan.customer else model
+    return expected_answer(name, adapter, prompt, plan.max_tokens)
 
 
 async def _read(
--- a/packages/bambootiller-standins/src/bambootiller_standins/load/_plan.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/load/_plan.py
@@ -25,7 +25,8 @@
 
     It ends after *count* requests or *seconds*, whichever is first, and then waits at
     most *grace_seconds* for answers that are due. The same seed sends the same
-    requests.
+    requests. *customer* is whose models they are when the addresses are entries; an
+    engine by itself needs none.
 
     >>> plan = LoadPlan(urls=("http://127.0.0.1:8080",), models=("tutor",), rate=20)
     """
@@ -42,6 +43,7 @@
     chat: bool = True
     max_tokens: int = 16
     prompts: int = 50
+    customer: str = ""
     timeout_ms: int | None = None
 
     def check(self) -> None:
--- /dev/null
+++ b/tests/fleet/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole fleets: real processes against the stand-ins."""
