Pass over what is at rest after each event of a backend server

Cause: after each event, all replicas, tables and confirmations were gone over, though most models are cold and nobody asks for them. 44 slots, 10 loaded: 2,147 us of processor time for a request (three events, two looks at the next due time, one at the figures), on a busy shared machine. Ruled out: marking single replicas as touched by each event, since a mark that is forgotten would leave a request waiting past its deadline. Change: cold models that nobody wants are passed over at once, idle ones need only their keep-alive; retiring and unconfirmed slots are kept as sets, filled when a table comes.

--- a/packages/bambootiller-core/src/bambootiller_core/_confirmations.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_confirmations.py
@@ -20,6 +20,11 @@
     def __init__(self, state: BackendState) -> None:
         self._state = state
         self._asked: dict[ModelKey, float] = {}
+        self._open: set[ModelKey] = set()
+
+    def table_changed(self, key: ModelKey) -> None:
+        """A table was seen in which this instance may hold a slot anew."""
+        self._open.add(key)
 
     def confirmed(self, now: float, key: ModelKey, fence: int) -> None:
         """A write of this process stands in which the slot of ``key`` has ``fence``."""
@@ -32,9 +37,10 @@
         """Ask for what isn't confirmed yet, at once and then now and then."""
         if not self._state.cfg.confirm_slots or self._state.leaving is not None:
             return
-        for key in self._state.tables:
+        for key in list(self._open):
             if self._state.confirmed_slot(key) or not self._state.loadable(key):
                 self._forget(key)
+                self._open.discard(key)
             elif now >= self._next_at(key):
                 self._ask(now, key)
 
--- a/packages/bambootiller-core/src/bambootiller_core/_drain.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_drain.py
@@ -28,6 +28,15 @@
     def __init__(self, state: BackendState, arrivals: Arrivals) -> None:
         self._state = state
         self._arrivals = arrivals
+        self._retiring: set[ModelKey] = set()
+
+    def table_changed(self, key: ModelKey) -> None:
+        """A table was seen in which this instance's slot may be retiring."""
+        slot = self._state.slot(key)
+        if slot is not None and slot.retiring:
+            self._retiring.add(key)
+        else:
+            self._retiring.discard(key)
 
     def leave(self, now: float, deadline: float) -> None:
         """Stop admitting; what can't be served by ``deadline`` is refused now."""
@@ -42,8 +51,8 @@
 
     def step(self, now: float) -> None:
         """Offer slots back that are free to go, and say when all is done."""
-        for key, table in self._state.tables.items():
-            slot = table.slot_of(self._state.instance)
+        for key in self._candidates():
+            slot = self._state.slot(key)
             if slot is not None:
                 self._release(now, key, slot)
         leaving = self._state.leaving
@@ -61,12 +70,18 @@
         leaving = self._state.leaving
         if leaving is not None and not leaving.drained:
             times.append(leaving.deadline)
-        for key, replica in self._state.replicas.items():
+        for key in self._candidates():
             slot = self._state.slot(key)
-            if slot is not None and self._releasing(slot) and replica.part.cold:
+            replica = self._state.replica(key)
+            if slot is not None and replica.part.cold:
                 times.append(self._release_at(replica, slot))
         return min(times, default=None)
 
+    def _candidates(self) -> list[ModelKey]:
+        if self._state.leaving is not None:
+            return list(self._state.tables)
+        return list(self._retiring)
+
     def _release(self, now: float, key: ModelKey, slot: Slot) -> None:
         replica = self._state.replica(key)
         if not self._releasing(slot) or not self._may_release(now, replica):
--- a/packages/bambootiller-core/src/bambootiller_core/_eviction.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_eviction.py
@@ -174,6 +174,8 @@
     def _wants(self, now: float) -> list[Want]:
         wants = []
         for replica in self._state.replicas.values():
+            if replica.at_rest(now):
+                continue
             if replica.part.loaded:
                 wants += self._adapter_wants(now, replica)
             elif self._model_wanted(now, replica):
--- a/packages/bambootiller-core/src/bambootiller_core/_upkeep.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_upkeep.py
@@ -27,14 +27,16 @@
         for key, gate in self._state.services.items():
             self._keep_service(now, key, gate)
         for replica in self._state.replicas.values():
-            self._keep_replica(now, replica)
+            if not replica.at_rest(now):
+                self._keep_replica(now, replica)
         self._eviction.provide(now)
 
     def next_due(self, now: float) -> float | None:
         """When :meth:`step` has something to do by the time alone, or None."""
         times = [gate.next_deadline() for gate in self._state.services.values()]
         for replica in self._state.replicas.values():
-            times += self._due_of(now, replica)
+            if not replica.at_rest(now):
+                times += self._due_of(now, replica)
         if self._state.silent_since is not None:
             silent_at = self._state.silent_since + self._state.cfg.silent_s
             times.append(silent_at if silent_at > now else None)
@@ -53,8 +55,12 @@
             self._state.book.start(now, req)
 
     def _keep_replica(self, now: float, replica: Replica) -> None:
-        if replica.part.cold and replica.idle():
-            return
+        if not replica.idle():
+            self._keep_requests(now, replica)
+        if replica.part.loaded:
+            self._unload_idle(now, replica)
+
+    def _keep_requests(self, now: float, replica: Replica) -> None:
         self._expire(now, replica.gate)
         refused = self._obstacle(now, replica)
         if refused is not None:
@@ -63,7 +69,6 @@
         if replica.part.loaded:
             self._refuse_blocked_adapters(now, replica)
             self._start(now, replica)
-            self._unload_idle(now, replica)
 
     def _obstacle(self, now: float, replica: Replica) -> Refused | None:
         """Why nobody can wait here any more, or None."""
--- a/packages/bambootiller-core/src/bambootiller_core/backend.py
+++ b/packages/bambootiller-core/src/bambootiller_core/backend.py
@@ -101,6 +101,8 @@
     def on_slot_table(self, now: float, table: SlotTable) -> list[Effect]:
         """Take a model's slot table; the newest one is the last that comes."""
         self._state.tables[table.key] = table
+        self._confirmations.table_changed(table.key)
+        self._drain.table_changed(table.key)
         return self._settle(now)
 
     def on_slot_confirmed(self, now: float, key: ModelKey, fence: int) -> list[Effect]:
--- a/packages/bambootiller-core/src/bambootiller_core/replicas.py
+++ b/packages/bambootiller-core/src/bambootiller_core/replicas.py
@@ -203,6 +203,10 @@
         """Whether no request waits or runs here."""
         return self.gate.empty()
 
+    def at_rest(self, now: float) -> bool:
+        """Whether it is cold and nobody asks for it, as most are most of the time."""
+        return self.part.cold and now >= self.wanted_until and self.gate.empty()
+
     def wanted(self, now: float) -> bool:
         """Whether somebody waits for it, or was told to come back soon."""
         return self.gate.waiting() > 0 or now < self.wanted_until
