--- a/packages/bambootiller/src/bambootiller/peers.py
+++ b/packages/bambootiller/src/bambootiller/peers.py
@@ -19,7 +19,12 @@
 from bambootiller.peering.watcher import Watcher
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller_core.gossip import Gossip, GossipConfig
-from bambootiller_core.membership import Membership, MembershipConfig, MemberView
+from bambootiller_core.membership import (
+    Membership,
+    MembershipConfig,
+    MemberView,
+    Status,
+)
 from bambootiller_core.types import Member, Role
 
 if TYPE_CHECKING:
@@ -35,6 +40,14 @@
 #: How long a stopping process waits for its last news to get out.
 FAREWELL_SECONDS = 0.3
 
+#: What brings a member to a status, for ``bambootiller explain instance``.
+WHY = {
+    Status.ALIVE: "it says so itself",
+    Status.SUSPECT: "a probe failed, directly and through others, here or at a peer",
+    Status.LEAVING: "it announced its stop, or the instance list shows it as leaving",
+    Status.DEAD: "the suspicion was not refuted in time, here or at a peer",
+}
+
 log = logs.logger("peers")
 
 
@@ -153,7 +166,7 @@
             f"instance/{view.member.instance}",
             "membership",
             view.status.value,
-            "probes, gossip or the instance list say so",
+            WHY[view.status],
             incarnation=view.member.incarnation,
             health=app.membership.health.score,
         )
