Run a whole small fleet under faults that a seed draws

Cause: Each failure has a test of its own, with processes and a chosen sequence. Nothing ran whole fleets under sequences that nobody thought of, with faults that overlap.

Before: No run of this kind.

--- /dev/null
+++ b/tests/fleet/randomised/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded random runs of a whole small fleet of processes under faults."""
