Leave to placeable alone which slots may be given away

Cause: assign had come to leave the table as it is while its holders make up the table's cap. Change: assign gives an empty slot away as before; placeable tells beforehand, on a reconciled table.

--- a/packages/bambootiller-core/src/bambootiller_core/slots.py
+++ b/packages/bambootiller-core/src/bambootiller_core/slots.py
@@ -194,7 +194,8 @@
 def assign(table: SlotTable, number: int, instance: str, token: str) -> SlotTable:
     """Give an empty slot to ``instance``, at a fence above all earlier ones.
 
-    The table is left as it is while its holders make up the cap, see :func:`placeable`.
+    Which slots may be given away at all is for :func:`placeable` to say, asked on the
+    table after it was brought in line with the template in force.
     """
     slot = _numbered(table, number)
     ensure(
@@ -207,8 +208,6 @@
         "one-slot-per-holder",
         f"{table.key}: {instance} holds {table.slot_of(instance)}, slot {number} too",
     )
-    if len(table.holders()) >= table.cap:
-        return table
     fence = max(table.fence, slot.fence) + 1
     given = replace(slot, holder=instance, fence=fence)
     return _written(replace(_with(table, given), fence=fence), token)
