--- a/tests/fleet/failures/test_capacity.py
+++ b/tests/fleet/failures/test_capacity.py
@@ -27,7 +27,7 @@
 
         Sequence: the load is ordered; the agent is killed; a new agent takes over
         beside the engine that goes on loading; callers ask again and again. Cause: a
-        new process that trusts its own empty memory instead of the engine. """
+        new process that trusts its own empty memory instead of the engine."""
         await self.start(agents=2)
         await self.apply_and_wait(template({"tutor": 1}))
         (holder,) = await self.placed("tutor", 1)
@@ -43,7 +43,7 @@
 
         Sequence: the holder of the only slot is stopped with SIGSTOP; all peers count
         it as dead; callers ask; it goes on and acts on what it had decided. Cause: a
-        slot moved because its holder fell silent. """
+        slot moved because its holder fell silent."""
         await self.start(agents=2)
         await self.apply_and_wait(template({"tutor": 1}))
         (holder,) = await self.placed("tutor", 1)
