Bring the core's shared modules in line with the formatter

Ruled out: loosening the line length (the house style names it). Change: format only; one example in ports.py in two statements. Conclusion: no behaviour changes.

--- a/packages/bambootiller-core/src/bambootiller_core/decisions.py
+++ b/packages/bambootiller-core/src/bambootiller_core/decisions.py
@@ -2,7 +2,7 @@
 
 A decision that nobody can explain afterwards can't be trusted, and a log of every
 figure would outgrow an instance without disks. So each process keeps the last decisions
-of each subject, each with the figures that it was made on, in bounded memory. """
+of each subject, each with the figures that it was made on, in bounded memory."""
 
 from __future__ import annotations
 
--- a/packages/bambootiller-core/src/bambootiller_core/outcomes.py
+++ b/packages/bambootiller-core/src/bambootiller_core/outcomes.py
@@ -2,7 +2,7 @@
 
 A request ends in exactly one of these. ``Executed`` is what the system can say
 truthfully about a call that it didn't answer: ``NO`` only if no backend server has run
-it, or ever will, on account of this request. """
+it, or ever will, on account of this request."""
 
 from __future__ import annotations
 
--- a/packages/bambootiller-core/src/bambootiller_core/ports.py
+++ b/packages/bambootiller-core/src/bambootiller_core/ports.py
@@ -3,7 +3,7 @@
 Only the key-value service needs more than one call, so only it has a port of its own.
 The outcomes tell apart what a caller must treat differently: ``Unavailable`` says that
 the call took no effect, ``Unknown`` that it may have taken effect although no answer
-came. A writer that gets ``Unknown`` must read before it concludes anything. """
+came. A writer that gets ``Unknown`` must read before it concludes anything."""
 
 from __future__ import annotations
 
@@ -103,7 +103,8 @@
     Example::
 
         found = await kv.get("/bambootiller/templates/forge")
-        match await kv.transact([Compare(key, found.records[0].mod_revision)], [Put(key, b"..")]):
+        seen = Compare(key, found.records[0].mod_revision)
+        match await kv.transact([seen], [Put(key, b"..")]):
             case Committed(revision): ...
             case Conflict(records): ...
             case Unavailable(): ...
@@ -124,7 +125,7 @@
     def watch(
         self, prefix: str, from_revision: int
     ) -> AsyncIterator[tuple[Changed, ...] | Unavailable]:
-        """Yield changes under ``prefix`` from a revision on; ends with ``Unavailable``."""
+        """Yield changes under ``prefix`` from a revision on, last an ``Unavailable``."""
 
     async def close(self) -> None:
         """Release the connections."""
--- a/packages/bambootiller-core/src/bambootiller_core/repair.py
+++ b/packages/bambootiller-core/src/bambootiller_core/repair.py
@@ -3,7 +3,7 @@
 Given the table in force, the template's cap and the evidence about holders, the table
 after repair is computed here; where the freed slots go is decided elsewhere, from
 figures that agents report, and applied with :func:`place`. All of it becomes one
-compare-and-swap write, so that no state in between is ever visible. """
+compare-and-swap write, so that no state in between is ever visible."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
     """A table with its cap, its retired slots and its lost holders put right.
 
     ``changed`` is false if the table was right already; ``empty`` are the numbers of
-    the slots that nobody holds; ``lost`` are the holders whose slots were vacated. """
+    the slots that nobody holds; ``lost`` are the holders whose slots were vacated."""
 
     table: SlotTable
     changed: bool
--- a/packages/bambootiller-core/src/bambootiller_core/template.py
+++ b/packages/bambootiller-core/src/bambootiller_core/template.py
@@ -2,7 +2,7 @@
 
 The border (``bambootiller.templates``) validates what operators write and builds these
 data classes from it. They are immutable; a change is a new template with a higher
-version. """
+version."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
     ``REFUSE`` answers at once that the call has not run, and when to come back.
     ``WAIT`` keeps trying to claim until the request's own deadline, then refuses as
-    truthfully. """
+    truthfully."""
 
     REFUSE = "refuse"
     WAIT = "wait"
--- a/packages/bambootiller-core/src/bambootiller_core/types.py
+++ b/packages/bambootiller-core/src/bambootiller_core/types.py
@@ -95,7 +95,7 @@
     ``deadline`` is a point on the deciding process's own monotonic clock. ``priority``
     is 0 for the most urgent callers up to 9; ``standing`` is the weight that the
     customer gives an answer to this caller. ``prefix`` is a hash of the prompt's
-    beginning, or 0. """
+    beginning, or 0."""
 
     request_id: str
     customer: str
@@ -148,7 +148,7 @@
 
     Travels on every reply, so that entries choose by fresh figures without broadcasts.
     ``queue_ms`` is the estimated wait of a request that arrives now, load time
-    included. """
+    included."""
 
     running: int = 0
     waiting: int = 0
--- a/packages/bambootiller/src/bambootiller/rpc/credentials.py
+++ b/packages/bambootiller/src/bambootiller/rpc/credentials.py
@@ -1,7 +1,7 @@
 """TLS between the system's own processes, where the operator sets keys.
 
 Both sides show a certificate of the same authority, so that neither a stranger's
-process nor a stranger's client joins the fleet. """
+process nor a stranger's client joins the fleet."""
 
 from __future__ import annotations
 
--- a/tests/slotkeeping/failures/test_gone_before_start.py
+++ b/tests/slotkeeping/failures/test_gone_before_start.py
@@ -19,7 +19,7 @@
 
         Sequence: the instance is reclaimed; all entries are replaced; the new ones
         never saw the instance listed. Cause: gone meant only "was listed to me
-        earlier". """
+        earlier"."""
         history = ListHistory()
         self.assertFalse(history.is_gone("i-9"))
         for _ in range(UNLISTED_ANSWERS):
