Write the page of capacities from the raw figures, line by line against the target

Cause: the target asks what each role costs at 390 entries and 3,400 agents, which mechanism carries it and what breaks first; nothing showed whether the design needs to change for it. Change: docs/CAPACITY.md with its raw figures in docs/capacity; estimates, marks, and a paragraph with the next change for each line that isn't met. Before: no page.

--- a/packages/bambootiller-standins/src/bambootiller_standins/capacity/__main__.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/capacity/__main__.py
@@ -16,6 +16,7 @@
     _fleet,
     _gossip,
     _isolated,
+    _page,
     _requests,
     _whole,
 )
@@ -38,6 +39,10 @@
     } | figures.form()
 
 
+PAGE = Path("docs/CAPACITY.md")
+FOLDER = Path("docs/capacity")
+
+
 async def _run(names: tuple[str, ...], effort: Effort, folder: Path) -> None:
     for name in names:
         found = await _measure(name, effort)
@@ -56,15 +61,23 @@
 @click.option("--quick", is_flag=True, help="Fewer and smaller sizes, for a trial.")
 @click.option(
     "--folder",
-    default="docs/capacity",
+    default=FOLDER,
     show_default=True,
     type=click.Path(path_type=Path),
     help="Where the raw figures go.",
 )
-def main(only: tuple[str, ...], quick: bool, folder: Path) -> None:
-    """Measure what the roles cost."""
+@click.option("--page-only", is_flag=True, help="Measure nothing, make the page.")
+def main(only: tuple[str, ...], quick: bool, folder: Path, page_only: bool) -> None:
+    """Measure what the roles cost, and make the page from all raw figures.
+
+    The page is only made of the figures in the folder that is kept with it.
+    """
     folder.mkdir(parents=True, exist_ok=True)
-    asyncio.run(_run(only or tuple(MEASUREMENTS), Effort(quick), folder))
+    if not page_only:
+        asyncio.run(_run(only or tuple(MEASUREMENTS), Effort(quick), folder))
+    if folder == FOLDER:
+        _page.write(folder, PAGE)
+        click.echo(f"the page is {PAGE}")
 
 
 if __name__ == "__main__":
--- a/packages/bambootiller-standins/src/bambootiller_standins/capacity/_fleet.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/capacity/_fleet.py
@@ -43,6 +43,7 @@
     agents: list[str]
     models: int
     version: int = 0
+    reads_at_start: float = 0.0
 
     @property
     def all(self) -> list[str]:
@@ -110,6 +111,7 @@
         try:
             crew = await _start(running, bench, size)
             rest = await _at_rest(bench, crew, effort.seconds(REST_SECONDS))
+            rest["reads_at_start"] = crew.reads_at_start
             rest["change"] = await _changes(bench, crew, rest.pop("spent"))
             rest["tool"] = await _tool(running)
             rest["repairs"] = [
@@ -145,6 +147,7 @@
         return all(one.members_alive == size for one in found)
 
     await until(joined, f"{size} processes know one another", 120.0)
+    crew.reads_at_start = (await bench.key_value())["reads"] / size
     await _put(bench, crew)
     await until(lambda: _whole(bench, crew, set(agents)), "all slots are held", 120.0)
     await asyncio.sleep(SETTLE_SECONDS)
--- a/packages/bambootiller-standins/src/bambootiller_standins/capacity/_requests.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/capacity/_requests.py
@@ -24,8 +24,9 @@
 DATA, DONE = b"data: ", b"[DONE]"
 READY_SECONDS = 60.0
 
-#: Requests a second and tokens of each answer, at which the processor time is read.
-LOADS = ((4, 2), (16, 2), (4, 64), (8, 64), (8, 128), (16, 32))
+#: Requests a second and tokens of each answer, at which the processor time is read. The
+#: last is an entry's share of the target's peak.
+LOADS = ((4, 2), (16, 2), (4, 64), (8, 64), (8, 128), (16, 32), (4, 369))
 LOAD_SECONDS = 12.0
 STREAMS = (25, 100, 200, 400)
 STREAM_TOKEN_MS = 400.0
