Tell in the membership which plain services stand beside an agent

Cause: an entry found a service by asking agents, one after another, and remembering the answers. At 3,400 agents it would give up (64 tries) before it met the one, and rank all agents for each call. Before: the membership says nothing of services. Conclusion: a few bytes a member, sent when the member speaks for itself.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SOURCES := packages tests $(wildcard spec)
 AREAS ?=
 
-.PHONY: help setup demo test lint format prove experiments capacity clean
+.PHONY: help setup proto demo test lint format prove experiments capacity clean
 
 help:
 	@echo "make demo         run the whole system once against stand-ins"
@@ -18,6 +18,7 @@
 	@echo "make lint         check formatting and style; make format mends the former"
 	@echo "make prove        the long randomised runs and the model checking"
 	@echo "make experiments  run the experiments again and write their pages"
+	@echo "make proto        write the generated protocol code anew"
 	@echo "make capacity     measure the slopes behind docs/CAPACITY.md"
 
 setup: $(READY)
@@ -53,6 +54,12 @@
 experiments: $(READY)
 	$(RUN) -m bambootiller_standins.experiments
 
+# The generated code is committed, so that a build needs no generator.
+PROTO := packages/bambootiller/src
+proto: $(READY)
+	$(RUN) -m grpc_tools.protoc -I $(PROTO) --python_out=$(PROTO) \
+		--grpc_python_out=$(PROTO) $(PROTO)/bambootiller/rpc/bambootiller.proto
+
 capacity: $(READY)
 	$(RUN) -m bambootiller_standins.capacity
 
--- a/packages/bambootiller-core/src/bambootiller_core/types.py
+++ b/packages/bambootiller-core/src/bambootiller_core/types.py
@@ -57,7 +57,8 @@
     """A process of the system as its peers know it.
 
     ``incarnation`` is raised by the process itself, at each start and each time that it
-    refutes a suspicion, so that of two statements the later one wins.
+    refutes a suspicion, so that of two statements the later one wins. ``services`` are
+    the plain services beside an agent, known once the member has spoken for itself.
     """
 
     instance: str
@@ -66,6 +67,7 @@
     region: str
     address: str
     incarnation: int = 0
+    services: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller/src/bambootiller/peering/wire.py
+++ b/packages/bambootiller/src/bambootiller/peering/wire.py
@@ -85,6 +85,7 @@
         address=member.address,
         incarnation=member.incarnation,
         status=statement.status.value,
+        services=member.services,
     )
 
 
@@ -116,6 +117,12 @@
     except ValueError:
         return None
     member = Member(
-        form.instance, role, form.zone, form.region, form.address, form.incarnation
+        form.instance,
+        role,
+        form.zone,
+        form.region,
+        form.address,
+        form.incarnation,
+        tuple(form.services),
     )
     return Statement(member, status) if form.instance and form.address else None
--- a/packages/bambootiller/src/bambootiller/peers.py
+++ b/packages/bambootiller/src/bambootiller/peers.py
@@ -186,7 +186,13 @@
     # this instance. Should it have been set back, the fleet's memory of that process
     # comes back to this one, which then raises its incarnation above it.
     me = Member(
-        cfg.instance, app.role, cfg.zone, cfg.region, "", incarnation=int(time.time())
+        cfg.instance,
+        app.role,
+        cfg.zone,
+        cfg.region,
+        "",
+        incarnation=int(time.time()),
+        services=tuple(item.name for item in cfg.services),
     )
     return Membership(
         me,
