Keep a model closed while a copy of its unload may arrive though another was refused

The refusal of one copy was taken for the order's end. Ruled out: ignoring refusals of unloads, since one that is refused for its fence must be decided anew. Change: an unload of several copies of which the latest was refused stays open until no copy can arrive any more; only then the engine's state decides.

--- a/packages/bambootiller-core/src/bambootiller_core/_loading.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_loading.py
@@ -77,7 +77,9 @@
         if self._state.silent_since is not None:
             return
         for order in self._orders.overdue(now):
-            if not order.loads:
+            if order.refused:
+                self._never_arrived(order)
+            elif not order.loads:
                 self._orders.send_again(now, order)
             elif not self._state.ledger.holds(order.item):
                 self._never_arrived(order)
@@ -240,16 +242,19 @@
         self._load_failed(now, replica, part, order.item.adapter, reason)
 
     def _never_arrived(self, order: OpenOrder) -> None:
-        """No copy of a load can arrive any more, and the engine knows of none.
+        """No copy of an order can arrive any more, and the engine knows of none.
 
-        Its memory has been released then, and may be promised to others. So it isn't
-        sent again as it is: what still wants the model asks for memory anew.
+        The memory of a load has been released then, and may be promised to others. So
+        it isn't sent again as it is: what still wants the model asks for memory anew.
+        A model whose unload was refused is open again from its next state on.
         """
         _, part = self._part_of(order)
         self._orders.close(order.order_id)
-        if part.order_id == order.order_id:
+        if part.order_id != order.order_id:
+            return
+        part.order_id = ""
+        if order.loads:
             part.phase = ReplicaPhase.COLD
-            part.order_id = ""
 
     def _part_of(self, order: OpenOrder) -> tuple[Replica, Part]:
         replica = self._state.replica(order.item.key)
--- a/packages/bambootiller-core/src/bambootiller_core/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_orders.py
@@ -31,7 +31,11 @@
 
 @dataclass(slots=True)
 class OpenOrder:
-    """An order whose effect the engine's state hasn't shown yet."""
+    """An order whose effect the engine's state hasn't shown yet.
+
+    ``refused`` is an unload whose latest copy was refused while an earlier one may
+    still arrive.
+    """
 
     order_id: str
     kind: OrderKind
@@ -41,6 +45,7 @@
     sent_at: float
     sends: int = 1
     lost: bool = False
+    refused: bool = False
 
     @property
     def loads(self) -> bool:
@@ -136,6 +141,11 @@
             self._part_of(order).unload_until = now
         if not isinstance(outcome, OrderRejected):
             return None
+        if not order.loads and order.sends > 1:
+            # An earlier copy, whose answer was lost, may still arrive. If the model was
+            # opened again, that copy would unload it under the requests started since.
+            order.refused = True
+            return None
         self.close(order_id)
         return order
 
@@ -146,6 +156,8 @@
     def engine_restarted(self, now: float) -> None:
         """What was taken by the earlier engine is lost for the new one."""
         for order in self._open.values():
+            if order.refused:
+                continue
             order.lost = True
             order.sent_at = min(order.sent_at, now - self._state.cfg.resend_s)
 
@@ -176,7 +188,7 @@
 
     def _resend_at(self, order: OpenOrder) -> float:
         cfg = self._state.cfg
-        if not order.lost:
+        if order.refused or not order.lost:
             return order.sent_at + cfg.settle_s + VALID_S
         return order.sent_at + min(cfg.resend_s * order.sends, cfg.settle_s)
 
--- a/tests/core/failures/test_orders.py
+++ b/tests/core/failures/test_orders.py
@@ -141,6 +141,29 @@
         bench.wait(due - bench.now)
         self.assertEqual(bench.held[-1].kind.value, "load")
 
+    def test_a_refused_copy_of_an_unload_doesnt_open_the_model_to_an_earlier_copy(self):
+        """Symptom: answers are cut by an unload that was reported as refused.
+
+        Sequence: the unload of an idle model is lost, sent again, and the second copy
+        isn't sent in time. The state shows the model as loaded, two requests start, and
+        the first copy arrives.
+        Cause: the refusal of one copy was taken for the end of the order. Found by the
+        long randomised run, seed 3163.
+        """
+        bench = Bench(a=4)
+        bench.load("a")
+        bench.hold = True
+        bench.wait(200.0)
+        bench.answer(bench.held[0], OrderLost())
+        bench.wait(1.0)
+        bench.answer(bench.held[1], OrderRejected("not sent"))
+        bench.arrive("r")
+        bench.read()
+        self.assertNotIn(Start("r"), bench.seen)
+        bench.wait(ORDER_LIFE_S)
+        bench.read()
+        self.assertIn(Start("r"), bench.seen)
+
     def test_no_request_starts_on_a_model_that_is_on_its_way_out(self):
         """Symptom: an answer is cut right after its start.
 
