Write a slot table only on the template and the table that it was decided on

Cause: three ways to two replicas under a cap of one. (1) The keeper read the table's revision when it wrote, after it had awaited the agents' figures: a change learned in between was overwritten. Ruled out: locking a model within the process (other processes write as well); a version check alone (an old process doesn't know that it is old). Change: Basis holds the table, the template and both revisions, taken before anything is awaited; the write compares both keys; repair offers what slots.placeable allows. Conclusion: the write now carries everything that the decision rested on.

--- a/packages/bambootiller-core/src/bambootiller_core/repair.py
+++ b/packages/bambootiller-core/src/bambootiller_core/repair.py
@@ -48,11 +48,11 @@
         if cap == 0:
             return None
         created = slots.create(key, cap, version, {}, token)
-        return Repaired(created, True, _empty(created), ())
+        return Repaired(created, True, slots.placeable(created), ())
     after, lost = _without_lost_holders(table, is_gone, token)
     if _cap_is_stale(after, cap, version):
         after = slots.reconcile_cap(after, cap, version, token)
-    return Repaired(after, after != table, _empty(after), lost)
+    return Repaired(after, after != table, slots.placeable(after), lost)
 
 
 def place(table: SlotTable, chosen: Mapping[int, str], token: str) -> SlotTable:
@@ -84,7 +84,3 @@
         else:
             table = slots.vacate(table, slot.number, evidence, token)
     return table, tuple(lost)
-
-
-def _empty(table: SlotTable) -> tuple[int, ...]:
-    return tuple(slot.number for slot in table.slots if not slot.holder)
--- a/packages/bambootiller/src/bambootiller/slotkeeping/keeper.py
+++ b/packages/bambootiller/src/bambootiller/slotkeeping/keeper.py
@@ -149,15 +149,12 @@
 
     async def _bring_in_line(self, key: ModelKey) -> bool:
         """One round for one model; False if something is left to do."""
-        app = self._app
-        template = app.catalogue.template(key.customer)
-        if template is None:
-            # Without the customer's template nothing is decided; a cap of 0 taken from
-            # a template that has not arrived yet would retire every replica.
+        basis = self._writer.basis(key)
+        if basis is None:
             return True
+        template, table = basis.template, basis.table
         policy = template.models.get(key.model)
         cap = policy.replicas if policy is not None else 0
-        table = app.catalogue.slots(key)
         token = secrets.token_hex(8)
         fixed = repair(key, table, cap, template.version, self._is_gone, token)
         if fixed is None:
@@ -166,7 +163,7 @@
         if not fixed.changed and not chosen:
             return not fixed.empty
         after = place(fixed.table, chosen, token)
-        written = await self._writer.write(table, after)
+        written = await self._writer.write(basis, after)
         self._explain(key, fixed, chosen, written)
         return written is Written.IN_FORCE and len(chosen) == len(fixed.empty)
 
--- a/packages/bambootiller/src/bambootiller/slotkeeping/writer.py
+++ b/packages/bambootiller/src/bambootiller/slotkeeping/writer.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import enum
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from bambootiller.catalogue import TEMPLATES_PREFIX
 from bambootiller_core import slots
 from bambootiller_core.documents import Document
 from bambootiller_core.ports import (
@@ -18,6 +20,8 @@
     Unavailable,
 )
 from bambootiller_core.slots import SlotTable, TookEffect
+from bambootiller_core.template import Template
+from bambootiller_core.types import ModelKey
 
 if TYPE_CHECKING:
     from bambootiller.app import Application
@@ -35,22 +39,56 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
+class Basis:
+    """What a new table was decided on: the table before it, and both revisions.
+
+    Taken in one step before anything is awaited. What goes wrong otherwise: the table
+    held here changes while agents are asked for their figures; a write that names the
+    newer revision passes its compare and undoes that change, so that a slot is with two
+    instances. The template's revision counts as well: an entry that was paused with an
+    old template would else bring a cap back that operators have lowered, whenever the
+    table itself didn't have to change in between.
+    """
+
+    table: SlotTable | None
+    table_revision: int
+    template: Template
+    template_revision: int
+
+
 class TableWriter:
     """Writes slot tables and takes what it learns into the documents held here."""
 
     def __init__(self, app: Application) -> None:
         self._app = app
 
-    async def write(self, before: SlotTable | None, after: SlotTable) -> Written:
-        """Replace ``before`` (None: no table yet), as held here, by ``after``."""
+    def basis(self, key: ModelKey) -> Basis | None:
+        """What may be decided on now, or None while the customer's template is unknown.
+
+        Without the template nothing is decided: a cap of 0 taken from a template that
+        hasn't arrived yet would retire every replica.
+        """
+        catalogue = self._app.catalogue
+        template = catalogue.template(key.customer)
+        if template is None:
+            return None
+        return Basis(
+            catalogue.slots(key),
+            catalogue.slots_revision(key),
+            template,
+            catalogue.template_revision(key.customer),
+        )
+
+    async def write(self, basis: Basis, after: SlotTable) -> Written:
+        """Write ``after`` if what it was decided on still stands."""
         key = slots.document_key(after.key)
-        revision = 0
-        if before is not None:
-            revision = self._app.catalogue.slots_revision(after.key)
         value = after.encode()
-        outcome = await self._app.kv.transact(
-            [Compare(key, revision)], [Put(key, value)]
-        )
+        compares = [
+            Compare(key, basis.table_revision),
+            Compare(TEMPLATES_PREFIX + after.key.customer, basis.template_revision),
+        ]
+        outcome = await self._app.kv.transact(compares, [Put(key, value)])
         match outcome:
             case Committed(revision=committed):
                 self._offer(key, committed, value)
--- a/tests/slotkeeping/cover/test_repair.py
+++ b/tests/slotkeeping/cover/test_repair.py
@@ -3,7 +3,7 @@
 import unittest
 
 from bambootiller_core.repair import place, repair
-from bambootiller_core.slots import create
+from bambootiller_core.slots import GivenBack, create, vacate
 from bambootiller_core.types import ModelKey
 
 KEY = ModelKey("forge", "tutor")
@@ -52,6 +52,14 @@
         self.assertEqual(len(fixed.table.slots), 1)
         self.assertEqual(fixed.empty, ())
 
+    def test_no_slot_is_offered_while_a_retiring_one_makes_up_the_cap(self):
+        table = create(KEY, 2, 1, {0: "i-1", 1: "i-2"}, "t0")
+        lowered = repair(KEY, table, 1, 2, nobody_gone, "t1").table
+        given_back = vacate(lowered, 0, GivenBack("i-1"), "t2")
+        fixed = repair(KEY, given_back, 1, 2, nobody_gone, "t3")
+        self.assertEqual(fixed.table.holders(), ("i-2",))
+        self.assertEqual(fixed.empty, ())
+
     def test_a_removed_model_keeps_its_held_slots_until_they_are_given_back(self):
         table = create(KEY, 1, 1, {0: "i-1"}, "t0")
         fixed = repair(KEY, table, 0, 2, nobody_gone, "t1")
