Pass over an unchanged instance list, and push gossip more slowly in trouble

Ruled out: a longer probe interval (slower detection in a healthy fleet). Change: listeners are called when the answer differs, and each twentieth time; views are kept unless the leaving ones change; the gap between pushes grows with the process's own trouble, like its probes.

--- a/packages/bambootiller-core/src/bambootiller_core/_member_table.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_member_table.py
@@ -152,6 +152,8 @@
     def set_listed_leaving(self, leaving: Iterable[str]) -> None:
         """Take over which members the platform lists as leaving."""
         before, self._listed_leaving = self._listed_leaving, frozenset(leaving)
+        if before == self._listed_leaving:
+            return
         self._views.clear()
         for name in sorted(before ^ self._listed_leaving):
             if name in self._entries:
--- a/packages/bambootiller-core/src/bambootiller_core/gossip.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gossip.py
@@ -277,10 +277,16 @@
 
         Fresh news goes out at once. Repeats wait for the next interval, so that a burst
         of news becomes a few messages with many changes rather than many with one.
+
+        What goes wrong on an overloaded machine: calls time out, members are suspected
+        and refute it, and all of that is news to push, which adds to the load. One sees
+        tens of messages a second where there are two at rest. A process that notices
+        its own trouble therefore pushes as many times more slowly as it probes.
         """
         if not len(self._outbox):
             return []
         gap = self.cfg.fresh_gap if self._outbox.fresh else self.cfg.push_interval
+        gap *= self.membership.health.factor
         peers = self.membership.peers()
         if not peers or now < self._pushed_at + gap:
             return []
--- a/packages/bambootiller/src/bambootiller/instances.py
+++ b/packages/bambootiller/src/bambootiller/instances.py
@@ -31,6 +31,9 @@
 #: spend on control, so the period grows with the answer.
 POLL_BYTES_PER_SECOND = 2_500
 POLL_TIMEOUT_SECONDS = 5.0
+#: Listeners are called this often even if the list stays the same, since what they know
+#: besides may have changed.
+REPEAT_EVERY = 20
 #: An answer that drops more than this share of the instances at once is only believed
 #: when the next successful answer says the same.
 IMPLAUSIBLE_SHARE = 0.5
@@ -197,6 +200,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._task: asyncio.Task | None = None
         self._digest = 0
+        self._unchanged = 0
         self._received = 0
         self._latest: list[ListedInstance] = []
 
@@ -219,7 +223,7 @@
         return self._history.take_gone()
 
     def subscribe(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` after each successful poll."""
+        """Call ``listener`` when an answer says something new, and now and then."""
         self._listeners.append(listener)
 
     async def start(self) -> None:
@@ -240,6 +244,7 @@
 
     async def poll(self) -> None:
         """Ask once, and take the answer over if there is one."""
+        before = self._digest
         answer = await self._ask()
         if answer is None:
             self._history.failed()
@@ -250,6 +255,11 @@
             log.warning("the list drops {} at once; waiting", outcome.dropped)
         elif outcome.gone:
             log.info("gone from the list: {}", ", ".join(outcome.gone))
+        self._unchanged = self._unchanged + 1 if self._digest == before else 0
+        if self._unchanged % REPEAT_EVERY == 0:
+            self._tell()
+
+    def _tell(self) -> None:
         for listener in tuple(self._listeners):
             listener()
 
