Test a load that never arrived by itself, and say once which part an order is about

The look-up of an order's part stood in two modules. Change: a test of the sequence; Orders.part_of; a model's decisions carry the ledger's figures by memory.describe.

--- a/packages/bambootiller-core/src/bambootiller_core/_backend_state.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_backend_state.py
@@ -16,7 +16,7 @@
 from bambootiller_core.backend_effects import BackendConfig, engine_name
 from bambootiller_core.decisions import DecisionLog, Figure
 from bambootiller_core.keepalive import KeepAlive
-from bambootiller_core.memory import Ledger
+from bambootiller_core.memory import Ledger, describe
 from bambootiller_core.replicas import Replica
 from bambootiller_core.slots import Slot, SlotTable
 from bambootiller_core.template import ModelPolicy, ServicePolicy, Template, Weights
@@ -173,8 +173,7 @@
             kind,
             outcome,
             reason,
-            memory_free=self.ledger.free(),
-            memory_total=self.ledger.total,
+            **describe(self.ledger),
             **figures,
         )
 
--- a/packages/bambootiller-core/src/bambootiller_core/_loading.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_loading.py
@@ -61,7 +61,7 @@
         if order is None or not isinstance(outcome, OrderRejected):
             return
         self._state.ledger.expire()
-        replica, part = self._part_of(order)
+        replica, part = self._orders.part_of(order)
         if part.order_id != order_id:
             return
         part.order_id = ""
@@ -221,7 +221,7 @@
             replica.gate.unpark(now, name)
 
     def _still_wanted(self, now: float, order: OpenOrder) -> bool:
-        replica, part = self._part_of(order)
+        replica, part = self._orders.part_of(order)
         if order.sends >= self._state.cfg.load_attempts:
             return False
         if not self._state.loadable(replica.key):
@@ -232,7 +232,7 @@
 
     def _abandon(self, now: float, order: OpenOrder) -> None:
         """Stop sending a load. Its memory stays reserved until it can't arrive."""
-        replica, part = self._part_of(order)
+        replica, part = self._orders.part_of(order)
         self._orders.close(order.order_id)
         if part.order_id != order.order_id:
             return
@@ -248,15 +248,10 @@
         it isn't sent again as it is: what still wants the model asks for memory anew.
         A model whose unload was refused is open again from its next state on.
         """
-        _, part = self._part_of(order)
+        _, part = self._orders.part_of(order)
         self._orders.close(order.order_id)
         if part.order_id != order.order_id:
             return
         part.order_id = ""
         if order.loads:
             part.phase = ReplicaPhase.COLD
-
-    def _part_of(self, order: OpenOrder) -> tuple[Replica, Part]:
-        replica = self._state.replica(order.item.key)
-        name = order.item.adapter
-        return replica, replica.adapter(name) if name else replica.part
--- a/packages/bambootiller-core/src/bambootiller_core/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_orders.py
@@ -138,7 +138,8 @@
             order.lost = True
             return None
         if not order.loads and order.sends == 1:
-            self._part_of(order).unload_until = now
+            _, part = self.part_of(order)
+            part.unload_until = now
         if not isinstance(outcome, OrderRejected):
             return None
         if not order.loads and order.sends > 1:
@@ -153,6 +154,12 @@
         """The order's effect is known; it isn't sent again."""
         self._open.pop(order_id, None)
 
+    def part_of(self, order: OpenOrder) -> tuple[Replica, Part]:
+        """The replica that an order is about, and the model's or adapter's part."""
+        replica = self._state.replica(order.item.key)
+        name = order.item.adapter
+        return replica, replica.adapter(name) if name else replica.part
+
     def engine_restarted(self, now: float) -> None:
         """What was taken by the earlier engine is lost for the new one."""
         for order in self._open.values():
@@ -208,11 +215,11 @@
         part.ordered_at = now if order.loads else 0.0
         if not order.loads:
             part.unload_id = order_id
-        self._send(now, order, part)
+        self._send(now, order)
 
-    def _send(self, now: float, order: OpenOrder, part: Part | None = None) -> None:
-        part = part or self._part_of(order)
+    def _send(self, now: float, order: OpenOrder) -> None:
         if not order.loads:
+            _, part = self.part_of(order)
             part.unload_until = self._arrives_until(now)
         item = order.item
         self._state.outbox.put(
@@ -239,11 +246,6 @@
             sends=order.sends,
         )
 
-    def _part_of(self, order: OpenOrder) -> Part:
-        replica = self._state.replica(order.item.key)
-        name = order.item.adapter
-        return replica.adapter(name) if name else replica.part
-
     def _fence(self, kind: OrderKind, item: Item) -> int:
         """The fence of an order: the slot's; for an unload at least the engine's own.
 
--- a/tests/core/failures/test_orders.py
+++ b/tests/core/failures/test_orders.py
@@ -104,6 +104,30 @@
         bench.wait(5.0)
         self.assertEqual(bench.orders().count(("load", "a")), 1)
 
+    def test_a_load_that_never_arrived_asks_for_its_memory_anew(self):
+        """Symptom: a load is sent again though its memory was promised to others.
+
+        Sequence: the load is lost and the engine silent for longer than any copy can be
+        on its way; its next state shows nothing, which releases the memory; the model
+        is still wanted. Cause: the order was open for sending again as it was.
+        """
+        bench = Bench(10, a=8)
+        bench.arrive("slow", left=100.0)
+        bench.now += 20.0
+        bench.carry_out()
+        bench.act(bench.core.finished(bench.now, "slow", 1, True))
+        bench.wait(2000.0)
+        bench.carry_out()
+        bench.hold = True
+        bench.arrive("r", left=1.0)
+        self.assertEqual(bench.refusals(), {"r": "cannot_meet_deadline"})
+        bench.answer(bench.held[0], OrderLost())
+        bench.act(bench.core.on_engine_silent(bench.now))
+        bench.wait(ORDER_LIFE_S + 0.5)
+        bench.read()
+        self.assertEqual([o.kind.value for o in bench.held], ["load", "load"])
+        self.assertNotEqual(bench.held[0].order_id, bench.held[1].order_id)
+
     def test_a_load_without_any_answer_is_given_up_and_its_callers_are_told(self):
         """Symptom: callers of a model wait until their deadlines though no order gets
         through. Sequence: all copies of a load are lost. Cause: an endless resending.
--- a/tests/core/randomised/test_backend.py
+++ b/tests/core/randomised/test_backend.py
@@ -12,9 +12,9 @@
 import unittest
 
 from hypothesis import settings, strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+from hypothesis.stateful import rule, run_state_machine_as_test
 
-from tests.common import profiles
+from tests.common import counting, profiles
 from tests.core.common.steps import STEPS, random_run, run_step
 from tests.core.common.world import World
 
@@ -26,10 +26,10 @@
 profiles.load()
 
 
-class BackendMachine(RuleBasedStateMachine):
+class BackendMachine(counting.CountedMachine):
     """One rule for each step; the rules are added below, from the table of steps."""
 
-    steps = 0
+    run_name = "core, drawn by Hypothesis"
 
     def __init__(self) -> None:
         super().__init__()
@@ -38,7 +38,6 @@
 
     def take(self, name: str, drawn: list[int]) -> None:
         """Take one step, and remember whether it broke something."""
-        BackendMachine.steps += 1
         try:
             run_step(self.world, name, drawn)
         except BaseException:
@@ -71,16 +70,12 @@
             stateful_step_count=profiles.scale(*EXAMPLE_STEPS),
         )
         run_state_machine_as_test(BackendMachine, settings=machine_settings)
-        print(f"\nbackend: {BackendMachine.steps} steps drawn by Hypothesis")
 
     def test_seeded_runs_break_no_property(self):
         runs = profiles.scale(*SEEDED_RUNS)
         for seed in range(runs):
-            random_run(seed, SEEDED_STEPS)
-        print(
-            f"\nbackend: {runs * SEEDED_STEPS} steps, seeds 0 to {runs - 1}, "
-            f"{SEEDED_STEPS} steps each"
-        )
+            taken = random_run(seed, SEEDED_STEPS)
+            counting.add(f"core, seeds 0 to {runs - 1}", len(taken))
 
 
 if __name__ == "__main__":
