Count the randomised steps where they are made, and print them by run

Cause: the sums of randomised steps were worked out from bounds, and only the core's run counted. The entry's histories had a switch of their own, so that the long run made no more of them than the short. Ruled out: multiplying examples by their longest length (examples end early, so that it tells too much). Change: tests/common/counting; state machines count each rule that was carried out and checked, the other runs what they did; the runner prints a line for each. The entry's histories follow the profile. Before: no counts for claims, documents, fleets, the relay, the waiting line and the walks. Conclusion: the long runs can be summed truthfully.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from tests.common import known_red, profiles
+from tests.common import counting, known_red, profiles
 from tests.common.watchdog import Watchdog
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -135,6 +135,8 @@
     """Print what failed and the closing line; return the exit code."""
     print()
     _print_slowest(tally)
+    for line in counting.lines():
+        print(line)
     expected = {entry.test for entry in known}
     for name in tally.failed:
         print(f"failed: {name}")
--- a/tests/agent/randomised/test_claims_under_random_faults.py
+++ b/tests/agent/randomised/test_claims_under_random_faults.py
@@ -4,7 +4,7 @@
 import unittest
 
 from hypothesis import settings, strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import invariant, precondition, rule
 
 from bambootiller_core.claims import (
     ClaimAttempt,
@@ -22,7 +22,7 @@
 from bambootiller_core.ports import Unavailable, Unknown
 from bambootiller_core.template import WhenStoreDown
 from tests.agent.common.claim_service import ClaimService
-from tests.common import profiles
+from tests.common import counting, profiles
 
 profiles.load()
 
@@ -45,9 +45,11 @@
         self.running: list[str] = []
 
 
-class ClaimMachine(RuleBasedStateMachine):
+class ClaimMachine(counting.CountedMachine):
     """Runs are counted by key, and what callers were told is kept by token."""
 
+    run_name = "claims of two agents"
+
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
--- a/tests/entry/randomised/test_core.py
+++ b/tests/entry/randomised/test_core.py
@@ -1,10 +1,9 @@
 """Random histories of attempts against the rules that always hold.
 
-``BAMBOOTILLER_STEPS`` sets the number of histories (default 1000); a failing one is
-printed by Hypothesis as the shortest that it finds.
+A failing history is printed by Hypothesis as the shortest that it finds. The long runs
+draw more of them.
 """
 
-import os
 import random
 import unittest
 from dataclasses import replace
@@ -16,8 +15,9 @@
 from bambootiller_core.outcomes import Answered, Code, Executed, Refused
 from bambootiller_core.retries import MOST_ATTEMPTS, RetryBudget
 from bambootiller_core.types import ModelTarget, Request, ServiceTarget
+from tests.common import counting, profiles
 
-HISTORIES = int(os.environ.get("BAMBOOTILLER_STEPS", "1000"))
+HISTORIES = profiles.scale(1000, 60_000)
 MOST_STEPS = 400
 PLACES = ("a", "b", "c")
 MODEL = Request("r-1", "forge", "pupil", ModelTarget("tutor"), deadline=20.0)
@@ -146,6 +146,7 @@
             if isinstance(action, Finish):
                 break
             following = history.happen(event, up)
+            counting.add("relay of the entry, events")
             if following is not None:
                 action = history.advance(following, up)
         if not isinstance(action, Finish):
--- a/tests/fleet/randomised/test_small_fleet.py
+++ b/tests/fleet/randomised/test_small_fleet.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from tests.common import counting
 from tests.common.profiles import scale
 from tests.fleet.randomised.run import run
 
@@ -21,6 +22,7 @@
         for seed in range(FIRST_SEED, FIRST_SEED + scale(*SEEDS)):
             with self.subTest(seed=seed):
                 result = await run(seed, scale(*STEPS))
+                counting.add("fleets of processes, faults", result.steps)
                 self.assertFalse(result.violations, f"\n{result}")
 
 
--- a/tests/membership/randomised/test_documents_never_fall.py
+++ b/tests/membership/randomised/test_documents_never_fall.py
@@ -6,10 +6,10 @@
 """
 
 from hypothesis import settings, strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import invariant, rule
 
 from bambootiller_core.documents import PREFIXES, Document, Documents
-from tests.common import profiles
+from tests.common import counting, profiles
 
 profiles.load()
 
@@ -20,7 +20,9 @@
 past = st.integers(0, 10_000)
 
 
-class DocumentsMachine(RuleBasedStateMachine):
+class DocumentsMachine(counting.CountedMachine):
+    run_name = "documents under late copies"
+
     def __init__(self):
         super().__init__()
         self.history: list[Document] = []
--- a/tests/membership/randomised/test_fleet_converges.py
+++ b/tests/membership/randomised/test_fleet_converges.py
@@ -12,7 +12,7 @@
 from bambootiller_core.documents import PREFIXES, TEMPLATES_PREFIX, Document
 from bambootiller_core.membership import Status, supersedes
 from bambootiller_standins._gossip_network import Conditions, Network, Node
-from tests.common import profiles
+from tests.common import counting, profiles
 from tests.membership.common.builders import membership, said
 
 profiles.load()
@@ -134,6 +134,7 @@
         trial = Trial(seed, loss)
         for fault in faults:
             trial.step(*fault)
+            counting.add("fleets on virtual time, faults")
         trial.settle()
 
 
--- a/tests/policy/randomised/test_waiting_model.py
+++ b/tests/policy/randomised/test_waiting_model.py
@@ -4,15 +4,18 @@
 import unittest
 
 from bambootiller_core.waiting import WaitingLine
+from tests.common import counting
 from tests.common.profiles import scale
 from tests.policy.requests import a_request
 
+STEPS = 200
+
 
 def run(seed: int) -> None:
     rng = random.Random(seed)
     line = WaitingLine(rng.choice([0.0, 0.2, 0.5, 1.0]))
     model = {}
-    for now in range(200):
+    for now in range(STEPS):
         step = rng.random()
         if step < 0.5:
             req = a_request(
@@ -60,3 +63,4 @@
         for seed in range(scale(30, 1000)):
             with self.subTest(seed=seed):
                 run(seed)
+                counting.add("waiting line", STEPS)
--- a/tests/spec/common/walks.py
+++ b/tests/spec/common/walks.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from spec import Action, Specification
+from tests.common import counting
 
 
 def walk(
@@ -39,6 +40,7 @@
             where = f"seed {seed}, step {number}: {action}\n  {state}\n  {after}"
             raise AssertionError(f"{where}\n  {type(exc).__name__}: {exc}") from exc
         taken[action.name] += 1
+        counting.add(f"walks of the specification, {spec.name}")
         state = after
     return taken
 
