Rerun the proofs by one command that sums them up by property

Cause: `make prove` ran the model checking and all long tests, and left it to the reader which property each of them belongs to and how far it went. Ruled out: choosing single tests for a property (the table would part from the tests); areas and specifications are chosen, docs/PROOFS.md names the tests. Before: no summary. Conclusion: the whole command hasn't run yet; its parts are being run one by one.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 METADATA := $(PACKAGES:%=packages/%/pyproject.toml)
 SOURCES := packages tests $(wildcard spec)
 AREAS ?=
+PARTS ?=
 
 .PHONY: help setup proto demo test lint format prove experiments capacity clean
 
@@ -16,7 +17,7 @@
 	@echo "make demo         run the whole system once against stand-ins"
 	@echo "make test         run all tests (AREAS='settings cli' for some)"
 	@echo "make lint         check formatting and style; make format mends the former"
-	@echo "make prove        the long randomised runs and the model checking"
+	@echo "make prove        rerun the proofs (PARTS='slots core' for some; long)"
 	@echo "make experiments  run the experiments again and write their pages"
 	@echo "make proto        write the generated protocol code anew"
 	@echo "make capacity     measure the slopes behind docs/CAPACITY.md"
@@ -48,8 +49,7 @@
 	$(RUN) -m black --quiet $(SOURCES)
 
 prove: $(READY)
-	$(RUN) -m spec --variants
-	$(RUN) -m tests --long
+	$(RUN) -m tests.prove $(PARTS)
 
 experiments: $(READY)
 	$(RUN) -m bambootiller_standins.experiments
--- /dev/null
+++ b/tests/prove/__init__.py
@@ -0,0 +1,1 @@
+"""Reruns the proofs of what must always hold, and sums them up by property."""
