Find a service's agents by their announcements, and wait for a holder after a cut

Cause: (1) entries found services by asking agents in turn, 64 at most, and ranked all agents of the fleet for each call. Change: an index by service that follows the membership; backend_failed counts among the refusals after which the same place or a new one may serve a moment later, within the attempts, budget and patience. Conclusion: a model with one replica answers again as soon as its engine or its slot is back.

--- a/packages/bambootiller/src/bambootiller/entry/places.py
+++ b/packages/bambootiller/src/bambootiller/entry/places.py
@@ -1,69 +1,60 @@
 """Which agents run a plain service beside them.
 
-Plain services hold no slots, and no process announces them, so an entry learns from the
-agents' answers: one that served a service is asked first, one that said that it doesn't
-run there is asked last for a while. The order among the others is a rendezvous order,
-so that the entries' first questions don't all go to the same agent.
+Plain services hold no slots; each agent announces those beside it with its membership.
+The index here follows these announcements, so that a call looks at the agents of its
+service only and not at all agents of the fleet. An agent that was started again without
+a service may say so before its new announcement arrives; it is passed over for a while.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
-from bambootiller_core import rendezvous
-from bambootiller_core.types import ModelKey
+from bambootiller_core.membership import MemberView, Status
 
 #: How long an agent's word that it doesn't run a service is taken for true. Seconds.
 ABSENCE_S = 30.0
 
 
 class ServicePlaces:
-    """What agents have shown about the services beside them.
+    """The agents of each service, as announced and as shown by refusals.
 
     Example::
 
-        places.absent(0.0, "i-1", key)
-        places.present("i-2", key)
-        places.ordered(0.1, key, ["i-1", "i-2", "i-3"])  # ["i-2", "i-3", "i-1"]
+        places.noted(view)  # of i-1, with the services ("pushes",)
+        places.of(0.0, "pushes")  # ["i-1"]
+        places.absent(0.0, "i-1", "pushes")
     """
 
     def __init__(self) -> None:
-        self._present: dict[ModelKey, set[str]] = {}
-        self._absent: dict[ModelKey, dict[str, float]] = {}
-
-    def present(self, instance: str, key: ModelKey) -> None:
-        """The agent served the service."""
-        self._present.setdefault(key, set()).add(instance)
-        self._absent.get(key, {}).pop(instance, None)
-
-    def absent(self, now: float, instance: str, key: ModelKey) -> None:
+        self._announced: dict[str, set[str]] = {}
+        self._absent: dict[tuple[str, str], float] = {}
+
+    def noted(self, view: MemberView) -> None:
+        """A member's statement changed, or is seen for the first time."""
+        instance = view.member.instance
+        here = () if view.status is Status.DEAD else view.member.services
+        for service, instances in self._announced.items():
+            if service not in here:
+                instances.discard(instance)
+        for service in here:
+            self._announced.setdefault(service, set()).add(instance)
+
+    def absent(self, now: float, instance: str, service: str) -> None:
         """The agent said that the service doesn't run beside it."""
-        self._present.get(key, set()).discard(instance)
-        self._absent.setdefault(key, {})[instance] = now + ABSENCE_S
+        self._absent[instance, service] = now + ABSENCE_S
 
-    def forget(self, instance: str) -> None:
-        """The agent is gone."""
-        for instances in self._present.values():
-            instances.discard(instance)
-        for instances in self._absent.values():
-            instances.pop(instance, None)
+    def of(self, now: float, service: str) -> list[str]:
+        """The instances that run the service, in the order of their names.
 
-    def groups(
-        self, now: float, key: ModelKey, instances: Iterable[str]
-    ) -> tuple[list[str], list[str]]:
-        """The instances that are known to run the service, and those that may.
-
-        Those known not to are in neither, unless nothing else would be left.
-        """
-        present = self._present.get(key, frozenset())
-        absent = self._absent.get(key, {})
-        names = rendezvous.ranked(str(key), instances)
-        known = [name for name in names if name in present]
-        maybe = [
-            name
-            for name in names
-            if name not in present and absent.get(name, 0.0) <= now
+        Those that said otherwise lately are left out, unless nothing else would be
+        left."""
+        names = sorted(self._announced.get(service, ()))
+        present = [
+            name for name in names if self._absent.get((name, service), 0.0) <= now
         ]
-        if not known and not maybe:
-            return [], names
-        return known, maybe
+        return present or names
+
+    def sweep(self, now: float) -> None:
+        """Forget the words that are too old to count."""
+        self._absent = {
+            key: until for key, until in self._absent.items() if until > now
+        }
--- a/packages/bambootiller/src/bambootiller/entry/relay/core.py
+++ b/packages/bambootiller/src/bambootiller/entry/relay/core.py
@@ -49,9 +49,18 @@
 #: answer costs nobody any work, so it doesn't count as an attempt.
 MOST_PROBES = 64
 
-#: After these the same place may serve the request a moment later.
+#: After these the same place may serve the request a moment later, or another one may
+#: have got a slot by then. An engine that died in an answer is among them: the only
+#: holder known at that moment is often not the only one a second later.
 _PASSING = frozenset(
-    {Code.LEAVING, Code.NOT_HOLDER, Code.NOT_READY, Code.NO_REPLICA, Code.UNREACHABLE}
+    {
+        Code.LEAVING,
+        Code.NOT_HOLDER,
+        Code.NOT_READY,
+        Code.NO_REPLICA,
+        Code.UNREACHABLE,
+        Code.BACKEND_FAILED,
+    }
 )
 #: What an agent says of a service that doesn't run beside it.
 _NOT_HERE = frozenset({Code.NOT_HOLDER, Code.UNKNOWN_SERVICE, Code.NO_REPLICA})
--- a/packages/bambootiller/src/bambootiller/entry/relay/driver.py
+++ b/packages/bambootiller/src/bambootiller/entry/relay/driver.py
@@ -270,8 +270,6 @@
             self._break(outcome.detail)
             return
         self._next = outcome
-        if not isinstance(self._call.ask, ModelAsk):
-            self._routing.places.present(self._pending.instance, self._call.key)
 
     def _refused(self, refusal: pb.Refusal) -> None:
         now = self._now()
@@ -279,7 +277,7 @@
         instance = self._pending.instance
         refused = read_refusal(refusal)
         if refused.code in (Code.NOT_HOLDER, Code.UNKNOWN_SERVICE):
-            self._routing.places.absent(now, instance, self._call.key)
+            self._routing.service_absent(now, instance, self._call)
         ranked = self._routing.ranked(now, self._call)
         self._next = self._core.refused(now, refused, ranked)
         self._record.refused(now, instance, refused, self._next)
--- a/packages/bambootiller/src/bambootiller/entry/role.py
+++ b/packages/bambootiller/src/bambootiller/entry/role.py
@@ -137,6 +137,7 @@
         return max(0, int(left * 1000)) if self._leaving else 0
 
     def _member_changed(self, view: MemberView) -> None:
+        self._routing.places.noted(view)
         if view.member.role is Role.AGENT and view.status is Status.DEAD:
             # Its open calls would hang until the deadline: a paused process keeps its
             # connections up and answers nothing.
@@ -145,4 +146,5 @@
 
     def _sweep(self, now: float) -> None:
         self._routing.board.sweep(now)
+        self._routing.places.sweep(now)
         self._app.metrics.gauge("entry.under_way", self._intake.under_way)
--- a/packages/bambootiller/src/bambootiller/entry/routing.py
+++ b/packages/bambootiller/src/bambootiller/entry/routing.py
@@ -18,7 +18,7 @@
 from bambootiller_core.membership import MemberView, Status
 from bambootiller_core.routing import Candidate, rank
 from bambootiller_core.slots import SlotTable
-from bambootiller_core.types import ModelKey, ModelTarget, Request, Role
+from bambootiller_core.types import ModelKey, ModelTarget, Request, Role, ServiceTarget
 
 
 class Members(Protocol):
@@ -50,6 +50,8 @@
         self.board = FiguresBoard()
         self.affinity = PrefixAffinity()
         self.places = ServicePlaces()
+        for view in members.members(Role.AGENT):
+            self.places.noted(view)
         self._zone = zone
         self._members = members
         self._tables = tables
@@ -59,12 +61,8 @@
         """The agents to try, best first; leaving and dead ones are never among them."""
         if isinstance(call.request.target, ModelTarget):
             return self._ranked(now, call, self._holders(call.key))
-        agents = [view.member.instance for view in self._members.members(Role.AGENT)]
-        known, maybe = self.places.groups(now, call.key, agents)
-        # Candidates that may lack the service keep their own order: ranked by load, the
-        # one that nobody has asked yet would look best to every request.
-        usable = self._usable(now, call, maybe)
-        return self._ranked(now, call, known) + [item.instance for item in usable]
+        names = self.places.of(now, call.request.target.service)
+        return self._ranked(now, call, names)
 
     def address(self, instance: str) -> str | None:
         """Where the agent's RPC server listens, or None if it is gone by now."""
@@ -83,10 +81,14 @@
         self.board.failed(now, instance, key)
         self._members.probe_soon(instance)
 
+    def service_absent(self, now: float, instance: str, call: Call) -> None:
+        """An agent said that it doesn't run the service that was called there."""
+        if isinstance(call.request.target, ServiceTarget):
+            self.places.absent(now, instance, call.request.target.service)
+
     def forget(self, instance: str) -> None:
         """An agent is dead."""
         self.board.forget(instance)
-        self.places.forget(instance)
 
     def _holders(self, key: ModelKey) -> list[str]:
         table = self._tables.slots(key)
--- a/tests/entry/common/bench.py
+++ b/tests/entry/common/bench.py
@@ -152,7 +152,13 @@
     def announce(self, agent, status, incarnation=1):
         """Have the membership say how an agent stands."""
         member = Member(
-            agent.instance, Role.AGENT, "az-1", "r1", agent.address, incarnation
+            agent.instance,
+            Role.AGENT,
+            "az-1",
+            "r1",
+            agent.address,
+            incarnation,
+            services=("push",),
         )
         self.app.membership.merge(0.0, [Statement(member, status)])
 
--- a/tests/entry/cover/test_core.py
+++ b/tests/entry/cover/test_core.py
@@ -52,6 +52,22 @@
         self.assertEqual(attempts, MOST_ATTEMPTS)
         self.assertIs(action.final.executed, Executed.UNKNOWN)
 
+    def test_a_cut_answer_waits_for_the_holder_that_appears_a_moment_later(self):
+        """Symptom: a pupil's answer ends in an error in the middle, now and then.
+
+        Sequence: the engine of the only holder that the entry knows dies during the
+        answer; the second slot's holder becomes known 100 ms later.
+        Cause: with no other place at that very moment the request was given up.
+        """
+        relay = core()
+        relay.choose(0.0, ["a"])
+        relay.chunk("half an ", 2)
+        cut = Refused(Code.BACKEND_FAILED, Executed.YES, "the engine died")
+        wait = relay.refused(1.0, cut, ["a"])
+        self.assertIsInstance(wait, Wait)
+        action = relay.choose(wait.until, ["a", "b"])
+        self.assertEqual(action, Attempt("b", 2, "half an ", 2))
+
     def test_an_empty_budget_ends_a_request_instead_of_repeating_it(self):
         relay = core(budget=RetryBudget(share=0.0, reserve=0.0))
         relay.choose(0.0, ["a", "b"])
