--- a/packages/bambootiller-standins/src/bambootiller_standins/demo/__main__.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/demo/__main__.py
@@ -20,13 +20,16 @@
 
 from bambootiller_standins.demo.callers import Streamed, push, stream_answer
 from bambootiller_standins.engine import EngineConfig
-from bambootiller_standins.harness import Fleet
+from bambootiller_standins.harness import Fleet, PlatformOptions
 
 ZONES = ("az-1", "az-2", "az-3", "az-4")
 ENTRIES = ("entry-1", "entry-2")
 PUPIL_KEY = "demo-pupil-key"
 TEACHER_KEY = "demo-teacher-key"
 PROMPT = "my assignment does not build: undefined reference to main"
+#: On loopback no order stays on its way for long, so that the agents, all of them new,
+#: need not wait before their first load as they do in a real fleet.
+OPTIONS = PlatformOptions(env={"BAMBOOTILLER_SETTLE_SECONDS": "1"})
 MODEL_WAIT_SECONDS = 20.0
 
 
@@ -111,7 +114,7 @@
 
 
 async def _run() -> None:
-    async with Fleet() as fleet, aiohttp.ClientSession() as http:
+    async with Fleet(OPTIONS) as fleet, aiohttp.ClientSession() as http:
         await _start_processes(fleet)
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "forge.toml"
