Let one request's wait in vain stand for those that come after it

Cause: with no place for a model (a region cut off, all holders gone) each request waited five seconds for one to appear before it was refused, although the entry knew better since the first. Ruled out: no wait at all (a slot that moves or a process that restarts would refuse callers for a moment); a wait until the deadline (an answer held back). Change: entry/patience.py remembers, by model, that waiting was in vain; until a place appears or nobody has asked for ten seconds, requests are refused at once with when to come back. Before: 5 s for each refusal. Conclusion: what is given up on is told at once.

--- a/packages/bambootiller/src/bambootiller/entry/relay/core.py
+++ b/packages/bambootiller/src/bambootiller/entry/relay/core.py
@@ -25,6 +25,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
+from bambootiller.entry.patience import PATIENCE_S
 from bambootiller.entry.relay.correlation import Fault
 from bambootiller_core.invariants import ensure
 from bambootiller_core.outcomes import Answered, Code, Executed, Final, Refused
@@ -38,9 +39,6 @@
 )
 from bambootiller_core.types import Request, ServiceTarget
 
-#: How long a request waits for a place to appear (a slot that moves, a process that
-#: restarts) before the caller is told to come back. Seconds.
-PATIENCE_S = 5.0
 #: How often it looks. Seconds.
 LOOK_AGAIN_S = 0.1
 #: The pause before the same place is asked again, doubled with each attempt. Seconds.
@@ -115,8 +113,10 @@
         repeat: Repeat,
         budget: RetryBudget,
         rng: random.Random,
+        patience_s: float = PATIENCE_S,
     ) -> None:
         self._req = req
+        self._patience_s = patience_s
         self._is_service = isinstance(req.target, ServiceTarget)
         self._repeat = repeat
         self._budget = budget
@@ -321,7 +321,7 @@
     def _no_place(self, now: float) -> Action:
         """Wait a little for a place; the caller hears at once when that is over."""
         if self._patience_until is None:
-            self._patience_until = now + PATIENCE_S
+            self._patience_until = now + self._patience_s
         until = now + LOOK_AGAIN_S
         if until < min(self._patience_until, self._req.deadline):
             return Wait(until)
--- a/packages/bambootiller/src/bambootiller/entry/relay/driver.py
+++ b/packages/bambootiller/src/bambootiller/entry/relay/driver.py
@@ -28,7 +28,7 @@
 )
 from bambootiller.entry.routing import Routing
 from bambootiller.rpc import bambootiller_pb2 as pb
-from bambootiller_core.outcomes import Code, Executed, Refused
+from bambootiller_core.outcomes import Code, Executed, Final, Refused
 from bambootiller_core.types import LoadFigures
 
 #: An agent says within milliseconds whether it admits a request. One that is paused or
@@ -137,13 +137,19 @@
                 else:
                     await self._sleep(action.until)
                     action = self._chosen()
-            self._record.ended(self._now(), action.final, self._core.attempts)
+            self._note_end(action.final)
             yield Ended(action.final, action.finish_reason, self._pieces)
         finally:
             timer.cancel()
             if not self._core.finished:
                 self._abandoned()
 
+    def _note_end(self, final: Final) -> None:
+        now = self._now()
+        if isinstance(final, Refused) and final.code is Code.NO_REPLICA:
+            self._routing.patience.in_vain(now, self._call.key)
+        self._record.ended(now, final, self._core.attempts)
+
     def _abandoned(self) -> None:
         """Whoever pulled from the outputs went away, as it does on a cancelled task."""
         finish = self._core.caller_gone()
@@ -158,6 +164,7 @@
         ranked = self._routing.ranked(now, self._call)
         action = self._core.choose(now, ranked)
         if isinstance(action, Attempt):
+            self._routing.patience.served(self._call.key)
             self._record.chosen(now, action, ranked)
         return action
 
--- a/packages/bambootiller/src/bambootiller/entry/relays.py
+++ b/packages/bambootiller/src/bambootiller/entry/relays.py
@@ -46,7 +46,8 @@
         record = RequestRecord(
             self._now(), req, arrival.name, self._decisions, self._metrics
         )
-        core = RelayCore(req, repeat_of(req), self._budget, self._rng)
+        patience_s = self._routing.patience.of(self._now(), call.key)
+        core = RelayCore(req, repeat_of(req), self._budget, self._rng, patience_s)
         driver = Driver(call, core, self._routing, self._backends, record)
         self._intake.attach(driver)
         arrival.exchange.at_end(lambda: self._intake.detach(driver))
--- a/packages/bambootiller/src/bambootiller/entry/role.py
+++ b/packages/bambootiller/src/bambootiller/entry/role.py
@@ -147,4 +147,5 @@
     def _sweep(self, now: float) -> None:
         self._routing.board.sweep(now)
         self._routing.places.sweep(now)
+        self._routing.patience.sweep(now)
         self._app.metrics.gauge("entry.under_way", self._intake.under_way)
--- a/packages/bambootiller/src/bambootiller/entry/routing.py
+++ b/packages/bambootiller/src/bambootiller/entry/routing.py
@@ -12,6 +12,7 @@
 
 from bambootiller.entry.affinity import PrefixAffinity
 from bambootiller.entry.figures import FiguresBoard
+from bambootiller.entry.patience import Patience
 from bambootiller.entry.places import ServicePlaces
 from bambootiller.entry.relay.calls import Call
 from bambootiller.entry.relay.messages import Revisions
@@ -49,6 +50,7 @@
     ) -> None:
         self.board = FiguresBoard()
         self.affinity = PrefixAffinity()
+        self.patience = Patience()
         self.places = ServicePlaces()
         for view in members.members(Role.AGENT):
             self.places.noted(view)
--- a/tests/entry/cover/test_core.py
+++ b/tests/entry/cover/test_core.py
@@ -4,8 +4,8 @@
 import unittest
 from dataclasses import replace
 
+from bambootiller.entry.patience import PATIENCE_S
 from bambootiller.entry.relay.core import (
-    PATIENCE_S,
     Attempt,
     Finish,
     RelayCore,
