--- a/packages/bambootiller-standins/src/bambootiller_standins/experiments/agentmodel.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/experiments/agentmodel.py
@@ -233,9 +233,12 @@
 
     def _end(self, name: str, refused: Refused) -> None:
         attempt = self._attempts.pop(name, None)
-        if attempt is not None:
-            self._close(attempt)
-            self._reply(attempt, "refused", refused)
+        if attempt is None:
+            return
+        if attempt.run is not None:
+            self.engine.cancel(engine_name(attempt.key), attempt.run)
+        self._close(attempt)
+        self._reply(attempt, "refused", refused)
 
     def _close(self, attempt: _Attempt) -> None:
         if attempt.admitted:
--- a/packages/bambootiller-standins/src/bambootiller_standins/experiments/enginemodel.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/experiments/enginemodel.py
@@ -52,13 +52,14 @@
     running: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False)
 class Run:
     """A call that runs: when its tokens begin, what each takes, how many they are."""
 
     begins_at: float
     token_s: float
     tokens: int
+    over: bool = False
 
     def produced(self, now: float) -> int:
         """The tokens that have been passed on by now."""
@@ -296,7 +297,7 @@
         if item is None or item.phase is not Phase.LOADED:
             self.failed_rules.append(f"started a call of {name}, which isn't loaded")
             self._time.after(0.0, finished, False)
-            return Run(self._time.now, 1.0, 0)
+            return Run(self._time.now, 1.0, 0, over=True)
         item.running += 1
         prefill = (arrival.prompt_tokens + skip_tokens) * PREFILL_TOKEN_S
         if arrival.prefix in self._prefixes:
@@ -304,16 +305,26 @@
         _touch(self._prefixes, arrival.prefix, CACHED_PREFIXES)
         slow = 1.0 + BATCH_SLOWDOWN * (item.running - 1)
         token = self._facts[name].policy.token_ms / 1000.0 * slow
-        self._time.after(prefill + token, self._emit, first_token)
         tokens = max(1, arrival.tokens - skip_tokens)
-        self._time.after(prefill + token * tokens, self._finish, item, finished)
-        return Run(self._time.now + prefill, token, tokens)
-
-    def _emit(self, first_token: Callable[[], None]) -> None:
-        if self.alive:
+        run = Run(self._time.now + prefill, token, tokens)
+        self._time.after(prefill + token, self._emit, run, first_token)
+        self._time.after(prefill + token * tokens, self._finish, item, run, finished)
+        return run
+
+    def cancel(self, name: str, run: Run) -> None:
+        """The agent has closed the connection of a call; it ends without a word."""
+        if not run.over:
+            run.over = True
+            self._models[name].running -= 1
+
+    def _emit(self, run: Run, first_token: Callable[[], None]) -> None:
+        if self.alive and not run.over:
             first_token()
 
-    def _finish(self, item: _Model, finished: Callable[[bool], None]) -> None:
+    def _finish(self, item: _Model, run: Run, finished: Callable[[bool], None]) -> None:
+        if run.over:
+            return
+        run.over = True
         item.running -= 1
         finished(self.alive)
 
--- a/packages/bambootiller-standins/src/bambootiller_standins/experiments/plots.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/experiments/plots.py
@@ -49,7 +49,9 @@
     axis.invert_yaxis()
     axis.set_xlabel("cost by the customer's weights, mean over the seeds")
     axis.set_title(customer)
-    axis.legend(fontsize=8)
+    # Room on the right, so that the legend covers no bar.
+    axis.set_xlim(right=1.4 * max(below))
+    axis.legend(fontsize=8, loc="lower right")
 
 
 def _cold_times(axis, customer: str, table: Sequence[Row]) -> None:
