Choose the peers anew only when a peer dies or a member comes

Ruled out: a limit of one choice a second (a dead peer would stay for that second, for nothing). Change: the death of a member that is no peer keeps the choice, since the others rank as before. Conclusion: the cost now follows the process's own bounded set, not the fleet.

--- a/packages/bambootiller-core/src/bambootiller_core/_member_table.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_member_table.py
@@ -121,7 +121,7 @@
             self._peer_names = None
         else:
             self.digest ^= fingerprint(entry.statement)
-            if Status.DEAD in (new.status, entry.status):
+            if self._changes_peers(entry, new):
                 self._peer_names = None
             self._dead -= entry.status is Status.DEAD
         self.digest ^= fingerprint(new)
@@ -136,6 +136,17 @@
         self._notify(entry)
         return entry
 
+    def _changes_peers(self, entry: Entry, new: Statement) -> bool:
+        """Whether the peers have to be chosen anew because of a statement.
+
+        The death of a member that is no peer leaves the choice as it is, since the
+        others rank as before. When a zone is lost, hundreds die within seconds, and
+        ranking thousands of members for each would take a process seconds.
+        """
+        if new.status is Status.DEAD:
+            return self._peer_names is None or new.instance in self._peer_names
+        return entry.status is Status.DEAD
+
     def drop(self, instance: str) -> None:
         """Forget a dead member."""
         self._dead -= self._entries.pop(instance).status is Status.DEAD
