Register the forms of the key-value service and of the instance list by name

Cause: the adapter of the key-value service was named in two places, and the instance list's form was parsed twice, once strictly in the processes and once loosely in the operators' tool. Another platform's form would have needed changes in each of them. Ruled out: a setting of its own for the form, since a URL and its form always change together; entry points of installed packages, since nothing is needed yet that isn't in the workspace. Change: a registry that decorators fill, and two uses of it. A URL names its form before a plus sign (`etcd+http://`, `sd+http://`); a plain URL means what it meant. Endpoints of several forms are refused at the start. The tool and the processes parse the list by one function. The tool's test list names a role now, as the published form of the list always did and the processes demand. Before: a list entry without a role was skipped over by the tool and refused by the processes. Conclusion: another service or list is one module and one registered function.

--- a/packages/bambootiller/src/bambootiller/_parsers.py
+++ b/packages/bambootiller/src/bambootiller/_parsers.py
@@ -18,6 +18,8 @@
 from typing import Any
 from urllib.parse import urlsplit
 
+from bambootiller._forms import Forms, plain_url
+
 MAX_PORT = 65535
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _HOST = re.compile(r"[A-Za-z0-9]([A-Za-z0-9.-]{0,252}[A-Za-z0-9])?")
@@ -84,6 +86,7 @@
 
     @property
     def allowed(self) -> str:
+        """What the message to the operator says is allowed."""
         return "one of " + ", ".join(self.words)
 
     def __call__(self, text: str) -> str:
@@ -102,6 +105,7 @@
 
     @property
     def allowed(self) -> str:
+        """What the message to the operator says is allowed."""
         return f"a whole number from {self.low} to {self.high}"
 
     def __call__(self, text: str) -> int:
@@ -120,6 +124,7 @@
 
     @property
     def allowed(self) -> str:
+        """What the message to the operator says is allowed."""
         return f"a number from {self.low:g} to {self.high:g}"
 
     def __call__(self, text: str) -> float:
@@ -139,6 +144,7 @@
 
     @property
     def allowed(self) -> str:
+        """What the message to the operator says is allowed."""
         bounds = f"from {self.low} to {self.high} bytes"
         return f"{bounds}, as a whole number with or without KiB, MiB or GiB"
 
@@ -160,6 +166,7 @@
 
     @property
     def allowed(self) -> str:
+        """What the message to the operator says is allowed."""
         ports = f"a port from {self.lowest_port} to {MAX_PORT}"
         return f"HOST:PORT with {ports}, an IPv6 host in brackets"
 
@@ -183,12 +190,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Url:
-    """Parser for the base URL of an HTTP service; a trailing slash is dropped."""
+    """Parser for the base URL of an HTTP service; a trailing slash is dropped.
+
+    With ``forms``, the name of one of them may stand before a plus sign.
+
+    >>> Url()("http://127.0.0.1:2379/")
+    'http://127.0.0.1:2379'
+    """
 
-    allowed: str = "an http:// or https:// URL without user, query or fragment"
+    forms: Forms[Any] | None = None
+
+    @property
+    def allowed(self) -> str:
+        """What the message to the operator says is allowed."""
+        plain = "an http:// or https:// URL without user, query or fragment"
+        if self.forms is None:
+            return plain
+        names = " or ".join(f"{name}+" for name in self.forms.names)
+        return f"{plain}, with or without {names} before it"
 
     def __call__(self, text: str) -> str:
-        parts = urlsplit(text)
+        if self.forms is not None and self.forms.name_of(text) not in self.forms.names:
+            raise ValueError(text)
+        parts = urlsplit(text if self.forms is None else plain_url(text))
         if parts.scheme not in ("http", "https") or not parts.hostname:
             raise ValueError(text)
         if parts.username is not None or parts.query or parts.fragment:
@@ -233,6 +257,7 @@
 
     @property
     def allowed(self) -> str:
+        """What the message to the operator says is allowed."""
         return f"a comma-separated list, each entry {self.of.allowed}"
 
     def __call__(self, text: str) -> tuple[Any, ...]:
--- a/packages/bambootiller/src/bambootiller/_settings_table.py
+++ b/packages/bambootiller/src/bambootiller/_settings_table.py
@@ -25,6 +25,8 @@
     Url,
     Whole,
 )
+from bambootiller.instanceforms import LIST_FORMS
+from bambootiller.kv import ADAPTERS
 
 ENTRY = "entry"
 AGENT = "agent"
@@ -57,14 +59,17 @@
 
     @property
     def flag(self) -> str:
+        """The flag, such as ``--kv-url``."""
         return "--" + self.name.replace("_", "-")
 
     @property
     def variable(self) -> str:
+        """The environment variable, such as ``BAMBOOTILLER_KV_URL``."""
         return VARIABLE_PREFIX + self.name.upper()
 
     @property
     def allowed(self) -> str:
+        """What the message to the operator says is allowed."""
         return self.parse.allowed
 
     def shown(self, value: Any) -> str:
@@ -135,7 +140,7 @@
         roles=(ENTRY,),
     )
     kv_url: tuple[str, ...] = _row(
-        Listed(Url()),
+        Listed(Url(ADAPTERS)),
         "Endpoints of the key-value service, tried in turn.",
         default=(),
         roles=ROLES,
@@ -152,7 +157,7 @@
         secret=True,
     )
     instances_url: str | None = _row(
-        Url(), "URL of the platform's instance list.", roles=ROLES
+        Url(LIST_FORMS), "URL of the platform's instance list.", roles=ROLES
     )
     peers: tuple[Address, ...] = _row(
         Listed(HostPort(lowest_port=1)),
--- a/packages/bambootiller/src/bambootiller/cli/wiring.py
+++ b/packages/bambootiller/src/bambootiller/cli/wiring.py
@@ -17,6 +17,7 @@
 import click
 
 from bambootiller.cli.outcomes import finish
+from bambootiller.kv import Access, open_key_value
 from bambootiller.operators.changes import Author
 from bambootiller.operators.members import Fleet
 from bambootiller.settings import (
@@ -38,15 +39,12 @@
 
 def open_kv(cfg: Settings) -> KeyValue:
     """The key-value service of the settings."""
-    # Imported here, like the fleet below, so that a command which needs neither starts
-    # without loading their libraries.
-    from bambootiller.kv.etcd import EtcdKeyValue
-
-    return EtcdKeyValue(cfg.kv_url, cfg.kv_user, cfg.kv_password)
+    return open_key_value(Access(cfg.kv_url, cfg.kv_user, cfg.kv_password))
 
 
 def open_fleet(cfg: Settings) -> Fleet:
     """The fleet of the settings."""
+    # Imported here, so that a command which asks nobody starts without its libraries.
     from bambootiller.operators.fleet import GrpcFleet
 
     return GrpcFleet(cfg)
--- a/packages/bambootiller/src/bambootiller/daemon.py
+++ b/packages/bambootiller/src/bambootiller/daemon.py
@@ -52,11 +52,12 @@
 async def _serve(role: Role, settings: Any) -> int:
     # Imported here, by role, so that an agent doesn't carry the HTTP server's memory.
     from bambootiller.app import Application
-    from bambootiller.kv.etcd import EtcdKeyValue
+    from bambootiller.kv import Access, open_key_value
     from bambootiller.peers import PeerNode
 
     app = Application(settings, role)
-    app.kv = EtcdKeyValue(settings.kv_url, settings.kv_user, settings.kv_password)
+    access = Access(settings.kv_url, settings.kv_user, settings.kv_password)
+    app.kv = open_key_value(access)
     app.add(PeerNode(app))
     if role is Role.ENTRY:
         from bambootiller.entry import EntryRole
--- a/packages/bambootiller/src/bambootiller/instances.py
+++ b/packages/bambootiller/src/bambootiller/instances.py
@@ -9,17 +9,22 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import aiohttp
 import xxhash
-from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
 
 from bambootiller import logs
-from bambootiller_core.types import Member, Role
+from bambootiller._forms import plain_url
+from bambootiller.instanceforms import (
+    LIST_FORMS,
+    ListedInstance,
+    NotAList,
+    Parse,
+    parse_http_sd,
+)
 
 if TYPE_CHECKING:
     from bambootiller.app import Application
@@ -42,52 +47,10 @@
 UNLISTED_ANSWERS = 40
 #: How many gone instances are remembered; far more than are replaced in a day.
 GONE_REMEMBERED = 4096
-LEAVING = "leaving"
 
 log = logs.logger("instances")
 
 
-class _Labels(BaseModel):
-    model_config = ConfigDict(extra="ignore")
-
-    instance: str
-    role: Role
-    zone: str = ""
-    region: str = ""
-    state: str = "live"
-
-
-class _Target(BaseModel):
-    model_config = ConfigDict(extra="ignore")
-
-    targets: list[str]
-    labels: _Labels
-
-
-_ANSWER = TypeAdapter(list[_Target])
-
-
-@dataclass(frozen=True, slots=True)
-class ListedInstance:
-    """An instance as the platform lists it; ``state`` is ``live`` or ``leaving``."""
-
-    instance: str
-    role: Role
-    zone: str
-    region: str
-    address: str
-    state: str
-
-    @property
-    def leaving(self) -> bool:
-        """Whether the platform is about to take the instance away."""
-        return self.state == LEAVING
-
-    def member(self) -> Member:
-        """The listed process as a member that hasn't spoken yet."""
-        return Member(self.instance, self.role, self.zone, self.region, self.address)
-
-
 @dataclass(frozen=True, slots=True)
 class Believed:
     """The answer is in force; ``gone`` are the instances that it no longer has."""
@@ -203,6 +166,8 @@
         self._unchanged = 0
         self._received = 0
         self._latest: list[ListedInstance] = []
+        self._url = ""
+        self._parse: Parse = parse_http_sd
 
     @property
     def available(self) -> bool:
@@ -228,8 +193,10 @@
 
     async def start(self) -> None:
         """Poll once, then go on in the background; without a URL do nothing."""
-        if self._app.settings.instances_url is None:
+        url = self._app.settings.instances_url
+        if url is None:
             return
+        self._url, self._parse = plain_url(url), LIST_FORMS.of(url)
         limit = aiohttp.ClientTimeout(total=POLL_TIMEOUT_SECONDS)
         self._session = aiohttp.ClientSession(timeout=limit)
         await self.poll()
@@ -270,16 +237,15 @@
             await self.poll()
 
     async def _ask(self) -> list[ListedInstance] | None:
-        url = self._app.settings.instances_url
         try:
-            async with self._session.get(url) as response:
+            async with self._session.get(self._url) as response:
                 if response.status != 200:
                     return None
                 body = await response.read()
                 self._received = _wire_bytes(response, body)
                 return self._parsed(body)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
-            log.debug("instance list at {}: {}", url, exc)
+            log.debug("instance list at {}: {}", self._url, exc)
             return None
 
     def _parsed(self, body: bytes) -> list[ListedInstance] | None:
@@ -290,9 +256,11 @@
         digest = xxhash.xxh3_64_intdigest(body)
         if digest == self._digest:
             return self._latest
-        found = _listed(json.loads(body))
-        if found is not None:
-            self._digest, self._latest = digest, found
+        found = self._parse(body)
+        if isinstance(found, NotAList):
+            log.warning("the instance list isn't valid: {}", found.detail)
+            return None
+        self._digest, self._latest = digest, found
         return found
 
 
@@ -304,23 +272,3 @@
 def _wire_bytes(response: aiohttp.ClientResponse, body: bytes) -> int:
     """What the answer took on the wire: less than its body if it came compressed."""
     return response.content_length or len(body)
-
-
-def _listed(form: Any) -> list[ListedInstance] | None:
-    try:
-        entries = _ANSWER.validate_python(form)
-    except ValidationError as exc:
-        log.warning("the instance list isn't valid: {}", exc)
-        return None
-    return [
-        ListedInstance(
-            entry.labels.instance,
-            entry.labels.role,
-            entry.labels.zone,
-            entry.labels.region,
-            entry.targets[0],
-            entry.labels.state,
-        )
-        for entry in entries
-        if entry.targets
-    ]
--- a/packages/bambootiller/src/bambootiller/operators/fleet.py
+++ b/packages/bambootiller/src/bambootiller/operators/fleet.py
@@ -19,9 +19,14 @@
 import aiohttp
 import grpc
 
-from bambootiller.operators.members import (
+from bambootiller._forms import plain_url
+from bambootiller.instanceforms import (
     LEAVING,
-    LIVE,
+    LIST_FORMS,
+    ListedInstance,
+    NotAList,
+)
+from bambootiller.operators.members import (
     Decisions,
     Explanation,
     MemberRef,
@@ -109,12 +114,14 @@
         timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
         try:
             async with aiohttp.ClientSession(timeout=timeout) as session:
-                async with session.get(url) as answer:
+                async with session.get(plain_url(url)) as answer:
                     answer.raise_for_status()
-                    return _parse_list(await answer.json(content_type=None))
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as exc:
-            detail = f"--instances-url {url} can't be read: {_text(exc)}"
-            return NoMembers(detail)
+                    found = LIST_FORMS.of(url)(await answer.read())
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            return NoMembers(f"--instances-url {url} can't be read: {_text(exc)}")
+        if isinstance(found, NotAList):
+            return NoMembers(f"--instances-url {url} isn't a list: {found.detail}")
+        return tuple(_ref(item) for item in found)
 
     async def _seen_by(self, refs: list[MemberRef]) -> list[MemberRef]:
         """The members that a few others hold for alive or in doubt."""
@@ -203,24 +210,14 @@
     )
 
 
-def _parse_list(groups: Any) -> tuple[MemberRef, ...]:
-    if not isinstance(groups, list):
-        raise ValueError(f"a list of groups is expected, not {type(groups).__name__}")
-    refs = []
-    for group in groups:
-        if not isinstance(group, dict):
-            raise ValueError(f"a group is an object, not {type(group).__name__}")
-        labels = group.get("labels", {})
-        for target in group.get("targets", []):
-            ref = MemberRef(
-                address=str(target),
-                instance=labels.get("instance", ""),
-                role=labels.get("role", ""),
-                zone=labels.get("zone", ""),
-                state=labels.get("state", LIVE),
-            )
-            refs.append(ref)
-    return tuple(refs)
+def _ref(item: ListedInstance) -> MemberRef:
+    return MemberRef(
+        address=item.address,
+        instance=item.instance,
+        role=item.role.value,
+        zone=item.zone,
+        state=item.state,
+    )
 
 
 def _metadata(cfg: Settings) -> tuple[tuple[str, str], ...]:
--- a/packages/bambootiller/src/bambootiller/operators/members.py
+++ b/packages/bambootiller/src/bambootiller/operators/members.py
@@ -8,9 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-#: States of an instance, as the platform's list has them.
-LIVE = "live"
-LEAVING = "leaving"
+from bambootiller.instanceforms import LIVE
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +23,7 @@
 
     @property
     def label(self) -> str:
+        """The instance's name, or the address until it is known."""
         return self.instance or self.address
 
 
--- a/packages/bambootiller/src/bambootiller/operators/waiting.py
+++ b/packages/bambootiller/src/bambootiller/operators/waiting.py
@@ -9,8 +9,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from bambootiller.instanceforms import LEAVING
 from bambootiller.operators.members import (
-    LEAVING,
     Fleet,
     MemberStatus,
     NoAnswer,
--- a/packages/bambootiller/src/bambootiller/settings.py
+++ b/packages/bambootiller/src/bambootiller/settings.py
@@ -36,6 +36,7 @@
     Settings,
     rows,
 )
+from bambootiller.kv import ADAPTERS
 
 __all__ = [
     "AGENT",
@@ -194,6 +195,13 @@
         allowed = "all three of --tls-cert, --tls-key and --tls-ca, or none"
         missing = [item.row for item in tls if not item.value]
         problems += [Problem(row.flag, row.variable, None, allowed) for row in missing]
+    kv_url = found["kv_url"]
+    if len({ADAPTERS.name_of(url) for url in kv_url.value}) > 1:
+        row = kv_url.row
+        allowed = f"{row.allowed}, all of one form"
+        problems.append(
+            Problem(row.flag, row.variable, row.shown(kv_url.value), allowed)
+        )
     if role == AGENT and not found["engine_url"].value and not found["services"].value:
         row = found["engine_url"].row
         allowed = f"{row.allowed}, unless --services names a plain service"
--- a/tests/cli/cover/test_fleet.py
+++ b/tests/cli/cover/test_fleet.py
@@ -60,7 +60,7 @@
         groups = [
             {
                 "targets": [member.address],
-                "labels": {"instance": member.name, "state": "live"},
+                "labels": {"instance": member.name, "role": "agent"},
             }
             for member in members
         ]
