--- a/tests/fleet/common/faults.py
+++ b/tests/fleet/common/faults.py
@@ -168,6 +168,13 @@
     await fleet.restart(fault.target)
 
 
+@kind(tuple(f"{place}/engine process" for place in AGENTS), weight=2)
+async def engine_crash(fleet, fault):
+    """The engine's process dies with all that it held, and comes back empty."""
+    place = fault.target.split("/")[0]
+    await fleet.crash_engine(place, fault.seconds / 4)
+
+
 @kind(AGENTS, weight=2)
 async def reclaim(fleet, fault):
     """The platform takes instance and engine away, and replaces them."""
--- a/tests/fleet/common/smallfleet.py
+++ b/tests/fleet/common/smallfleet.py
@@ -64,6 +64,7 @@
         self._engines = 0
         self._ended_by_us: list = []
         self._judged: list = []
+        self._reclaimed: list = []
         # Changing two members at a time could publish a list without one that is just
         # being started, which says to all that its instance is gone.
         self._changing = asyncio.Lock()
@@ -190,12 +191,25 @@
             await self.fleet.restart(self._names[place], seconds=START_SECONDS)
         self._came_up(place)
 
+    async def crash_engine(self, place: str, seconds: float) -> None:
+        """Kill the engine at a place, and start it again after some seconds."""
+        name = self._engine_of(place)
+        engine = self.fleet.children[name]
+        if not engine.running:
+            return
+        self._ended_by_us.append(engine)
+        await self.fleet.kill(name)
+        await asyncio.sleep(seconds)
+        if name == self._engine_of(place) and self.child(place) not in self._reclaimed:
+            await self.fleet.restart(name)
+
     async def reclaim(self, place: str) -> None:
         """Take the instance at a place away, with its engine."""
         name = self._names[place]
         child = self.child(place)
         engine = self.fleet.children[self._engine_of(place)]
         self._ended_by_us += [child, engine]
+        self._reclaimed.append(child)
         async with self._changing:
             await self.fleet.reclaim(name)
         self._judge_end(child, KILLED)
