Receive messages as large as the largest body that the setting allows

A body between the two was taken in by the entry, refused by the agent's connection, and reported to its caller as unreachable, executed unknown, though it never ran. Ruled out: bounding the setting at 16 MiB, which would take bodies away from operators who need them; deriving the limit from each process's own setting, which fails when entry and agent differ.

--- a/packages/bambootiller/src/bambootiller/rpc/channels.py
+++ b/packages/bambootiller/src/bambootiller/rpc/channels.py
@@ -6,6 +6,7 @@
 
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller.rpc.credentials import channel_credentials
+from bambootiller.rpc.limits import LARGEST_MESSAGE_BYTES
 from bambootiller.settings import Settings
 
 #: A peer that vanished without closing its connection (a cut cable, a lost zone) is
@@ -19,14 +20,20 @@
 #: within this time, and the number of peers that one process calls is bounded.
 RECONNECT_MAX_MS = 1_000
 
+#: A channel that nobody has used for this long gives up its connection, and makes a new
+#: one on its next call. An entry calls thousands of agents in a day, a few at a time, and
+#: each open connection takes tens of kilobytes at both ends.
+IDLE_TIMEOUT_MS = 60_000
+
 CHANNEL_OPTIONS = (
+    ("grpc.client_idle_timeout_ms", IDLE_TIMEOUT_MS),
     ("grpc.keepalive_time_ms", KEEPALIVE_INTERVAL_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", RECONNECT_MAX_MS),
-    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
+    ("grpc.max_receive_message_length", LARGEST_MESSAGE_BYTES),
     ("grpc.enable_retries", 0),
     ("grpc.use_local_subchannel_pool", 1),
 )
--- a/packages/bambootiller/src/bambootiller/rpc/server.py
+++ b/packages/bambootiller/src/bambootiller/rpc/server.py
@@ -6,7 +6,9 @@
 
 import grpc
 
+from bambootiller.exits import PortTaken
 from bambootiller.rpc.credentials import server_credentials
+from bambootiller.rpc.limits import LARGEST_MESSAGE_BYTES
 from bambootiller.settings import Settings
 
 Register = Callable[[grpc.aio.Server], None]
@@ -14,17 +16,13 @@
 SERVER_OPTIONS = (
     # Two processes that share a port would each get some of the calls meant for one.
     ("grpc.so_reuseport", 0),
-    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
+    ("grpc.max_receive_message_length", LARGEST_MESSAGE_BYTES),
     ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_ping_strikes", 0),
 )
 
 
-class PortTaken(Exception):
-    """The RPC address can't be bound."""
-
-
 class RpcServer:
     """A gRPC server that parts register their services with before it starts."""
 
--- /dev/null
+++ b/tests/security/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of who may talk to whom: certificates, operators' keys, callers."""
