--- a/tests/fleet/randomised/test_small_fleet.py
+++ b/tests/fleet/randomised/test_small_fleet.py
@@ -6,9 +6,10 @@
 from tests.common.profiles import scale
 from tests.fleet.randomised.run import run
 
-FIRST_SEED = 1
+#: Its first seven faults are of as many kinds, and come within six seconds.
+FIRST_SEED = 490
 SEEDS = (1, 40)
-STEPS = (6, 14)
+STEPS = (7, 14)
 
 
 class SmallFleetTests(unittest.IsolatedAsyncioTestCase):
