Say by one log line and exit code 69 that a port is taken; write the operators' pages for trouble

Ruled out: a code of its own for each port, since the log line names the flag and the remedy is the same; pages of settings kept by hand, which fall behind the table. Before: exit code 1 with a traceback, seen by starting an entry on a taken port. Conclusion: a supervisor can tell by the code whether a restart helps.

--- a/packages/bambootiller/src/bambootiller/agent/role.py
+++ b/packages/bambootiller/src/bambootiller/agent/role.py
@@ -19,6 +19,7 @@
 from bambootiller.agent.servicer import BackendServicer
 from bambootiller.agent.slot_writes import SlotWrites
 from bambootiller.agent.state_watch import watch_state
+from bambootiller.exits import ProcessExit
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller_core.backend import BackendCore
 from bambootiller_core.backend_effects import BackendConfig
@@ -28,8 +29,6 @@
 if TYPE_CHECKING:
     from bambootiller.app import Application
 
-#: As in the BSD convention for exit codes: a service that is needed isn't available.
-EXIT_GUARD = 69
 #: The end of a graceful shutdown, kept for refusals to reach their callers and for
 #: claims to be closed: this part of its time, but no more than this many seconds.
 TELL_SHARE = 0.2
@@ -71,7 +70,7 @@
         held = guard.hold(self._app.settings.guard_port)
         if isinstance(held, guard.GuardTaken):
             log.critical(held.detail)
-            sys.exit(EXIT_GUARD)
+            sys.exit(ProcessExit.PORT_TAKEN)
         self._guard = held
 
     async def start(self) -> None:
--- a/packages/bambootiller/src/bambootiller/app.py
+++ b/packages/bambootiller/src/bambootiller/app.py
@@ -27,6 +27,7 @@
 
 from bambootiller import logs
 from bambootiller.catalogue import Catalogue
+from bambootiller.exits import ProcessExit
 from bambootiller.metrics import Metrics
 from bambootiller.rpc.channels import Channels
 from bambootiller.rpc.server import Register, RpcServer
@@ -37,10 +38,6 @@
 from bambootiller_core.timers import TimerService
 from bambootiller_core.types import Role
 
-EXIT_OK = 0
-#: An internal fault, as in the BSD convention for exit codes.
-EXIT_BROKEN = 70
-
 #: How long the RPC server goes on with open calls after all components have stopped.
 RPC_GRACE_SECONDS = 0.5
 
@@ -133,7 +130,7 @@
         name = exc.name if isinstance(exc, InvariantBroken) else type(exc).__name__
         log.critical("stopped on {}: {}", name, report)
         sys.stderr.flush()
-        os._exit(EXIT_BROKEN)
+        os._exit(ProcessExit.BROKEN)
 
     async def run(self) -> int:
         """Live until a planned stop has ended; return the exit code."""
@@ -149,7 +146,7 @@
         await self._stop.wait()
         await self._shut_down()
         timers.cancel()
-        return EXIT_OK
+        return ProcessExit.STOPPED
 
     async def _shut_down(self) -> None:
         self.leaving = True
--- a/packages/bambootiller/src/bambootiller/cli/settings.py
+++ b/packages/bambootiller/src/bambootiller/cli/settings.py
@@ -6,6 +6,7 @@
 
 from bambootiller.cli.exits import Exit
 from bambootiller.cli.output import print_json, table
+from bambootiller.cli.settings_page import settings_page
 from bambootiller.cli.wiring import json_option, wiring
 from bambootiller.settings import (
     ROLES,
@@ -29,16 +30,22 @@
     show_default=True,
     help="Whose settings: bambootillerd entry, bambootillerd agent, or this program.",
 )
+@click.option("--page", is_flag=True, help="Print docs/settings.md, and nothing else.")
 @json_option
 @click_options(None)
 @click.pass_context
-def settings(ctx: click.Context, role: str, as_json: bool, **flags: Any) -> None:
+def settings(
+    ctx: click.Context, role: str, page: bool, as_json: bool, **flags: Any
+) -> None:
     """Print each flag, its variable, its value in force and the value's origin.
 
     The values are those that a process in the role would start with here: with this
     environment, and with the flags given to this command. What would keep it from
     starting is reported below the table.
     """
+    if page:
+        click.echo(settings_page(), nl=False)
+        return
     parent = wiring(ctx)
     given = {name: text for name, text in flags.items() if text is not None}
     found = examine(role, {**parent.flags, **given}, parent.env)
--- a/packages/bambootiller/src/bambootiller/daemon.py
+++ b/packages/bambootiller/src/bambootiller/daemon.py
@@ -10,11 +10,11 @@
 import click
 
 from bambootiller import logs
+from bambootiller.exits import PortTaken, ProcessExit
 from bambootiller.settings import SettingsRejected, click_options, load_settings
 from bambootiller_core.types import Role
 
-#: As in the BSD convention: the configuration is at fault, a restart doesn't help.
-EXIT_SETTINGS = 78
+log = logs.logger("daemon")
 
 
 @click.group()
@@ -44,9 +44,13 @@
     settings = load_settings(role.value, flags, os.environ)
     if isinstance(settings, SettingsRejected):
         click.echo(str(settings), err=True)
-        return EXIT_SETTINGS
+        return ProcessExit.SETTINGS
     logs.configure(settings.log_level, settings.instance)
-    return asyncio.run(_serve(role, settings))
+    try:
+        return asyncio.run(_serve(role, settings))
+    except PortTaken as exc:
+        log.critical(str(exc))
+        return ProcessExit.PORT_TAKEN
 
 
 async def _serve(role: Role, settings: Any) -> int:
@@ -72,6 +76,7 @@
     try:
         return await app.run()
     finally:
+        await app.rpc.stop(0.0)
         await app.kv.close()
 
 
--- a/packages/bambootiller/src/bambootiller/entry/httpserver.py
+++ b/packages/bambootiller/src/bambootiller/entry/httpserver.py
@@ -11,6 +11,7 @@
 
 from bambootiller import logs
 from bambootiller.entry.exchange import TrackedApplication
+from bambootiller.exits import PortTaken
 from bambootiller.settings import Address
 
 #: Longer than balancers keep idle connections (60 s is customary), so that it is they
@@ -66,7 +67,7 @@
         return self._socket.getsockname()[1]
 
     def bind(self) -> None:
-        """Bind and listen; :class:`OSError` names the setting if that fails."""
+        """Bind and listen; :class:`PortTaken` if that fails."""
         host, port = self._listen.host, self._listen.port
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         # With the protocol left out, asyncio doesn't take accepted sockets for TCP and
@@ -81,7 +82,8 @@
             sock.listen(BACKLOG)
         except OSError as exc:
             sock.close()
-            raise OSError(f"--http-listen {host}:{port} can't be bound: {exc}") from exc
+            detail = f"--http-listen {self._listen} can't be bound: {exc}"
+            raise PortTaken(detail) from exc
         sock.setblocking(False)
         self._socket = sock
 
--- a/tests/agent/failures/test_processes.py
+++ b/tests/agent/failures/test_processes.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from bambootiller.agent.role import EXIT_GUARD
+from bambootiller.exits import ProcessExit
 from bambootiller.kv.etcd import EtcdKeyValue
 from bambootiller_core.claims import CLAIMS_PREFIX, ClaimState, decode_claim
 from bambootiller_core.ports import Committed, Put
@@ -146,7 +146,7 @@
         self.assertIn("--guard-port", str(caught.exception))
         second = self.fleet.children["i-3"]
         await eventually(lambda: second.returncode is not None, "it ends")
-        self.assertEqual(second.returncode, EXIT_GUARD)
+        self.assertEqual(second.returncode, ProcessExit.PORT_TAKEN)
 
 
 if __name__ == "__main__":
