--- a/packages/bambootiller/src/bambootiller/_template_models.py
+++ b/packages/bambootiller/src/bambootiller/_template_models.py
@@ -118,6 +118,8 @@
 
 
 class ModelForm(Border):
+    """One model: its cap, its size, and the figures to begin with."""
+
     replicas: int = Field(ge=0, le=MAX_REPLICAS)
     memory_bytes: Bytes = Field(gt=0)
     adapters: frozenset[Name] = frozenset()
@@ -127,21 +129,27 @@
     token_ms: float = Field(default=30.0, gt=0, le=60_000)
 
     def policy(self, name: str) -> ModelPolicy:
+        """The policy that the core decides by."""
         return ModelPolicy(name=name, **_values(self))
 
 
 class ServiceForm(Border):
+    """One plain service, and which of its paths may not be repeated."""
+
     non_idempotent: tuple[PathStart, ...] = ()
     when_store_down: Literal["refuse", "wait"] = "refuse"
     max_running: int = Field(default=64, ge=1, le=65_536)
 
     def policy(self, name: str) -> ServicePolicy:
+        """The policy that the core decides by."""
         values = _values(self)
         values["when_store_down"] = WhenStoreDown(self.when_store_down)
         return ServicePolicy(name=name, **values)
 
 
 class WindowForm(Border):
+    """Hours at which a caller has another priority, in the customer's time zone."""
+
     start: Clock
     end: Clock
     priority: Priority
@@ -157,6 +165,7 @@
         return self
 
     def window(self) -> PriorityWindow:
+        """The window that the core decides by."""
         return PriorityWindow(
             start=datetime.time.fromisoformat(self.start),
             end=datetime.time.fromisoformat(self.end),
@@ -166,6 +175,8 @@
 
 
 class CallerForm(Border):
+    """One caller: its key, what it may call, and how it stands against others."""
+
     key_sha256: Digest
     models: frozenset[Name] = frozenset()
     services: frozenset[Name] = frozenset()
@@ -175,12 +186,15 @@
     batch: bool = False
 
     def policy(self, name: str) -> CallerPolicy:
+        """The policy that the core decides by."""
         values = _values(self)
         values["windows"] = tuple(form.window() for form in self.windows)
         return CallerPolicy(name=name, **values)
 
 
 class WeightsForm(Border):
+    """The cost of a second of cold start, and of one of an idle replica."""
+
     cold_second: float = Field(default=1.0, ge=0, le=1_000_000)
     idle_second: float = Field(default=0.02, ge=0, le=1_000_000)
 
@@ -223,6 +237,7 @@
                     raise problem_at(f"callers.{name}.{field}", wanted, allowed)
 
     def template(self) -> Template:
+        """The template that the core decides by."""
         values = _values(self)
         for field in ("models", "services", "callers"):
             forms = getattr(self, field)
