Refuse options whose answers aren't text, and report a tool's call that comes all the same

Cause: between the processes a model's answer is text. A caller who gave tools got an empty answer with the end mark, because the agent read only the content of each delta; probabilities of tokens were left out as well. Ruled out: passing the engine's deltas on as they are. A cut answer goes on behind its text, pieces that arrive together are joined, and answers that aren't streamed are put together from text; each of these would need a form of its own for calls of tools. Change: the entry refuses tools, functions, logprobs and modalities other than text as bad_request, naming the field; empty lists, null and false pass. The agent takes a delta with tool_calls or function_call for unreadable, so that an engine which sends one unasked breaks the attempt. Before: such a request was answered 200 with an empty text. Conclusion: tools need a form of their own in the protocol; until then the refusal is truthful.

--- a/packages/bambootiller/src/bambootiller/agent/engine_forms.py
+++ b/packages/bambootiller/src/bambootiller/agent/engine_forms.py
@@ -19,6 +19,9 @@
 DATA = b"data:"
 #: An event longer than this is no token; the stream is given up.
 LARGEST_EVENT = 1024 * 1024
+#: Parts of a delta that stand instead of text. Left out without a word, they would turn
+#: into an empty answer that looks whole; callers aren't let in who ask for them.
+_CALLS = frozenset({"tool_calls", "function_call"})
 
 
 class _Form(BaseModel):
@@ -128,6 +131,10 @@
             return "", ""
         choice = form["choices"][0]
         delta = choice.get("delta")
+        if delta and not _CALLS.isdisjoint(delta):
+            called = next(name for name in _CALLS if name in delta)
+            if delta[called]:
+                return Unreadable(f"the engine answers with {called}, not with text")
         text = choice.get("text") if delta is None else delta.get("content")
         return text or "", choice.get("finish_reason") or ""
     except (ValueError, KeyError, TypeError, AttributeError, IndexError) as exc:
--- a/packages/bambootiller/src/bambootiller/entry/border.py
+++ b/packages/bambootiller/src/bambootiller/entry/border.py
@@ -17,11 +17,12 @@
 import json
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import pydantic
 import xxhash
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+from pydantic_core import PydanticCustomError
 
 from bambootiller_core.outcomes import Code, Executed, Refused
 
@@ -40,6 +41,24 @@
 #: A refusal quotes at most this much of what the caller sent.
 QUOTED_CHARS = 80
 
+#: What an answer may consist of; see :func:`_text_only`.
+TEXT = "text"
+
+
+def _text_only(value: Any) -> Any:
+    """Refuse an option whose answer isn't text.
+
+    Between the processes an answer is text, which can be counted and gone on with
+    behind a cut. A tool call or a probability would be left out on the way without a
+    word: the caller would get an empty answer, marked as whole.
+    """
+    if value is None or value is False or value in ([], [TEXT]):
+        return value
+    detail = "only the text of an answer is passed on; allowed: leaving the field out"
+    raise PydanticCustomError("text_only", detail)
+
+
+TextOnly = Annotated[Any, AfterValidator(_text_only)]
 ModelName = Annotated[str, Field(min_length=1, max_length=256)]
 TokenCount = Annotated[int, Field(ge=1, le=1_000_000)]
 
@@ -90,11 +109,15 @@
     stream_options: _StreamOptions | None = None
     # Several choices for one prompt would need several streams under one request.
     n: Literal[1] | None = None
+    logprobs: TextOnly = None
 
 
 class _ChatBody(_Body):
     messages: Annotated[list[_Message], Field(min_length=1)]
     max_completion_tokens: TokenCount | None = None
+    tools: TextOnly = None
+    functions: TextOnly = None
+    modalities: TextOnly = None
 
     def texts(self) -> Iterable[str]:
         for message in self.messages:
--- a/tests/entry/cover/test_bad_inputs.py
+++ b/tests/entry/cover/test_bad_inputs.py
@@ -100,6 +100,19 @@
         b"work",
         "/services/push/a/../submissions",
     ),
+    Row(
+        "tools, whose calls can't be passed on",
+        400,
+        "bad_request",
+        {**TUTOR, "tools": [{"type": "function", "function": {"name": "grade"}}]},
+    ),
+    Row(
+        "probabilities of tokens, which can't be passed on either",
+        400,
+        "bad_request",
+        {"model": "tutor", "prompt": "Why?", "logprobs": 0},
+        "/v1/completions",
+    ),
 ]
 
 
@@ -139,6 +152,11 @@
 class TestOtherRefusals(EntryTestCase):
     settings = {"entry_streams": 1}
 
+    async def test_options_that_change_nothing_about_the_text_are_let_in(self):
+        options = {"tools": [], "functions": None, "logprobs": False}
+        status, _ = await self.chat(**options, modalities=["text"])
+        self.assertEqual(status, 200)
+
     async def test_an_unknown_path_and_a_wrong_method_are_problems_as_well(self):
         for method, path, status in (("GET", "/v2", 404), ("GET", CHAT, 405)):
             got, headers, body = await self.call(method, path)
