Let racing operators' processes read before the first of them writes

Cause: in a trial without the compares of the template's transaction, the test of racing processes passed: their starts are further apart than their calls, so that nobody raced. Ruled out: more processes; what matters is that each has read before anybody writes. Change: the service's stand-in is slow during the race. Before, without the compares (a scratch copy): Tuples differ: (4, 0) != (1, 3), four changes accepted as version 2; the test as it was passed there. After: 3 tests of the file pass with the compares. Conclusion: the race of processes causes the failure now. That of whole fleets (test_of_two_operators_that_race_one_wins_and_the_other_is_told) passed in the same trial and still does.

--- a/tests/cli/failures/test_tool_processes.py
+++ b/tests/cli/failures/test_tool_processes.py
@@ -10,6 +10,8 @@
 from tests.cli.common import DIGEST
 
 OPERATORS = 4
+#: Longer than the starts of racing processes are apart.
+SLOW_MS = 1500
 
 
 def template(replicas):
@@ -52,9 +54,11 @@
     async def test_racing_processes_leave_one_winner_for_each_version(self):
         """Symptom: a change disappears although its operator was told "accepted".
 
-        Several processes read version 1 and write at the same time.
+        Several processes read version 1 and write at the same time. The service is slow,
+        so that each of them has read before the first of them writes.
         """
         await self.apply(template(1))
+        await self.fleet.control("kv", mode="slow", delay_ms=SLOW_MS)
         names = [f"op{number}" for number in range(OPERATORS)]
         outcomes = await asyncio.gather(
             *(
