Wrap a line of a test at the linter's length

Cause: a docstring was one character too long, so that the lint check failed. Ruled out: nothing else was looked at. Change: the line is wrapped. Conclusion: no behaviour changes.

--- a/tests/cli/failures/test_tool_processes.py
+++ b/tests/cli/failures/test_tool_processes.py
@@ -54,8 +54,8 @@
     async def test_racing_processes_leave_one_winner_for_each_version(self):
         """Symptom: a change disappears although its operator was told "accepted".
 
-        Several processes read version 1 and write at the same time. The service is slow,
-        so that each of them has read before the first of them writes.
+        Several processes read version 1 and write at the same time. The service is
+        slow, so that each of them has read before the first of them writes.
         """
         await self.apply(template(1))
         await self.fleet.control("kv", mode="slow", delay_ms=SLOW_MS)
