Name the keys of templates and slot tables once, and make documents of records in one place

Cause: the prefixes of templates and slot tables stood in four modules, and five places took a record of the key-value service apart to make a document of it. "The only door" stood for an agent in code and pages. Ruled out: one routine for settling lost writes of agents and entries. An agent asks once and counts a replaced write as done, an entry asks up to five times and looks at the table again; one routine would need a switch for each difference. Change: the prefixes stand in the core's `documents`, and `Document.of` makes a document of a record. Plain words in place of the metaphor; doc comments for two keys; a line of 90 columns is broken. Conclusion: no behaviour changes.

--- a/packages/bambootiller-core/src/bambootiller_core/documents.py
+++ b/packages/bambootiller-core/src/bambootiller_core/documents.py
@@ -25,6 +25,7 @@
 
 from bambootiller_core import rendezvous
 from bambootiller_core.invariants import ensure
+from bambootiller_core.ports import Record
 
 TEMPLATES_PREFIX = "/bambootiller/templates/"
 SLOTS_PREFIX = "/bambootiller/slots/"
@@ -41,6 +42,11 @@
     value: bytes
     deleted: bool = False
 
+    @classmethod
+    def of(cls, record: Record) -> Document:
+        """The document that a record read from the service is."""
+        return cls(record.key, record.mod_revision, record.value)
+
 
 @dataclass(frozen=True, slots=True)
 class Head:
--- a/packages/bambootiller-core/src/bambootiller_core/invariants.py
+++ b/packages/bambootiller-core/src/bambootiller_core/invariants.py
@@ -11,7 +11,7 @@
     """A property that the program guarantees doesn't hold.
 
     ``name`` is the property's short name as it stands in the proofs page, ``report``
-    the figures that show the violation. """
+    the figures that show the violation."""
 
     def __init__(self, name: str, report: str) -> None:
         super().__init__(f"invariant {name} is broken: {report}")
--- a/packages/bambootiller-core/src/bambootiller_core/slots.py
+++ b/packages/bambootiller-core/src/bambootiller_core/slots.py
@@ -31,6 +31,7 @@
     GivenBack,
     InstanceGone,
 )
+from bambootiller_core.documents import SLOTS_PREFIX
 from bambootiller_core.invariants import ensure
 from bambootiller_core.types import ModelKey
 
@@ -57,8 +58,6 @@
     "vacate",
 ]
 
-PREFIX = "/bambootiller/slots/"
-
 #: Tokens of earlier writers that a table carries, so that a writer can tell a write
 #: that was replaced soon after it from one that never took effect.
 HISTORY = 8
@@ -146,7 +145,7 @@
 
 def document_key(key: ModelKey) -> str:
     """Where a model's slot table is stored."""
-    return f"{PREFIX}{key.customer}/{key.model}"
+    return f"{SLOTS_PREFIX}{key.customer}/{key.model}"
 
 
 def create(
--- a/packages/bambootiller/src/bambootiller/agent/__init__.py
+++ b/packages/bambootiller/src/bambootiller/agent/__init__.py
@@ -1,4 +1,4 @@
-"""The agent: the one process beside a backend server, and its only door.
+"""The agent: the one process beside a backend server, which alone gives it work.
 
 Admission, memory, at-most-once and the graceful shutdown are each decided in one
 place, because every call and every order passes here. The decisions are the core's
--- a/packages/bambootiller/src/bambootiller/agent/catch_up.py
+++ b/packages/bambootiller/src/bambootiller/agent/catch_up.py
@@ -51,8 +51,7 @@
             found = await self._app.kv.get(key)
             if isinstance(found, Found):
                 for record in found.records:
-                    document = Document(key, record.mod_revision, record.value)
-                    self._app.documents.offer(document)
+                    self._app.documents.offer(Document.of(record))
             # Without the pause, a service that answers with an older revision (or fails
             # at once) would be asked again and again within the wait.
             await asyncio.sleep(WAIT_SECONDS)
--- a/packages/bambootiller/src/bambootiller/agent/slot_writes.py
+++ b/packages/bambootiller/src/bambootiller/agent/slot_writes.py
@@ -129,5 +129,4 @@
         return not isinstance(slots.settle(after, table), slots.NoEffect)
 
     def _learn(self, record: Record) -> None:
-        document = Document(record.key, record.mod_revision, record.value)
-        self._app.documents.offer(document)
+        self._app.documents.offer(Document.of(record))
--- a/packages/bambootiller/src/bambootiller/catalogue.py
+++ b/packages/bambootiller/src/bambootiller/catalogue.py
@@ -13,14 +13,16 @@
 from dataclasses import dataclass
 
 from bambootiller import logs, templates
-from bambootiller_core.documents import Document, Documents
+from bambootiller_core.documents import (
+    SLOTS_PREFIX,
+    TEMPLATES_PREFIX,
+    Document,
+    Documents,
+)
 from bambootiller_core.slots import SlotTable
 from bambootiller_core.template import CallerPolicy, ModelPolicy, Template
 from bambootiller_core.types import ModelKey
 
-TEMPLATES_PREFIX = "/bambootiller/templates/"
-SLOTS_PREFIX = "/bambootiller/slots/"
-
 OnTemplate = Callable[[Template], None]
 OnSlots = Callable[[SlotTable], None]
 
--- a/packages/bambootiller/src/bambootiller/daemon.py
+++ b/packages/bambootiller/src/bambootiller/daemon.py
@@ -36,7 +36,7 @@
 @main.command()
 @click_options("agent")
 def agent(**flags: Any) -> None:
-    """Stand beside one backend server, its only door."""
+    """Stand beside one backend server, and give it all its work."""
     sys.exit(_run(Role.AGENT, flags))
 
 
--- a/packages/bambootiller/src/bambootiller/operators/keys.py
+++ b/packages/bambootiller/src/bambootiller/operators/keys.py
@@ -4,14 +4,16 @@
 in the order of versions.
 """
 
-ROOT = "/bambootiller/"
-TEMPLATES = ROOT + "templates/"
-AUDIT = ROOT + "audit/"
+from bambootiller_core.documents import TEMPLATES_PREFIX
+
+TEMPLATES = TEMPLATES_PREFIX
+AUDIT = "/bambootiller/audit/"
 VERSION_DIGITS = 10
 
 
 def template_key(customer: str) -> str:
-    """
+    """The key of a customer's template.
+
     >>> template_key("forge")
     '/bambootiller/templates/forge'
     """
@@ -24,7 +26,8 @@
 
 
 def audit_key(customer: str, version: int) -> str:
-    """
+    """The key of the audit record of one accepted version.
+
     >>> audit_key("forge", 7)
     '/bambootiller/audit/forge/0000000007'
     """
--- a/packages/bambootiller/src/bambootiller/peering/watcher.py
+++ b/packages/bambootiller/src/bambootiller/peering/watcher.py
@@ -99,7 +99,7 @@
         return True
 
     def _adopt(self, prefix: str, records: Sequence[Record], revision: int) -> None:
-        found = [Document(r.key, r.mod_revision, r.value) for r in records]
+        found = [Document.of(record) for record in records]
         now = self._app.now()
         self._calls.carry_out(self._gossip.adopt_read(now, prefix, found, revision))
 
--- a/packages/bambootiller/src/bambootiller/peers.py
+++ b/packages/bambootiller/src/bambootiller/peers.py
@@ -38,7 +38,7 @@
 START_SECONDS = 2.0
 START_POLL = 0.02
 #: How long a stopping process waits for its last news to get out.
-FAREWELL_SECONDS = 0.3
+LEAVING_TOLD_SECONDS = 0.3
 
 #: What brings a member to a status, for ``bambootiller explain instance``.
 WHY = {
@@ -107,7 +107,7 @@
     async def drain(self, seconds: float) -> None:
         """Leave the fleet; what else drains has said so earlier, if it needs to."""
         self.announce_leaving()
-        await asyncio.sleep(min(seconds, FAREWELL_SECONDS))
+        await asyncio.sleep(min(seconds, LEAVING_TOLD_SECONDS))
 
     async def stop(self) -> None:
         """End watching, polling and gossip."""
--- a/packages/bambootiller/src/bambootiller/rpc/channels.py
+++ b/packages/bambootiller/src/bambootiller/rpc/channels.py
@@ -21,8 +21,8 @@
 RECONNECT_MAX_MS = 1_000
 
 #: A channel that nobody has used for this long gives up its connection, and makes a new
-#: one on its next call. An entry calls thousands of agents in a day, a few at a time, and
-#: each open connection takes tens of kilobytes at both ends.
+#: one on its next call. An entry calls thousands of agents in a day, a few at a time,
+#: and each open connection takes tens of kilobytes at both ends.
 IDLE_TIMEOUT_MS = 60_000
 
 CHANNEL_OPTIONS = (
--- a/packages/bambootiller/src/bambootiller/slotkeeping/writer.py
+++ b/packages/bambootiller/src/bambootiller/slotkeeping/writer.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import enum
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from bambootiller.catalogue import TEMPLATES_PREFIX
 from bambootiller_core import slots
-from bambootiller_core.documents import Document
+from bambootiller_core.documents import TEMPLATES_PREFIX, Document
 from bambootiller_core.ports import (
     Committed,
     Compare,
@@ -91,7 +91,7 @@
         outcome = await self._app.kv.transact(compares, [Put(key, value)])
         match outcome:
             case Committed(revision=committed):
-                self._offer(key, committed, value)
+                self._learn([Record(key, value, committed)])
                 return Written.IN_FORCE
             case Conflict(records=records):
                 self._learn(records)
@@ -114,12 +114,9 @@
             await asyncio.sleep(READ_BACK_DELAY)
         return Written.UNKNOWN
 
-    def _learn(self, records: tuple[Record, ...]) -> None:
+    def _learn(self, records: Iterable[Record]) -> None:
         for record in records:
-            self._offer(record.key, record.mod_revision, record.value)
-
-    def _offer(self, key: str, revision: int, value: bytes) -> None:
-        self._app.documents.offer(Document(key, revision, value, False))
+            self._app.documents.offer(Document.of(record))
 
 
 def _settled(after: SlotTable, records: tuple[Record, ...]) -> Written:
