Name the model that doesn't answer again after a random run's faults

Cause: A wait in the checks after healing that ended in vain came out as a traceback of nested tasks, without seed, schedule and what had happened.

Ruled out: Catching all exceptions: an error of the run itself should still show as one.

Change: Failed checks inside groups of tasks count as broken promises; the notes say when the template is in force, each model answers and calls are answered.

--- a/tests/fleet/randomised/run.py
+++ b/tests/fleet/randomised/run.py
@@ -57,8 +57,9 @@
     summary = ""
     try:
         summary = await _Run(fleet, seed, steps).make()
-    except AssertionError as exc:
-        fleet.violation(str(exc))
+    except* AssertionError as group:
+        for exc in _leaves(group):
+            fleet.violation(str(exc))
     finally:
         await fleet.stop()
     if fleet.violations:
@@ -137,15 +138,18 @@
 
                 what = f"{model} answers through {place}"
                 await eventually(good, what, HEALED_SECONDS)
+                self._fleet.note(what)
 
     async def _check_healed(self, clerks: calls.Clerks) -> None:
         """Everything works again, and no call has run that was said not to."""
         fleet = self._fleet
         await fleet.operators.check_last()
         await self._put_in_force()
+        fleet.note("in force everywhere")
         for place in faults.ENTRIES:
             await self._all_answer(place)
             await self._call_is_answered(clerks, place)
+        fleet.note("calls are answered")
         await eventually(self._as_decided, "replicas as decided", HEALED_SECONDS)
         runs = await fleet.fleet.counts("certificates", "/control/runs")
         for text in calls.judge(clerks.attempts, runs):
@@ -227,6 +231,14 @@
         )
 
 
+def _leaves(group: BaseExceptionGroup) -> list[BaseException]:
+    found = []
+    for exc in group.exceptions:
+        nested = isinstance(exc, BaseExceptionGroup)
+        found += _leaves(exc) if nested else [exc]
+    return found
+
+
 async def _answers(session, url: str, model: str) -> bool:
     body = {"model": model, "prompt": "why?", "max_tokens": 4}
     headers = {
