Take guard ports of test fleets from below those that the kernel gives out

Cause: the harness asked the kernel for a free port, let it go, and passed it to an agent that started later. Ruled out: turning the guard off in fleets, since the demo and the fault tests rely on it; holding the port, which an agent can't take over. Change: harness/_ports.py draws a port from 20000 to 31999 that can be bound. Conclusion: two fleets on one machine can still draw the same port, once in 12000.

--- a/packages/bambootiller-standins/src/bambootiller_standins/harness/_fleet.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/harness/_fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import shutil
-import socket
 import sys
 import tempfile
 from collections.abc import Mapping, Sequence
@@ -24,6 +23,7 @@
     member_settings,
 )
 from bambootiller_standins.harness._names import Role, Setting
+from bambootiller_standins.harness._ports import quiet_port
 from bambootiller_standins.harness._process import (
     READY_SECONDS,
     STOP_SECONDS,
@@ -300,7 +300,7 @@
 
     def _guard_port(self, instance: str) -> int:
         if instance not in self._guard_ports:
-            self._guard_ports[instance] = _free_port()
+            self._guard_ports[instance] = quiet_port()
         return self._guard_ports[instance]
 
     # The instance list
@@ -417,9 +417,3 @@
         }
         settings |= dict(env or {})
         return await run_tool(args, settings, stdin)
-
-
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
