--- a/packages/bambootiller-core/src/bambootiller_core/_claim_book.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_claim_book.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from bambootiller_core._claim_entries import (
     ClaimAttempt,
@@ -21,10 +21,13 @@
 from bambootiller_core._claim_outcomes import (
     Claimed,
     ClaimUnavailable,
+    Free,
+    Held,
     Mismatch,
     Replay,
     Settled,
     Taken,
+    meaning_of,
 )
 from bambootiller_core._claim_records import (
     ClaimRecord,
@@ -50,8 +53,6 @@
 
 MAX_BATCH = 32
 MAX_READS = 8
-FIRST_BACKOFF_S = 0.05
-MAX_BACKOFF_S = 2.0
 #: How long a repeat waits for the answer of the attempt that holds the claim.
 MAX_WAIT_FOR_HOLDER_S = 10.0
 #: Records still to be closed (answers to keep, claims to release) during an outage.
@@ -198,7 +199,8 @@
     ) -> list[Settled]:
         """Take over what came of a transaction."""
         settled: list[Settled] = []
-        found = _by_key(outcome.records) if isinstance(outcome, Conflict) else {}
+        records = outcome.records if isinstance(outcome, Conflict) else ()
+        found = {record.key: record for record in records}
         for token, state in write.written:
             entry = self._entries[token]
             match outcome:
@@ -211,7 +213,7 @@
                     settled += self._unavailable(now, entry, detail, Phase.WRITE)
                 case Unknown():
                     entry.doubt = entry.doubt or state is ClaimState.CLAIMED
-                    self._schedule(entry, Phase.READ, now)
+                    entry.schedule(Phase.READ, now)
         return settled
 
     def next_read(self, now: float) -> ClaimRead | None:
@@ -263,7 +265,7 @@
         entry.goal = goal
         entry.answer = answer
         entry.failures = 0
-        self._schedule(entry, Phase.WRITE, now)
+        entry.schedule(Phase.WRITE, now)
         self._make_room()
 
     def _make_room(self) -> None:
@@ -280,7 +282,7 @@
         """Our record stands under the key in ``state``."""
         token = entry.attempt.token
         if state is not entry.goal:
-            self._schedule(entry, Phase.WRITE, now)
+            entry.schedule(Phase.WRITE, now)
             return []
         if state is ClaimState.CLAIMED:
             entry.phase = Phase.HELD
@@ -301,7 +303,8 @@
     ) -> list[Settled]:
         """Go on from what stands under the key."""
         if record is None:
-            return self._observe_absent(now, entry)
+            entry.base, entry.owns = 0, False
+            return self._write_again(now, entry)
         claim = decode_claim(record.value)
         if isinstance(claim, ClaimRecord) and claim.token == entry.attempt.token:
             entry.base, entry.owns, entry.doubt = record.mod_revision, True, False
@@ -314,10 +317,6 @@
             return self._observe_other(now, entry, record.mod_revision, claim)
         return self._write_again(now, entry)
 
-    def _observe_absent(self, now: float, entry: Entry) -> list[Settled]:
-        entry.base, entry.owns = 0, False
-        return self._write_again(now, entry)
-
     def _write_again(self, now: float, entry: Entry) -> list[Settled]:
         """The key stands as the entry's ``base`` says, without the goal reached.
 
@@ -328,7 +327,7 @@
         wanted = entry.goal is ClaimState.CLAIMED
         late = entry.goal is ClaimState.RELEASED and entry.doubt
         if wanted or late or entry.owns:
-            self._schedule(entry, Phase.WRITE, now)
+            entry.schedule(Phase.WRITE, now)
         else:
             del self._entries[entry.attempt.token]
         return []
@@ -340,25 +339,27 @@
         revision: int,
         claim: ClaimRecord | MalformedClaim,
     ) -> list[Settled]:
-        if isinstance(claim, MalformedClaim):
-            return self._settle(now, entry, Taken(None))
-        if claim.state is ClaimState.RELEASED:
-            entry.holder_seen = None
-            entry.base = revision
-            self._schedule(entry, Phase.WRITE, now)
-            return []
-        if claim.fingerprint != entry.attempt.fingerprint:
-            return self._settle(now, entry, Mismatch(claim))
-        if claim.state is ClaimState.DONE and claim.answer is not None:
-            return self._settle(now, entry, Replay(claim.answer))
-        running = claim.state is ClaimState.CLAIMED and self._may_be_running(claim)
-        if not running:
-            return self._settle(now, entry, Taken(claim))
+        match meaning_of(claim, entry.attempt.fingerprint):
+            case Free():
+                entry.holder_seen = None
+                entry.base = revision
+                entry.schedule(Phase.WRITE, now)
+                return []
+            case Held(record) if self._may_be_running(record):
+                return self._await_holder(now, entry, record)
+            case Held(record):
+                return self._settle(now, entry, Taken(record))
+            case outcome:
+                return self._settle(now, entry, outcome)
+
+    def _await_holder(
+        self, now: float, entry: Entry, holder: ClaimRecord
+    ) -> list[Settled]:
         if entry.holder_seen is None:
             entry.wait_until = now + MAX_WAIT_FOR_HOLDER_S
-        entry.holder_seen = claim
+        entry.holder_seen = holder
         entry.failures += 1
-        self._schedule(entry, Phase.READ, now + self._backoff(entry))
+        entry.schedule(Phase.READ, now + self._backoff(entry))
         return []
 
     def _unavailable(
@@ -366,7 +367,7 @@
     ) -> list[Settled]:
         """The service took or told nothing: try ``again`` later, or refuse now."""
         entry.failures += 1
-        self._schedule(entry, again, now + self._backoff(entry))
+        entry.schedule(again, now + self._backoff(entry))
         if entry.goal is not ClaimState.CLAIMED:
             if not entry.doubt and not entry.owns:
                 del self._entries[entry.attempt.token]
@@ -378,25 +379,19 @@
         return self._settle(now, entry, ClaimUnavailable(detail))
 
     def _settle(
-        self, now: float, entry: Entry, outcome: Taken | Mismatch | ClaimUnavailable
+        self,
+        now: float,
+        entry: Entry,
+        outcome: Replay | Taken | Mismatch | ClaimUnavailable,
     ) -> list[Settled]:
-        self._schedule(entry, Phase.READ, max(entry.due, now))
+        entry.schedule(Phase.READ, max(entry.due, now))
         self.give_up(now, entry.attempt.token)
         return [Settled(entry.attempt.token, outcome)]
 
     def _count(self, phase: Phase) -> int:
         return sum(entry.phase is phase for entry in self._entries.values())
 
-    def _schedule(self, entry: Entry, phase: Phase, due: float) -> None:
-        entry.phase = phase
-        entry.due = due
-
     def _backoff(self, entry: Entry) -> float:
-        longest = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(entry.failures, 10))
         # All agents find the service back at the same moment; without the spread their
         # retries would arrive as one burst, and put it down again.
-        return longest * self._rng.uniform(0.5, 1.0)
-
-
-def _by_key(records: Iterable[Record]) -> dict[str, Record]:
-    return {record.key: record for record in records}
+        return entry.longest_backoff * self._rng.uniform(0.5, 1.0)
--- a/packages/bambootiller-core/src/bambootiller_core/_claim_entries.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_claim_entries.py
@@ -10,6 +10,9 @@
 from bambootiller_core.ports import Compare, Put
 from bambootiller_core.template import WhenStoreDown
 
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 2.0
+
 
 @dataclass(frozen=True, slots=True)
 class ClaimAttempt:
@@ -82,6 +85,16 @@
     holder_seen: ClaimRecord | None = None
     wait_until: float = 0.0
 
+    def schedule(self, phase: Phase, due: float) -> None:
+        """Have ``phase`` begin at ``due``."""
+        self.phase = phase
+        self.due = due
+
+    @property
+    def longest_backoff(self) -> float:
+        """The longest wait before the next try, in seconds; it grows with failures."""
+        return min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(self.failures, 10))
+
     @property
     def limit(self) -> float:
         """Until when the attempt may go on trying, or waiting for a holder."""
--- a/packages/bambootiller-core/src/bambootiller_core/_claim_outcomes.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_claim_outcomes.py
@@ -4,7 +4,12 @@
 
 from dataclasses import dataclass
 
-from bambootiller_core._claim_records import ClaimRecord, ClaimState, KeptAnswer
+from bambootiller_core._claim_records import (
+    ClaimRecord,
+    ClaimState,
+    KeptAnswer,
+    MalformedClaim,
+)
 from bambootiller_core.outcomes import Code, Executed, Refused
 
 #: A misused key stays misused: coming back later doesn't help.
@@ -60,6 +65,35 @@
     outcome: ClaimOutcome
 
 
+@dataclass(frozen=True, slots=True)
+class Free:
+    """Whoever had claimed the key has released it: it may be claimed anew."""
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """Another attempt holds the claim, and may be running."""
+
+    record: ClaimRecord
+
+
+def meaning_of(
+    claim: ClaimRecord | MalformedClaim, fingerprint: str
+) -> Free | Held | Replay | Taken | Mismatch:
+    """What another attempt's claim means for one with this fingerprint."""
+    if isinstance(claim, MalformedClaim):
+        return Taken(None)
+    if claim.state is ClaimState.RELEASED:
+        return Free()
+    if claim.fingerprint != fingerprint:
+        return Mismatch(claim)
+    if claim.state is ClaimState.CLAIMED:
+        return Held(claim)
+    if claim.state is ClaimState.DONE and claim.answer is not None:
+        return Replay(claim.answer)
+    return Taken(claim)
+
+
 def refusal(
     outcome: Taken | Mismatch | ClaimUnavailable, retry_after_ms: int = 1000
 ) -> Refused:
--- a/packages/bambootiller-core/src/bambootiller_core/claims.py
+++ b/packages/bambootiller-core/src/bambootiller_core/claims.py
@@ -11,14 +11,18 @@
 """
 
 from bambootiller_core._claim_book import (
-    FIRST_BACKOFF_S,
-    MAX_BACKOFF_S,
     MAX_BATCH,
     MAX_CLOSING,
     MAX_WAIT_FOR_HOLDER_S,
     ClaimBook,
 )
-from bambootiller_core._claim_entries import ClaimAttempt, ClaimRead, ClaimWrite
+from bambootiller_core._claim_entries import (
+    FIRST_BACKOFF_S,
+    MAX_BACKOFF_S,
+    ClaimAttempt,
+    ClaimRead,
+    ClaimWrite,
+)
 from bambootiller_core._claim_outcomes import (
     Claimed,
     ClaimOutcome,
