Ask again for memory, and wait longer for a place, while the caller has time

Ruled out: waiting to the deadline for every model: entry/patience.py keeps callers of a model without any place from waiting once one has waited in vain. Change: up to eight attempts after no_memory, half a second apart at first; 15 s of patience instead of 5, bounded by the deadline as before; the experiments keep the old rules as `impatient`.

--- a/packages/bambootiller-standins/src/bambootiller_standins/experiments/policies.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/experiments/policies.py
@@ -17,7 +17,7 @@
 from bambootiller_core.types import LoadFigures, ModelKey, Request
 
 from .excess import ExcessRouter
-from .patience import PatientRelay
+from .patience import ImpatientRelay
 from .replacements import (
     FixedKeepAlive,
     ForeverKeepAlive,
@@ -158,10 +158,10 @@
 )
 register(
     Policy(
-        "patient",
-        "the core's decisions, but entries ask again for memory and for a moved slot "
-        "while the deadline allows it",
-        relay=PatientRelay,
+        "impatient",
+        "the core's decisions, but entries don't ask again for memory and wait 5 s for "
+        "a place",
+        relay=ImpatientRelay,
         baseline=False,
     )
 )
--- a/packages/bambootiller/src/bambootiller/entry/patience.py
+++ b/packages/bambootiller/src/bambootiller/entry/patience.py
@@ -11,8 +11,10 @@
 
 from bambootiller_core.types import ModelKey
 
-#: How long the first requests wait for a place to appear. Seconds.
-PATIENCE_S = 5.0
+#: How long the first requests wait for a place to appear, if their deadlines allow.
+#: The platform's list takes some ten seconds to show that an instance is gone, and only
+#: then its slots may move. Seconds.
+PATIENCE_S = 15.0
 #: How long a wait in vain stands for others, from the latest refusal on. Seconds.
 MEMORY_S = 10.0
 
--- a/packages/bambootiller/src/bambootiller/entry/relay/core.py
+++ b/packages/bambootiller/src/bambootiller/entry/relay/core.py
@@ -43,6 +43,11 @@
 LOOK_AGAIN_S = 0.1
 #: The pause before the same place is asked again, doubled with each attempt. Seconds.
 ASK_AGAIN_S = 0.1
+#: Attempts of a request that was refused for want of memory, and the pause before the
+#: next one, doubled with each. Memory that is in use by others' answers often comes
+#: free as soon as a batch of them ends, while the caller still has time.
+MEMORY_ATTEMPTS = 8
+MEMORY_ASK_AGAIN_S = 0.5
 #: Agents asked for a service that they turn out not to have, for one request. Such an
 #: answer costs nobody any work, so it doesn't count as an attempt.
 MOST_PROBES = 64
@@ -295,6 +300,8 @@
             self._worth_again.add(self._last)
             if not fresh:
                 return self._same_place(now, refused)
+        if refused.code is Code.NO_MEMORY and not fresh:
+            return self._wait_for_memory(now, refused)
         verdict = after_refusal(
             self._req, refused, self._attempts, now, self._budget, self._rng, fresh
         )
@@ -318,6 +325,14 @@
         self._again_at = now + ASK_AGAIN_S * 2.0**self._attempts
         return self._no_place(now)
 
+    def _wait_for_memory(self, now: float, refused: Refused) -> Action:
+        """All holders are full; ask again while the caller's time allows."""
+        if self._attempts >= MEMORY_ATTEMPTS or not self._budget.take():
+            return self._finish(refused)
+        self._worth_again.update(self._ruled_out)
+        self._again_at = now + MEMORY_ASK_AGAIN_S * 2.0 ** max(0, self._attempts - 2)
+        return self._no_place(now)
+
     def _no_place(self, now: float) -> Action:
         """Wait a little for a place; the caller hears at once when that is over."""
         if self._patience_until is None:
--- a/tests/entry/cover/test_core.py
+++ b/tests/entry/cover/test_core.py
@@ -68,6 +68,29 @@
         action = relay.choose(wait.until, ["a", "b"])
         self.assertEqual(action, Attempt("b", 2, "half an ", 2))
 
+    def test_memory_that_is_in_use_is_asked_for_again_while_the_caller_has_time(self):
+        """Symptom: callers with 25 s left are refused although memory is free a second
+        later.
+
+        Sequence: all models at both holders are busy; the second refuses as well.
+        Cause: the last holder's refusal was passed on at once.
+        """
+        relay = core()
+        full = Refused(Code.NO_MEMORY, Executed.NO, "all models are in use")
+        now, action = 0.0, relay.choose(0.0, ["a", "b"])
+        asked = []
+        while not isinstance(action, Finish):
+            if isinstance(action, Attempt):
+                asked.append(action.instance)
+                action = relay.refused(now, full, ["a", "b"])
+            else:
+                now = action.until
+                action = relay.choose(now, ["a", "b"])
+        self.assertEqual(asked[:2], ["a", "b"])
+        self.assertGreater(len(asked), 4)
+        self.assertLess(now, REQ.deadline)
+        self.assertIs(action.final.executed, Executed.NO)
+
     def test_an_empty_budget_ends_a_request_instead_of_repeating_it(self):
         relay = core(budget=RetryBudget(share=0.0, reserve=0.0))
         relay.choose(0.0, ["a", "b"])
