Show with processes that a slot which is held is never just removed

Cause: with held slots removed at once when a cap is lowered (a trial), no test with processes failed: in the test of a lowered cap the slots come back to the same two holders. Ruled out: a third backend server in that test; placement goes by the cached checkpoint and would choose the same holder again. Change: a test in which the holder is paused with its model loaded, while the model is taken out of the template and put back. Conclusion: the retiring slot is what keeps the cap there.

--- a/tests/fleet/failures/test_capacity.py
+++ b/tests/fleet/failures/test_capacity.py
@@ -92,6 +92,36 @@
         self.assert_promises(report, ["tutor"], [2])
         self.assertEqual(report.count(Verdict.ANSWERED), 200, report.form())
 
+    async def test_a_model_taken_out_and_put_back_stays_with_its_paused_holder(self):
+        """Symptom: two replicas under a cap of one, after an operator's two changes.
+
+        Sequence: the holder is stopped with its model loaded; the model is taken out of
+        the template and put back; callers ask; the holder goes on. Cause: a held slot
+        that is removed at once, not kept as retiring until its holder has unloaded.
+        """
+        await self.start(agents=2)
+        await self.apply_and_wait(template({"tutor": 1, "feedback": 1}))
+        (holder,) = await self.placed("tutor", 1)
+        await self.answered("tutor")
+        self.fleet.pause(holder)
+        await self._in_line({"feedback": 1}, 2)
+        await self._in_line({"tutor": 1, "feedback": 1}, 3)
+        for _ in range(3):
+            self.assertNotEqual((await self.ask("tutor", timeout_ms=2_000))[0], 200)
+        self.fleet.resume(holder)
+        await self.answered("tutor")
+        self.assert_capacity(["tutor"], [1])
+
+    async def _in_line(self, models, version):
+        """Apply a template, and wait for the slots of the tutor to follow it."""
+        result = await self.apply(template(models))
+        self.assertEqual(result.code, 0, result.out + result.err)
+
+        async def followed():
+            return (await self.table("tutor"))["template_version"] == version
+
+        await eventually(followed, f"the slots follow version {version}")
+
     async def test_three_models_on_one_engine_for_two_never_overcommit_it(self):
         """Symptom: an engine is told to hold more than its memory.
 
