Make the refusals of a failed run in one place

Ruled out: putting them into the core's outcomes, which know no figures of the shell. Change: `agent.refusals` has both, under names that say what they are for. After: they stand once; `python -m tests agent` passes. Conclusion: no behaviour changes.

--- a/packages/bambootiller/src/bambootiller/agent/model_run.py
+++ b/packages/bambootiller/src/bambootiller/agent/model_run.py
@@ -12,13 +12,12 @@
 from bambootiller.agent.engine import CONNECT_SECONDS, EngineClient
 from bambootiller.agent.engine_forms import EventReader, Unreadable
 from bambootiller.agent.pieces import Completed, Final, Text
+from bambootiller.agent.refusals import ELSEWHERE_RETRY_MS, backend_failed, malformed
 from bambootiller_core.backend_effects import engine_name
 from bambootiller_core.outcomes import Code, Executed, Refused
 from bambootiller_core.types import ModelKey
 
 API_PATHS = {"chat/completions", "completions"}
-#: Where the engine can't be reached, another agent may serve at once.
-ELSEWHERE_RETRY_MS = 100
 LARGEST_ERROR = 500
 END_SECONDS = 0.1
 
@@ -48,9 +47,9 @@
             return await _stream(call, response)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
         call.sent = False
-        return _failed(Executed.NO, f"the engine can't be reached: {exc}")
+        return backend_failed(Executed.NO, f"the engine can't be reached: {exc}")
     except (aiohttp.ClientError, OSError) as exc:
-        return _failed(Executed.UNKNOWN, f"the engine's answer was cut: {exc!r}")
+        return backend_failed(Executed.UNKNOWN, f"the engine's answer was cut: {exc!r}")
 
 
 async def _stream(call: Call, response: aiohttp.ClientResponse) -> Final:
@@ -59,7 +58,7 @@
     async for data in response.content.iter_any():
         read = reader.feed(data)
         if isinstance(read, Unreadable):
-            return _failed(Executed.UNKNOWN, read.detail)
+            return backend_failed(Executed.UNKNOWN, read.detail)
         if read.text:
             tokens += read.count
             await call.put(Text(read.text, read.count))
@@ -67,7 +66,9 @@
         if read.done:
             await _read_to_end(response)
             return Completed(tokens, finish)
-    return _failed(Executed.UNKNOWN, "the engine's answer ended without its end mark")
+    return backend_failed(
+        Executed.UNKNOWN, "the engine's answer ended without its end mark"
+    )
 
 
 async def _read_to_end(response: aiohttp.ClientResponse) -> None:
@@ -84,13 +85,15 @@
 def _form(call: Call) -> dict[str, Any] | Refused:
     """The caller's JSON with what only this agent can fill in."""
     if call.body.api not in API_PATHS:
-        return _bad(f"api {call.body.api!r}; allowed: {', '.join(sorted(API_PATHS))}")
+        return malformed(
+            f"api {call.body.api!r}; allowed: {', '.join(sorted(API_PATHS))}"
+        )
     try:
         form = json.loads(call.body.body)
     except ValueError as exc:
-        return _bad(f"the body is no JSON: {exc}")
+        return malformed(f"the body is no JSON: {exc}")
     if not isinstance(form, dict):
-        return _bad("the body is no JSON object")
+        return malformed("the body is no JSON object")
     target = call.req.target
     name = engine_name(ModelKey(call.req.customer, target.model))
     form["model"] = f"{name}:{target.adapter}" if target.adapter else name
@@ -115,13 +118,5 @@
         # restarts; another replica may serve.
         return Refused(Code.NO_REPLICA, Executed.NO, detail, ELSEWHERE_RETRY_MS)
     if 400 <= response.status < 500:
-        return _bad(detail)
-    return _failed(Executed.UNKNOWN, detail)
-
-
-def _bad(detail: str) -> Refused:
-    return Refused(Code.BAD_REQUEST, Executed.NO, detail, 0)
-
-
-def _failed(executed: Executed, detail: str) -> Refused:
-    return Refused(Code.BACKEND_FAILED, executed, detail, ELSEWHERE_RETRY_MS)
+        return malformed(detail)
+    return backend_failed(Executed.UNKNOWN, detail)
--- a/packages/bambootiller/src/bambootiller/agent/service_run.py
+++ b/packages/bambootiller/src/bambootiller/agent/service_run.py
@@ -13,9 +13,8 @@
 from bambootiller.agent.calls import Call
 from bambootiller.agent.engine import CONNECT_SECONDS
 from bambootiller.agent.pieces import AnswerHead, Completed, Data, Final
-from bambootiller_core.outcomes import Code, Executed, Refused
-
-ELSEWHERE_RETRY_MS = 100
+from bambootiller.agent.refusals import backend_failed, malformed
+from bambootiller_core.outcomes import Executed
 
 #: They concern one connection, or are set anew here.
 NOT_FORWARDED = frozenset(
@@ -105,7 +104,7 @@
     target = call.req.target
     if not target.path.startswith("/"):
         # Appended to "http://host:80", a path such as "@other/" names another host.
-        return _bad(f"path {target.path!r} must begin with '/'")
+        return malformed(f"path {target.path!r} must begin with '/'")
     headers = [
         (name, value)
         for name, value in call.body.headers
@@ -127,12 +126,14 @@
             return await _pass_on(call, response)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
         call.sent = False
-        return _failed(Executed.NO, f"the service can't be reached: {exc}")
+        return backend_failed(Executed.NO, f"the service can't be reached: {exc}")
     except aiohttp.InvalidURL as exc:
         call.sent = False
-        return _bad(f"path {target.path!r} makes no address: {exc}")
+        return malformed(f"path {target.path!r} makes no address: {exc}")
     except (aiohttp.ClientError, OSError, ValueError) as exc:
-        return _failed(Executed.UNKNOWN, f"the service's answer was cut: {exc!r}")
+        return backend_failed(
+            Executed.UNKNOWN, f"the service's answer was cut: {exc!r}"
+        )
 
 
 async def _pass_on(call: Call, response: aiohttp.ClientResponse) -> Final:
@@ -146,11 +147,3 @@
         if data:
             await call.put(Data(data))
     return Completed()
-
-
-def _bad(detail: str) -> Refused:
-    return Refused(Code.BAD_REQUEST, Executed.NO, detail, 0)
-
-
-def _failed(executed: Executed, detail: str) -> Refused:
-    return Refused(Code.BACKEND_FAILED, executed, detail, ELSEWHERE_RETRY_MS)
