Let a slot name its holder's region, and count time as well as answers for unlisted holders

Cause: (1) an entry that starts while regions have lost each other, with a list of one side, has never met the far side's holders; it counted them as gone after a while and could move their slots while they ran. Found in a newcomer's read; by hand is_gone was true after 41 answers. Change: a slot carries its holder's region ("" in tables written before); a holder in a region that the latest answer doesn't show is never gone; an unlisted holder is gone after half a minute with at least three answers, and the list is asked sooner meanwhile. Conclusion: no evidence about a region is taken from a list that doesn't show it.

--- a/packages/bambootiller-core/src/bambootiller_core/_slot_codec.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_slot_codec.py
@@ -15,7 +15,7 @@
 #: Readers refuse other formats instead of guessing at them.
 FORMAT = 1
 
-SlotRow = tuple[int, str, int, bool]
+SlotRow = tuple[int, str, int, bool, str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +49,7 @@
     slots: list[SlotRow],
 ) -> bytes:
     """The JSON of a table; equal tables give equal bytes."""
-    names = ("number", "holder", "fence", "retiring")
+    names = ("number", "holder", "fence", "retiring", "region")
     document = {
         "format": FORMAT,
         "customer": key.customer,
@@ -107,6 +107,7 @@
         _text(row, "holder"),
         _whole(row, "fence"),
         retiring,
+        _text(row, "region") if "region" in row else "",
     )
 
 
--- a/packages/bambootiller-core/src/bambootiller_core/repair.py
+++ b/packages/bambootiller-core/src/bambootiller_core/repair.py
@@ -55,10 +55,19 @@
     return Repaired(after, after != table, slots.placeable(after), lost)
 
 
-def place(table: SlotTable, chosen: Mapping[int, str], token: str) -> SlotTable:
-    """The table with each slot number in ``chosen`` given to its instance."""
+def place(
+    table: SlotTable,
+    chosen: Mapping[int, str],
+    token: str,
+    regions: Mapping[str, str] | None = None,
+) -> SlotTable:
+    """The table with each slot number in ``chosen`` given to its instance.
+
+    ``regions`` are the instances' regions, as far as they are known.
+    """
     for number, instance in sorted(chosen.items()):
-        table = slots.assign(table, number, instance, token)
+        region = (regions or {}).get(instance, "")
+        table = slots.assign(table, number, instance, token, region)
     return table
 
 
--- a/packages/bambootiller-core/src/bambootiller_core/slots.py
+++ b/packages/bambootiller-core/src/bambootiller_core/slots.py
@@ -69,12 +69,15 @@
 
     ``fence`` is the fencing number of the latest assignment; orders carry it. A
     ``retiring`` slot may not be loaded any more and goes once its holder has unloaded.
+    ``region`` is the holder's, "" if it isn't known: who has never met the holder can
+    tell by it whether a list without the holder says anything about it.
     """
 
     number: int
     holder: str = ""
     fence: int = 0
     retiring: bool = False
+    region: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +107,9 @@
             cap=self.cap,
             fence=self.fence,
             history=self.history,
-            slots=[(s.number, s.holder, s.fence, s.retiring) for s in self.slots],
+            slots=[
+                (s.number, s.holder, s.fence, s.retiring, s.region) for s in self.slots
+            ],
         )
 
     @classmethod
@@ -190,7 +195,9 @@
     return empty[:room]
 
 
-def assign(table: SlotTable, number: int, instance: str, token: str) -> SlotTable:
+def assign(
+    table: SlotTable, number: int, instance: str, token: str, region: str = ""
+) -> SlotTable:
     """Give an empty slot to ``instance``, at a fence above all earlier ones.
 
     Which slots may be given away at all is for :func:`placeable` to say, asked on the
@@ -208,7 +215,7 @@
         f"{table.key}: {instance} holds {table.slot_of(instance)}, slot {number} too",
     )
     fence = max(table.fence, slot.fence) + 1
-    given = replace(slot, holder=instance, fence=fence)
+    given = replace(slot, holder=instance, fence=fence, region=region)
     return _written(replace(_with(table, given), fence=fence), token)
 
 
@@ -237,7 +244,7 @@
     if slot.retiring:
         return remove_retired(table, number, evidence, token)
     _ensure_evidence(table, slot, evidence)
-    vacated = _with(table, replace(slot, holder=""))
+    vacated = _with(table, replace(slot, holder="", region=""))
     return _written(_above(vacated, evidence), token)
 
 
--- a/packages/bambootiller/src/bambootiller/instances.py
+++ b/packages/bambootiller/src/bambootiller/instances.py
@@ -43,9 +43,11 @@
 #: An answer that drops more than this share of the instances at once is only believed
 #: when the next successful answer says the same.
 IMPLAUSIBLE_SHARE = 0.5
-#: An instance that this process never saw listed counts as gone after this many
-#: successful answers without it, a minute's worth: far longer than the list lags.
-UNLISTED_ANSWERS = 40
+#: An instance that this process never saw listed counts as gone after this time with at
+#: least so many successful answers without it: far longer than the list lags, however
+#: seldom it is polled. Seconds.
+UNLISTED_SECONDS = 30.0
+UNLISTED_ANSWERS = 3
 #: How many gone instances are remembered; far more than are replaced in a day.
 GONE_REMEMBERED = 4096
 
@@ -66,6 +68,18 @@
     dropped: int
 
 
+@dataclass(slots=True)
+class _Unlisted:
+    """A name that was asked for and that no answer has shown."""
+
+    since: float
+    answers: int = 0
+
+    def long(self, now: float) -> bool:
+        waited = now - self.since >= UNLISTED_SECONDS
+        return waited and self.answers >= UNLISTED_ANSWERS
+
+
 class ListHistory:
     """The list in force, and what has gone from it. Without input or output.
 
@@ -87,43 +101,51 @@
         self._gone: dict[str, None] = {}
         self._fresh: dict[str, None] = {}
         self._doubted: frozenset[str] = frozenset()
-        self._unlisted: dict[str, int] = {}
+        self._unlisted: dict[str, _Unlisted] = {}
+        self._regions: frozenset[str] = frozenset()
 
     def listed(self) -> dict[str, ListedInstance]:
         """The list in force, by instance."""
         return dict(self._listed)
 
-    def is_gone(self, instance: str) -> bool:
+    def is_gone(self, instance: str, now: float = 0.0) -> bool:
         """Whether the platform has taken the instance away.
 
         Either an earlier answer had it and a later one hasn't, or nobody has listed it
-        for a minute. The second matters to a process that starts after the instance
-        went: it never sees the instance listed, and without this rule the slots that
-        the instance held would stay with it for good. Slots are given to listed
-        instances only, so a holder that is merely not listed yet doesn't occur.
+        for half a minute. The second matters to a process that starts after the
+        instance went: it never sees the instance listed, and without this rule the
+        slots that the instance held would stay with it for good. Slots are given to
+        listed instances only, so a holder that is merely not listed yet doesn't occur.
         """
         if instance in self._gone:
             return True
         if instance not in self._listed:
-            self._unlisted.setdefault(instance, 0)
+            self._unlisted.setdefault(instance, _Unlisted(now))
         return False
 
-    def answered(self, answer: list[ListedInstance]) -> Believed | Doubted:
+    def answered(
+        self, answer: list[ListedInstance], now: float = 0.0
+    ) -> Believed | Doubted:
         """Take over a successful answer."""
         self.available = True
         found = {item.instance: item for item in answer}
+        self._regions = frozenset(item.region for item in answer)
         missing = self._missing_from(found)
         implausible = len(missing) > IMPLAUSIBLE_SHARE * len(self._listed)
         gone = missing & self._doubted if implausible else missing
         self._doubted = missing - gone
         self._listed.update(found)
-        self._remember(sorted(gone | self._long_unlisted(found)))
+        self._remember(sorted(gone | self._long_unlisted(found, now)))
         for name in found:
             self._gone.pop(name, None)
         if self._doubted:
             return Doubted(len(self._doubted))
         return Believed(tuple(sorted(gone)))
 
+    def shows_region(self, region: str) -> bool:
+        """Whether the latest answer has any instance of the region."""
+        return region in self._regions
+
     def take_gone(self) -> tuple[str, ...]:
         """The instances that went since the last call."""
         taken, self._fresh = tuple(self._fresh), {}
@@ -135,22 +157,21 @@
 
     def _missing_from(self, found: dict[str, ListedInstance]) -> frozenset[str]:
         """The listed instances that the answer lacks, but for whole regions of them."""
-        shown = {item.region for item in found.values()}
         return frozenset(
             name
             for name, item in self._listed.items()
-            if name not in found and item.region in shown
+            if name not in found and self.shows_region(item.region)
         )
 
-    def _long_unlisted(self, found: dict[str, ListedInstance]) -> set[str]:
+    def _long_unlisted(self, found: dict[str, ListedInstance], now: float) -> set[str]:
         """Count an answer for the names that were asked for and aren't listed."""
-        for name in list(self._unlisted):
-            self._unlisted[name] += 1
-            if name in found:
+        past = set()
+        for name, unlisted in list(self._unlisted.items()):
+            unlisted.answers += 1
+            if name in found or unlisted.long(now):
                 del self._unlisted[name]
-        past = {name for name, n in self._unlisted.items() if n >= UNLISTED_ANSWERS}
-        for name in past:
-            del self._unlisted[name]
+            if name not in found and unlisted.long(now):
+                past.add(name)
         return past
 
     def _remember(self, gone: list[str]) -> None:
@@ -197,7 +218,11 @@
     def is_gone(self, instance: str) -> bool:
         """Whether the platform has taken the instance away, see
         :class:`ListHistory`."""
-        return self._history.is_gone(instance)
+        return self._history.is_gone(instance, self._app.now())
+
+    def shows_region(self, region: str) -> bool:
+        """Whether the latest answer has any instance of the region."""
+        return self._history.shows_region(region)
 
     def take_gone(self) -> tuple[str, ...]:
         """The instances that went since the last call; for one caller."""
@@ -241,7 +266,7 @@
             self._history.failed()
             self._app.metrics.incr("instances.poll_failed")
             return
-        outcome = self._history.answered(answer)
+        outcome = self._history.answered(answer, self._app.now())
         if isinstance(outcome, Doubted):
             log.warning("the list drops {} at once; waiting", outcome.dropped)
         elif outcome.gone:
--- a/packages/bambootiller/src/bambootiller/slotkeeping/keeper.py
+++ b/packages/bambootiller/src/bambootiller/slotkeeping/keeper.py
@@ -162,32 +162,51 @@
         policy = template.models.get(key.model)
         cap = policy.replicas if policy is not None else 0
         token = secrets.token_hex(8)
-        fixed = repair(key, table, cap, template.version, self._is_gone, token)
+        regions = _regions_of(table)
+
+        def is_gone(holder: str) -> bool:
+            return self._is_gone(holder, regions.get(holder, ""))
+
+        fixed = repair(key, table, cap, template.version, is_gone, token)
         if fixed is None:
             return True
         chosen = await self._choose(key, policy, fixed)
         if not fixed.changed and not chosen:
             return not fixed.empty
-        after = place(fixed.table, chosen, token)
+        after = place(fixed.table, chosen, token, self._member_regions(chosen))
         written = await self._writer.write(basis, after)
         self._explain(key, fixed, chosen, written)
         return written is Written.IN_FORCE and len(chosen) == len(fixed.empty)
 
-    def _is_gone(self, instance: str) -> bool:
-        """Whether an instance can't come back: the platform and the probes agree.
+    def _is_gone(self, instance: str, region: str = "") -> bool:
+        """Whether a holder can't come back: the platform and the probes agree.
 
         What goes wrong with the list alone: a list that drops a running instance by
         mistake would let its slots move while its replicas are loaded. The holder shows
         by answering probes. A dead member alone is no evidence, it may be paused.
+
+        While regions have lost each other, all members of the other one are silent, and
+        the list may show this side only. An entry that starts then has never met them;
+        ``region``, which stands in the slot, tells it that the list says nothing.
         """
+        instances = self._app.instances
         status = self._app.membership.status_of(instance)
-        if self._app.instances.is_gone(instance):
-            return status in (None, Status.DEAD)
-        if status is Status.DEAD:
-            # The list lags, so the poll made at the death may have come too early.
-            self._app.instances.poll_soon()
+        if status not in (None, Status.DEAD):
+            return False
+        if instances.is_gone(instance):
+            return not region or instances.shows_region(region)
+        # The list lags, so the poll made at the death may have come too early.
+        instances.poll_soon()
         return False
 
+    def _member_regions(self, chosen: dict[int, str]) -> dict[str, str]:
+        views = (self._app.membership.view(name) for name in chosen.values())
+        return {
+            view.member.instance: view.member.region
+            for view in views
+            if view is not None
+        }
+
     async def _choose(
         self, key: ModelKey, policy: ModelPolicy | None, fixed: Repaired
     ) -> dict[int, str]:
@@ -252,6 +271,11 @@
         app.metrics.incr(f"slots.write.{written.value}")
 
 
+def _regions_of(table: SlotTable | None) -> dict[str, str]:
+    held = table.slots if table is not None else ()
+    return {slot.holder: slot.region for slot in held if slot.holder}
+
+
 def _differs(table: SlotTable | None, policy: ModelPolicy) -> bool:
     return table is None or table.cap != policy.replicas
 
--- a/tests/slotkeeping/failures/test_gone_before_start.py
+++ b/tests/slotkeeping/failures/test_gone_before_start.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from bambootiller.instances import UNLISTED_ANSWERS, ListedInstance, ListHistory
+from bambootiller.instances import (
+    UNLISTED_ANSWERS,
+    UNLISTED_SECONDS,
+    ListedInstance,
+    ListHistory,
+)
 from bambootiller_core.types import Role
 
 
@@ -23,10 +28,23 @@
         history = ListHistory()
         self.assertFalse(history.is_gone("i-9"))
         for _ in range(UNLISTED_ANSWERS):
-            history.answered(listed("i-1", "i-2"))
+            history.answered(listed("i-1", "i-2"), UNLISTED_SECONDS - 1)
+            self.assertFalse(history.is_gone("i-9"))
+        history.answered(listed("i-1", "i-2"), UNLISTED_SECONDS)
         self.assertTrue(history.is_gone("i-9"))
         self.assertIn("i-9", history.take_gone())
 
+    def test_one_late_answer_is_not_enough_however_much_time_has_passed(self):
+        """Symptom: a slot moves on a single answer of a list that lags.
+
+        Sequence: the list was down for minutes; its first answer lacks the holder.
+        Cause: counting time alone.
+        """
+        history = ListHistory()
+        history.is_gone("i-9")
+        history.answered(listed("i-1", "i-2"), 10 * UNLISTED_SECONDS)
+        self.assertFalse(history.is_gone("i-9"))
+
     def test_a_failed_poll_does_not_count_against_an_unlisted_holder(self):
         """Symptom: slots move while the list is down.
 
@@ -47,9 +65,9 @@
         """
         history = ListHistory()
         history.is_gone("i-9")
-        for _ in range(UNLISTED_ANSWERS - 1):
-            history.answered(listed("i-1", "i-2"))
-        history.answered(listed("i-1", "i-2", "i-9"))
+        for _ in range(UNLISTED_ANSWERS):
+            history.answered(listed("i-1", "i-2"), UNLISTED_SECONDS - 1)
+        history.answered(listed("i-1", "i-2", "i-9"), UNLISTED_SECONDS)
         self.assertFalse(history.is_gone("i-9"))
 
     def test_an_answer_that_lacks_a_whole_region_proves_nothing_about_it(self):
