--- a/tests/agreement/cover/test_comparison.py
+++ b/tests/agreement/cover/test_comparison.py
@@ -5,7 +5,7 @@
 
 from bambootiller_core.backend_effects import engine_name
 from bambootiller_core.types import Tier
-from bambootiller_standins.agreement.__main__ import run_pair, world_of
+from bambootiller_standins.agreement.__main__ import first_seeds, run_pair, world_of
 from bambootiller_standins.agreement._engines import engine_config, on_disk
 from bambootiller_standins.agreement._figures import (
     Answer,
@@ -136,6 +136,13 @@
                 }
                 self.assertEqual(disks[name], found)
 
+    def test_seeds_with_empty_disks_pass_over_the_others(self):
+        self.assertEqual(first_seeds(3, empty_disks=False), [1, 2, 3])
+        chosen = first_seeds(3, empty_disks=True)
+        for seed in range(1, chosen[-1] + 1):
+            disks = on_disk(world_of(TRIALS[0], seed), seed).values()
+            self.assertEqual(seed in chosen, not any(disks))
+
     def test_a_load_takes_the_stand_in_as_long_as_the_model(self):
         trial = TRIALS[0]
         seed = next(
