--- a/packages/bambootiller-standins/src/bambootiller_standins/capacity/_works.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/capacity/_works.py
@@ -13,9 +13,9 @@
 from itertools import count as counter
 from types import SimpleNamespace
 
-from bambootiller import instances
 from bambootiller.catalogue import Catalogue
-from bambootiller.instances import ListedInstance, ListHistory
+from bambootiller.instanceforms import ListedInstance, parse_http_sd
+from bambootiller.instances import ListHistory
 from bambootiller.peering import wire
 from bambootiller.peering.watcher import Watcher
 from bambootiller.rpc import bambootiller_pb2 as pb
@@ -140,7 +140,7 @@
     membership = membership_of(members)
 
     def run() -> None:
-        answer = instances._listed(json.loads(body))
+        answer = parse_http_sd(body)
         history.answered(answer)
         _take_over(membership, history.listed())
 
