Add make targets for the agreement and the overhead runs

Cause: both tools could only be started by their module names. Ruled out: folding them into `make experiments` (they start processes and take minutes). Change: two targets and their lines in `make help`. Before: no target. After: `make help` lists them; the targets themselves weren't run through make.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 AREAS ?=
 PARTS ?=
 
-.PHONY: help setup proto demo test lint format prove experiments capacity clean
+.PHONY: help setup proto agreement overhead demo test lint format prove experiments capacity clean
 
 help:
 	@echo "make demo         run the whole system once against stand-ins"
@@ -19,6 +19,8 @@
 	@echo "make lint         check formatting and style; make format mends the former"
 	@echo "make prove        rerun the proofs (PARTS='slots core' for some; long)"
 	@echo "make experiments  run the experiments again and write their pages"
+	@echo "make agreement    run small scenarios on the models and on real processes"
+	@echo "make overhead     what entry and agent add to a call of the engine"
 	@echo "make proto        write the generated protocol code anew"
 	@echo "make capacity     measure the slopes behind docs/CAPACITY.md"
 
@@ -60,6 +62,12 @@
 	$(RUN) -m grpc_tools.protoc -I $(PROTO) --python_out=$(PROTO) \
 		--grpc_python_out=$(PROTO) $(PROTO)/bambootiller/rpc/bambootiller.proto
 
+agreement: $(READY)
+	$(RUN) -m bambootiller_standins.agreement
+
+overhead: $(READY)
+	$(RUN) -m bambootiller_standins.overhead
+
 capacity: $(READY)
 	$(RUN) -m bambootiller_standins.capacity
 
