Run test modules side by side, each in a process of its own

Cause: all tests ran in one process on one of eight cores, most of the time waiting. Ruled out: shorter waits; they would test less. A module that dies without a result counts as failed, with a test that fails on a runner that leaves it out.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -3,6 +3,7 @@
     python -m tests                 every area
     python -m tests settings cli    two areas
     python -m tests --long          with the long randomised runs
+    python -m tests --jobs 1        all in this process, one after the other
 
 Prints each failure when it happens, the tests that are known to fail, and as the last
 line, alone on it, ``N passed, N failed``. The exit code is 0 if nothing failed but what
@@ -11,6 +12,7 @@
 """
 
 import argparse
+import json
 import os
 import sys
 import time
@@ -18,7 +20,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from tests.common import counting, known_red, profiles
+from tests.common import counting, known_red, profiles, sidebyside
 from tests.common.watchdog import Watchdog
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -28,6 +30,12 @@
 HANG_SECONDS = 180
 #: The randomised fleets of processes are one test of many runs of a minute or two.
 HANG_SECONDS_LONG = 4 * 3600
+#: Test modules that run at a time. Most of them wait more than they compute, and some
+#: start a dozen processes, so a part of the cores is left to those.
+JOBS = max(1, min(6, (os.cpu_count() or 1) * 3 // 4))
+
+#: Their modules run for tens of seconds each, and so are begun first.
+AREAS_OF_PROCESSES = ("fleet", "entry", "agent", "security", "cli", "agreement")
 
 #: gRPC's own handlers at a fork are for children that go on using it. The children of
 #: tests are other programs, so the handlers would only add lines between results.
@@ -113,6 +121,19 @@
     return suite
 
 
+def modules_of(areas: list[str]) -> list[str]:
+    """The names of the test modules of the areas, those that take longest first."""
+    found = []
+    for area in areas or _all_areas():
+        for path in (ROOT / "tests" / area).rglob("test_*.py"):
+            found.append(".".join(path.relative_to(ROOT).with_suffix("").parts))
+    return sorted(found, key=lambda name: (not _starts_processes(name), name))
+
+
+def _starts_processes(module: str) -> bool:
+    return module.split(".")[1] in AREAS_OF_PROCESSES
+
+
 def undiscovered(tests: Path) -> dict[str, str]:
     """Test files that discovery passes over in silence, with the reason."""
     found = {}
@@ -163,23 +184,33 @@
     parser.formatter_class = argparse.RawDescriptionHelpFormatter
     parser.add_argument("areas", nargs="*", metavar="AREA", help="a folder of tests/")
     parser.add_argument("--long", action="store_true", help="the long randomised runs")
+    parser.add_argument("--jobs", type=int, default=JOBS, help="modules at a time")
+    parser.add_argument("--module", help=argparse.SUPPRESS)
+    parser.add_argument("--result", help=argparse.SUPPRESS)
     options = parser.parse_args()
     unknown = sorted(set(options.areas) - set(_all_areas()))
     if unknown:
         parser.error(f"AREA {unknown[0]!r}; allowed: {', '.join(_all_areas())}")
+    if options.jobs < 1:
+        parser.error(f"--jobs {options.jobs}; allowed: 1 or more")
     for name, value in GRPC_VARIABLES.items():
         os.environ.setdefault(name, value)
     if options.long:
         os.environ[profiles.LONG_VARIABLE] = "1"
+    profile = profiles.load()
+    hang_seconds = HANG_SECONDS_LONG if options.long else HANG_SECONDS
+    if options.module:
+        return run_module(options.module, Path(options.result), hang_seconds)
     known = known_red.read(ROOT / "KNOWN-RED.txt")
     if isinstance(known, known_red.BadList):
         print(known.detail)
         print("0 passed, 1 failed")
         return 1
-    print(f"Hypothesis profile {profiles.load()}: examples derive from each test")
-    return run(
-        options.areas, HANG_SECONDS_LONG if options.long else HANG_SECONDS, known
-    )
+    print(f"Hypothesis profile {profile}: examples derive from each test")
+    if options.jobs > 1:
+        flags = ["--long"] if options.long else []
+        return run_side_by_side(options.areas, options.jobs, flags, known)
+    return run(options.areas, hang_seconds, known)
 
 
 def run(
@@ -198,5 +229,51 @@
     return report(result.tally, known)
 
 
+def run_side_by_side(
+    areas: list[str],
+    jobs: int,
+    flags: list[str],
+    known: tuple[known_red.KnownRed, ...],
+) -> int:
+    """Run each module of the areas in its own process and report on all of them."""
+    tally = Tally()
+    for done in sidebyside.run_modules(modules_of(areas), jobs, ROOT, flags):
+        tally.ran += done.ran
+        tally.failed.update(done.failed)
+        tally.seconds.update(done.seconds)
+        for name, steps in done.steps.items():
+            counting.add(name, steps)
+        print(f"{done.module}: {len(done.ran)} run, {len(done.failed)} failed")
+        if done.failed:
+            print(done.output, flush=True)
+    if not areas:
+        tally.failed.update(undiscovered(ROOT / "tests"))
+    return report(tally, known)
+
+
+def run_module(module: str, path: Path, hang_seconds: float) -> int:
+    """Run one module for :func:`run_side_by_side`; write its result to ``path``."""
+
+    def on_hang(name: str) -> None:
+        result.tally.failed[name] = "hung"
+        _write_result(result.tally, path)
+
+    result = Result(Watchdog(hang_seconds, on_hang))
+    unittest.TestLoader().loadTestsFromName(module).run(result)
+    _write_result(result.tally, path)
+    return 1 if result.tally.failed else 0
+
+
+def _write_result(tally: Tally, path: Path) -> None:
+    steps = counting.read("\n".join(counting.lines()))
+    form = {
+        "ran": tally.ran,
+        "failed": tally.failed,
+        "seconds": tally.seconds,
+        "steps": steps,
+    }
+    path.write_text(json.dumps(form), "utf-8")
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/frame/cover/test_runner.py
+++ b/tests/frame/cover/test_runner.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from tests.__main__ import ROOT, Result, report, undiscovered
-from tests.common import known_red
+from tests.common import known_red, sidebyside
 
 
 class Sample(unittest.TestCase):
@@ -128,3 +128,23 @@
         for text in ("a | b | c\n" * 4, "a | | c\n", "a\n"):
             with self.subTest(text=text):
                 self.assertIsInstance(self.read(text), known_red.BadList)
+
+
+class TestSideBySide(unittest.TestCase):
+    def test_a_module_whose_process_dies_counts_as_a_failure(self):
+        """Symptom: a crash of the interpreter passes as a module without failures.
+
+        A module ends its process before the result is written, so nothing of it is
+        reported, and a sum over reported results leaves it out.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            package = Path(folder, "tests")
+            package.mkdir()
+            (package / "__main__.py").write_text("import os; os._exit(0)")
+            found = list(sidebyside.run_modules(["tests.x"], 1, Path(folder), []))
+        self.assertEqual(list(found[0].failed), ["tests.x"])
+
+    def test_a_module_reports_what_it_ran(self):
+        (found,) = sidebyside.run_modules(["tests.frame.cover.test_prove"], 1, ROOT, [])
+        self.assertTrue(found.ran)
+        self.assertEqual(found.failed, {}, found.output)
