--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 READY := $(VENV)/.ready
 PACKAGES := bambootiller-core bambootiller bambootiller-standins
 METADATA := $(PACKAGES:%=packages/%/pyproject.toml)
-SOURCES := packages tests $(wildcard spec)
+SOURCES := packages platform tests $(wildcard spec)
 AREAS ?=
 PARTS ?=
 
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
@@ -0,0 +1,140 @@
+"""What becomes of a call when an attempt ends without a whole answer.
+
+The one question is what is known of the run. A backend server's promise that it didn't
+run the call, or a connection that was never made, leaves every way open. Once the call
+was sent and nothing came back, it may have run: only an idempotent call may then be
+sent anew, and a resumable stream goes on behind its last whole event. Nothing else is
+ever sent twice, and its caller is told that the outcome isn't known, by a status that
+doesn't promise the opposite.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from bambootiller_core.gateway.calls import Call, Progress
+
+#: A further attempt that has less time left than this would be cut before it answers.
+#: Seconds.
+SHORTEST_ATTEMPT_S = 0.05
+#: When to come back after a refusal for which nothing better is known. Seconds.
+COME_BACK_S = 0.25
+
+
+class Ended(enum.Enum):
+    """How an attempt ended.
+
+    ``NOT_SENT``: no connection was made. ``REFUSED``: the backend server promises that
+    it hasn't run the call. ``UNKNOWN``: it was sent, and no usable answer came.
+    ``BROKEN``: the answer broke off after a part of it was passed on. ``TIMED_OUT``:
+    the call's own time was over.
+    """
+
+    NOT_SENT = "not sent"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    BROKEN = "broken off"
+    TIMED_OUT = "timed out"
+
+
+@dataclass(frozen=True, slots=True)
+class SendAgain:
+    """Send the call to another backend server.
+
+    ``resume`` asks for the run to go on behind the last event passed on.
+    ``costs_budget`` is False where the attempt before never arrived anywhere.
+    """
+
+    resume: bool
+    costs_budget: bool
+
+
+class Reason(enum.Enum):
+    """Why a call is ended without an answer of a backend server."""
+
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    NO_BACKEND = "no_backend"
+    BODY_TOO_LARGE = "body_too_large"
+    BAD_REQUEST = "bad_request"
+    REFUSED_BY_BACKEND = "refused_by_backend"
+    OVERLOADED = "overloaded"
+    COLD = "model_not_loaded_in_time"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    TIMED_OUT_UNSENT = "timed_out_before_sending"
+    TIMED_OUT = "timed_out"
+    LEAVING = "leaving"
+
+
+STATUS: dict[Reason, int] = {
+    Reason.NO_CONFIGURATION: 503,
+    Reason.NO_ROUTE: 404,
+    Reason.NO_BACKEND: 503,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.BAD_REQUEST: 400,
+    Reason.REFUSED_BY_BACKEND: 503,
+    Reason.OVERLOADED: 503,
+    Reason.COLD: 503,
+    Reason.OUTCOME_UNKNOWN: 502,
+    Reason.TIMED_OUT_UNSENT: 503,
+    Reason.TIMED_OUT: 504,
+    Reason.LEAVING: 503,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The gateway's own final answer. ``come_back_s`` is set where the call hasn't run
+    and may be sent again."""
+
+    reason: Reason
+    come_back_s: float | None = None
+    detail: str = ""
+
+    @property
+    def status(self) -> int:
+        """The HTTP status, 429 and 503 only where the call certainly hasn't run."""
+        return STATUS[self.reason]
+
+
+@dataclass(frozen=True, slots=True)
+class CutOff:
+    """Close the caller's connection, so that what it has doesn't look whole."""
+
+
+Decision = SendAgain | Refusal | CutOff
+
+
+def after(call: Call, progress: Progress, ended: Ended, now: float) -> Decision:
+    """What to do after an attempt of ``call`` has ended without a whole answer.
+
+    ``progress`` includes that attempt. A budget may still forbid a further attempt; the
+    caller of this function then takes :func:`give_up`.
+    """
+    if ended is Ended.TIMED_OUT or call.deadline - now < SHORTEST_ATTEMPT_S:
+        return give_up(progress, timed_out=ended is Ended.TIMED_OUT)
+    if not _may_send_again(call, progress, ended):
+        return give_up(progress)
+    return SendAgain(progress.passed_on, costs_budget=ended is not Ended.NOT_SENT)
+
+
+def give_up(progress: Progress, timed_out: bool = False) -> Refusal | CutOff:
+    """The final answer of a call that gets no further attempt."""
+    if progress.passed_on:
+        return CutOff()
+    if progress.may_have_run:
+        reason = Reason.TIMED_OUT if timed_out else Reason.OUTCOME_UNKNOWN
+        return Refusal(reason)
+    reason = Reason.TIMED_OUT_UNSENT if timed_out else Reason.REFUSED_BY_BACKEND
+    return Refusal(reason, COME_BACK_S)
+
+
+def _may_send_again(call: Call, progress: Progress, ended: Ended) -> bool:
+    if ended is not Ended.NOT_SENT and len(progress.tried) >= call.route.max_attempts:
+        return False
+    if progress.passed_on:
+        return call.route.resumable and progress.last_event is not None
+    if progress.may_have_run:
+        return call.may_rerun
+    return True
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
@@ -0,0 +1,73 @@
+"""One call of a caller, as the gateway decides on it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bambootiller_core.gateway.config import CallKind, Route
+
+#: Taken off the time that a backend server is given, so that its own refusal at the
+#: deadline still reaches the caller. Seconds.
+DEADLINE_MARGIN_S = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class ModelAsk:
+    """What a call of an engine asks for.
+
+    ``prefix`` are the ids of the prompt's parts that other calls may share, in order.
+    """
+
+    model: str
+    adapter: str = ""
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    prefix: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A call with its route resolved.
+
+    Times are seconds on this process's monotonic clock. ``deadline`` is when the final
+    answer is due: the earlier of the caller's own deadline and the route's timeout.
+    ``first_event_due`` is when the caller of a stream leaves if nothing has come.
+    ``resume_after`` is the last event that the caller of a resumed stream already has.
+    """
+
+    request_id: str
+    route: Route
+    service: str
+    arrived: float
+    deadline: float
+    first_event_due: float
+    ask: ModelAsk | None = None
+    resume_after: int | None = None
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a series of events."""
+        return self.route.kind is CallKind.STREAM
+
+    @property
+    def may_rerun(self) -> bool:
+        """Whether a second run from the start harms nobody, whatever the first did.
+
+        A stream that may be resumed may also be run anew as long as nothing of the
+        first run has been passed on.
+        """
+        return self.route.idempotent or (self.is_stream and self.route.resumable)
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far a call has come.
+
+    ``tried`` are the backend servers that it was sent to; ``last_event`` is the number
+    of the last whole event passed on.
+    """
+
+    tried: list[str] = field(default_factory=list)
+    may_have_run: bool = False
+    passed_on: bool = False
+    last_event: int | None = None
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -0,0 +1,73 @@
+"""How much each model is asked for at one entry."""
+
+from __future__ import annotations
+
+import math
+
+from bambootiller_core.gateway.residency import Want
+
+#: Demand fades by this factor of e in this time: long enough to see a model that is
+#: asked for once in a few seconds, short enough to follow demand that moves on. Seconds.
+MEMORY_S = 8.0
+#: A call that was refused because its model wasn't there counts as waiting for so long:
+#: its caller was told to come back, so the load has to go on. Seconds.
+REFUSED_WAITS_S = 3.0
+#: Below this rate a model isn't told of any more. Calls a second.
+LEAST_RATE = 0.005
+
+
+class Demand:
+    """Calls a second and calls waiting, by model.
+
+    Example::
+
+        demand.asked(now, "tutor")
+        with_waiting = demand.begin_waiting("tutor")
+        ...
+        demand.end_waiting("tutor")
+    """
+
+    def __init__(self) -> None:
+        self._rates: dict[str, tuple[float, float]] = {}
+        self._waiting: dict[str, int] = {}
+        self._refused: dict[str, float] = {}
+
+    def asked(self, now: float, model: str) -> None:
+        """A call asks for the model."""
+        rate = self._rate(now, model) + 1.0 / MEMORY_S
+        self._rates[model] = (rate, now)
+
+    def begin_waiting(self, model: str) -> None:
+        """A call begins to wait for the model to be loaded."""
+        self._waiting[model] = self._waiting.get(model, 0) + 1
+
+    def end_waiting(self, model: str) -> None:
+        """It waits no more."""
+        left = self._waiting.get(model, 0) - 1
+        if left > 0:
+            self._waiting[model] = left
+        else:
+            self._waiting.pop(model, None)
+
+    def refused(self, now: float, model: str) -> None:
+        """A call was refused because the model isn't there in time."""
+        self._refused[model] = now
+
+    def wants(self, now: float, holders: dict[str, int]) -> dict[str, Want]:
+        """The demand for each model asked for lately."""
+        found = {}
+        for model in list(self._rates):
+            rate = self._rate(now, model)
+            waiting = self._waiting.get(model, 0)
+            if now - self._refused.get(model, float("-inf")) < REFUSED_WAITS_S:
+                waiting += 1
+            if rate < LEAST_RATE and not waiting:
+                del self._rates[model]
+                self._refused.pop(model, None)
+                continue
+            found[model] = Want(rate, waiting, holders.get(model, 0))
+        return found
+
+    def _rate(self, now: float, model: str) -> float:
+        rate, at = self._rates.get(model, (0.0, now))
+        return rate * math.exp((at - now) / MEMORY_S)
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -0,0 +1,238 @@
+"""What an entry knows of the backend servers, with the age of each part.
+
+Two sources tell of a backend server. The registry in the store says who exists, where,
+and who is leaving; it is the authority on both. The agent beside an engine tells what
+the engine holds and how busy it is, fresher than the registry by a second or more. What
+an agent said stays true for holdings after the agent falls silent, because nobody else
+orders its engine to unload; its load figures don't.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+#: An agent that hasn't been heard for so long takes no orders, as far as an entry
+#: knows. Agents speak at least every half second. Seconds.
+AGENT_SILENT_S = 1.5
+#: Load figures older than this tell nothing. Seconds.
+FIGURES_LIFE_S = 1.0
+#: While the store was away the registry may have dropped entries of live backend
+#: servers; those are back within two seconds of the store's return. Seconds.
+LAPSE_GRACE_S = 2.3
+
+
+@dataclass(frozen=True, slots=True)
+class Registered:
+    """A backend server as the registry lists it; ``instance`` is new at each start."""
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    revision: int
+    holdings: Mapping[str, frozenset[str]] = field(default_factory=dict)
+
+    @property
+    def host(self) -> str:
+        """The IP address without the port."""
+        return self.address.rsplit(":", 1)[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Loading:
+    """A model on its way in; ``left_s`` is the estimate of the time still needed."""
+
+    model: str
+    left_s: float
+    from_store: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """What an agent says of the engine beside it.
+
+    ``holdings`` maps each held model to its adapters. ``in_memory`` and ``on_disk`` are
+    copies of weights from which a load is faster. ``in_use`` counts, for each model, the
+    calls that entries have under way there; ``keep_values`` how much it matters to all
+    entries together that each held model stays. In ``in_use``, MODEL/ADAPTER counts those of an adapter.
+    """
+
+    instance: str
+    holdings: Mapping[str, frozenset[str]]
+    loading: Loading | None = None
+    busy: bool = False
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    running: int = 0
+    queued: int = 0
+    memory_mb_used: float = 0.0
+    orderable: bool = True
+    keep_values: Mapping[str, float] = field(default_factory=dict)
+    in_use: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Backend:
+    """One backend server as an entry sees it; ``in_flight`` counts its own calls."""
+
+    registered: Registered
+    engine: EngineState | None = None
+    heard_at: float = float("-inf")
+    in_flight: int = 0
+    in_flight_by_model: dict[str, int] = field(default_factory=dict)
+    missing_since: float | None = None
+
+    @property
+    def instance(self) -> str:
+        """The name of this start of the backend server."""
+        return self.registered.instance
+
+    @property
+    def holdings(self) -> Mapping[str, frozenset[str]]:
+        """The models held, with their adapters, from the fresher source."""
+        if self.engine is not None:
+            return self.engine.holdings
+        return self.registered.holdings
+
+    def agent_heard(self, now: float) -> bool:
+        """Whether the agent has spoken lately."""
+        return self.engine is not None and now - self.heard_at < AGENT_SILENT_S
+
+    def takes_orders(self, now: float) -> bool:
+        """Whether a load can be ordered here."""
+        if self.registered.leaving or not self.agent_heard(now):
+            return False
+        return self.engine.orderable
+
+    def occupied(self, now: float) -> int:
+        """Calls running or queued here, as far as known."""
+        if self.engine is None or now - self.heard_at > FIGURES_LIFE_S:
+            return self.in_flight
+        return max(self.in_flight, self.engine.running + self.engine.queued)
+
+
+class Fleet:
+    """The backend servers by instance, from the registry and the agents.
+
+    Example::
+
+        fleet.registry_changed(now, record)
+        fleet.engine_told(now, state)
+        for backend in fleet.of_service("tutor"): ...
+    """
+
+    def __init__(self) -> None:
+        self._backends: dict[str, Backend] = {}
+        self._returned_at = float("-inf")
+
+    def __iter__(self) -> Iterator[Backend]:
+        return iter(self._backends.values())
+
+    def get(self, instance: str) -> Backend | None:
+        """The backend server, if it is known."""
+        return self._backends.get(instance)
+
+    def of_service(self, service: str) -> list[Backend]:
+        """Those that may be given work of the service: listed, and not leaving."""
+        return [
+            backend
+            for backend in self._backends.values()
+            if backend.registered.service == service and not backend.registered.leaving
+        ]
+
+    def store_returned(self, now: float) -> None:
+        """The store answers again after it was away; entries may be missing for now."""
+        self._returned_at = now
+
+    def registry_changed(self, now: float, record: Registered) -> None:
+        """Take over an entry of the registry, unless a newer one is held."""
+        held = self._backends.get(record.instance)
+        if held is None:
+            self._backends[record.instance] = Backend(record)
+            return
+        held.missing_since = None
+        if record.revision < held.registered.revision:
+            return
+        if held.registered.leaving and not record.leaving:
+            # A start that leaves doesn't come back; a late write would undo the drain.
+            return
+        held.registered = record
+
+    def registry_removed(self, now: float, instance: str) -> None:
+        """The registry lists the instance no more.
+
+        Shortly after the store's return that says little: the entry may have lapsed
+        while the store couldn't hear the backend server.
+        """
+        held = self._backends.get(instance)
+        if held is None:
+            return
+        if now - self._returned_at < LAPSE_GRACE_S and not held.registered.leaving:
+            if held.missing_since is None:
+                held.missing_since = now
+            return
+        del self._backends[instance]
+
+    def registry_listed(self, now: float, records: Iterable[Registered]) -> None:
+        """Take over the whole registry."""
+        listed = set()
+        for record in records:
+            listed.add(record.instance)
+            self.registry_changed(now, record)
+        for instance in list(self._backends):
+            if instance not in listed:
+                self.registry_removed(now, instance)
+
+    def sweep(self, now: float) -> list[str]:
+        """Drop those that stayed missing after the store's return; return their
+        names."""
+        gone = [
+            backend.instance
+            for backend in self._backends.values()
+            if backend.missing_since is not None
+            and now - self._returned_at >= LAPSE_GRACE_S
+        ]
+        for instance in gone:
+            del self._backends[instance]
+        return gone
+
+    def engine_told(self, now: float, state: EngineState) -> bool:
+        """Take over what an agent said; False if the instance isn't listed (yet)."""
+        backend = self._backends.get(state.instance)
+        if backend is None:
+            return False
+        backend.engine = state
+        backend.heard_at = now
+        return True
+
+    def call_sent(self, instance: str, model: str, adapter: str = "") -> None:
+        """One of this entry's calls goes to the instance."""
+        backend = self._backends.get(instance)
+        if backend is None:
+            return
+        backend.in_flight += 1
+        uses = backend.in_flight_by_model
+        for name in used_names(model, adapter):
+            uses[name] = uses.get(name, 0) + 1
+
+    def call_ended(self, instance: str, model: str, adapter: str = "") -> None:
+        """That call has ended."""
+        backend = self._backends.get(instance)
+        if backend is None:
+            return
+        backend.in_flight = max(0, backend.in_flight - 1)
+        uses = backend.in_flight_by_model
+        for name in used_names(model, adapter):
+            left = uses.pop(name, 0) - 1
+            if left > 0:
+                uses[name] = left
+
+
+def used_names(model: str, adapter: str) -> tuple[str, ...]:
+    """The names under which a call's use of its model and adapter is counted."""
+    if not model:
+        return ()
+    return (model, f"{model}/{adapter}") if adapter else (model,)
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/health.py
@@ -0,0 +1,112 @@
+"""How well each backend server serves, judged by the calls themselves.
+
+A health check can pass while calls fail, and the other way round, and probing has its
+price; so what counts is what becomes of real calls. A service may fail a part of its
+calls by design, so a backend server is compared with the others of its service.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+#: The weight of the newest call in the running means.
+NEWEST_WEIGHT = 0.15
+#: A judgement fades by half in this time, so that a backend server that has recovered
+#: is tried again. Seconds.
+HALF_LIFE_S = 4.0
+#: Failure rates that differ by less than this from the service's mean are luck.
+EQUAL_RATE = 0.08
+#: What a failure rate above the mean costs, in units of a full batch.
+RATE_COST = 6.0
+#: Answers slower than this many times the service's mean cost something.
+SLOW_FACTOR = 1.7
+SLOW_COST = 0.5
+#: How long a backend server that couldn't be connected to is left alone; doubled with
+#: each further failure up to the longest. Seconds.
+UNREACHABLE_S = 0.4
+UNREACHABLE_MAX_S = 4.0
+
+
+@dataclass(slots=True)
+class _Score:
+    failures: float = 0.0
+    latency_s: float | None = None
+    noted_at: float = 0.0
+    unreachable: int = 0
+    avoid_until: float = 0.0
+
+
+class Health:
+    """Failure rates and latencies of the backend servers of one service."""
+
+    def __init__(self) -> None:
+        self._scores: dict[str, _Score] = {}
+
+    def succeeded(self, now: float, instance: str, latency_s: float) -> None:
+        """A call was answered; ``latency_s`` is the time to the first part of it."""
+        score = self._fresh(now, instance)
+        score.failures *= 1 - NEWEST_WEIGHT
+        score.unreachable = 0
+        if score.latency_s is None:
+            score.latency_s = latency_s
+        score.latency_s += NEWEST_WEIGHT * (latency_s - score.latency_s)
+
+    def failed(self, now: float, instance: str) -> None:
+        """A call failed there, was refused, or got a useless answer."""
+        score = self._fresh(now, instance)
+        score.failures += NEWEST_WEIGHT * (1 - score.failures)
+
+    def unreachable(self, now: float, instance: str) -> None:
+        """No connection could be made."""
+        score = self._fresh(now, instance)
+        pause = min(UNREACHABLE_S * 2**score.unreachable, UNREACHABLE_MAX_S)
+        score.unreachable = min(score.unreachable + 1, 8)
+        score.avoid_until = now + pause
+
+    def avoided(self, now: float, instance: str) -> bool:
+        """Whether the backend server couldn't be reached a moment ago."""
+        score = self._scores.get(instance)
+        return score is not None and now < score.avoid_until
+
+    def cost(self, now: float, instance: str) -> float:
+        """What choosing it costs, 0 for one that is as good as the others."""
+        score = self._scores.get(instance)
+        if score is None:
+            return 0.0
+        excess = _faded(score, now) - self._mean_failures(now) - EQUAL_RATE
+        cost = RATE_COST * max(0.0, excess)
+        typical = self._typical_latency()
+        if score.latency_s is not None and typical > 0:
+            slowness = score.latency_s / typical - SLOW_FACTOR
+            cost += SLOW_COST * max(0.0, slowness) * _fading(score, now)
+        return cost
+
+    def forget(self, instance: str) -> None:
+        """The backend server is gone."""
+        self._scores.pop(instance, None)
+
+    def _fresh(self, now: float, instance: str) -> _Score:
+        score = self._scores.setdefault(instance, _Score(noted_at=now))
+        score.failures = _faded(score, now)
+        score.noted_at = now
+        return score
+
+    def _mean_failures(self, now: float) -> float:
+        rates = sorted(_faded(score, now) for score in self._scores.values())
+        return rates[len(rates) // 2] if len(rates) > 2 else 0.0
+
+    def _typical_latency(self) -> float:
+        seen = sorted(
+            score.latency_s
+            for score in self._scores.values()
+            if score.latency_s is not None
+        )
+        return seen[(len(seen) - 1) // 2] if len(seen) > 1 else 0.0
+
+
+def _fading(score: _Score, now: float) -> float:
+    return 0.5 ** (max(0.0, now - score.noted_at) / HALF_LIFE_S)
+
+
+def _faded(score: _Score, now: float) -> float:
+    return score.failures * _fading(score, now)
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -0,0 +1,448 @@
+"""The orders that one agent gives its engine: which comes next, and what became of it.
+
+Only the agent beside an engine gives it orders, so what it may hold is decided in one
+place. Three things can go wrong, and each is met here.
+
+- *An order beyond the memory crashes the engine.* What is held, what is on its way in
+  and what an order still unsettled may bring all count until a report shows otherwise.
+- *An order without an answer may be carried out seconds later, after newer orders.*
+  Each order names the number of orders that the engine has accepted so far, and the
+  engine refuses it once that number has moved on. The same order is sent again with the
+  same number until the number moves, so exactly one of the copies can take effect.
+- *A report is older than the last order.* After each order nothing further is decided
+  until a report has been read that was asked for later.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+from bambootiller_core.gateway.config import EngineSpec
+from bambootiller_core.gateway.fleet import EngineState, Loading
+from bambootiller_core.gateway.residency import Want, choose_victims, keep_values
+
+#: Adapters that may be on their way to an engine at a time.
+ADAPTERS_AT_ONCE = 4
+#: What an entry asked for is forgotten after this time unless it is asked for again.
+#: Seconds.
+WISH_LIFE_S = 1.5
+#: An entry's figures of use count for this long after it fell silent: its calls may
+#: still be running here. Seconds.
+USE_LIFE_S = 3.0
+#: A model stays at least this long once it is loaded. Seconds.
+SHORTEST_TURN_S = 0.6
+#: The urgency of what calls wait for now; higher ones are asked for ahead of demand.
+WAITED_FOR = 0
+#: An adapter used this recently isn't unloaded: the call that wanted it may be
+#: on its way. Seconds.
+USED_LATELY_S = 0.4
+#: A load that has outlived its estimate is expected to last this part of it longer.
+OVERRUN_SHARE = 0.15
+
+
+class OrderKind(enum.Enum):
+    """What an engine is told to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOrder:
+    """An order; ``expected`` is the number of orders accepted before it."""
+
+    kind: OrderKind
+    model: str
+    adapter: str
+    expected: int
+
+
+class OrderAnswer(enum.Enum):
+    """What the engine said to an order.
+
+    ``ACCEPTED``: it is being carried out. ``HOLDS``: it has been carried out, or was so
+    already. ``CONFLICT``: another order is in progress, or the number accepted differs.
+    ``FENCED``: a higher fencing token has been seen. ``INVALID``: the engine knows no
+    such order. ``OTHER_INSTANCE``: another backend server has the address.
+    ``UNANSWERED``: it may have been accepted, or may be later.
+    """
+
+    ACCEPTED = "accepted"
+    HOLDS = "holds"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    INVALID = "invalid"
+    OTHER_INSTANCE = "other instance"
+    UNANSWERED = "unanswered"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an engine says of itself. ``accepted`` counts the orders accepted since its
+    start; ``adapters_coming`` are (model, adapter) on their way in."""
+
+    instance: str
+    holdings: Mapping[str, frozenset[str]]
+    accepted: int
+    busy: bool = False
+    adapters_coming: frozenset[tuple[str, str]] = frozenset()
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    running: int = 0
+    queued: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """A model, or an adapter of one, that an entry has calls for; 0 is most urgent."""
+
+    model: str
+    adapter: str = ""
+    urgency: int = 0
+
+
+@dataclass(slots=True)
+class _EntryUse:
+    """What one entry last said: demand and use by model, adapters in use."""
+
+    heard_at: float
+    wants: Mapping[str, Want]
+    in_use: Mapping[str, int]
+
+
+@dataclass(slots=True)
+class _Load:
+    model: str
+    began: float
+    seconds: float
+    from_store: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LoadEnded:
+    """A load that has ended; ``held`` tells whether the model is there."""
+
+    model: str
+    held: bool
+    seconds: float
+    from_store: bool
+
+
+@dataclass(slots=True)
+class _Book:
+    wishes: dict[tuple[str, str], tuple[Wish, float]] = field(default_factory=dict)
+    entries: dict[str, _EntryUse] = field(default_factory=dict)
+    used_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    loaded_at: dict[str, float] = field(default_factory=dict)
+
+
+class OrderBook:
+    """Decides the orders of one engine.
+
+    Example::
+
+        book.reported(now, report)
+        order = book.next_order(now)
+        if order is not None:
+            book.answered(now, order, await engine.order(order))
+    """
+
+    def __init__(self, engine: EngineSpec) -> None:
+        self._engine = engine
+        self._report: EngineReport | None = None
+        self._unsettled: EngineOrder | None = None
+        self._needs_report = True
+        self._load: _Load | None = None
+        self._unloading: str | None = None
+        self._book = _Book()
+        self.fenced = False
+
+    @property
+    def report(self) -> EngineReport | None:
+        """The latest report."""
+        return self._report
+
+    @property
+    def unsettled(self) -> EngineOrder | None:
+        """An order of which it isn't known whether it was accepted."""
+        return self._unsettled
+
+    def configured(self, engine: EngineSpec) -> None:
+        """A new configuration describes the engine."""
+        self._engine = engine
+
+    def wished(self, now: float, wish: Wish) -> None:
+        """An entry has calls that need the model or adapter."""
+        self._book.wishes[(wish.model, wish.adapter)] = (wish, now)
+        self._book.used_at[(wish.model, wish.adapter)] = now
+
+    def entry_told(
+        self,
+        now: float,
+        entry: str,
+        wants: Mapping[str, Want],
+        in_use: Mapping[str, int],
+    ) -> None:
+        """An entry's demand over all engines, and its calls here, by model."""
+        self._book.entries[entry] = _EntryUse(now, wants, in_use)
+
+    def reported(self, now: float, report: EngineReport) -> LoadEnded | None:
+        """Take over a report that was asked for after the last order was answered;
+        returns the load that it shows as ended, if any."""
+        if self._report is not None and report.instance != self._report.instance:
+            # A new start holds nothing and knows no orders; those to the last one are
+            # refused by its name.
+            self._load = self._unloading = self._unsettled = None
+        self._report = report
+        self._needs_report = False
+        unsettled = self._unsettled
+        if unsettled is not None and report.accepted > unsettled.expected:
+            self._unsettled = None
+            self._begun(now, unsettled)
+        return self._settle_progress(now, report)
+
+    def next_order(self, now: float) -> EngineOrder | None:
+        """The order to send now, if any."""
+        report = self._report
+        if report is None or self._needs_report or self.fenced:
+            return None
+        if self._unsettled is not None:
+            return self._unsettled
+        self._forget(now)
+        if report.busy or self._load is not None or self._unloading is not None:
+            # The engine turns down every order while it carries one out for a model,
+            # those for adapters too.
+            return None
+        wishes = [wish for wish, _ in self._book.wishes.values()]
+        wishes.sort(key=lambda wish: wish.urgency)
+        for wish in wishes:
+            order = self._for_adapter(now, wish) if wish.adapter else None
+            if order is not None:
+                return order
+        for wish in wishes:
+            order = None if wish.adapter else self._for_model(now, wish)
+            if order is not None:
+                return order
+        return None
+
+    def sending(self, order: EngineOrder) -> None:
+        """The order goes out now; until it is answered it may take effect."""
+        self._unsettled = order
+        if order.kind is OrderKind.UNLOAD and not order.adapter:
+            self._unloading = order.model
+
+    def answered(self, now: float, order: EngineOrder, answer: OrderAnswer) -> None:
+        """Note the engine's answer."""
+        self._needs_report = True
+        if answer is OrderAnswer.UNANSWERED:
+            return
+        if answer is OrderAnswer.CONFLICT:
+            # An earlier copy of this order may have been accepted, which the report's
+            # number tells; if it hasn't moved, another order is in progress.
+            return
+        self._unsettled = None
+        if answer is OrderAnswer.ACCEPTED or answer is OrderAnswer.HOLDS:
+            self._begun(now, order)
+            return
+        if answer is OrderAnswer.FENCED:
+            self.fenced = True
+        if self._unloading == order.model:
+            self._unloading = None
+
+    def conflict_seen(self, order: EngineOrder) -> None:
+        """A report after a conflict shows that the number hasn't moved: the order was
+        turned down, and all its copies are answered."""
+        if self._unsettled == order:
+            self._unsettled = None
+            if self._unloading == order.model and not order.adapter:
+                self._unloading = None
+
+    def state(self, now: float) -> EngineState | None:
+        """What entries are told of this engine."""
+        report = self._report
+        if report is None:
+            return None
+        holdings = {
+            model: adapters
+            for model, adapters in report.holdings.items()
+            if model != self._unloading
+        }
+        return EngineState(
+            instance=report.instance,
+            holdings=holdings,
+            loading=self._loading(now),
+            busy=report.busy,
+            in_memory=report.in_memory,
+            on_disk=report.on_disk,
+            running=report.running,
+            queued=report.queued,
+            memory_mb_used=self._memory_used(),
+            orderable=not self.fenced,
+            keep_values=keep_values(holdings, self._wants()),
+            in_use=self._in_use(now),
+        )
+
+    def _begun(self, now: float, order: EngineOrder) -> None:
+        if order.adapter:
+            return
+        if order.kind is OrderKind.UNLOAD:
+            self._unloading = order.model
+            return
+        spec = self._engine.models.get(order.model)
+        if spec is None:
+            return
+        report = self._report
+        if order.model in report.in_memory:
+            self._load = _Load(order.model, now, spec.memory_s, False)
+        elif order.model in report.on_disk:
+            self._load = _Load(order.model, now, spec.disk_s, False)
+        else:
+            self._load = _Load(order.model, now, spec.load_s, True)
+
+    def _settle_progress(self, now: float, report: EngineReport) -> LoadEnded | None:
+        load, ended = self._load, None
+        if load is not None:
+            held = load.model in report.holdings
+            if held or (not report.busy and now - load.began > USED_LATELY_S):
+                self._load = None
+                seconds = now - load.began
+                ended = LoadEnded(load.model, held, seconds, load.from_store)
+            if held:
+                self._book.loaded_at[load.model] = now
+        if self._unloading is not None and self._unsettled is None:
+            if self._unloading not in report.holdings or not report.busy:
+                self._unloading = None
+        return ended
+
+    def _loading(self, now: float) -> Loading | None:
+        load = self._load
+        if load is None:
+            return None
+        left = load.began + load.seconds - now
+        left = max(left, load.seconds * OVERRUN_SHARE)
+        return Loading(load.model, left, load.from_store)
+
+    def _forget(self, now: float) -> None:
+        book = self._book
+        for key, (_, at) in list(book.wishes.items()):
+            if now - at > WISH_LIFE_S:
+                del book.wishes[key]
+        for entry, use in list(book.entries.items()):
+            if now - use.heard_at > USE_LIFE_S:
+                del book.entries[entry]
+
+    def _for_adapter(self, now: float, wish: Wish) -> EngineOrder | None:
+        report = self._report
+        held = report.holdings.get(wish.model)
+        if held is None or wish.model == self._unloading or wish.adapter in held:
+            return None
+        coming = report.adapters_coming
+        if (wish.model, wish.adapter) in coming or len(coming) >= ADAPTERS_AT_ONCE:
+            return None
+        spec = self._engine.models.get(wish.model)
+        if spec is None:
+            return None
+        count = sum(len(adapters) for adapters in report.holdings.values())
+        slots_free = count + len(coming) < self._engine.adapter_slots
+        fits = self._memory_used() + spec.adapter_mb <= self._engine.memory_mb
+        if slots_free and fits:
+            return self._order(OrderKind.LOAD, wish.model, wish.adapter)
+        victim = self._idle_adapter(now)
+        if victim is None:
+            return None
+        return self._order(OrderKind.UNLOAD, *victim)
+
+    def _idle_adapter(self, now: float) -> tuple[str, str] | None:
+        used = self._book.used_at
+        in_use = self._in_use(now)
+        idle = [
+            (used.get((model, adapter), 0.0), model, adapter)
+            for model, adapters in self._report.holdings.items()
+            for adapter in adapters
+            if now - used.get((model, adapter), float("-inf")) > USED_LATELY_S
+            and not in_use.get(f"{model}/{adapter}")
+        ]
+        if not idle:
+            return None
+        _, model, adapter = min(idle)
+        return model, adapter
+
+    def _for_model(self, now: float, wish: Wish) -> EngineOrder | None:
+        report = self._report
+        spec = self._engine.models.get(wish.model)
+        if spec is None or wish.model in report.holdings:
+            return None
+        need = self._memory_used() + spec.size_mb - self._engine.memory_mb
+        if need <= 0:
+            return self._order(OrderKind.LOAD, wish.model, "")
+        wants = self._wants()
+        in_use = self._in_use(now)
+        incoming = wants.get(wish.model, Want())
+        if wish.urgency > WAITED_FOR:
+            incoming = replace(incoming, waiting=0)
+        elif not incoming.waiting:
+            incoming = replace(incoming, waiting=1)
+        values = keep_values(report.holdings, wants)
+        fresh = [name for name in report.holdings if self._loaded_lately(now, name)]
+        values.update(dict.fromkeys(fresh, float("inf")))
+        victims = choose_victims(
+            self._engine, report.holdings, need, in_use, values, incoming
+        )
+        if victims is None:
+            return None
+        return self._order(OrderKind.UNLOAD, victims.models[0], "")
+
+    def _loaded_lately(self, now: float, model: str) -> bool:
+        """Whether the model came so lately that its waiting calls may not be here yet,
+        or have only begun; unloaded now, it would have been loaded for nothing."""
+        return now - self._book.loaded_at.get(model, float("-inf")) < SHORTEST_TURN_S
+
+    def _order(self, kind: OrderKind, model: str, adapter: str) -> EngineOrder:
+        return EngineOrder(kind, model, adapter, self._report.accepted)
+
+    def _memory_used(self) -> float:
+        """Megabytes held, on their way in, or possibly brought by an unsettled order."""
+        report = self._report
+        total = 0.0
+        for model, adapters in report.holdings.items():
+            total += self._size(model) + len(adapters) * self._adapter_size(model)
+        for model, _ in report.adapters_coming:
+            total += self._adapter_size(model)
+        if self._load is not None and self._load.model not in report.holdings:
+            total += self._size(self._load.model)
+        unsettled = self._unsettled
+        if unsettled is not None and unsettled.kind is OrderKind.LOAD:
+            adapter = unsettled.adapter
+            size = self._adapter_size if adapter else self._size
+            total += size(unsettled.model)
+        return total
+
+    def _size(self, model: str) -> float:
+        spec = self._engine.models.get(model)
+        # A model that the configuration doesn't list any more still fills memory.
+        return self._engine.memory_mb if spec is None else spec.size_mb
+
+    def _adapter_size(self, model: str) -> float:
+        spec = self._engine.models.get(model)
+        return 0.0 if spec is None else spec.adapter_mb
+
+    def _wants(self) -> dict[str, Want]:
+        merged: dict[str, Want] = {}
+        for use in self._book.entries.values():
+            for model, want in use.wants.items():
+                held = merged.get(model, Want())
+                merged[model] = Want(
+                    held.rate + want.rate,
+                    held.waiting + want.waiting,
+                    max(held.holders, want.holders),
+                )
+        return merged
+
+    def _in_use(self, now: float) -> dict[str, int]:
+        merged: dict[str, int] = {}
+        for use in self._book.entries.values():
+            for model, count in use.in_use.items():
+                merged[model] = merged.get(model, 0) + count
+        return merged
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -0,0 +1,341 @@
+"""Which engine loads which model next, and when a waiting call can be served.
+
+Most models are idle, and only a part of them fits on the engines at a time. A load from
+the weight store takes long and the store serves few at once; a load from a copy on an
+engine's own disk or in its memory is many times faster. So each model is fetched from
+the store once, as early as possible, and comes back from its copy from then on.
+
+All entries work out the same plan from nearly the same figures, so no entry leads. Each
+asks agents for the loads that it has calls for; an agent carries out one load at a time
+and tells all entries at once, so that two of them seldom ask for the same model at two
+engines. Where that happens it costs a load, and breaks no promise.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from bambootiller_core import rendezvous
+from bambootiller_core.gateway.config import EngineSpec, ModelSpec
+from bambootiller_core.gateway.fleet import Backend
+
+#: Loads that the weight store serves at full speed; more at a time come no sooner and
+#: slow down the first. Stated by the first users for their sites of today.
+STORE_LOADS = 4
+#: An order takes this long besides the load itself. Seconds.
+ORDER_S = 0.05
+#: Loads longer than this stand in the way of others at the same engine. Seconds.
+LONG_LOAD_S = 1.5
+#: A model that must wait for another's calls to end there waits about so long. Seconds.
+RUN_S = 1.5
+#: A model that takes at least this part of all demand gets a second engine, so that the
+#: loss of one doesn't stop it.
+SECOND_COPY_SHARE = 0.08
+#: Demand that is this many times another's isn't made way for it.
+KEEP_FACTOR = 3.0
+#: What keeping a model is worth without any demand for it, so that of models nobody
+#: asks for the one that several engines hold goes first. Calls a second.
+LEAST_KEEP = 0.01
+#: What the demand for a model that nobody has asked for yet is taken for, in calls a
+#: second: about that of a rarely used model.
+LEAST_VALUE = 0.1
+#: A model with calls under way makes way only if it is wanted no more than this: the
+#: calls a second of a rarely used model, or of one that other engines hold as well.
+MOST_CUT_SHORT = 1.0
+#: What a call that waits now adds to a model's demand, against its calls per second.
+WAITING_WEIGHT = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """The demand for one model: calls a second, calls waiting, and engines holding it."""
+
+    rate: float = 0.0
+    waiting: int = 0
+    holders: int = 0
+
+    @property
+    def value(self) -> float:
+        """How much a load is worth, to compare models."""
+        return self.rate + WAITING_WEIGHT * self.waiting
+
+    @property
+    def value_of_one(self) -> float:
+        """How much it matters that one engine keeps the model. Every further engine
+        that holds it as well makes it matter far less."""
+        return (LEAST_KEEP + self.value) / max(1, self.holders) ** 2
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedLoad:
+    """A load that is under way or planned, and when the model can be used."""
+
+    model: str
+    instance: str
+    ready_in_s: float
+    ask_now: bool
+    from_store: bool
+
+
+@dataclass(slots=True)
+class _Place:
+    """An engine while a plan is made; ``free_in_s`` is when its next order can begin."""
+
+    backend: Backend
+    free_in_s: float
+    planned: int = 0
+    taken: set[str] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class _Option:
+    place: _Place
+    ready_in_s: float
+    from_store: bool
+
+
+def tier_seconds(spec: ModelSpec, backend: Backend) -> tuple[float, bool]:
+    """How long a load takes there, and whether it draws on the weight store."""
+    state = backend.engine
+    if state is not None and spec.name in state.in_memory:
+        return spec.memory_s, False
+    if state is not None and spec.name in state.on_disk:
+        return spec.disk_s, False
+    return spec.load_s, True
+
+
+def has_copy(name: str, backend: Backend) -> bool:
+    """Whether the engine holds the model or a copy of its weights."""
+    state = backend.engine
+    if name in backend.holdings:
+        return True
+    if state is None:
+        return False
+    loading = state.loading is not None and state.loading.model == name
+    return loading or name in state.in_memory or name in state.on_disk
+
+
+class Planner:
+    """Plans the loads of one service of engines."""
+
+    def __init__(self, engine: EngineSpec) -> None:
+        self._engine = engine
+
+    def plan(
+        self,
+        now: float,
+        backends: Iterable[Backend],
+        wants: Mapping[str, Want],
+    ) -> dict[str, PlannedLoad]:
+        """The loads to come, by model, the most wanted first.
+
+        A model that is held somewhere doesn't appear unless a second engine shall hold
+        it as well. Models that no engine has a copy of are fetched even if nobody asks
+        for them yet, behind all others.
+        """
+        known = [backend for backend in backends if backend.engine is not None]
+        places = [
+            self._place(backend) for backend in known if backend.takes_orders(now)
+        ]
+        plan = _under_way(known)
+        store_loads = sum(1 for load in plan.values() if load.from_store)
+        for spec in self._in_order(known, wants, plan):
+            option = self._best(spec, places, wants, now)
+            if option is None:
+                continue
+            waits_for_store = option.from_store and store_loads >= STORE_LOADS
+            ready = option.ready_in_s
+            if waits_for_store:
+                queued = store_loads - STORE_LOADS + 1
+                ready += spec.load_s * queued / STORE_LOADS
+            starts_now = option.place.free_in_s <= 0 and option.place.planned == 0
+            plan[spec.name] = PlannedLoad(
+                spec.name,
+                option.place.backend.instance,
+                ready,
+                ask_now=starts_now and not waits_for_store,
+                from_store=option.from_store,
+            )
+            store_loads += option.from_store
+            self._occupy(option, spec)
+        return plan
+
+    def _in_order(
+        self,
+        known: list[Backend],
+        wants: Mapping[str, Want],
+        plan: Mapping[str, PlannedLoad],
+    ) -> list[ModelSpec]:
+        holders = {name: 0 for name in self._engine.models}
+        copied = set()
+        for backend in known:
+            for name in self._engine.models:
+                if has_copy(name, backend):
+                    copied.add(name)
+            for name in backend.holdings:
+                if name in holders:
+                    holders[name] += 1
+        total = sum(want.rate for want in wants.values())
+        ranked = []
+        for name, spec in self._engine.models.items():
+            if name in plan:
+                continue
+            want = wants.get(name, Want())
+            rank = _rank(want, holders[name], name in copied, total)
+            if rank is not None:
+                # Entries agree on the order of equals, and so seldom ask for the same.
+                tie = rendezvous.weight("fetch", name)
+                ranked.append((rank, -want.value, tie, spec))
+        ranked.sort(key=lambda item: item[:3])
+        return [item[3] for item in ranked]
+
+    def _place(self, backend: Backend) -> _Place:
+        state = backend.engine
+        free_in = 0.0
+        if state.loading is not None:
+            free_in = max(ORDER_S, state.loading.left_s)
+        elif state.busy:
+            free_in = RUN_S
+        return _Place(backend, free_in)
+
+    def _best(
+        self,
+        spec: ModelSpec,
+        places: list[_Place],
+        wants: Mapping[str, Want],
+        now: float,
+    ) -> _Option | None:
+        want = wants.get(spec.name, Want())
+        options = []
+        for place in places:
+            if spec.name in place.backend.holdings or place.planned > 2:
+                continue
+            victims = self._victims(spec, want, place)
+            if victims is None:
+                continue
+            seconds, from_store = tier_seconds(spec, place.backend)
+            if seconds > LONG_LOAD_S and self._last_for_adapters(place, places, wants):
+                continue
+            ready = place.free_in_s + seconds + ORDER_S + RUN_S * victims.busy
+            options.append(_Option(place, ready, from_store))
+        return min(
+            options,
+            key=lambda opt: (
+                round(opt.ready_in_s, 1),
+                -rendezvous.weight(spec.name, opt.place.backend.instance),
+            ),
+            default=None,
+        )
+
+    def _last_for_adapters(
+        self, place: _Place, places: list[_Place], wants: Mapping[str, Want]
+    ) -> bool:
+        """Whether a long load here would leave a model without a place for adapters.
+
+        An engine that loads a model takes no order for an adapter meanwhile. So of the
+        engines that hold a model with adapters in demand, one is kept free.
+        """
+        for name in place.backend.holdings:
+            spec = self._engine.models.get(name)
+            if spec is None or not spec.adapters or not wants.get(name, Want()).rate:
+                continue
+            others = (
+                other
+                for other in places
+                if other is not place
+                and name in other.backend.holdings
+                and other.free_in_s < LONG_LOAD_S
+            )
+            if not any(others):
+                return True
+        return False
+
+    def _victims(self, spec: ModelSpec, want: Want, place: _Place) -> Victims | None:
+        state = place.backend.engine
+        need = spec.size_mb - (self._engine.memory_mb - state.memory_mb_used)
+        return choose_victims(
+            self._engine,
+            state.holdings,
+            need,
+            state.in_use,
+            state.keep_values,
+            want,
+        )
+
+    def _occupy(self, option: _Option, spec: ModelSpec) -> None:
+        option.place.free_in_s = option.ready_in_s
+        option.place.planned += 1
+        option.place.taken.add(spec.name)
+
+
+def _rank(want: Want, holders: int, copied: bool, total_rate: float) -> int | None:
+    """How soon a model is to be loaded, 0 first; None if it isn't to be."""
+    if holders == 0 and want.waiting:
+        return 0
+    if holders == 0 and not copied:
+        return 1 if want.rate > 0 else 3
+    if holders == 1 and total_rate > 0:
+        return 2 if want.rate / total_rate >= SECOND_COPY_SHARE else None
+    return None
+
+
+def _under_way(known: list[Backend]) -> dict[str, PlannedLoad]:
+    found = {}
+    for backend in known:
+        loading = backend.engine.loading
+        if loading is not None:
+            found[loading.model] = PlannedLoad(
+                loading.model,
+                backend.instance,
+                loading.left_s,
+                ask_now=False,
+                from_store=loading.from_store,
+            )
+    return found
+
+
+@dataclass(frozen=True, slots=True)
+class Victims:
+    """Models that make way; ``busy`` if some have calls that must end first."""
+
+    models: tuple[str, ...]
+    busy: bool = False
+
+
+def choose_victims(
+    engine: EngineSpec,
+    holdings: Mapping[str, frozenset[str]],
+    need_mb: float,
+    in_use: Mapping[str, int],
+    keep_values: Mapping[str, float],
+    incoming: Want,
+) -> Victims | None:
+    """Which held models make way for ``need_mb`` more; None if that isn't worth it.
+
+    Among the models without calls the least wanted goes first, and none that is wanted
+    far more than the one that comes. Only calls that wait make a model with calls go:
+    it takes no new ones from then on, so rarely used models share an engine by turns.
+    """
+    if need_mb <= 0:
+        return Victims(())
+    order = sorted(holdings, key=lambda name: (keep_values.get(name, 0.0), name))
+    idle = [name for name in order if not in_use.get(name)]
+    busy = [name for name in order if in_use.get(name)] if incoming.waiting else []
+    most = KEEP_FACTOR * max(incoming.value, LEAST_VALUE)
+    chosen: list[str] = []
+    for name in idle + busy:
+        limit = MOST_CUT_SHORT if name in busy else most
+        spec = engine.models.get(name)
+        if spec is None or keep_values.get(name, 0.0) > limit:
+            continue
+        chosen.append(name)
+        need_mb -= spec.size_mb + len(holdings[name]) * spec.adapter_mb
+        if need_mb <= 0:
+            return Victims(tuple(chosen), any(name in busy for name in chosen))
+    return None
+
+
+def keep_values(holdings: Iterable[str], wants: Mapping[str, Want]) -> dict[str, float]:
+    """How much it matters that an engine keeps each model that it holds."""
+    return {name: wants.get(name, Want()).value_of_one for name in holdings}
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/selection.py
@@ -0,0 +1,78 @@
+"""Which backend server a call goes to."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+
+from bambootiller_core import rendezvous
+from bambootiller_core.gateway.calls import Call, ModelAsk
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.health import Health
+
+#: What another availability zone costs, in units of a full batch: traffic between zones
+#: is paid for, and takes a little longer.
+ZONE_COST = 0.08
+#: What it costs not to be the one that the prompt's shared parts are kept at.
+PREFIX_COST = 0.2
+#: Equal backend servers are drawn from, or all entries would choose the same one.
+JITTER = 0.04
+#: An entry has no more of its own calls at a backend server than this many times what
+#: it serves at once; more would be refused there.
+MOST_OCCUPIED = 1.5
+
+
+def choose(
+    now: float,
+    call: Call,
+    candidates: Iterable[Backend],
+    health: Health,
+    zone: str,
+    rng: random.Random,
+) -> Backend | None:
+    """The best of the candidates, or None if each has as much as it can take.
+
+    One that couldn't be reached a moment ago is taken only if there is no other: after
+    a cut that takes all of them, somebody has to try.
+    """
+    free = [backend for backend in candidates if not is_full(backend, now)]
+    reachable = [
+        backend for backend in free if not health.avoided(now, backend.instance)
+    ]
+    able = reachable or free
+    if not able:
+        return None
+    preferred = _prefix_home(call, able)
+
+    def cost(backend: Backend) -> float:
+        total = backend.occupied(now) / max(1, backend.registered.slots)
+        total += health.cost(now, backend.instance)
+        total += ZONE_COST * (backend.registered.zone != zone)
+        if preferred is not None:
+            total += PREFIX_COST * (backend.instance != preferred)
+        return total + rng.random() * JITTER
+
+    return min(able, key=cost)
+
+
+def is_full(backend: Backend, now: float) -> bool:
+    """Whether one more call would only wait or be refused there."""
+    return backend.occupied(now) >= MOST_OCCUPIED * max(1, backend.registered.slots)
+
+
+def home_weight(ask: ModelAsk, instance: str) -> int:
+    """How early an engine comes in the order in which all entries seek a home for an
+    adapter; the greatest weight is first."""
+    return rendezvous.weight(f"{ask.model}/{ask.adapter}", instance)
+
+
+def _prefix_home(call: Call, able: Sequence[Backend]) -> str | None:
+    """Where the shared parts of the prompt are kept, if all entries choose alike.
+
+    The last part is the call's own, so it says nothing of what is shared.
+    """
+    if call.ask is None or len(call.ask.prefix) < 2:
+        return None
+    ask = call.ask
+    subject = f"{ask.model}/{ask.adapter}/{ask.prefix[-2]}"
+    return rendezvous.first(subject, [backend.instance for backend in able])
--- a/packages/bambootiller/src/bambootiller/app.py
+++ b/packages/bambootiller/src/bambootiller/app.py
@@ -22,7 +22,7 @@
 import signal
 import sys
 import traceback
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
 from bambootiller import logs
@@ -85,6 +85,7 @@
         self.http_port: int | None = None
         self.leaving = False
         self._components: list[Component] = []
+        self._reloads: list[Callable[[], None]] = []
         self._tasks: set[asyncio.Task] = set()
         self._stop = asyncio.Event()
         self._timer_wake = asyncio.Event()
@@ -116,6 +117,11 @@
         task.add_done_callback(self._task_done)
         return task
 
+    def on_reload(self, reload: Callable[[], None]) -> None:
+        """Have ``reload()`` called when the process is told to read its settings
+        again. Settings from flags and variables hold for the life of a process."""
+        self._reloads.append(reload)
+
     def request_stop(self) -> None:
         """Begin a planned stop; asking twice changes nothing."""
         self._stop.set()
@@ -181,6 +187,13 @@
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self.request_stop)
+        # Left alone, a hang-up ends the process, and with it every call under way.
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        log.info("reload asked for; {} parts take it up", len(self._reloads))
+        for reload in self._reloads:
+            reload()
 
     def _announce_ready(self) -> None:
         line = {
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -0,0 +1,287 @@
+"""The gateway's agent as a component of the application: orders for one engine."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from bambootiller.app import Application
+from bambootiller.gateway import wire
+from bambootiller.gateway.eventlog import EventLog
+from bambootiller.gateway.exchange import Exchanger, ResidencyServicer, Update
+from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
+from bambootiller.gateway.ports import Engine, EngineSilent, Platform
+from bambootiller.rpc import bambootiller_pb2_grpc as api
+from bambootiller_core.gateway.config import EngineSpec, GatewayConfig
+from bambootiller_core.gateway.fleet import EngineState
+from bambootiller_core.gateway.orders import (
+    EngineOrder,
+    LoadEnded,
+    OrderAnswer,
+    OrderBook,
+)
+from bambootiller_core.ports import Committed, Compare, Found, Put
+
+#: How often the engine's report is read while nothing is going on, while an order is
+#: in progress, and after an order. Seconds.
+QUIET_S = 0.25
+BUSY_S = 0.05
+AFTER_ORDER_S = 0.002
+#: The pause before the store is asked again for a fencing token. Seconds.
+TOKEN_RETRY_S = 0.5
+#: Entries heard within this time count. Seconds.
+ENTRY_HEARD_S = 3.0
+#: Where holders of fencing tokens are written.
+HOLDERS_PREFIX = "bambootiller/holders/"
+
+
+class GatewayAgent:
+    """Stands beside one engine, and is the only one to give it orders.
+
+    Example::
+
+        app.add(GatewayAgent(app, platform, engine, address, "tutor", events))
+    """
+
+    name = "gateway agent"
+
+    def __init__(
+        self,
+        app: Application,
+        platform: Platform,
+        engine: Engine,
+        address: str,
+        service: str,
+        events: EventLog,
+    ) -> None:
+        self._app = app
+        self._platform = platform
+        self._engine = engine
+        self._address = address
+        self._service = service
+        self._events = events
+        self._knowledge = Knowledge(platform.directory, events, app.now)
+        self._exchanger = Exchanger(app.instance, self._knowledge, events, app.channels)
+        self._book: OrderBook | None = None
+        self._token: int | None = None
+        self._wake = asyncio.Event()
+        self._told: EngineState | None = None
+        self._entries: dict[str, float] = {}
+        self._silent = False
+        app.add_servicer(self._register)
+
+    async def prepare(self) -> None:
+        """Nothing to take beforehand."""
+
+    async def start(self) -> None:
+        """Follow the store, get a fencing token, and look after the engine."""
+        app = self._app
+        self._knowledge.on_config(self._configured)
+        watcher = StoreWatcher(
+            self._platform.kv, self._knowledge, self._events, app.now
+        )
+        for prefix in self._platform.directory.prefixes:
+            follow = watcher.follow(prefix, self._no_entry_heard)
+            app.spawn(f"watch {prefix}", follow)
+        app.spawn("fencing token", self._keep_token())
+        app.spawn("engine", self._look_after())
+        self._events.emit("started", role="agent", zone=app.settings.zone)
+
+    async def drain(self, seconds: float) -> None:
+        """Nothing is under way here that a stop could cut."""
+        self._events.emit("stopping", role="agent")
+
+    async def stop(self) -> None:
+        """Close the connections to the engine."""
+        await self._engine.close()
+        self._events.emit("stopped", role="agent")
+
+    def _no_entry_heard(self) -> bool:
+        """Entries pass on all documents. While one is heard, the store is left alone:
+        each of its calls is paid for, and the registry changes many times a second."""
+        now = self._app.now()
+        heard = (now - at < ENTRY_HEARD_S for at in self._entries.values())
+        return not any(heard)
+
+    def _register(self, server: object) -> None:
+        servicer = ResidencyServicer(self._exchanger, self._fill, self._received)
+        api.add_ResidencyServicer_to_server(servicer, server)
+
+    def _configured(self, config: GatewayConfig) -> None:
+        service = config.services.get(self._service)
+        spec: EngineSpec | None = service.engine if service is not None else None
+        if spec is None:
+            return
+        if self._book is None:
+            self._book = OrderBook(spec)
+        else:
+            self._book.configured(spec)
+        self._wake.set()
+
+    async def _keep_token(self) -> None:
+        """Hold a fencing token of the store's making.
+
+        The store's revisions grow and are never given twice, so each start of an agent
+        has a token above all that an engine may have seen, whoever ordered it before.
+        """
+        key = HOLDERS_PREFIX + self._app.instance
+        while True:
+            if self._token is None:
+                self._token = await self._new_token(key)
+                if self._token is not None and self._book is not None:
+                    self._book.fenced = False
+            if self._book is not None and self._book.fenced:
+                self._token = None
+            await asyncio.sleep(TOKEN_RETRY_S)
+
+    async def _new_token(self, key: str) -> int | None:
+        kv = self._platform.kv
+        found = await kv.get(key)
+        if not isinstance(found, Found):
+            return None
+        revision = found.records[0].mod_revision if found.records else 0
+        value = self._app.instance.encode()
+        written = await kv.transact([Compare(key, revision)], [Put(key, value)])
+        if not isinstance(written, Committed):
+            return None
+        self._events.emit("fencing_token", token=written.revision)
+        return written.revision
+
+    async def _look_after(self) -> None:
+        while True:
+            pause = await self._step()
+            self._tell()
+            try:
+                await asyncio.wait_for(self._wake.wait(), pause)
+            except TimeoutError:
+                continue
+            finally:
+                self._wake.clear()
+
+    async def _step(self) -> float:
+        """Read the report, send one order if there is one; returns the pause."""
+        if self._book is None:
+            return QUIET_S
+        report = await self._engine.report()
+        if isinstance(report, EngineSilent):
+            if not self._silent:
+                self._events.emit(
+                    "dependency_lost", dependency="engine", detail=report.detail
+                )
+            self._silent = True
+            return QUIET_S
+        if self._silent:
+            self._silent = False
+            self._events.emit("dependency_regained", dependency="engine")
+        instance = self._instance()
+        if instance is None:
+            return QUIET_S
+        report = replace(report, instance=instance)
+        book = self._book
+        self._note_load(book.reported(self._app.now(), report))
+        if self._token is None:
+            return QUIET_S
+        order = book.next_order(self._app.now())
+        if order is None:
+            return BUSY_S if report.busy else QUIET_S
+        await self._give(order, instance)
+        return AFTER_ORDER_S
+
+    def _instance(self) -> str | None:
+        """Who is at the engine's address by the registry: the latest to be listed.
+
+        An order always names the instance that it is meant for. Without the name, one
+        that was held up on its way could reach the engine's next start.
+        """
+        listed = [
+            backend.registered
+            for backend in self._knowledge.fleet
+            if backend.registered.address == self._address
+        ]
+        latest = max(listed, key=lambda item: item.revision, default=None)
+        return None if latest is None else latest.instance
+
+    def _note_load(self, ended: LoadEnded | None) -> None:
+        if ended is None:
+            return
+        self._events.emit(
+            "load_ended",
+            model=ended.model,
+            held=ended.held,
+            seconds=round(ended.seconds, 2),
+            from_store=ended.from_store,
+        )
+
+    async def _give(self, order: EngineOrder, instance: str) -> None:
+        book = self._book
+        book.sending(order)
+        self._tell()
+        answer = await self._engine.order(order, instance, self._token)
+        book.answered(self._app.now(), order, answer)
+        self._events.emit(
+            "order",
+            order=order.kind.value,
+            model=order.model,
+            adapter=order.adapter,
+            expected=order.expected,
+            token=self._token,
+            answer=answer.value,
+        )
+        if answer is OrderAnswer.CONFLICT:
+            await self._settle_conflict(order)
+
+    async def _settle_conflict(self, order: EngineOrder) -> None:
+        report = await self._engine.report()
+        if isinstance(report, EngineSilent):
+            return
+        report = replace(report, instance=self._book.report.instance)
+        self._note_load(self._book.reported(self._app.now(), report))
+        if report.accepted <= order.expected:
+            self._book.conflict_seen(order)
+
+    def _tell(self) -> None:
+        """Tell entries at once when what they decide on has changed."""
+        if self._book is None:
+            return
+        state = self._book.state(self._app.now())
+        if state is None:
+            return
+        told = self._told
+        if told is None or _differs(told, state):
+            self._told = state
+            self._exchanger.poke()
+
+    def _fill(self, update: Update) -> None:
+        now = self._app.now()
+        for entry, at in list(self._entries.items()):
+            if now - at > ENTRY_HEARD_S:
+                del self._entries[entry]
+        update.entries.extend(sorted(self._entries))
+        state = self._book.state(now) if self._book is not None else None
+        if state is not None:
+            update.engine.CopyFrom(wire.engine_message(state))
+            update.engine.orderable = state.orderable and self._token is not None
+
+    def _received(self, update: Update) -> None:
+        if self._book is None or not update.HasField("entry"):
+            return
+        now = self._app.now()
+        self._entries[update.sender] = now
+        wants = wire.entry_wants(update.entry)
+        in_use = dict(update.entry.in_use)
+        self._book.entry_told(now, update.sender, wants, in_use)
+        for message in update.wishes:
+            self._book.wished(now, wire.wish_of(message))
+        if update.wishes:
+            self._wake.set()
+
+
+def _differs(told: EngineState, state: EngineState) -> bool:
+    """Whether entries would decide otherwise; load figures go with the heartbeat."""
+    return (
+        told.instance != state.instance
+        or told.holdings != state.holdings
+        or told.busy != state.busy
+        or told.orderable != state.orderable
+        or (told.loading is None) != (state.loading is None)
+    )
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/connections.py
@@ -0,0 +1,362 @@
+"""Connections to backend servers, on which answers are told apart with care.
+
+A client library that hides its connections can't be used here. Whether a call was sent
+at all decides if it may be sent again; an answer that belongs to an earlier call has to
+be skipped, not returned; and bytes behind a whole answer make a connection useless for
+the next call. So this is a small client on the parser that the HTTP server uses too.
+
+Example::
+
+    conn = await pool.acquire(timeout_s)
+    conn.send(head, body)
+    head = await conn.head(is_stray)
+    async for data in conn.body(): ...
+    pool.release(conn)
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+import httptools
+
+from bambootiller.gateway.ports import AnswerHead
+
+#: A connection is made or given up within this time. Seconds.
+CONNECT_S = 0.8
+#: A kept connection is used again only within this part of the time for which the
+#: backend server says it keeps it. Closer to the end, a call could cross its close, and
+#: nobody could tell whether it ran.
+KEEP_SHARE = 0.6
+#: The same where the backend server doesn't say: times below a second aren't stated.
+#: Seconds.
+KEEP_UNSTATED_S = 0.3
+#: Reading pauses while more than this waits to be passed on. Bytes.
+MOST_HELD = 256 * 1024
+#: Answers to other calls that are skipped before a connection is given up.
+MOST_STRAYS = 4
+
+
+class ConnectionLost(Exception):
+    """The answer broke off or isn't HTTP.
+
+    ``closed_cleanly`` tells an ordinary close from a reset; ``any_byte`` whether
+    anything of an answer had come.
+    """
+
+    def __init__(self, detail: str, closed_cleanly: bool, any_byte: bool) -> None:
+        super().__init__(detail)
+        self.closed_cleanly = closed_cleanly
+        self.any_byte = any_byte
+
+
+class CannotConnect(Exception):
+    """No connection was made, so nothing was sent."""
+
+
+@dataclass(slots=True)
+class _Answer:
+    """The answer being read."""
+
+    status: int = 0
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    has_head: bool = False
+    whole: bool = False
+
+
+class BackendConnection(asyncio.Protocol):
+    """One connection, which carries one call at a time."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._answer = _Answer()
+        self._data: deque[bytes] = deque()
+        self._held = 0
+        self._wake: asyncio.Future[None] | None = None
+        self._lost: ConnectionLost | None = None
+        self._active = False
+        self._any_byte = False
+        self._spoiled = False
+        self._paused = False
+        self._keep_alive = True
+        self.reused = False
+        self.keep_s: float = KEEP_UNSTATED_S
+        self.idle_since = 0.0
+
+    # -- asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is up."""
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes have come; outside of a call they spoil the connection."""
+        if not self._active or self._answer.whole:
+            self._spoiled = True
+            return
+        self._any_byte = True
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            if not (self._answer.whole and self._spoiled):
+                self._lose(f"the answer isn't HTTP: {exc}", False)
+            self._spoiled = True
+        self._notify()
+
+    def eof_received(self) -> bool:
+        """The other side closes: an answer without a length ends with that."""
+        if self._active and not self._answer.whole:
+            if self._answer.has_head and self._ends_with_connection():
+                self._answer.whole = True
+            else:
+                self._lose("the connection was closed before the answer's end", True)
+        self._spoiled = True
+        self._notify()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is down."""
+        self._spoiled = True
+        if self._active and not self._answer.whole and self._lost is None:
+            self._lose(f"the connection was lost: {exc!r}", exc is None)
+        self._notify()
+
+    # -- httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Another answer behind a whole one belongs to no call."""
+        if self._answer.whole:
+            self._spoiled = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A header of the answer."""
+        if not self._answer.whole:
+            self._answer.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """The head is there."""
+        answer = self._answer
+        if answer.whole:
+            return
+        answer.status = self._parser.get_status_code()
+        if 100 <= answer.status < 200:
+            answer.headers.clear()
+            return
+        answer.has_head = True
+        self._keep_alive = self._parser.should_keep_alive()
+
+    def on_body(self, data: bytes) -> None:
+        """A part of the body."""
+        if self._answer.whole:
+            return
+        self._data.append(data)
+        self._held += len(data)
+        if self._held > MOST_HELD and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """The answer is whole."""
+        if self._answer.has_head:
+            self._answer.whole = True
+
+    # -- for the relay
+
+    def send(self, head: bytes, body: bytes) -> None:
+        """Send a call. The connection must be idle."""
+        self._active = True
+        self._any_byte = False
+        self._answer = _Answer()
+        self._data.clear()
+        self._held = 0
+        if self._lost is None and self._transport.is_closing():
+            self._lose("the connection was closed while idle", True)
+            return
+        self._transport.write(head + body if len(body) < 4096 else head)
+        if len(body) >= 4096:
+            self._transport.write(body)
+
+    async def head(self, is_stray: Callable[[AnswerHead], bool]) -> AnswerHead:
+        """The head of the answer; answers for which ``is_stray`` holds are skipped."""
+        for _ in range(MOST_STRAYS):
+            while not self._answer.has_head:
+                await self._more()
+            head = AnswerHead(self._answer.status, tuple(self._answer.headers))
+            if not is_stray(head):
+                return head
+            await self._skip()
+        raise ConnectionLost("too many answers to other calls", False, True)
+
+    async def chunk(self) -> bytes | None:
+        """The next part of the body; None once the answer is whole."""
+        while not self._data:
+            if self._answer.whole:
+                return None
+            await self._more()
+        data = b"".join(self._data) if len(self._data) > 1 else self._data[0]
+        self._data.clear()
+        self._held = 0
+        if self._paused:
+            self._paused = False
+            self._transport.resume_reading()
+        return data
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """The rest of the body, part by part."""
+        while (data := await self.chunk()) is not None:
+            yield data
+
+    def finish(self, now: float) -> bool:
+        """End the call; True if the connection can carry another one."""
+        usable = (
+            self._active
+            and self._answer.whole
+            and self._keep_alive
+            and not self._spoiled
+            and self._lost is None
+            and not self._transport.is_closing()
+        )
+        if usable:
+            self.keep_s = self._stated_keep()
+            usable = self.keep_s > 0
+        self._active = False
+        self.idle_since = now
+        self.reused = True
+        if not usable:
+            self.close()
+        return usable
+
+    def fresh(self, now: float) -> bool:
+        """Whether an idle connection may still be used."""
+        if self._spoiled or self._transport is None or self._transport.is_closing():
+            return False
+        return now - self.idle_since < self.keep_s
+
+    def close(self) -> None:
+        """Close at once, which has the backend server drop the call."""
+        self._active = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _stated_keep(self) -> float:
+        for name, value in self._answer.headers:
+            if name == b"connection" and b"close" in value.lower():
+                return 0.0
+            if name == b"keep-alive":
+                for part in value.split(b","):
+                    key, _, number = part.strip().partition(b"=")
+                    if key.lower() == b"timeout" and number.strip().isdigit():
+                        return int(number) * KEEP_SHARE
+        return KEEP_UNSTATED_S
+
+    def _ends_with_connection(self) -> bool:
+        for name, value in self._answer.headers:
+            if name == b"content-length":
+                return False
+            if name == b"transfer-encoding" and b"chunked" in value.lower():
+                return False
+        return True
+
+    async def _skip(self) -> None:
+        while await self.chunk() is not None:
+            continue
+        if self._spoiled or not self._keep_alive:
+            raise ConnectionLost("only an answer to another call came", False, True)
+        self._answer = _Answer()
+
+    async def _more(self) -> None:
+        if self._lost is not None:
+            raise self._lost
+        self._wake = asyncio.get_running_loop().create_future()
+        try:
+            await self._wake
+        finally:
+            self._wake = None
+        if self._lost is not None and not self._data and not self._answer.whole:
+            raise self._lost
+
+    def _lose(self, detail: str, cleanly: bool) -> None:
+        if self._lost is None:
+            self._lost = ConnectionLost(detail, cleanly, self._any_byte)
+
+    def _notify(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+
+class ConnectionPool:
+    """The kept connections to one backend server.
+
+    ``most`` bounds this process's connections, idle ones included, because a backend
+    server resets those beyond what it takes from all callers together.
+    """
+
+    def __init__(self, address: str, most: int) -> None:
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._most = most
+        self._idle: deque[BackendConnection] = deque()
+        self.open = 0
+
+    async def acquire(self, now: float, timeout_s: float) -> BackendConnection:
+        """An idle connection or a new one; :class:`CannotConnect` if there is none."""
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.fresh(now):
+                return conn
+            self._drop(conn)
+        if self.open >= self._most:
+            raise CannotConnect(f"{self.open} connections are open, the most allowed")
+        self.open += 1
+        try:
+            return await self._connect(min(CONNECT_S, timeout_s))
+        except BaseException:
+            self.open -= 1
+            raise
+
+    def release(self, conn: BackendConnection, now: float) -> None:
+        """Give a connection back after a call, whole or not."""
+        if conn.finish(now):
+            self._idle.append(conn)
+        else:
+            self.open -= 1
+
+    def discard(self, conn: BackendConnection) -> None:
+        """Close a connection in the middle of a call."""
+        self._drop(conn)
+
+    def sweep(self, now: float) -> None:
+        """Close idle connections that can't be used again."""
+        for conn in list(self._idle):
+            if not conn.fresh(now):
+                self._idle.remove(conn)
+                self._drop(conn)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self._drop(self._idle.pop())
+
+    def _drop(self, conn: BackendConnection) -> None:
+        conn.close()
+        self.open -= 1
+
+    async def _connect(self, timeout_s: float) -> BackendConnection:
+        loop = asyncio.get_running_loop()
+        try:
+            _, conn = await asyncio.wait_for(
+                loop.create_connection(BackendConnection, self._host, self._port),
+                max(0.01, timeout_s),
+            )
+        except (OSError, TimeoutError) as exc:
+            raise CannotConnect(f"{self._host}:{self._port}: {exc!r}") from exc
+        return conn
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -0,0 +1,184 @@
+"""An entry's view of the engines: streams to their agents, plans and waiting calls."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from bambootiller.app import Application
+from bambootiller.gateway import wire
+from bambootiller.gateway.eventlog import EventLog
+from bambootiller.gateway.exchange import Exchanger, Update
+from bambootiller.gateway.knowledge import Knowledge
+from bambootiller_core import rendezvous
+from bambootiller_core.gateway.demand import Demand
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.orders import WAITED_FOR, Wish
+from bambootiller_core.gateway.residency import PlannedLoad, Planner, Want
+
+#: How often the plan of loads is made anew. Seconds.
+PLAN_S = 0.05
+#: How often streams to agents are opened for new engines, and closed for gone ones.
+#: Seconds.
+REVIEW_S = 0.25
+#: The urgency of what is asked for ahead of demand.
+AHEAD = 5
+
+
+@dataclass(slots=True)
+class _Link:
+    """The stream to the agent beside one engine."""
+
+    task: asyncio.Task
+    instance: str
+    wishes: dict[tuple[str, str], Wish] = field(default_factory=dict)
+
+
+class Engines:
+    """Keeps streams to all agents, and asks them for loads.
+
+    Calls that need a model ask :meth:`ready_in` when it can be used, and say while they
+    wait, so that the plan counts them.
+    """
+
+    def __init__(
+        self,
+        app: Application,
+        knowledge: Knowledge,
+        exchanger: Exchanger,
+        events: EventLog,
+        agent_port: int,
+    ) -> None:
+        self._app = app
+        self._knowledge = knowledge
+        self._exchanger = exchanger
+        self._events = events
+        self._agent_port = agent_port
+        self._links: dict[str, _Link] = {}
+        self._demand: dict[str, Demand] = {}
+        self._plans: dict[str, dict[str, PlannedLoad]] = {}
+        self.entries: tuple[str, ...] = ()
+
+    def start(self) -> None:
+        """Begin to review and to plan."""
+        now = self._app.now()
+        self._app.timers.every("engine links", REVIEW_S, now, self._review)
+        self._app.timers.every("load plan", PLAN_S, now, self._plan)
+
+    def demand(self, service: str) -> Demand:
+        """The demand for the models of a service."""
+        return self._demand.setdefault(service, Demand())
+
+    def planned(self, service: str, model: str) -> PlannedLoad | None:
+        """The load of the model that is under way or planned."""
+        return self._plans.get(service, {}).get(model)
+
+    def replan(self) -> None:
+        """Make the plan now, because a call has come that it doesn't know of."""
+        self._plan(self._app.now())
+
+    def wish(self, backend: Backend, wish: Wish) -> bool:
+        """Ask the agent beside the engine for a load; False if there is none."""
+        link = self._links.get(backend.registered.host)
+        if link is None:
+            return False
+        link.wishes[(wish.model, wish.adapter)] = wish
+        self._exchanger.poke()
+        return True
+
+    def stop(self) -> None:
+        """Close all streams."""
+        for link in self._links.values():
+            link.task.cancel()
+        self._links.clear()
+
+    def _review(self, now: float) -> None:
+        for instance in self._knowledge.fleet.sweep(now):
+            self._events.emit("backend_removed", backend=instance, reason="lapsed")
+        wanted = {}
+        config = self._knowledge.config
+        if config is None:
+            return
+        for backend in self._knowledge.fleet:
+            service = config.services.get(backend.registered.service)
+            if service is not None and service.engine is not None:
+                wanted[backend.registered.host] = backend
+        for host in list(self._links):
+            if host not in wanted:
+                self._links.pop(host).task.cancel()
+        for host, backend in wanted.items():
+            if host not in self._links:
+                self._open(host, backend)
+            self._links[host].instance = backend.instance
+
+    def _open(self, host: str, backend: Backend) -> None:
+        address = f"{host}:{self._agent_port}"
+        stream = self._exchanger.keep_open(
+            address, lambda update: self._fill(host, update), self._received
+        )
+        task = asyncio.get_running_loop().create_task(stream)
+        self._links[host] = _Link(task, backend.instance)
+
+    def _fill(self, host: str, update: Update) -> None:
+        link = self._links.get(host)
+        if link is None:
+            return
+        backend = self._knowledge.fleet.get(link.instance)
+        if backend is None:
+            return
+        wants = self._wants(backend.registered.service)
+        in_use = backend.in_flight_by_model
+        update.entry.CopyFrom(wire.entry_message(wants, in_use))
+        for wish in link.wishes.values():
+            wire.add_wish(update, wish)
+        link.wishes.clear()
+
+    def _received(self, update: Update) -> None:
+        if not update.HasField("engine"):
+            return
+        self.entries = tuple(update.entries)
+        state = wire.engine_state(update.engine)
+        if self._knowledge.fleet.engine_told(self._app.now(), state):
+            self._knowledge.changed.notify()
+
+    def _wants(self, service: str) -> dict[str, Want]:
+        holders: dict[str, int] = {}
+        for backend in self._knowledge.fleet.of_service(service):
+            for model in backend.holdings:
+                holders[model] = holders.get(model, 0) + 1
+        return self.demand(service).wants(self._app.now(), holders)
+
+    def _plan(self, now: float) -> None:
+        config = self._knowledge.config
+        if config is None:
+            return
+        for service in config.services.values():
+            if service.engine is None:
+                continue
+            planner = Planner(service.engine)
+            backends = self._knowledge.fleet.of_service(service.name)
+            wants = self._wants(service.name)
+            plan = planner.plan(now, backends, wants)
+            self._plans[service.name] = plan
+            self._ask(plan, wants)
+
+    def _ask(self, plan: dict[str, PlannedLoad], wants: dict[str, Want]) -> None:
+        for load in plan.values():
+            if not load.ask_now:
+                continue
+            backend = self._knowledge.fleet.get(load.instance)
+            if backend is None:
+                continue
+            waiting = wants.get(load.model, Want()).waiting
+            if not waiting and not self._sees_to(load.model):
+                continue
+            urgency = WAITED_FOR if waiting else AHEAD
+            self.wish(backend, Wish(load.model, "", urgency))
+
+    def _sees_to(self, model: str) -> bool:
+        """Whether this entry is the one to ask for a load that no call waits for.
+
+        All entries have the same plan, and asked at the same moment by several, agents
+        would load a model at more engines than it needs.
+        """
+        return rendezvous.first(model, self.entries) == self._app.instance
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -0,0 +1,153 @@
+"""The gateway's entry as a component of the application."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bambootiller import logs
+from bambootiller.app import Application
+from bambootiller.entry.httpserver import HttpServer
+from bambootiller.gateway.engines import Engines
+from bambootiller.gateway.eventlog import EventLog
+from bambootiller.gateway.exchange import Exchanger, ResidencyServicer, Update
+from bambootiller.gateway.front import Front, pages
+from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
+from bambootiller.gateway.ports import Platform
+from bambootiller.gateway.relay import Relays
+from bambootiller.rpc import bambootiller_pb2_grpc as api
+from bambootiller.settings import Address
+from bambootiller_core.gateway.budget import AttemptBudget
+
+#: A leaving entry takes new calls for this long: the balancer has to miss its readiness
+#: twice, a second apart, before it sends no new connections. Seconds.
+LAG_S = 2.6
+#: Kept at the end of a planned stop, for answers to reach their callers. Seconds.
+TELL_S = 0.4
+SWEEP_S = 0.5
+
+log = logs.logger("gateway.entry")
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPlaces:
+    """Addresses of one entry: for callers, for the balancer's question whether it is
+    ready, and of some other entries to learn from at a start."""
+
+    callers: Address
+    ready: Address
+    agent_port: int
+    peers: Sequence[Address] = ()
+
+
+class GatewayEntry:
+    """Faces callers, and passes their calls on to backend servers.
+
+    Example::
+
+        app.add(GatewayEntry(app, platform, places, events))
+    """
+
+    name = "gateway entry"
+
+    def __init__(
+        self,
+        app: Application,
+        platform: Platform,
+        places: EntryPlaces,
+        events: EventLog,
+    ) -> None:
+        self._app = app
+        self._platform = platform
+        self._places = places
+        self._events = events
+        self.knowledge = Knowledge(platform.directory, events, app.now)
+        self._exchanger = Exchanger(app.instance, self.knowledge, events, app.channels)
+        self._engines = Engines(
+            app, self.knowledge, self._exchanger, events, places.agent_port
+        )
+        self._relays = Relays(
+            self.knowledge,
+            self._engines,
+            platform.dialect,
+            events,
+            app.settings.zone,
+            app.rng,
+            app.now,
+            self._new_budget,
+        )
+        own_pages = pages(platform.dialect.ready_path, self.is_ready)
+        self._front = Front(
+            self._relays, own_pages, self.is_ready, lambda: self._leaving
+        )
+        self._servers: list[HttpServer] = []
+        self._leaving = False
+        app.add_servicer(self._register)
+
+    async def prepare(self) -> None:
+        """Nothing to take beforehand: a taken port is noticed at the start."""
+
+    async def start(self) -> None:
+        """Bind the ports and serve; calls are refused until a configuration is known."""
+        app = self._app
+        watcher = StoreWatcher(self._platform.kv, self.knowledge, self._events, app.now)
+        for prefix in self._platform.directory.prefixes:
+            app.spawn(f"watch {prefix}", watcher.follow(prefix))
+        for address in {self._places.callers, self._places.ready}:
+            server = HttpServer(self._front, address)
+            server.bind()
+            self._servers.append(server)
+            app.spawn(f"http {address}", server.serve())
+        app.http_port = self._servers[0].port
+        self._engines.start()
+        app.timers.every("gateway sweep", SWEEP_S, app.now(), self._relays.sweep)
+        for peer in self._places.peers:
+            stream = self._exchanger.keep_open(str(peer), _nothing, _ignore)
+            app.spawn(f"peer {peer}", stream)
+        self._events.emit("started", role="entry", zone=app.settings.zone)
+
+    def is_ready(self) -> bool:
+        """Whether the balancer may send new connections here."""
+        known = self.knowledge.config is not None
+        return known and any(True for _ in self.knowledge.fleet) and not self._leaving
+
+    async def drain(self, seconds: float) -> None:
+        """Graceful shutdown: say so, keep serving, then finish what has been taken."""
+        app = self._app
+        end = app.now() + seconds
+        self._leaving = True
+        self._relays.stop_by = end - TELL_S
+        self._events.emit("stopping", role="entry", under_way=self._front.under_way)
+        await asyncio.sleep(min(LAG_S, seconds / 2))
+        self._servers[0].close_listener()
+        left = end - TELL_S - app.now()
+        try:
+            await asyncio.wait_for(self._front.idle.wait(), max(0.0, left))
+        except TimeoutError:
+            self._events.emit("cut_at_stop", under_way=self._front.under_way)
+
+    async def stop(self) -> None:
+        """Close the connections and the ports."""
+        self._engines.stop()
+        for server in self._servers:
+            await server.stop(TELL_S)
+        self._events.emit("stopped", role="entry")
+
+    def _register(self, server: object) -> None:
+        servicer = ResidencyServicer(self._exchanger, _nothing, _ignore)
+        api.add_ResidencyServicer_to_server(servicer, server)
+
+    def _new_budget(self) -> AttemptBudget:
+        bounds = self._platform.bounds
+        return AttemptBudget(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+        )
+
+
+def _nothing(update: Update) -> None:
+    """Entries tell each other documents only."""
+
+
+def _ignore(update: Update) -> None:
+    """Documents are taken in by the exchange itself."""
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/front.py
@@ -0,0 +1,274 @@
+"""The ASGI application that callers of the gateway talk to.
+
+Calls don't go through Falcon's resources: their paths are the operator's, their heads
+and bodies are passed on byte for byte, and an answer that can't be finished must be cut
+at the connection. The process's own pages do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import falcon
+import falcon.asgi
+
+from bambootiller.gateway.ports import Incoming, Unreadable
+from bambootiller.gateway.relay import AnswerCut, Relay, Relays
+from bambootiller_core.gateway.attempts import COME_BACK_S, Reason, Refusal
+from bambootiller_core.gateway.calls import Call
+from bambootiller_core.gateway.config import GatewayConfig, Route
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+#: The time given to a call for which neither its caller nor the operator set one.
+#: Seconds.
+DEFAULT_DEADLINE_S = 60.0
+#: This long before the end of a planned stop no call is taken any more. Seconds.
+LAST_CALLS_S = 4.0
+#: An answer is due this much before the caller's deadline, so that it arrives in time
+#: over the network. Seconds.
+ANSWER_MARGIN_S = 0.03
+
+
+class CallerGone(Exception):
+    """The caller closed its connection before its request was whole."""
+
+
+class BodyTooLarge(Exception):
+    """The body is larger than the configuration allows."""
+
+
+class Front:
+    """Takes calls in, one coroutine each.
+
+    ``is_leaving`` has answers ask the caller to close its connection, so that none of
+    its later calls crosses the close of this process.
+    """
+
+    def __init__(
+        self,
+        relays: Relays,
+        pages: falcon.asgi.App,
+        is_ready: Callable[[], bool],
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        self._relays = relays
+        self._pages = pages
+        self._is_ready = is_ready
+        self._is_leaving = is_leaving
+        self.under_way = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        if scope["path"] == self._relays.dialect.ready_path:
+            await self._pages(scope, receive, send)
+            return
+        self.under_way += 1
+        self.idle.clear()
+        try:
+            await self._serve(scope, receive, send)
+        except CallerGone:
+            return
+        except AnswerCut:
+            # Without the closing event the server cuts the connection, the one way in
+            # HTTP/1.1 to tell a caller that a body isn't whole.
+            return
+        finally:
+            self.under_way -= 1
+            if not self.under_way:
+                self.idle.set()
+
+    async def _serve(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        relays = self._relays
+        arrived = relays.clock()
+        incoming = relays.dialect.read(scope)
+        config = relays.knowledge.config
+        if config is None:
+            refusal = Refusal(Reason.NO_CONFIGURATION, COME_BACK_S)
+            await self._refuse(send, incoming, refusal, arrived)
+            return
+        if isinstance(incoming, Unreadable):
+            refusal = Refusal(Reason.BAD_REQUEST, detail=incoming.detail)
+            await self._refuse(send, incoming, refusal, arrived)
+            return
+        try:
+            body = await _read_body(receive, config.limits.max_body_bytes)
+        except BodyTooLarge:
+            refusal = Refusal(Reason.BODY_TOO_LARGE)
+            await self._refuse(send, incoming, refusal, arrived)
+            return
+        if self._takes_no_more():
+            refusal = Refusal(Reason.LEAVING, COME_BACK_S)
+            await self._refuse(send, incoming, refusal, arrived)
+            return
+        # Read anew: a configuration may have come into force while the body came.
+        config = relays.knowledge.config
+        call = self._call(config, incoming, arrived)
+        if isinstance(call, Refusal):
+            await self._refuse(send, incoming, call, arrived)
+            return
+        closing = self._closing(send)
+        relay = Relay(relays, incoming, call, body, closing)
+        refusal = await self._run(relay, call, receive)
+        if refusal is not None:
+            await self._refuse(send, incoming, refusal, arrived, call)
+
+    async def _run(self, relay: Relay, call: Call, receive: Receive) -> Refusal | None:
+        """Run the relay until its end, or until the caller has gone.
+
+        A non-idempotent call goes on without its caller: stopping it halfway would
+        leave the caller's work half done, and nobody could tell how far.
+        """
+        running = asyncio.ensure_future(relay.run())
+        watching = asyncio.ensure_future(_gone(receive))
+        try:
+            await asyncio.wait((running, watching), return_when=asyncio.FIRST_COMPLETED)
+            if not running.done() and not (call.may_rerun or call.is_stream):
+                await asyncio.wait((running,))
+            if running.done():
+                return running.result()
+            self._relays.events.emit(
+                "caller_gone", request=call.request_id, route=call.route.name
+            )
+            raise CallerGone
+        finally:
+            watching.cancel()
+            if not running.done():
+                running.cancel()
+                with contextlib.suppress(asyncio.CancelledError, AnswerCut):
+                    await running
+
+    def _takes_no_more(self) -> bool:
+        """Whether a planned stop has come so far that a new call could be cut.
+
+        Callers reuse kept connections for seconds after the balancer has stopped
+        sending new ones; a stream taken then would be cut at the end of the stop.
+        """
+        stop_by = self._relays.stop_by
+        return stop_by is not None and self._relays.clock() > stop_by - LAST_CALLS_S
+
+    def _call(
+        self, config: GatewayConfig, incoming: Incoming, arrived: float
+    ) -> Call | Refusal:
+        route = config.match(incoming.host, incoming.path)
+        if route is None:
+            return Refusal(Reason.NO_ROUTE)
+        service = route.pick_service(self._relays.rng.random())
+        if service is None:
+            return Refusal(Reason.NO_BACKEND, COME_BACK_S)
+        spec = config.services.get(service)
+        has_engine = spec is not None and spec.engine is not None
+        return Call(
+            request_id=incoming.request_id,
+            route=route,
+            service=service,
+            arrived=arrived,
+            deadline=arrived + _time_s(route, incoming),
+            first_event_due=arrived + (route.patience_s or _time_s(route, incoming)),
+            ask=incoming.ask if has_engine else None,
+            resume_after=incoming.resume_after,
+        )
+
+    def _closing(self, send: Send) -> Send:
+        async def sending(message: dict[str, Any]) -> None:
+            if message["type"] == "http.response.start" and self._is_leaving():
+                message["headers"].append((b"connection", b"close"))
+            await send(message)
+
+        return sending
+
+    async def _refuse(
+        self,
+        send: Send,
+        incoming: Incoming | Unreadable,
+        refusal: Refusal,
+        arrived: float,
+        call: Call | None = None,
+    ) -> None:
+        relays = self._relays
+        known = incoming if isinstance(incoming, Incoming) else None
+        config = relays.knowledge.config
+        relays.events.emit(
+            "refused",
+            request=known.request_id if known else None,
+            route=call.route.name if call else None,
+            model=call.ask.model if call and call.ask else None,
+            reason=refusal.reason.value,
+            status=refusal.status,
+            come_back_s=refusal.come_back_s,
+            held_ms=round((relays.clock() - arrived) * 1000),
+            detail=refusal.detail,
+            config_version=config.version if config else None,
+        )
+        body = refusal.reason.value.encode()
+        headers = relays.dialect.refused(known, refusal.come_back_s)
+        headers.append((b"content-length", b"%d" % len(body)))
+        sending = self._closing(send)
+        await sending(
+            {
+                "type": "http.response.start",
+                "status": refusal.status,
+                "headers": headers,
+            }
+        )
+        await sending({"type": "http.response.body", "body": body})
+
+
+class ReadyPage:
+    """Whether the balancer may send new connections here."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        """200 if so, else 503."""
+        resp.status = 200 if self._is_ready() else 503
+
+
+def pages(ready_path: str, is_ready: Callable[[], bool]) -> falcon.asgi.App:
+    """The pages of the process itself."""
+    app = falcon.asgi.App()
+    app.add_route(ready_path, ReadyPage(is_ready))
+    return app
+
+
+def _time_s(route: Route, incoming: Incoming) -> float:
+    times = [DEFAULT_DEADLINE_S]
+    if incoming.deadline_s is not None:
+        times.append(incoming.deadline_s - ANSWER_MARGIN_S)
+    if route.timeout_s is not None:
+        times.append(route.timeout_s)
+    return max(0.0, min(times))
+
+
+async def _gone(receive: Receive) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        continue
+
+
+async def _read_body(receive: Receive, most: int) -> bytes:
+    parts = []
+    size = 0
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            raise CallerGone
+        data = event.get("body", b"")
+        size += len(data)
+        if size > most:
+            raise BodyTooLarge
+        parts.append(data)
+        if not event.get("more_body", False):
+            return b"".join(parts)
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -0,0 +1,239 @@
+"""What a process of the gateway knows from the store and from its peers.
+
+Documents come from the store's watch and from peers; both carry the store's revision, so
+whichever is newer wins, wherever it came from. What was last known stays in force while
+the store is away. Nothing is ever replaced by something older.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from bambootiller.gateway.eventlog import EventLog
+from bambootiller.gateway.ports import Directory, Unreadable
+from bambootiller_core.gateway.config import GatewayConfig, newer
+from bambootiller_core.gateway.fleet import Fleet, Registered
+from bambootiller_core.ports import Changed, Found, KeyValue, Record, Unavailable
+
+#: The pause after a failed call of the store; doubled up to the longest. Seconds. The
+#: store counts refused calls too.
+RETRY_S = 0.2
+RETRY_MAX_S = 0.8
+
+#: The pause between two answers of a watch that had something to tell. Backend servers
+#: write to the registry about once a second each, and without a pause every write is a
+#: call of the store by every watcher; with it, some 3 calls a second remain. Seconds.
+GATHER_S = 0.35
+#: How often a watcher that isn't wanted looks whether it is. Seconds.
+IDLE_S = 0.5
+
+Listener = Callable[[Changed], None]
+
+
+class Knowledge:
+    """The configuration in force, and the backend servers."""
+
+    def __init__(
+        self, directory: Directory, events: EventLog, clock: Callable[[], float]
+    ) -> None:
+        self.config: GatewayConfig | None = None
+        self.fleet = Fleet()
+        self.changed = Changes()
+        self._directory = directory
+        self._events = events
+        self._clock = clock
+        self._records: dict[str, Changed] = {}
+        self._listeners: list[Listener] = []
+        self._config_listeners: list[Callable[[GatewayConfig], None]] = []
+
+    def on_document(self, listener: Listener) -> None:
+        """Call ``listener`` for each document newly learnt."""
+        self._listeners.append(listener)
+
+    def on_config(self, listener: Callable[[GatewayConfig], None]) -> None:
+        """Call ``listener`` for each configuration that comes into force."""
+        self._config_listeners.append(listener)
+        if self.config is not None:
+            listener(self.config)
+
+    def documents(self) -> list[Changed]:
+        """All documents held, removals of the recent past included."""
+        return list(self._records.values())
+
+    def learnt(self, change: Changed, source: str) -> bool:
+        """Take over a document, unless it is older than what is held."""
+        record = change.record
+        held = self._records.get(record.key)
+        if held is not None and held.record.mod_revision >= record.mod_revision:
+            return False
+        self._records[record.key] = change
+        if change.deleted:
+            self._removed(record.key)
+        else:
+            self._written(record, source)
+        for listener in self._listeners:
+            listener(change)
+        return True
+
+    def listed(self, prefix: str, found: Found, source: str) -> None:
+        """Take over everything under a prefix; what isn't listed is gone."""
+        keys = set()
+        for record in found.records:
+            keys.add(record.key)
+            self.learnt(Changed(record), source)
+        for key, held in list(self._records.items()):
+            missing = key.startswith(prefix) and key not in keys and not held.deleted
+            if missing and held.record.mod_revision <= found.revision:
+                gone = Record(key, b"", found.revision)
+                self.learnt(Changed(gone, deleted=True), source)
+
+    def _removed(self, key: str) -> None:
+        instance = self._directory.instance_of(key)
+        if instance is None:
+            return
+        self.fleet.registry_removed(self._clock(), instance)
+        self._events.emit("backend_removed", backend=instance)
+        self.changed.notify()
+
+    def _written(self, record: Record, source: str) -> None:
+        config = self._directory.config(record)
+        if config is not None:
+            self._configured(config, record, source)
+            return
+        registered = self._directory.registered(record)
+        if isinstance(registered, Unreadable):
+            self._unreadable(record, registered)
+        elif registered is not None:
+            self._registered(registered, source)
+
+    def _configured(
+        self, config: GatewayConfig | Unreadable, record: Record, source: str
+    ) -> None:
+        if isinstance(config, Unreadable):
+            self._unreadable(record, config)
+            return
+        if not newer(self.config, config):
+            return
+        self.config = config
+        self._events.emit(
+            "config_in_force",
+            config_version=config.version,
+            revision=config.revision,
+            routes=len(config.routes),
+            source=source,
+        )
+        for listener in self._config_listeners:
+            listener(config)
+        self.changed.notify()
+
+    def _registered(self, registered: Registered, source: str) -> None:
+        held = self.fleet.get(registered.instance)
+        self.fleet.registry_changed(self._clock(), registered)
+        if held is None or held.registered.leaving != registered.leaving:
+            self._events.emit(
+                "backend_listed",
+                backend=registered.instance,
+                service=registered.service,
+                address=registered.address,
+                leaving=registered.leaving,
+                revision=registered.revision,
+                source=source,
+            )
+        self.changed.notify()
+
+    def _unreadable(self, record: Record, why: Unreadable) -> None:
+        # What was known before stays in force.
+        self._events.emit(
+            "document_unreadable",
+            key=record.key,
+            revision=record.mod_revision,
+            detail=why.detail,
+        )
+
+
+class Changes:
+    """Wakes those who wait for the fleet or the configuration to change."""
+
+    def __init__(self) -> None:
+        self._waiting: set[asyncio.Future[None]] = set()
+
+    def notify(self) -> None:
+        """Wake all who wait."""
+        waiting, self._waiting = self._waiting, set()
+        for fut in waiting:
+            if not fut.done():
+                fut.set_result(None)
+
+    async def wait(self, seconds: float) -> None:
+        """Wait for a change, for ``seconds`` at most."""
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting.add(fut)
+        try:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(fut, max(0.0, seconds))
+        finally:
+            self._waiting.discard(fut)
+
+
+class StoreWatcher:
+    """Keeps :class:`Knowledge` up to date from the store, one prefix at a time."""
+
+    def __init__(
+        self,
+        kv: KeyValue,
+        knowledge: Knowledge,
+        events: EventLog,
+        clock: Callable[[], float],
+    ) -> None:
+        self._kv = kv
+        self._knowledge = knowledge
+        self._events = events
+        self._clock = clock
+        self._away: set[str] = set()
+
+    async def follow(
+        self, prefix: str, wanted: Callable[[], bool] = lambda: True
+    ) -> None:
+        """Read the prefix and follow its changes, for ever, but only while
+        ``wanted()``."""
+        pause = RETRY_S
+        while True:
+            if not wanted():
+                await asyncio.sleep(IDLE_S)
+                continue
+            found = await self._kv.get_prefix(prefix)
+            if isinstance(found, Unavailable):
+                self._lost(prefix, found.detail)
+                await asyncio.sleep(pause)
+                pause = min(pause * 2, RETRY_MAX_S)
+                continue
+            pause = RETRY_S
+            self._regained(prefix)
+            self._knowledge.listed(prefix, found, "store")
+            await self._watch(prefix, found.revision + 1, wanted)
+
+    async def _watch(
+        self, prefix: str, revision: int, wanted: Callable[[], bool]
+    ) -> None:
+        async for batch in self._kv.watch(prefix, revision):
+            if isinstance(batch, Unavailable):
+                self._lost(prefix, batch.detail)
+                return
+            for change in batch:
+                self._knowledge.learnt(change, "store")
+            if not wanted():
+                return
+            await asyncio.sleep(GATHER_S)
+
+    def _lost(self, prefix: str, detail: str) -> None:
+        if prefix not in self._away:
+            self._away.add(prefix)
+            self._events.emit("dependency_lost", dependency="store", detail=detail)
+
+    def _regained(self, prefix: str) -> None:
+        if prefix in self._away:
+            self._away.discard(prefix)
+            self._knowledge.fleet.store_returned(self._clock())
+            self._events.emit("dependency_regained", dependency="store")
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/ports.py
@@ -0,0 +1,151 @@
+"""What the gateway asks of a platform's adapter."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from bambootiller_core.gateway.calls import Call, ModelAsk
+from bambootiller_core.gateway.config import GatewayConfig
+from bambootiller_core.gateway.fleet import Registered
+from bambootiller_core.gateway.orders import EngineOrder, EngineReport, OrderAnswer
+from bambootiller_core.ports import KeyValue, Record
+
+#: Name and value as they stand on the wire, the name in lower case.
+Header = tuple[bytes, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class Incoming:
+    """A caller's request as read from its head.
+
+    ``target`` is the path with the query, byte for byte; ``headers`` are those that may
+    be passed on. ``deadline_s`` is the time that the caller still waits.
+    """
+
+    method: str
+    host: str
+    path: str
+    target: bytes
+    headers: tuple[Header, ...]
+    request_id: str
+    deadline_s: float | None = None
+    ask: ModelAsk | None = None
+    resume_after: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """A request that can't be served as it stands, and what is wrong with it."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The status and headers of an answer, as a backend server sent them."""
+
+    status: int
+    headers: tuple[Header, ...]
+
+
+class Verdict(enum.Enum):
+    """What an answer is worth.
+
+    ``ANSWER``: the backend server's own answer to this call. ``NOT_RUN``: a promise
+    that the call hasn't run there. ``MISDIRECTED``: the same, because another backend
+    server has the address, or doesn't hold the model. ``STRAY``: an answer to another
+    call. ``USELESS``: nothing that may be passed on, after a run that may have happened.
+    """
+
+    ANSWER = "answer"
+    NOT_RUN = "not run"
+    MISDIRECTED = "misdirected"
+    STRAY = "stray"
+    USELESS = "useless"
+
+
+class Dialect(Protocol):
+    """The platform's names for what a request and an answer carry."""
+
+    #: The path at which the balancer asks whether this process is ready.
+    ready_path: str
+
+    def read(self, scope: dict[str, Any]) -> Incoming | Unreadable:
+        """Read the head of a request."""
+
+    def outgoing(
+        self, incoming: Incoming, call: Call, instance: str, resume_after: int | None
+    ) -> list[Header]:
+        """The headers for a backend server, without the time left and the framing."""
+
+    def time_left(self, seconds: float) -> Header:
+        """The header that tells a backend server how long it has."""
+
+    def judge(self, call: Call, head: AnswerHead) -> Verdict:
+        """What an answer with this head is worth."""
+
+    def returned(self, head: AnswerHead) -> list[Header]:
+        """The headers of an answer that go to the caller."""
+
+    def refused(self, incoming: Incoming | None, come_back_s: float | None):
+        """The headers of the gateway's own answer."""
+
+
+class Directory(Protocol):
+    """Which documents the store holds for the gateway, and how they read."""
+
+    #: Documents under these prefixes concern the gateway.
+    prefixes: Sequence[str]
+
+    def config(self, record: Record) -> GatewayConfig | Unreadable | None:
+        """The configuration, or None if the record isn't that document."""
+
+    def registered(self, record: Record) -> Registered | Unreadable | None:
+        """A registered backend server, or None if the record isn't one."""
+
+    def instance_of(self, key: str) -> str | None:
+        """The backend server that a removed key stood for."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSilent:
+    """The engine's report couldn't be read, and why."""
+
+    detail: str
+
+
+class Engine(Protocol):
+    """The engine beside an agent."""
+
+    async def report(self) -> EngineReport | EngineSilent:
+        """What it holds and how busy it is."""
+
+    async def order(self, order: EngineOrder, instance: str, token: int) -> OrderAnswer:
+        """Give it an order once."""
+
+    async def close(self) -> None:
+        """Release the connections."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the platform promises its callers, as far as the gateway acts on it."""
+
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    retry_window_s: float = 10.0
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+
+
+@dataclass(slots=True)
+class Platform:
+    """All that an adapter provides for one process; ``bounds`` may change later."""
+
+    kv: KeyValue
+    directory: Directory
+    dialect: Dialect
+    bounds: Bounds
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -0,0 +1,88 @@
+"""Between the core's types and the messages of the stream."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from bambootiller.rpc import bambootiller_pb2 as pb
+from bambootiller_core.gateway.fleet import EngineState, Loading
+from bambootiller_core.gateway.orders import Wish
+from bambootiller_core.gateway.residency import Want
+
+
+def engine_message(state: EngineState) -> pb.EngineFigures:
+    """What an agent says of its engine."""
+    message = pb.EngineFigures(
+        instance=state.instance,
+        busy=state.busy,
+        in_memory=sorted(state.in_memory),
+        on_disk=sorted(state.on_disk),
+        running=state.running,
+        queued=state.queued,
+        memory_mb_used=state.memory_mb_used,
+        orderable=state.orderable,
+        in_use=state.in_use,
+        keep_values=state.keep_values,
+    )
+    if state.loading is not None:
+        message.loading = state.loading.model
+        message.loading_left_ms = int(state.loading.left_s * 1000)
+        message.loading_from_store = state.loading.from_store
+    for model, adapters in state.holdings.items():
+        message.holdings.add(model=model, adapters=sorted(adapters))
+    return message
+
+
+def engine_state(message: pb.EngineFigures) -> EngineState:
+    """The same, received."""
+    loading = None
+    if message.loading:
+        left_s = message.loading_left_ms / 1000
+        loading = Loading(message.loading, left_s, message.loading_from_store)
+    return EngineState(
+        instance=message.instance,
+        holdings={item.model: frozenset(item.adapters) for item in message.holdings},
+        loading=loading,
+        busy=message.busy,
+        in_memory=frozenset(message.in_memory),
+        on_disk=frozenset(message.on_disk),
+        running=message.running,
+        queued=message.queued,
+        memory_mb_used=message.memory_mb_used,
+        orderable=message.orderable,
+        in_use=dict(message.in_use),
+        keep_values=dict(message.keep_values),
+    )
+
+
+def entry_message(
+    wants: Mapping[str, Want], in_use: Mapping[str, int]
+) -> pb.EntryFigures:
+    """What an entry says of its demand, and of its calls at one engine."""
+    message = pb.EntryFigures(in_use=in_use)
+    for model, want in wants.items():
+        message.demand.add(
+            model=model,
+            calls_per_s=want.rate,
+            waiting=want.waiting,
+            holders=want.holders,
+        )
+    return message
+
+
+def entry_wants(message: pb.EntryFigures) -> dict[str, Want]:
+    """The demand in it."""
+    return {
+        item.model: Want(item.calls_per_s, item.waiting, item.holders)
+        for item in message.demand
+    }
+
+
+def add_wish(update: pb.ResidencyUpdate, wish: Wish) -> None:
+    """Put a wish into a message."""
+    update.wishes.add(model=wish.model, adapter=wish.adapter, urgency=wish.urgency)
+
+
+def wish_of(message: pb.ModelWish) -> Wish:
+    """A wish received."""
+    return Wish(message.model, message.adapter, message.urgency)
--- a/packages/bambootiller/src/bambootiller/rpc/channels.py
+++ b/packages/bambootiller/src/bambootiller/rpc/channels.py
@@ -53,6 +53,7 @@
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._peers: dict[str, api.PeerStub] = {}
         self._backends: dict[str, api.BackendStub] = {}
+        self._residencies: dict[str, api.ResidencyStub] = {}
         self._closing: list[grpc.aio.Channel] = []
 
     def peer(self, address: str) -> api.PeerStub:
@@ -69,11 +70,21 @@
             stub = self._backends[address] = api.BackendStub(self._channel(address))
         return stub
 
+    def residency(self, address: str) -> api.ResidencyStub:
+        """The stub of the ``Residency`` service at ``address`` (``host:port``)."""
+        stub = self._residencies.get(address)
+        if stub is None:
+            stub = self._residencies[address] = api.ResidencyStub(
+                self._channel(address)
+            )
+        return stub
+
     async def drop(self, address: str) -> None:
         """Close the channel to a process that is gone; calls on it end with an
         error."""
         self._peers.pop(address, None)
         self._backends.pop(address, None)
+        self._residencies.pop(address, None)
         channel = self._channels.pop(address, None)
         if channel is not None:
             await channel.close()
