Load each model from the weight store once at a time

Cause: two entries asked two engines for the same model, an engine that made room for a model looked merely busy, and a wish lived on for 1.5 s after the plan had moved on; half of the weight store's loads were duplicates. Calls of a newly busy model were refused without counting as demand, so its load waited behind rarely used ones. Ruled out: the store's own limit (loads took their 6 s as long as four ran). Change: one entry, by rendezvous, asks for loads from the store; agents tell all entries the total demand; an engine that makes room tells of the load as begun; refused calls count as waiting for three seconds; nothing is fetched ahead of demand while calls come.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 
 from bambootiller_core.gateway.residency import Want
 
@@ -30,7 +31,7 @@
     def __init__(self) -> None:
         self._rates: dict[str, tuple[float, float]] = {}
         self._waiting: dict[str, int] = {}
-        self._refused: dict[str, float] = {}
+        self._refused: dict[str, deque[float]] = {}
 
     def asked(self, now: float, model: str) -> None:
         """A call asks for the model."""
@@ -51,16 +52,14 @@
 
     def refused(self, now: float, model: str) -> None:
         """A call was refused because the model isn't there in time."""
-        self._refused[model] = now
+        self._refused.setdefault(model, deque()).append(now)
 
     def wants(self, now: float, holders: dict[str, int]) -> dict[str, Want]:
         """The demand for each model asked for lately."""
         found = {}
         for model in list(self._rates):
             rate = self._rate(now, model)
-            waiting = self._waiting.get(model, 0)
-            if now - self._refused.get(model, float("-inf")) < REFUSED_WAITS_S:
-                waiting += 1
+            waiting = self._waiting.get(model, 0) + self._refused_lately(now, model)
             if rate < LEAST_RATE and not waiting:
                 del self._rates[model]
                 self._refused.pop(model, None)
@@ -68,6 +67,14 @@
             found[model] = Want(rate, waiting, holders.get(model, 0))
         return found
 
+    def _refused_lately(self, now: float, model: str) -> int:
+        times = self._refused.get(model)
+        if times is None:
+            return 0
+        while times and now - times[0] > REFUSED_WAITS_S:
+            times.popleft()
+        return len(times)
+
     def _rate(self, now: float, model: str) -> float:
         rate, at = self._rates.get(model, (0.0, now))
         return rate * math.exp((at - now) / MEMORY_S)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -19,15 +19,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from bambootiller_core.gateway.config import EngineSpec
+from bambootiller_core.gateway.config import EngineSpec, ModelSpec
 from bambootiller_core.gateway.fleet import EngineState, Loading
-from bambootiller_core.gateway.residency import Want, choose_victims, keep_values
+from bambootiller_core.gateway.residency import RUN_S, Want, choose_victims, keep_values
 
 #: Adapters that may be on their way to an engine at a time.
 ADAPTERS_AT_ONCE = 4
 #: What an entry asked for is forgotten after this time unless it is asked for again.
 #: Seconds.
-WISH_LIFE_S = 1.5
+WISH_LIFE_S = 0.25
 #: An entry's figures of use count for this long after it fell silent: its calls may
 #: still be running here. Seconds.
 USE_LIFE_S = 3.0
@@ -120,6 +120,14 @@
     from_store: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _Preparing:
+    """A load for which other models are being unloaded."""
+
+    wish: Wish
+    since: float
+
+
 @dataclass(frozen=True, slots=True)
 class LoadEnded:
     """A load that has ended; ``held`` tells whether the model is there."""
@@ -156,6 +164,7 @@
         self._needs_report = True
         self._load: _Load | None = None
         self._unloading: str | None = None
+        self._preparing: _Preparing | None = None
         self._book = _Book()
         self.fenced = False
 
@@ -194,7 +203,7 @@
         if self._report is not None and report.instance != self._report.instance:
             # A new start holds nothing and knows no orders; those to the last one are
             # refused by its name.
-            self._load = self._unloading = self._unsettled = None
+            self._load = self._unloading = self._unsettled = self._preparing = None
         self._report = report
         self._needs_report = False
         unsettled = self._unsettled
@@ -217,6 +226,11 @@
             return None
         wishes = [wish for wish, _ in self._book.wishes.values()]
         wishes.sort(key=lambda wish: wish.urgency)
+        if self._preparing is not None:
+            order = self._for_model(now, self._preparing.wish)
+            if order is not None:
+                return order
+            self._preparing = None
         for wish in wishes:
             order = self._for_adapter(now, wish) if wish.adapter else None
             if order is not None:
@@ -280,7 +294,7 @@
             queued=report.queued,
             memory_mb_used=self._memory_used(),
             orderable=not self.fenced,
-            keep_values=keep_values(holdings, self._wants()),
+            keep_values=keep_values(holdings, self.wants()),
             in_use=self._in_use(now),
         )
 
@@ -293,13 +307,17 @@
         spec = self._engine.models.get(order.model)
         if spec is None:
             return
-        report = self._report
-        if order.model in report.in_memory:
-            self._load = _Load(order.model, now, spec.memory_s, False)
-        elif order.model in report.on_disk:
-            self._load = _Load(order.model, now, spec.disk_s, False)
-        else:
-            self._load = _Load(order.model, now, spec.load_s, True)
+        if self._preparing is not None and self._preparing.wish.model == order.model:
+            self._preparing = None
+        seconds, from_store = self._load_time(spec)
+        self._load = _Load(order.model, now, seconds, from_store)
+
+    def _load_time(self, spec: ModelSpec) -> tuple[float, bool]:
+        if spec.name in self._report.in_memory:
+            return spec.memory_s, False
+        if spec.name in self._report.on_disk:
+            return spec.disk_s, False
+        return spec.load_s, True
 
     def _settle_progress(self, now: float, report: EngineReport) -> LoadEnded | None:
         load, ended = self._load, None
@@ -319,11 +337,22 @@
     def _loading(self, now: float) -> Loading | None:
         load = self._load
         if load is None:
-            return None
+            return self._prepared(now)
         left = load.began + load.seconds - now
         left = max(left, load.seconds * OVERRUN_SHARE)
         return Loading(load.model, left, load.from_store)
 
+    def _prepared(self, now: float) -> Loading | None:
+        """The load to come, told as if it had begun, or entries would have the model
+        loaded elsewhere while others are unloaded for it here."""
+        preparing = self._preparing
+        spec = preparing and self._engine.models.get(preparing.wish.model)
+        if not spec:
+            return None
+        seconds, from_store = self._load_time(spec)
+        left = max(0.0, preparing.since + RUN_S - now) + seconds
+        return Loading(spec.name, left, from_store)
+
     def _forget(self, now: float) -> None:
         book = self._book
         for key, (_, at) in list(book.wishes.items()):
@@ -377,7 +406,7 @@
         need = self._memory_used() + spec.size_mb - self._engine.memory_mb
         if need <= 0:
             return self._order(OrderKind.LOAD, wish.model, "")
-        wants = self._wants()
+        wants = self.wants()
         in_use = self._in_use(now)
         incoming = wants.get(wish.model, Want())
         if wish.urgency > WAITED_FOR:
@@ -392,6 +421,8 @@
         )
         if victims is None:
             return None
+        if self._preparing is None:
+            self._preparing = _Preparing(wish, now)
         return self._order(OrderKind.UNLOAD, victims.models[0], "")
 
     def _loaded_lately(self, now: float, model: str) -> bool:
@@ -428,7 +459,8 @@
         spec = self._engine.models.get(model)
         return 0.0 if spec is None else spec.adapter_mb
 
-    def _wants(self) -> dict[str, Want]:
+    def wants(self) -> dict[str, Want]:
+        """The demand of all entries together."""
         merged: dict[str, Want] = {}
         for use in self._book.entries.values():
             for model, want in use.wants.items():
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -23,6 +24,9 @@
 #: Loads that the weight store serves at full speed; more at a time come no sooner and
 #: slow down the first. Stated by the first users for their sites of today.
 STORE_LOADS = 4
+#: The same for loads that no call waits for, so that one which calls wait for can begin
+#: at once.
+STORE_LOADS_AHEAD = 3
 #: An order takes this long besides the load itself. Seconds.
 ORDER_S = 0.05
 #: Loads longer than this stand in the way of others at the same engine. Seconds.
@@ -78,6 +82,15 @@
     from_store: bool
 
 
+class _Rank(enum.IntEnum):
+    """Which loads go before which."""
+
+    WAITED_FOR = 0
+    ASKED_FOR = 1
+    SECOND_COPY = 2
+    UNASKED = 3
+
+
 @dataclass(slots=True)
 class _Place:
     """An engine while a plan is made; ``free_in_s`` is when its next order can begin."""
@@ -130,6 +143,8 @@
     ) -> dict[str, PlannedLoad]:
         """The loads to come, by model, the most wanted first.
 
+        ``wants`` is the demand of all entries together.
+
         A model that is held somewhere doesn't appear unless a second engine shall hold
         it as well. Models that no engine has a copy of are fetched even if nobody asks
         for them yet, behind all others.
@@ -140,14 +155,15 @@
         ]
         plan = _under_way(known)
         store_loads = sum(1 for load in plan.values() if load.from_store)
-        for spec in self._in_order(known, wants, plan):
+        for spec, rank in self._in_order(known, wants, plan):
             option = self._best(spec, places, wants, now)
             if option is None:
                 continue
-            waits_for_store = option.from_store and store_loads >= STORE_LOADS
+            most = STORE_LOADS if rank <= _Rank.ASKED_FOR else STORE_LOADS_AHEAD
+            waits_for_store = option.from_store and store_loads >= most
             ready = option.ready_in_s
             if waits_for_store:
-                queued = store_loads - STORE_LOADS + 1
+                queued = store_loads - most + 1
                 ready += spec.load_s * queued / STORE_LOADS
             starts_now = option.place.free_in_s <= 0 and option.place.planned == 0
             plan[spec.name] = PlannedLoad(
@@ -166,7 +182,7 @@
         known: list[Backend],
         wants: Mapping[str, Want],
         plan: Mapping[str, PlannedLoad],
-    ) -> list[ModelSpec]:
+    ) -> list[tuple[ModelSpec, _Rank]]:
         holders = {name: 0 for name in self._engine.models}
         copied = set()
         for backend in known:
@@ -188,7 +204,7 @@
                 tie = rendezvous.weight("fetch", name)
                 ranked.append((rank, -want.value, tie, spec))
         ranked.sort(key=lambda item: item[:3])
-        return [item[3] for item in ranked]
+        return [(item[3], item[0]) for item in ranked]
 
     def _place(self, backend: Backend) -> _Place:
         state = backend.engine
@@ -269,26 +285,35 @@
         option.place.taken.add(spec.name)
 
 
-def _rank(want: Want, holders: int, copied: bool, total_rate: float) -> int | None:
-    """How soon a model is to be loaded, 0 first; None if it isn't to be."""
+def _rank(want: Want, holders: int, copied: bool, total_rate: float) -> _Rank | None:
+    """How soon a model is to be loaded; None if it isn't to be."""
     if holders == 0 and want.waiting:
-        return 0
+        return _Rank.WAITED_FOR
     if holders == 0 and not copied:
-        return 1 if want.rate > 0 else 3
+        if want.rate > 0:
+            return _Rank.ASKED_FOR
+        # While calls come, an engine that fetches a model nobody asks for is kept from
+        # those that they ask for.
+        return _Rank.UNASKED if total_rate == 0 else None
     if holders == 1 and total_rate > 0:
-        return 2 if want.rate / total_rate >= SECOND_COPY_SHARE else None
+        shares = want.rate / total_rate
+        return _Rank.SECOND_COPY if shares >= SECOND_COPY_SHARE else None
     return None
 
 
 def _under_way(known: list[Backend]) -> dict[str, PlannedLoad]:
-    found = {}
+    found: dict[str, PlannedLoad] = {}
+    loads = [backend.engine.loading for backend in known if backend.engine.loading]
+    from_store = sum(1 for loading in loads if loading.from_store)
+    # The store's speed is shared by all loads beyond those that it serves at full speed.
+    stretch = max(1.0, from_store / STORE_LOADS)
     for backend in known:
         loading = backend.engine.loading
         if loading is not None:
             found[loading.model] = PlannedLoad(
                 loading.model,
                 backend.instance,
-                loading.left_s,
+                loading.left_s * (stretch if loading.from_store else 1.0),
                 ask_now=False,
                 from_store=loading.from_store,
             )
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -260,6 +260,7 @@
         state = self._book.state(now) if self._book is not None else None
         if state is not None:
             update.engine.CopyFrom(wire.engine_message(state))
+            update.total_demand.extend(wire.demand_messages(self._book.wants()))
             update.engine.orderable = state.orderable and self._token is not None
 
     def _received(self, update: Update) -> None:
@@ -267,7 +268,7 @@
             return
         now = self._app.now()
         self._entries[update.sender] = now
-        wants = wire.entry_wants(update.entry)
+        wants = wire.wants_of(update.entry.demand)
         in_use = dict(update.entry.in_use)
         self._book.entry_told(now, update.sender, wants, in_use)
         for message in update.wishes:
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -58,6 +58,7 @@
         self._demand: dict[str, Demand] = {}
         self._plans: dict[str, dict[str, PlannedLoad]] = {}
         self.entries: tuple[str, ...] = ()
+        self._total: dict[str, Want] = {}
 
     def start(self) -> None:
         """Begin to review and to plan."""
@@ -137,6 +138,7 @@
         if not update.HasField("engine"):
             return
         self.entries = tuple(update.entries)
+        self._total = wire.wants_of(update.total_demand)
         state = wire.engine_state(update.engine)
         if self._knowledge.fleet.engine_told(self._app.now(), state):
             self._knowledge.changed.notify()
@@ -148,6 +150,19 @@
                 holders[model] = holders.get(model, 0) + 1
         return self.demand(service).wants(self._app.now(), holders)
 
+    def _with_total(self, own: dict[str, Want]) -> dict[str, Want]:
+        """The demand of all entries as an agent told it last, and not less than what
+        this entry knows of its own."""
+        merged = dict(self._total)
+        for model, want in own.items():
+            total = merged.get(model, want)
+            merged[model] = Want(
+                max(want.rate, total.rate),
+                max(want.waiting, total.waiting),
+                want.holders,
+            )
+        return merged
+
     def _plan(self, now: float) -> None:
         config = self._knowledge.config
         if config is None:
@@ -158,7 +173,7 @@
             planner = Planner(service.engine)
             backends = self._knowledge.fleet.of_service(service.name)
             wants = self._wants(service.name)
-            plan = planner.plan(now, backends, wants)
+            plan = planner.plan(now, backends, self._with_total(wants))
             self._plans[service.name] = plan
             self._ask(plan, wants)
 
@@ -170,15 +185,19 @@
             if backend is None:
                 continue
             waiting = wants.get(load.model, Want()).waiting
-            if not waiting and not self._sees_to(load.model):
+            total = self._total.get(load.model, Want()).waiting
+            alone = waiting and not load.from_store
+            if not alone and not self._sees_to(load.model):
                 continue
-            urgency = WAITED_FOR if waiting else AHEAD
+            urgency = WAITED_FOR if waiting or total else AHEAD
             self.wish(backend, Wish(load.model, "", urgency))
 
     def _sees_to(self, model: str) -> bool:
-        """Whether this entry is the one to ask for a load that no call waits for.
+        """Whether this entry is the one to ask for a load from the weight store, or
+        for one that no call waits for.
 
-        All entries have the same plan, and asked at the same moment by several, agents
-        would load a model at more engines than it needs.
+        All entries have nearly the same plan. Asked by several at the same moment,
+        agents would load a model at more engines than it needs, and half of what the
+        store gives would be wasted. A load from a copy is over before it matters.
         """
         return rendezvous.first(model, self.entries) == self._app.instance
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core.gateway.fleet import EngineState, Loading
@@ -60,21 +60,28 @@
 ) -> pb.EntryFigures:
     """What an entry says of its demand, and of its calls at one engine."""
     message = pb.EntryFigures(in_use=in_use)
-    for model, want in wants.items():
-        message.demand.add(
+    message.demand.extend(demand_messages(wants))
+    return message
+
+
+def demand_messages(wants: Mapping[str, Want]) -> list[pb.ModelDemand]:
+    """Demand by model."""
+    return [
+        pb.ModelDemand(
             model=model,
             calls_per_s=want.rate,
             waiting=want.waiting,
             holders=want.holders,
         )
-    return message
+        for model, want in wants.items()
+    ]
 
 
-def entry_wants(message: pb.EntryFigures) -> dict[str, Want]:
-    """The demand in it."""
+def wants_of(messages: Iterable[pb.ModelDemand]) -> dict[str, Want]:
+    """The same, received."""
     return {
         item.model: Want(item.calls_per_s, item.waiting, item.holders)
-        for item in message.demand
+        for item in messages
     }
 
 
