--- a/packages/bambootiller-core/src/bambootiller_core/gateway/config.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/config.py
@@ -41,7 +41,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Where calls of one host and path prefix go, and what the operator decided on them.
+    """Where calls of one host and path prefix go, and what the operator decided on
+    them.
 
     ``timeout_s`` is the longest that a caller may be kept; None means no limit.
     ``priority`` 0 goes first. A stream is ``resumable`` if another run may go on behind
@@ -108,8 +109,8 @@
 class EngineSpec:
     """What each backend server of a service of engines can hold.
 
-    ``loads_per_s`` is the most that all of them together may load from the weight store.
-    """
+    ``loads_per_s`` is the most that all of them together may load from the weight
+    store."""
 
     memory_mb: float
     adapter_slots: int
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -55,10 +55,10 @@
     """What an agent says of the engine beside it.
 
     ``holdings`` maps each held model to its adapters. ``in_memory`` and ``on_disk`` are
-    copies of weights from which a load is faster. ``in_use`` counts, for each model, the
-    calls that entries have under way there; ``keep_values`` how much it matters to all
-    entries together that each held model stays. In ``in_use``, MODEL/ADAPTER counts those of an adapter.
-    """
+    copies of weights from which a load is faster. ``in_use`` counts, for each model,
+    the calls that entries have under way there; ``keep_values`` how much it matters to
+    all entries together that each held model stays. In ``in_use``, MODEL/ADAPTER counts
+    those of an adapter."""
 
     instance: str
     holdings: Mapping[str, frozenset[str]]
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -434,7 +434,8 @@
         return EngineOrder(kind, model, adapter, self._report.accepted)
 
     def _memory_used(self) -> float:
-        """Megabytes held, on their way in, or possibly brought by an unsettled order."""
+        """Megabytes held, on their way in, or possibly brought by an unsettled
+        order."""
         report = self._report
         total = 0.0
         for model, adapters in report.holdings.items():
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -53,7 +53,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Want:
-    """The demand for one model: calls a second, calls waiting, and engines holding it."""
+    """The demand for one model: calls a second, calls waiting, and engines holding
+    it."""
 
     rate: float = 0.0
     waiting: int = 0
@@ -93,7 +94,8 @@
 
 @dataclass(slots=True)
 class _Place:
-    """An engine while a plan is made; ``free_in_s`` is when its next order can begin."""
+    """An engine while a plan is made; ``free_in_s`` is when its next order can
+    begin."""
 
     backend: Backend
     free_in_s: float
@@ -305,7 +307,8 @@
     found: dict[str, PlannedLoad] = {}
     loads = [backend.engine.loading for backend in known if backend.engine.loading]
     from_store = sum(1 for loading in loads if loading.from_store)
-    # The store's speed is shared by all loads beyond those that it serves at full speed.
+    # The store's speed is shared by all loads beyond those that it serves at full
+    # speed.
     stretch = max(1.0, from_store / STORE_LOADS)
     for backend in known:
         loading = backend.engine.loading
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import replace
 
 from bambootiller.app import Application
@@ -151,12 +152,10 @@
         while True:
             pause = await self._step()
             self._tell()
-            try:
-                await asyncio.wait_for(self._wake.wait(), pause)
-            except TimeoutError:
-                continue
-            finally:
-                self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    await self._wake.wait()
+            self._wake.clear()
 
     async def _step(self) -> float:
         """Read the report, send one order if there is one; returns the pause."""
--- a/packages/bambootiller/src/bambootiller/gateway/connections.py
+++ b/packages/bambootiller/src/bambootiller/gateway/connections.py
@@ -10,7 +10,7 @@
     conn = await pool.acquire(timeout_s)
     conn.send(head, body)
     head = await conn.head(is_stray)
-    async for data in conn.body(): ...
+    while (data := await conn.chunk()) is not None: ...
     pool.release(conn)
 """
 
@@ -19,7 +19,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import httptools
@@ -60,12 +60,14 @@
 
 @dataclass(slots=True)
 class _Answer:
-    """The answer being read."""
+    """An answer being read; ``data`` are the parts of its body not taken yet."""
 
     status: int = 0
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    data: deque[bytes] = field(default_factory=deque)
     has_head: bool = False
     whole: bool = False
+    keep_alive: bool = True
 
 
 class BackendConnection(asyncio.Protocol):
@@ -74,8 +76,8 @@
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._answer = _Answer()
-        self._data: deque[bytes] = deque()
+        #: The answers to the present call, strays first; the last is being parsed.
+        self._answers: deque[_Answer] = deque()
         self._held = 0
         self._wake: asyncio.Future[None] | None = None
         self._lost: ConnectionLost | None = None
@@ -83,7 +85,6 @@
         self._any_byte = False
         self._spoiled = False
         self._paused = False
-        self._keep_alive = True
         self.reused = False
         self.keep_s: float = KEEP_UNSTATED_S
         self.idle_since = 0.0
@@ -99,74 +100,70 @@
 
     def data_received(self, data: bytes) -> None:
         """Bytes have come; outside of a call they spoil the connection."""
-        if not self._active or self._answer.whole:
+        if not self._active:
             self._spoiled = True
             return
         self._any_byte = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
-            if not (self._answer.whole and self._spoiled):
-                self._lose(f"the answer isn't HTTP: {exc}", False)
             self._spoiled = True
+            if not self._all_whole():
+                self._lose(f"the answer isn't HTTP: {exc}", False)
         self._notify()
 
     def eof_received(self) -> bool:
         """The other side closes: an answer without a length ends with that."""
-        if self._active and not self._answer.whole:
-            if self._answer.has_head and self._ends_with_connection():
-                self._answer.whole = True
+        self._spoiled = True
+        if self._active and not self._all_whole():
+            last = self._answers[-1] if self._answers else None
+            if last is not None and last.has_head and _ends_with_connection(last):
+                last.whole = True
             else:
                 self._lose("the connection was closed before the answer's end", True)
-        self._spoiled = True
         self._notify()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is down."""
         self._spoiled = True
-        if self._active and not self._answer.whole and self._lost is None:
+        if self._active and not self._all_whole():
             self._lose(f"the connection was lost: {exc!r}", exc is None)
         self._notify()
 
     # -- httptools callbacks
 
     def on_message_begin(self) -> None:
-        """Another answer behind a whole one belongs to no call."""
-        if self._answer.whole:
-            self._spoiled = True
+        """An answer begins; more than one on a call are told apart by the relay."""
+        if not self._answers or self._answers[-1].whole:
+            self._answers.append(_Answer())
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """A header of the answer."""
-        if not self._answer.whole:
-            self._answer.headers.append((name.lower(), value))
+        self._answers[-1].headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """The head is there."""
-        answer = self._answer
-        if answer.whole:
-            return
+        answer = self._answers[-1]
         answer.status = self._parser.get_status_code()
         if 100 <= answer.status < 200:
             answer.headers.clear()
             return
         answer.has_head = True
-        self._keep_alive = self._parser.should_keep_alive()
+        answer.keep_alive = self._parser.should_keep_alive()
 
     def on_body(self, data: bytes) -> None:
         """A part of the body."""
-        if self._answer.whole:
-            return
-        self._data.append(data)
+        self._answers[-1].data.append(data)
         self._held += len(data)
         if self._held > MOST_HELD and not self._paused:
             self._paused = True
             self._transport.pause_reading()
 
     def on_message_complete(self) -> None:
-        """The answer is whole."""
-        if self._answer.has_head:
-            self._answer.whole = True
+        """The answer is whole, unless it was an informational one."""
+        answer = self._answers[-1]
+        answer.whole = answer.has_head
 
     # -- for the relay
 
@@ -174,58 +171,55 @@
         """Send a call. The connection must be idle."""
         self._active = True
         self._any_byte = False
-        self._answer = _Answer()
-        self._data.clear()
+        self._answers.clear()
         self._held = 0
-        if self._lost is None and self._transport.is_closing():
+        if self._transport.is_closing():
             self._lose("the connection was closed while idle", True)
             return
-        self._transport.write(head + body if len(body) < 4096 else head)
-        if len(body) >= 4096:
-            self._transport.write(body)
+        self._transport.write(head + body)
 
     async def head(self, is_stray: Callable[[AnswerHead], bool]) -> AnswerHead:
         """The head of the answer; answers for which ``is_stray`` holds are skipped."""
         for _ in range(MOST_STRAYS):
-            while not self._answer.has_head:
+            while not (self._answers and self._answers[0].has_head):
                 await self._more()
-            head = AnswerHead(self._answer.status, tuple(self._answer.headers))
+            answer = self._answers[0]
+            head = AnswerHead(answer.status, tuple(answer.headers))
             if not is_stray(head):
                 return head
-            await self._skip()
+            while await self.chunk() is not None:
+                continue
+            self._answers.popleft()
         raise ConnectionLost("too many answers to other calls", False, True)
 
     async def chunk(self) -> bytes | None:
         """The next part of the body; None once the answer is whole."""
-        while not self._data:
-            if self._answer.whole:
+        answer = self._answers[0]
+        while not answer.data:
+            if answer.whole:
                 return None
             await self._more()
-        data = b"".join(self._data) if len(self._data) > 1 else self._data[0]
-        self._data.clear()
+        data = b"".join(answer.data)
+        answer.data.clear()
         self._held = 0
         if self._paused:
             self._paused = False
             self._transport.resume_reading()
         return data
 
-    async def body(self) -> AsyncIterator[bytes]:
-        """The rest of the body, part by part."""
-        while (data := await self.chunk()) is not None:
-            yield data
-
     def finish(self, now: float) -> bool:
         """End the call; True if the connection can carry another one."""
         usable = (
             self._active
-            and self._answer.whole
-            and self._keep_alive
+            and len(self._answers) == 1
+            and self._all_whole()
+            and self._answers[0].keep_alive
             and not self._spoiled
             and self._lost is None
             and not self._transport.is_closing()
         )
         if usable:
-            self.keep_s = self._stated_keep()
+            self.keep_s = _stated_keep(self._answers[0])
             usable = self.keep_s > 0
         self._active = False
         self.idle_since = now
@@ -246,31 +240,8 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _stated_keep(self) -> float:
-        for name, value in self._answer.headers:
-            if name == b"connection" and b"close" in value.lower():
-                return 0.0
-            if name == b"keep-alive":
-                for part in value.split(b","):
-                    key, _, number = part.strip().partition(b"=")
-                    if key.lower() == b"timeout" and number.strip().isdigit():
-                        return int(number) * KEEP_SHARE
-        return KEEP_UNSTATED_S
-
-    def _ends_with_connection(self) -> bool:
-        for name, value in self._answer.headers:
-            if name == b"content-length":
-                return False
-            if name == b"transfer-encoding" and b"chunked" in value.lower():
-                return False
-        return True
-
-    async def _skip(self) -> None:
-        while await self.chunk() is not None:
-            continue
-        if self._spoiled or not self._keep_alive:
-            raise ConnectionLost("only an answer to another call came", False, True)
-        self._answer = _Answer()
+    def _all_whole(self) -> bool:
+        return bool(self._answers) and self._answers[-1].whole
 
     async def _more(self) -> None:
         if self._lost is not None:
@@ -280,8 +251,6 @@
             await self._wake
         finally:
             self._wake = None
-        if self._lost is not None and not self._data and not self._answer.whole:
-            raise self._lost
 
     def _lose(self, detail: str, cleanly: bool) -> None:
         if self._lost is None:
@@ -292,6 +261,28 @@
             self._wake.set_result(None)
 
 
+def _stated_keep(answer: _Answer) -> float:
+    """For how long the connection may be used again. Seconds."""
+    for name, value in answer.headers:
+        if name == b"connection" and b"close" in value.lower():
+            return 0.0
+        if name == b"keep-alive":
+            for part in value.split(b","):
+                key, _, number = part.strip().partition(b"=")
+                if key.lower() == b"timeout" and number.strip().isdigit():
+                    return int(number) * KEEP_SHARE
+    return KEEP_UNSTATED_S
+
+
+def _ends_with_connection(answer: _Answer) -> bool:
+    for name, value in answer.headers:
+        if name == b"content-length":
+            return False
+        if name == b"transfer-encoding" and b"chunked" in value.lower():
+            return False
+    return True
+
+
 class ConnectionPool:
     """The kept connections to one backend server.
 
@@ -353,10 +344,10 @@
     async def _connect(self, timeout_s: float) -> BackendConnection:
         loop = asyncio.get_running_loop()
         try:
-            _, conn = await asyncio.wait_for(
-                loop.create_connection(BackendConnection, self._host, self._port),
-                max(0.01, timeout_s),
-            )
+            async with asyncio.timeout(max(0.01, timeout_s)):
+                _, conn = await loop.create_connection(
+                    BackendConnection, self._host, self._port
+                )
         except (OSError, TimeoutError) as exc:
             raise CannotConnect(f"{self._host}:{self._port}: {exc!r}") from exc
         return conn
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -89,7 +89,8 @@
         """Nothing to take beforehand: a taken port is noticed at the start."""
 
     async def start(self) -> None:
-        """Bind the ports and serve; calls are refused until a configuration is known."""
+        """Bind the ports and serve; calls are refused until a configuration is
+        known."""
         app = self._app
         watcher = StoreWatcher(self._platform.kv, self.knowledge, self._events, app.now)
         for prefix in self._platform.directory.prefixes:
@@ -123,7 +124,8 @@
         self._servers[0].close_listener()
         left = end - TELL_S - app.now()
         try:
-            await asyncio.wait_for(self._front.idle.wait(), max(0.0, left))
+            async with asyncio.timeout(max(0.0, left)):
+                await self._front.idle.wait()
         except TimeoutError:
             self._events.emit("cut_at_stop", under_way=self._front.under_way)
 
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -61,7 +61,8 @@
         while True:
             yield self._next()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), HEARTBEAT_S)
+                async with asyncio.timeout(HEARTBEAT_S):
+                    await self._wake.wait()
             if self._wake.is_set():
                 await asyncio.sleep(GATHER_S)
             self._wake.clear()
@@ -138,7 +139,8 @@
         heard = False
         try:
             while True:
-                update = await asyncio.wait_for(call.read(), SILENT_S)
+                async with asyncio.timeout(SILENT_S):
+                    update = await call.read()
                 if update is grpc.aio.EOF:
                     return heard
                 heard = True
--- a/packages/bambootiller/src/bambootiller/gateway/front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/front.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -145,8 +144,7 @@
             watching.cancel()
             if not running.done():
                 running.cancel()
-                with contextlib.suppress(asyncio.CancelledError, AnswerCut):
-                    await running
+                await asyncio.wait((running,))
 
     def _takes_no_more(self) -> bool:
         """Whether a planned stop has come so far that a new call could be cut.
--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -1,9 +1,8 @@
 """What a process of the gateway knows from the store and from its peers.
 
-Documents come from the store's watch and from peers; both carry the store's revision, so
-whichever is newer wins, wherever it came from. What was last known stays in force while
-the store is away. Nothing is ever replaced by something older.
-"""
+Documents come from the store's watch and from peers; both carry the store's revision,
+so whichever is newer wins, wherever it came from. What was last known stays in force
+while the store is away. Nothing is ever replaced by something older."""
 
 from __future__ import annotations
 
@@ -172,7 +171,8 @@
         self._waiting.add(fut)
         try:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(fut, max(0.0, seconds))
+                async with asyncio.timeout(max(0.0, seconds)):
+                    await fut
         finally:
             self._waiting.discard(fut)
 
--- a/packages/bambootiller/src/bambootiller/gateway/ports.py
+++ b/packages/bambootiller/src/bambootiller/gateway/ports.py
@@ -57,8 +57,8 @@
     ``ANSWER``: the backend server's own answer to this call. ``NOT_RUN``: a promise
     that the call hasn't run there. ``MISDIRECTED``: the same, because another backend
     server has the address, or doesn't hold the model. ``STRAY``: an answer to another
-    call. ``USELESS``: nothing that may be passed on, after a run that may have happened.
-    """
+    call. ``USELESS``: nothing that may be passed on, after a run that may have
+    happened."""
 
     ANSWER = "answer"
     NOT_RUN = "not run"
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -240,7 +240,8 @@
         return backend
 
     async def _engine_place(self) -> Backend | Refusal:
-        """An engine that holds the model and the adapter, waiting for one if need be."""
+        """An engine that holds the model and the adapter, waiting for one if need
+        be."""
         relays, ask = self._relays, self._call.ask
         demand = relays.engines.demand(self._call.service)
         demand.begin_waiting(ask.model)
@@ -311,7 +312,8 @@
     # -- one attempt
 
     async def _attempt(self, backend: Backend) -> Ended | None:
-        """Send the call to one backend server; None if the answer was passed on whole."""
+        """Send the call to one backend server; None if the answer was passed on
+        whole."""
         relays, progress = self._relays, self._progress
         pool = relays.pool(backend)
         now = relays.clock()
@@ -402,7 +404,11 @@
         if seconds is None:
             return await awaitable
         try:
-            return await asyncio.wait_for(awaitable, seconds)
+            # Not wait_for(): where the awaited thing ends at the moment at which the
+            # caller leaves, that returns its result and forgets the cancellation, and
+            # the backend server goes on working for nobody.
+            async with asyncio.timeout(seconds):
+                return await awaitable
         except TimeoutError as exc:
             raise ConnectionLost(f"silent for {seconds:.2f} s", False, False) from exc
 
--- /dev/null
+++ b/tests/adapter/common/entry.py
@@ -0,0 +1,175 @@
+"""An entry's front over stand-in replicas, in the test's own loop.
+
+The front is called as the HTTP server would call it, so that a test sees each message
+and decides when the caller leaves.
+"""
+
+import asyncio
+import json
+import random
+
+from bambootiller.gateway.front import Front
+from bambootiller.gateway.knowledge import Knowledge
+from bambootiller.gateway.relay import Relays
+from bambootiller_core.gateway.budget import AttemptBudget
+from bambootiller_core.gateway.demand import Demand
+from bambootiller_core.ports import Changed, Record
+from bambootiller_platform.dialect import PlatformDialect
+from bambootiller_platform.documents import PlatformDirectory
+from tests.adapter.cover.test_documents import CONFIG, MODEL, ROUTE, SERVICE
+
+HOST = b"classes.example"
+
+
+class Events:
+    """Keeps what would be logged."""
+
+    def __init__(self):
+        self.lines = []
+
+    def emit(self, kind, **fields):
+        self.lines.append((kind, fields))
+
+    def of(self, kind):
+        return [fields for found, fields in self.lines if found == kind]
+
+
+class NoEngines:
+    """Engines without agents: nothing can be ordered."""
+
+    def __init__(self):
+        self.entries = ("e1", "e2")
+        self.wishes = []
+        self._demand = Demand()
+
+    def demand(self, service):
+        return self._demand
+
+    def planned(self, service, model):
+        return None
+
+    def replan(self):
+        pass
+
+    def wish(self, backend, wish):
+        self.wishes.append(wish)
+        return True
+
+
+class Answer:
+    """What a caller received."""
+
+    def __init__(self):
+        self.status = None
+        self.headers = {}
+        self.body = b""
+        self.whole = False
+        self.arrivals = []
+
+
+class Bench:
+    """One entry over some replicas.
+
+    Example::
+
+        bench = Bench()
+        await bench.add(StandinReplica("i-1", "plain"))
+        answer = await bench.call(path=b"/plain/x")
+    """
+
+    def __init__(self):
+        self.events = Events()
+        loop = asyncio.get_running_loop()
+        self.knowledge = Knowledge(PlatformDirectory(), self.events, loop.time)
+        self.engines = NoEngines()
+        self.relays = Relays(
+            self.knowledge,
+            self.engines,
+            PlatformDialect(),
+            self.events,
+            "z1",
+            random.Random(7),
+            loop.time,
+            lambda: AttemptBudget(0.2, 54, 10.0),
+        )
+        self.leaving = False
+        self.front = Front(self.relays, None, lambda: True, lambda: self.leaving)
+        self.replicas = []
+        self.revision = 0
+
+    def configure(self, **route_fields):
+        """Put a configuration into force."""
+        fields = {
+            "name": "p",
+            "path-prefix": "/plain/",
+            "kind": "safe",
+            "service": "plain",
+            "timeout-ms": 3000,
+            **route_fields,
+        }
+        form = {
+            **CONFIG,
+            "routes": [{**ROUTE, **fields}, ROUTE],
+            "services": [SERVICE, {"name": "plain"}],
+        }
+        self.learn("op/config", form)
+
+    def learn(self, key, form):
+        """Have a document known."""
+        self.revision += 1
+        value = form if isinstance(form, bytes) else json.dumps(form).encode()
+        self.knowledge.learnt(Changed(Record(key, value, self.revision)), "test")
+
+    async def add(self, replica):
+        """Start a replica and list it."""
+        await replica.server.start()
+        self.replicas.append(replica)
+        self.learn(f"servers/{replica.instance}", replica.entry())
+        return replica
+
+    async def close(self):
+        """Stop all replicas."""
+        for replica in self.replicas:
+            await replica.server.stop()
+
+    async def call(self, path=b"/plain/x", method="POST", leave_after=None, **headers):
+        """Call as a client; ``leave_after`` seconds closes the connection."""
+        fields = [(b"host", HOST), (b"x-request-attempt", b"r-1")]
+        fields += [
+            (name.replace("_", "-").encode(), str(value).encode())
+            for name, value in headers.items()
+        ]
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path.decode(),
+            "raw_path": path,
+            "query_string": b"",
+            "headers": fields,
+        }
+        answer = Answer()
+        told = []
+
+        async def receive():
+            if not told:
+                told.append(True)
+                return {"type": "http.request", "body": b"body", "more_body": False}
+            if leave_after is None:
+                await asyncio.Event().wait()
+            await asyncio.sleep(leave_after)
+            return {"type": "http.disconnect"}
+
+        async def send(message):
+            if message["type"] == "http.response.start":
+                answer.status = message["status"]
+                answer.headers = dict(message["headers"])
+                return
+            answer.body += message.get("body", b"")
+            answer.arrivals.append(asyncio.get_running_loop().time())
+            answer.whole = not message.get("more_body", False)
+
+        await self.front(scope, receive, send)
+        return answer
+
+
+MODEL_NAME = MODEL["name"]
--- /dev/null
+++ b/tests/adapter/cover/test_boundary.py
@@ -0,0 +1,81 @@
+"""The platform's names stay in one folder, and that folder hides nothing."""
+
+import json
+import re
+import subprocess
+import sys
+import unittest
+
+from tests.adapter import PLATFORM, ROOT
+
+#: Names on the wire that have no meaning of their own outside the platform.
+FOREIGN = (
+    "x-request-attempt",
+    "x-response-seal",
+    "x-not-executed",
+    "x-expected-instance",
+    "x-token-usage",
+    "x-prompt-prefix",
+    "x-deadline-ms",
+    "x-request-priority",
+    "/bambootiller/ready",
+    "/bambootiller/report",
+    "/bambootiller/order",
+    "kv-txn",
+    "kv-watch",
+    "kv-range",
+    "op/config",
+    "servers/",
+    "model_load",
+    "model_unload",
+    "fencing-token",
+    "path-prefix",
+    "weights-mb",
+    "at-hand",
+    "internal-ports",
+    "node-name",
+    "BAMBOOTILLER_NODE_FILE",
+)
+
+
+class TestBoundary(unittest.TestCase):
+    def test_no_name_of_the_platform_stands_outside_its_folder(self):
+        pattern = re.compile("|".join(map(re.escape, FOREIGN)), re.IGNORECASE)
+        found = []
+        for path in sorted((ROOT / "packages").rglob("*.py")):
+            for number, line in enumerate(path.read_text().splitlines(), 1):
+                if pattern.search(line):
+                    found.append(f"{path.relative_to(ROOT)}:{number}: {line.strip()}")
+        self.assertEqual(found, [])
+
+    def test_the_packages_do_not_import_the_adapter(self):
+        found = [
+            str(path.relative_to(ROOT))
+            for path in (ROOT / "packages").rglob("*.py")
+            if "bambootiller_platform" in path.read_text()
+        ]
+        self.assertEqual(found, [])
+
+
+class TestFolder(unittest.TestCase):
+    def run_python(self, code, *path):
+        lines = f"import sys; sys.path[:0] = {json.dumps([str(p) for p in path])}; "
+        done = subprocess.run(
+            [sys.executable, "-c", lines + code],
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+        )
+        self.assertEqual(done.returncode, 0, done.stderr)
+        return done.stdout.strip()
+
+    def test_the_standard_library_module_is_not_hidden(self):
+        """Symptom: every library that asks for its platform fails to import.
+
+        The folder has the name of a module of the standard library. With an
+        ``__init__.py``, or a module of that name inside, it would be found first.
+        """
+        code = "import platform; print(platform.python_version())"
+        expected = sys.version.split()[0]
+        self.assertEqual(self.run_python(code, ROOT, PLATFORM), expected)
+        self.assertFalse((PLATFORM / "__init__.py").exists())
--- /dev/null
+++ b/tests/adapter/cover/test_dialect.py
@@ -0,0 +1,115 @@
+"""The platform's headers of requests and answers."""
+
+import unittest
+
+from bambootiller.gateway.ports import AnswerHead, Unreadable, Verdict
+from bambootiller_core.gateway.config import CallKind
+from bambootiller_platform.dialect import PlatformDialect
+from tests.gateway.common import samples
+
+
+def scope(*headers, path=b"/a/b", query=b"", method="POST"):
+    base = [(b"host", b"classes.example"), (b"x-request-attempt", b"r-1")]
+    return {
+        "method": method,
+        "raw_path": path,
+        "query_string": query,
+        "headers": base + list(headers),
+    }
+
+
+class TestReading(unittest.TestCase):
+    def setUp(self):
+        self.dialect = PlatformDialect()
+
+    def test_what_a_call_asks_for_is_read(self):
+        found = self.dialect.read(
+            scope(
+                (b"x-model", b"tutor/a3"),
+                (b"x-token-usage", b"1460,80"),
+                (b"x-prompt-prefix", b"5c:800,91:410,e4:250"),
+                (b"x-deadline-ms", b"10000"),
+                (b"last-event-id", b"12"),
+                query=b"q=1",
+            )
+        )
+        self.assertEqual((found.ask.model, found.ask.adapter), ("tutor", "a3"))
+        self.assertEqual((found.ask.prompt_tokens, found.ask.max_tokens), (1460, 80))
+        self.assertEqual(found.ask.prefix, ("5c", "91", "e4"))
+        self.assertEqual((found.deadline_s, found.resume_after), (10.0, 12))
+        self.assertEqual(found.target, b"/a/b?q=1")
+
+    def test_headers_of_the_system_are_taken_off(self):
+        """Symptom: a caller chooses its backend server, or claims memory of one.
+
+        It sends a header that only this system may set, and the entry passes it on.
+        """
+        names = (
+            b"x-expected-instance",
+            b"x-hold",
+            b"x-pin-ms",
+            b"x-kv-backup",
+            b"kv-from",
+            b"kv-fetch",
+            b"x-request-priority",
+            b"x-expected-version",
+        )
+        found = self.dialect.read(scope(*((name, b"1") for name in names)))
+        self.assertFalse({name for name, _ in found.headers} & set(names))
+
+    def test_headers_of_one_connection_are_taken_off(self):
+        found = self.dialect.read(
+            scope((b"connection", b"x-mine, close"), (b"x-mine", b"1"), (b"te", b"x"))
+        )
+        names = {name for name, _ in found.headers}
+        self.assertFalse(names & {b"connection", b"x-mine", b"te"})
+
+    def test_a_deadline_that_is_no_number_is_named(self):
+        found = self.dialect.read(scope((b"x-deadline-ms", b"soon")))
+        self.assertIsInstance(found, Unreadable)
+        self.assertIn("soon", found.detail)
+
+
+class TestSending(unittest.TestCase):
+    def test_the_attempt_names_its_backend_server_and_where_to_go_on(self):
+        dialect = PlatformDialect()
+        incoming = dialect.read(scope((b"x-model", b"tutor"), (b"accept", b"*/*")))
+        route = samples.route(CallKind.STREAM, priority=1)
+        call = samples.call(route, ask=samples.ask())
+        headers = dict(dialect.outgoing(incoming, call, "i-7", 4))
+        self.assertEqual(headers[b"x-expected-instance"], b"i-7")
+        self.assertEqual(headers[b"last-event-id"], b"4")
+        self.assertEqual(headers[b"x-request-priority"], b"1")
+        self.assertEqual(headers[b"accept"], b"*/*")
+        self.assertEqual(dialect.time_left(1.5), (b"x-deadline-ms", b"1500"))
+
+
+class TestJudging(unittest.TestCase):
+    def judge(self, status, *headers):
+        call = samples.call()
+        return PlatformDialect().judge(call, AnswerHead(status, headers))
+
+    def test_a_signed_answer_is_the_backend_servers_own(self):
+        seal = (b"x-response-seal", b"s")
+        for status in (200, 500, 404):
+            self.assertIs(self.judge(status, seal), Verdict.ANSWER)
+
+    def test_an_answer_to_another_call_is_a_stray(self):
+        found = self.judge(
+            200, (b"x-response-seal", b"s"), (b"x-request-attempt", b"r-0")
+        )
+        self.assertIs(found, Verdict.STRAY)
+
+    def test_promises_not_to_have_run(self):
+        self.assertIs(self.judge(503, (b"x-not-executed", b"1")), Verdict.NOT_RUN)
+        self.assertIs(self.judge(421), Verdict.MISDIRECTED)
+
+    def test_a_bare_503_promises_nothing(self):
+        self.assertIs(self.judge(503), Verdict.USELESS)
+
+    def test_a_success_without_signature_or_encoded_is_no_answer(self):
+        self.assertIs(self.judge(200), Verdict.USELESS)
+        found = self.judge(
+            200, (b"x-response-seal", b"s"), (b"content-encoding", b"gzip")
+        )
+        self.assertIs(found, Verdict.USELESS)
--- /dev/null
+++ b/tests/adapter/cover/test_documents.py
@@ -0,0 +1,129 @@
+"""Decoding the operator's configuration and the registry."""
+
+import json
+import unittest
+
+from bambootiller.gateway.ports import Unreadable
+from bambootiller_core.gateway.config import CallKind
+from bambootiller_core.ports import Record
+from bambootiller_platform.documents import PlatformDirectory
+
+ROUTE = {
+    "name": "r1",
+    "host": "classes.example",
+    "path-prefix": "/a/",
+    "kind": "streaming",
+    "timeout-ms": 12000,
+    "target-latency-ms": 250,
+    "priority": 1,
+    "service": "llm",
+    "max-attempts": 2,
+    "sticky": True,
+    "resumable": True,
+    "gap-aim-ms": 200,
+}
+MODEL = {
+    "name": "tutor",
+    "weights-mb": 72700.0,
+    "load-s": 6.0,
+    "adapters": 24,
+    "adapter-mb": 66.0,
+    "warm-s": 0.4,
+    "disk-s": 0.84,
+}
+SERVICE = {
+    "name": "llm",
+    "health-path": "/health",
+    "max-connections": 300,
+    "engine": {
+        "slots": 48,
+        "models": [MODEL],
+        "weights-mb": 200000.0,
+        "adapter-slots": 8,
+        "loads-per-s": 3.5,
+    },
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [SERVICE, {"name": "plain"}],
+    "limits": {"max-body-bytes": 1000, "idle-timeout-ms": 15000},
+}
+SERVER = {
+    "service": "llm",
+    "address": "10.1.0.9:8080",
+    "zone": "z1",
+    "slots": 48,
+    "state": "ready",
+    "models": [{"name": "tutor", "version": 1, "adapters": ["a1"]}],
+    "seq": 4,
+}
+
+
+def record(form, key="op/config", revision=9):
+    value = form if isinstance(form, bytes) else json.dumps(form).encode()
+    return Record(key, value, revision)
+
+
+class TestConfig(unittest.TestCase):
+    def setUp(self):
+        self.directory = PlatformDirectory()
+
+    def test_a_route_is_decoded(self):
+        config = self.directory.config(record(CONFIG))
+        route = config.match("classes.example", "/a/b")
+        self.assertIs(route.kind, CallKind.STREAM)
+        self.assertEqual((route.timeout_s, route.target_s), (12.0, 0.25))
+        self.assertEqual(route.longest_pause_s, 0.2)
+        self.assertTrue(route.resumable)
+        self.assertEqual(route.pick_service(0.5), "llm")
+        self.assertEqual((config.version, config.revision), (7, 9))
+
+    def test_an_engine_is_decoded(self):
+        engine = self.directory.config(record(CONFIG)).services["llm"].engine
+        spec = engine.models["tutor"]
+        self.assertEqual(engine.memory_mb, 200000.0)
+        self.assertEqual((spec.load_s, spec.disk_s, spec.memory_s), (6.0, 0.84, 0.4))
+
+    def test_a_split_names_several_services(self):
+        split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+        route = {**ROUTE, "service": None, "traffic-split": split}
+        config = self.directory.config(record({**CONFIG, "routes": [route]}))
+        found = config.match("classes.example", "/a/")
+        self.assertEqual([item.service for item in found.shares], ["a", "b"])
+
+    def test_unknown_fields_are_ignored(self):
+        config = self.directory.config(record({**CONFIG, "new-field": 1}))
+        self.assertEqual(config.version, 7)
+
+    def test_what_cannot_be_read_is_said_and_not_guessed(self):
+        for form in (b"", b"[]", {**CONFIG, "version": "x"}):
+            found = self.directory.config(record(form))
+            self.assertIsInstance(found, Unreadable, form)
+        route = {**ROUTE, "kind": "new-kind"}
+        found = self.directory.config(record({**CONFIG, "routes": [route]}))
+        self.assertIsInstance(found, Unreadable)
+
+    def test_another_key_is_another_matter(self):
+        self.assertIsNone(self.directory.config(record(CONFIG, "op/else")))
+
+
+class TestRegistry(unittest.TestCase):
+    def setUp(self):
+        self.directory = PlatformDirectory()
+
+    def test_a_backend_server_is_decoded(self):
+        found = self.directory.registered(record(SERVER, "servers/i-1", 5))
+        self.assertEqual((found.instance, found.host), ("i-1", "10.1.0.9"))
+        self.assertEqual(found.holdings, {"tutor": frozenset({"a1"})})
+        self.assertFalse(found.leaving)
+
+    def test_any_state_but_ready_means_leaving(self):
+        for state in ("draining", "something-new"):
+            form = {**SERVER, "state": state}
+            found = self.directory.registered(record(form, "servers/i-1"))
+            self.assertTrue(found.leaving, state)
+
+    def test_a_broken_entry_is_said(self):
+        found = self.directory.registered(record(b"{}", "servers/i-1"))
+        self.assertIsInstance(found, Unreadable)
--- /dev/null
+++ b/tests/adapter/failures/test_calls.py
@@ -0,0 +1,319 @@
+"""Calls through an entry while replicas and connections fail."""
+
+import asyncio
+import unittest
+
+from bambootiller_platform_standins.httpd import Reply
+from bambootiller_platform_standins.replica import StandinReplica
+
+from tests.adapter.common.entry import MODEL_NAME, Bench
+
+
+class Case(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.bench = Bench()
+        self.bench.configure(**{"max-attempts": 2})
+
+    async def asyncTearDown(self):
+        await self.bench.close()
+
+    async def plain(self, instance="i-1"):
+        return await self.bench.add(StandinReplica(instance, "plain"))
+
+    async def llm(self, instance="i-1"):
+        return await self.bench.add(StandinReplica(instance, "llm", (MODEL_NAME,)))
+
+
+class TestAnswers(Case):
+    async def test_an_answer_is_passed_on_as_it_came(self):
+        replica = await self.plain()
+        answer = await self.bench.call(x_deadline_ms=500)
+        self.assertEqual((answer.status, answer.body), (200, b"done"))
+        self.assertEqual(answer.headers[b"x-response-seal"], b"i-1")
+        (run,) = replica.runs
+        self.assertEqual(
+            (run.method, run.target, run.body), ("POST", "/plain/x", b"body")
+        )
+        self.assertLessEqual(int(run.headers["x-deadline-ms"]), 500)
+
+    async def test_a_replicas_own_failure_is_its_answer(self):
+        replica = await self.plain()
+        replica.next_replies = [lambda req: replica.answer(req, status=500)]
+        self.assertEqual((await self.bench.call()).status, 500)
+        self.assertEqual(len(replica.runs), 1)
+
+    async def test_a_connection_is_used_for_many_calls(self):
+        replica = await self.plain()
+        for _ in range(5):
+            await self.bench.call()
+        self.assertEqual(replica.server.connections, 1)
+
+
+class TestNoPlace(Case):
+    async def test_an_unknown_path_is_answered_404(self):
+        self.assertEqual((await self.bench.call(path=b"/other/")).status, 404)
+
+    async def test_without_a_configuration_nothing_is_said_to_be_missing(self):
+        bench = Bench()
+        answer = await bench.call()
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"retry-after", answer.headers)
+
+    async def test_without_a_backend_server_the_caller_may_come_back(self):
+        answer = await self.bench.call()
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"retry-after", answer.headers)
+
+    async def test_a_model_that_nobody_can_load_is_refused_at_once(self):
+        await self.llm()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        answer = await self.bench.call(path=b"/a/x", x_model="poet")
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"retry-after", answer.headers)
+        self.assertLess(loop.time() - began, 1.0)
+
+
+class TestGarbledAnswers(Case):
+    async def test_an_answer_cut_short_is_replaced_by_another(self):
+        """Symptom: a caller gets half a body with a success.
+
+        The replica breaks off before the announced length. Nothing has been passed on
+        yet, and the call may run twice.
+        """
+        replica = await self.plain()
+        await self.plain("i-2")
+
+        def cut(req):
+            reply = replica.answer(req, length=False, cut=True)
+            reply.pieces = (b"do", b"ne")
+            return reply
+
+        replica.next_replies = [cut]
+        answers = [await self.bench.call() for _ in range(4)]
+        self.assertEqual({answer.body for answer in answers}, {b"done"})
+
+    async def test_a_non_idempotent_call_is_not_sent_again(self):
+        self.bench.configure(kind="unsafe", **{"max-attempts": 2})
+        replica = await self.plain()
+        other = await self.plain("i-2")
+        bad = Reply(200, {}, (b"not signed",))
+        replica.next_replies = [lambda req: bad]
+        other.next_replies = [lambda req: bad]
+        answer = await self.bench.call()
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(len(replica.runs) + len(other.runs), 1)
+        self.assertNotIn(b"retry-after", answer.headers)
+
+    async def test_a_success_without_signature_is_not_passed_on(self):
+        replica = await self.plain()
+        replica.next_replies = [lambda req: Reply(200, {}, (b"forged",))]
+        answer = await self.bench.call()
+        self.assertNotIn(b"forged", answer.body)
+
+    async def test_an_answer_to_another_call_is_skipped(self):
+        """Symptom: a caller gets the answer to somebody else's call.
+
+        An answer that was held up arrives where the next one is due, on the same
+        connection.
+        """
+        replica = await self.plain()
+        stray = (
+            b"HTTP/1.1 200 OK\r\nx-response-seal: s\r\nx-request-attempt: r-0\r\n"
+            b"content-length: 5\r\n\r\nother"
+        )
+        replica.next_replies = [lambda req: replica.answer(req, before=stray)]
+        answer = await self.bench.call()
+        self.assertEqual(answer.body, b"done")
+
+    async def test_bytes_behind_an_answer_spoil_the_connection(self):
+        replica = await self.plain()
+        extra = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra"
+        replica.next_replies = [lambda req: replica.answer(req, behind=extra)]
+        self.assertEqual((await self.bench.call()).body, b"done")
+        await asyncio.sleep(0.05)
+        self.assertEqual((await self.bench.call()).body, b"done")
+        self.assertEqual(replica.server.connections, 2)
+
+    async def test_an_answer_without_a_length_ends_with_its_connection(self):
+        replica = await self.plain()
+        replica.next_replies = [
+            lambda req: replica.answer(req, length=False, close=True)
+        ]
+        self.assertEqual((await self.bench.call()).body, b"done")
+
+    async def test_bytes_that_are_no_answer_end_a_call_truthfully(self):
+        self.bench.configure(kind="unsafe", **{"max-attempts": 1})
+        replica = await self.plain()
+        replica.next_replies = [lambda req: replica.answer(req, before=b"garbage\r\n")]
+        self.assertEqual((await self.bench.call()).status, 502)
+
+
+class TestRefusals(Case):
+    async def test_a_refused_call_goes_to_another_replica(self):
+        self.bench.configure(kind="unsafe", **{"max-attempts": 2})
+        replica = await self.plain()
+        await self.plain("i-2")
+        replica.next_replies = [replica.not_run] * 3
+        answers = [await self.bench.call() for _ in range(3)]
+        self.assertEqual({answer.status for answer in answers}, {200})
+
+    async def test_with_one_attempt_the_caller_is_told_that_it_has_not_run(self):
+        self.bench.configure(kind="unsafe", **{"max-attempts": 1})
+        replica = await self.plain()
+        replica.next_replies = [replica.not_run]
+        answer = await self.bench.call()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(replica.runs, [])
+
+    async def test_another_replica_at_the_address_runs_nothing(self):
+        replica = await self.plain()
+        replica.instance = "i-9"
+        answer = await self.bench.call()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(replica.runs, [])
+
+    async def test_a_dead_replica_costs_no_answer(self):
+        replica = await self.plain()
+        await self.plain("i-2")
+        await replica.server.stop()
+        answers = [await self.bench.call() for _ in range(4)]
+        self.assertEqual({answer.status for answer in answers}, {200})
+
+
+class TestTime(Case):
+    async def test_the_wait_ends_at_the_operators_timeout(self):
+        self.bench.configure(kind="unsafe", **{"timeout-ms": 200})
+        replica = await self.plain()
+        replica.next_replies = [lambda req: Reply(silent=True)]
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        answer = await self.bench.call(x_deadline_ms=5000)
+        self.assertEqual(answer.status, 504)
+        self.assertLess(loop.time() - began, 0.6)
+
+    async def test_the_replicas_work_ends_when_the_caller_leaves(self):
+        """Symptom: a replica goes on for ten seconds for a caller who has left.
+
+        The caller leaves in the very moment in which an event comes. The relay's wait
+        for the event ends with the event, and its cancellation is forgotten.
+        """
+        replica = await self.llm()
+        replica.events, replica.gap_s = 1000, 0.001
+        for number in range(60):
+            leave = 0.02 + number * 0.0003
+            await self.bench.call(path=b"/a/x", x_model=MODEL_NAME, leave_after=leave)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(replica.server._tasks), 0)
+
+    async def test_a_leaving_entry_asks_for_the_connection_to_be_closed(self):
+        await self.plain()
+        self.bench.leaving = True
+        answer = await self.bench.call()
+        self.assertEqual(answer.headers[b"connection"], b"close")
+
+    async def test_late_in_a_planned_stop_a_new_call_is_refused_not_cut(self):
+        """Symptom: a stream is cut in the middle by a planned stop.
+
+        A caller reuses a kept connection four seconds after the stop has begun, and its
+        stream isn't over when the process must end.
+        """
+        replica = await self.plain()
+        self.bench.leaving = True
+        loop = asyncio.get_running_loop()
+        self.bench.relays.stop_by = loop.time() + 1.0
+        answer = await self.bench.call()
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"retry-after", answer.headers)
+        self.assertEqual(replica.runs, [])
+
+
+class TestStreams(Case):
+    def whole(self, events=5):
+        return b"".join(
+            b"id: %d\ndata: %d\n\n" % (number, number)
+            for number in range(1, events + 1)
+        )
+
+    async def call(self, **fields):
+        return await self.bench.call(path=b"/a/x", x_model=MODEL_NAME, **fields)
+
+    async def test_events_are_passed_on_as_they_come(self):
+        replica = await self.llm()
+        replica.gap_s = 0.05
+        answer = await self.call()
+        self.assertEqual(answer.body, self.whole())
+        self.assertTrue(answer.whole)
+        self.assertGreater(answer.arrivals[-1] - answer.arrivals[0], 0.15)
+
+    def break_off(self, replica, rest=b"id: 4\nda"):
+        def reply(req):
+            found = replica.stream(req)
+            found.pieces = (*found.pieces[:3], rest, b"never sent")
+            found.cut = True
+            return found
+
+        replica.next_replies = [reply]
+
+    async def test_a_stream_that_breaks_at_both_attempts_does_not_look_whole(self):
+        for instance in ("i-1", "i-2"):
+            self.break_off(await self.llm(instance))
+        answer = await self.call()
+        self.assertFalse(answer.whole)
+
+    async def test_a_broken_stream_goes_on_behind_its_last_whole_event(self):
+        """Symptom: a caller's text has a torn piece in the middle.
+
+        The replica breaks off in the middle of an event; the second run begins with
+        that event from its start.
+        """
+        replicas = [await self.llm("i-1"), await self.llm("i-2")]
+        broken = []
+
+        def reply_of(replica):
+            def reply(req):
+                if broken:
+                    return replica.stream(req)
+                broken.append(replica)
+                found = replica.stream(req)
+                found.pieces = (*found.pieces[:3], b"id: 4\nda", b"never sent")
+                found.cut = True
+                return found
+
+            return reply
+
+        for replica in replicas:
+            replica.next_replies = [reply_of(replica)]
+        answer = await self.call()
+        self.assertEqual(answer.body, self.whole())
+        self.assertTrue(answer.whole)
+        resumed = [r.runs[-1] for r in replicas if r is not broken[0]]
+        self.assertEqual(resumed[0].headers["last-event-id"], "3")
+
+    async def test_a_stream_that_may_not_be_resumed_is_cut_where_it_broke(self):
+        self.bench.learn("op/config", self.not_resumable())
+        replicas = [await self.llm("i-1"), await self.llm("i-2")]
+        for replica in replicas:
+            self.break_off(replica)
+        answer = await self.call()
+        self.assertEqual(answer.body, self.whole(3))
+        self.assertFalse(answer.whole)
+        self.assertEqual(sum(len(replica.runs) for replica in replicas), 1)
+
+    def not_resumable(self):
+        from tests.adapter.cover.test_documents import CONFIG, ROUTE
+
+        return {**CONFIG, "routes": [{**ROUTE, "resumable": False}]}
+
+    async def test_an_event_that_comes_twice_ends_the_attempt(self):
+        replica = await self.llm()
+
+        def twice(req):
+            found = replica.stream(req)
+            found.pieces = (*found.pieces[:2], *found.pieces[1:])
+            return found
+
+        replica.next_replies = [twice]
+        answer = await self.call()
+        self.assertFalse(answer.whole)
+        self.assertEqual(answer.body, self.whole(2))
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway: calls passed on to backend servers as they came."""
--- /dev/null
+++ b/tests/gateway/common/samples.py
@@ -0,0 +1,73 @@
+"""Small configurations, backend servers and calls for tests of the gateway."""
+
+from bambootiller_core.gateway.calls import Call, ModelAsk
+from bambootiller_core.gateway.config import (
+    CallKind,
+    CallLimits,
+    EngineSpec,
+    GatewayConfig,
+    ModelSpec,
+    Route,
+    ServiceShare,
+    ServiceSpec,
+)
+from bambootiller_core.gateway.fleet import Backend, EngineState, Registered
+
+HOST = "classes.example"
+
+
+def route(kind=CallKind.IDEMPOTENT, prefix="/a/", service="plain", **fields):
+    shares = fields.pop("shares", (ServiceShare(service, 1.0),))
+    return Route(prefix, HOST, prefix, kind, shares, **fields)
+
+
+def model(name="tutor", size_mb=40.0, **fields):
+    times = {"load_s": 6.0, "disk_s": 0.8, "memory_s": 0.4}
+    return ModelSpec(name, size_mb, **{**times, **fields})
+
+
+def engine(*models, memory_mb=100.0, adapter_slots=2, batch=8):
+    found = models or (model(),)
+    by_name = {item.name: item for item in found}
+    return EngineSpec(memory_mb, adapter_slots, batch, 3.5, by_name)
+
+
+def config(routes=(), services=(), version=1, revision=1, **limits):
+    return GatewayConfig.build(
+        version, revision, tuple(routes), tuple(services), CallLimits(**limits)
+    )
+
+
+def plain_service(name="plain", **fields):
+    return ServiceSpec(name, **fields)
+
+
+def registered(instance="b1", service="plain", address="127.0.0.1:1", **fields):
+    fields = {"zone": "z1", "slots": 4, "leaving": False, "revision": 1, **fields}
+    return Registered(instance, service, address, **fields)
+
+
+def engine_state(instance="b1", holdings=(), **fields):
+    held = {name: frozenset() for name in holdings}
+    held.update(fields.pop("adapters", {}))
+    return EngineState(instance, held, **fields)
+
+
+def backend(instance="b1", now=0.0, state=None, **fields):
+    found = Backend(registered(instance, **fields))
+    if state is not None:
+        found.engine = state
+        found.heard_at = now
+    return found
+
+
+def call(route_=None, service="plain", now=0.0, deadline=10.0, ask=None, **fields):
+    chosen = route_ or route()
+    first_event_due = now + (chosen.patience_s or deadline)
+    return Call(
+        "r-1", chosen, service, now, now + deadline, first_event_due, ask, **fields
+    )
+
+
+def ask(model="tutor", adapter="", prefix=()):
+    return ModelAsk(model, adapter, prefix=tuple(prefix))
--- /dev/null
+++ b/tests/gateway/cover/test_config.py
@@ -0,0 +1,65 @@
+"""Which route a call takes, and which configuration is in force."""
+
+import unittest
+
+from bambootiller_core.gateway.config import CallKind, ServiceShare, newer
+from tests.gateway.common import samples
+
+
+class TestMatching(unittest.TestCase):
+    def setUp(self):
+        routes = [
+            samples.route(prefix="/a/"),
+            samples.route(prefix="/a/b/"),
+            samples.route(prefix="/"),
+        ]
+        self.config = samples.config(routes)
+
+    def test_the_longest_prefix_wins(self):
+        self.assertEqual(self.config.match(samples.HOST, "/a/b/c").prefix, "/a/b/")
+        self.assertEqual(self.config.match(samples.HOST, "/a/x").prefix, "/a/")
+
+    def test_a_prefix_ends_at_a_slash(self):
+        self.assertEqual(self.config.match(samples.HOST, "/ab").prefix, "/")
+
+    def test_the_host_is_compared_without_port_and_case(self):
+        self.assertIsNotNone(self.config.match("Classes.Example:8080", "/a/"))
+
+    def test_an_unknown_host_has_no_route(self):
+        self.assertIsNone(self.config.match("other.example", "/a/"))
+
+
+class TestSplit(unittest.TestCase):
+    def test_a_service_is_drawn_by_its_weight(self):
+        shares = (ServiceShare("old", 90), ServiceShare("new", 10))
+        route = samples.route(shares=shares)
+        drawn = [route.pick_service(n / 100) for n in range(100)]
+        self.assertEqual(drawn.count("new"), 10)
+
+    def test_a_service_without_weight_is_never_drawn(self):
+        shares = (ServiceShare("old", 0), ServiceShare("new", 1))
+        self.assertEqual(samples.route(shares=shares).pick_service(0.0), "new")
+
+    def test_no_weight_at_all_gives_no_service(self):
+        shares = (ServiceShare("old", 0),)
+        self.assertIsNone(samples.route(shares=shares).pick_service(0.0))
+
+
+class TestPatience(unittest.TestCase):
+    def test_a_stream_is_left_after_the_longest_of_three_times(self):
+        route = samples.route(CallKind.STREAM, target_s=2.5, longest_pause_s=0.2)
+        self.assertEqual(route.patience_s, 10.0)
+        route = samples.route(CallKind.STREAM, target_s=0.25, longest_pause_s=0.2)
+        self.assertEqual(route.patience_s, 2.0)
+
+    def test_other_calls_have_none(self):
+        self.assertIsNone(samples.route().patience_s)
+
+
+class TestNewer(unittest.TestCase):
+    def test_only_a_later_revision_replaces_what_is_in_force(self):
+        held = samples.config(version=7, revision=20)
+        self.assertTrue(newer(None, held))
+        self.assertTrue(newer(held, samples.config(version=9, revision=21)))
+        self.assertFalse(newer(held, samples.config(version=9, revision=20)))
+        self.assertFalse(newer(held, samples.config(version=6, revision=12)))
--- /dev/null
+++ b/tests/gateway/cover/test_fleet.py
@@ -0,0 +1,107 @@
+"""What an entry knows of backend servers, from the registry and from agents."""
+
+import unittest
+
+from bambootiller_core.gateway.fleet import LAPSE_GRACE_S, Fleet
+from tests.gateway.common import samples
+
+
+class TestRegistry(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.fleet.registry_changed(0.0, samples.registered())
+
+    def names(self):
+        return [backend.instance for backend in self.fleet.of_service("plain")]
+
+    def test_a_leaving_one_gets_no_work(self):
+        leaving = samples.registered(leaving=True, revision=2)
+        self.fleet.registry_changed(1.0, leaving)
+        self.assertEqual(self.names(), [])
+
+    def test_an_older_entry_changes_nothing(self):
+        self.fleet.registry_changed(1.0, samples.registered(leaving=True, revision=5))
+        self.fleet.registry_changed(1.0, samples.registered(revision=4))
+        self.assertEqual(self.names(), [])
+
+    def test_a_start_that_leaves_does_not_come_back(self):
+        """Symptom: a backend server gets work again after it said that it leaves.
+
+        It reports that it leaves; a heartbeat that was on its way then is written after
+        the report, with a later revision and the old state.
+        """
+        self.fleet.registry_changed(1.0, samples.registered(leaving=True, revision=2))
+        self.fleet.registry_changed(1.1, samples.registered(revision=3))
+        self.assertEqual(self.names(), [])
+
+    def test_a_removed_one_is_gone_at_once(self):
+        self.fleet.registry_removed(1.0, "b1")
+        self.assertIsNone(self.fleet.get("b1"))
+
+
+class TestLapses(unittest.TestCase):
+    """Symptom: all backend servers vanish when the store returns after an outage.
+
+    While the store was away their leases ran out; it returns with an empty registry,
+    and each entry is back a heartbeat later. Taken at its word, every call in between
+    is refused for want of a backend server.
+    """
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.fleet.registry_changed(0.0, samples.registered())
+        self.fleet.store_returned(10.0)
+
+    def test_one_that_is_missing_right_after_the_return_is_kept_for_a_while(self):
+        self.fleet.registry_listed(10.0, [])
+        self.assertEqual(self.fleet.sweep(10.0 + LAPSE_GRACE_S - 0.1), [])
+        self.assertEqual(len(self.fleet.of_service("plain")), 1)
+
+    def test_one_that_is_back_stays(self):
+        self.fleet.registry_listed(10.0, [])
+        self.fleet.registry_changed(11.0, samples.registered(revision=9))
+        self.assertEqual(self.fleet.sweep(10.0 + LAPSE_GRACE_S), [])
+        self.assertEqual(len(self.fleet.of_service("plain")), 1)
+
+    def test_one_that_stays_missing_is_gone(self):
+        self.fleet.registry_listed(10.0, [])
+        self.assertEqual(self.fleet.sweep(10.0 + LAPSE_GRACE_S), ["b1"])
+        self.assertIsNone(self.fleet.get("b1"))
+
+    def test_one_that_was_leaving_is_not_kept(self):
+        self.fleet.registry_changed(9.0, samples.registered(leaving=True, revision=2))
+        self.fleet.registry_listed(10.0, [])
+        self.assertIsNone(self.fleet.get("b1"))
+
+
+class TestAgents(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.fleet.registry_changed(0.0, samples.registered(service="llm"))
+        self.fleet.engine_told(1.0, samples.engine_state(holdings=["tutor"]))
+
+    def test_what_a_silent_agent_said_of_holdings_still_holds(self):
+        backend = self.fleet.get("b1")
+        self.assertFalse(backend.takes_orders(60.0))
+        self.assertIn("tutor", backend.holdings)
+
+    def test_its_load_figures_do_not(self):
+        state = samples.engine_state(holdings=["tutor"], running=9)
+        self.fleet.engine_told(1.0, state)
+        backend = self.fleet.get("b1")
+        self.assertEqual(backend.occupied(1.5), 9)
+        self.assertEqual(backend.occupied(60.0), 0)
+
+    def test_an_unlisted_instance_is_not_made_up(self):
+        state = samples.engine_state("b9", ["tutor"])
+        self.assertFalse(self.fleet.engine_told(1.0, state))
+        self.assertIsNone(self.fleet.get("b9"))
+
+    def test_calls_are_counted_by_model_and_adapter(self):
+        self.fleet.call_sent("b1", "tutor", "a3")
+        self.fleet.call_sent("b1", "tutor")
+        uses = self.fleet.get("b1").in_flight_by_model
+        self.assertEqual(uses, {"tutor": 2, "tutor/a3": 1})
+        self.fleet.call_ended("b1", "tutor", "a3")
+        self.fleet.call_ended("b1", "tutor")
+        self.assertEqual(uses, {})
--- /dev/null
+++ b/tests/gateway/cover/test_residency.py
@@ -0,0 +1,135 @@
+"""Which engine loads which model next."""
+
+import unittest
+
+from bambootiller_core.gateway.fleet import Loading
+from bambootiller_core.gateway.residency import (
+    STORE_LOADS,
+    Planner,
+    Want,
+    choose_victims,
+)
+from tests.gateway.common import samples
+
+NOW = 5.0
+
+
+def engine_backend(instance, holdings=(), **fields):
+    fields.setdefault("memory_mb_used", 40.0 * len(holdings))
+    state = samples.engine_state(instance, holdings, **fields)
+    return samples.backend(instance, NOW, state, service="llm")
+
+
+class TestPlan(unittest.TestCase):
+    def setUp(self):
+        self.spec = samples.engine(
+            samples.model("tutor"), samples.model("poet"), samples.model("clerk")
+        )
+
+    def plan(self, backends, **wants):
+        return Planner(self.spec).plan(NOW, backends, wants)
+
+    def test_a_model_with_waiting_calls_is_asked_for_now(self):
+        load = self.plan([engine_backend("b1")], tutor=Want(0.1, 1))["tutor"]
+        self.assertTrue(load.ask_now)
+        self.assertTrue(load.from_store)
+
+    def test_the_engine_with_a_copy_is_preferred(self):
+        backends = [
+            engine_backend("b1"),
+            engine_backend("b2", on_disk=frozenset({"tutor"})),
+            engine_backend("b3"),
+        ]
+        load = self.plan(backends, tutor=Want(0.1, 1))["tutor"]
+        self.assertEqual(load.instance, "b2")
+        self.assertLess(load.ready_in_s, 1.0)
+
+    def test_a_copy_behind_a_long_load_is_worth_no_waiting(self):
+        busy = Loading("poet", 9.0, True)
+        backends = [
+            engine_backend("b1"),
+            engine_backend("b2", on_disk=frozenset({"tutor"}), loading=busy),
+        ]
+        load = self.plan(backends, tutor=Want(0.1, 1))["tutor"]
+        self.assertEqual(load.instance, "b1")
+
+    def test_a_held_model_is_not_loaded_again(self):
+        plan = self.plan([engine_backend("b1", ["tutor"])], tutor=Want(0.01, 0))
+        self.assertNotIn("tutor", plan)
+
+    def test_a_load_under_way_is_in_the_plan_and_not_asked_for(self):
+        loading = Loading("tutor", 2.0, True)
+        backends = [engine_backend("b1", loading=loading), engine_backend("b2")]
+        load = self.plan(backends, tutor=Want(0.1, 1))["tutor"]
+        self.assertFalse(load.ask_now)
+        self.assertEqual(load.ready_in_s, 2.0)
+
+    def test_the_store_is_not_asked_for_more_than_it_serves_at_full_speed(self):
+        names = [f"m{n}" for n in range(8)]
+        self.spec = samples.engine(*(samples.model(name) for name in names))
+        backends = [engine_backend(f"b{n}") for n in range(8)]
+        plan = self.plan(backends, **{name: Want(0.1, 1) for name in names})
+        asked = [load for load in plan.values() if load.ask_now]
+        self.assertEqual(len(asked), STORE_LOADS)
+        late = [load.ready_in_s for load in plan.values() if not load.ask_now]
+        self.assertGreater(min(late), 6.0)
+
+    def test_before_any_call_models_without_a_copy_are_fetched(self):
+        plan = self.plan([engine_backend("b1", ["tutor"])])
+        self.assertEqual(set(plan), {"poet", "clerk"})
+
+    def test_while_calls_come_nothing_is_fetched_that_nobody_asks_for(self):
+        plan = self.plan([engine_backend("b1", ["tutor"])], tutor=Want(0.01, 0))
+        self.assertEqual(plan, {})
+
+    def test_a_much_wanted_model_gets_a_second_engine(self):
+        backends = [engine_backend("b1", ["tutor"]), engine_backend("b2")]
+        load = self.plan(backends, tutor=Want(9.0, 0))["tutor"]
+        self.assertEqual(load.instance, "b2")
+
+    def test_an_engine_whose_agent_is_silent_gets_no_load(self):
+        backend = engine_backend("b1")
+        backend.heard_at = NOW - 60
+        self.assertEqual(self.plan([backend], tutor=Want(0.1, 1)), {})
+
+    def test_the_last_free_place_for_adapters_takes_no_long_load(self):
+        self.spec = samples.engine(
+            samples.model("tutor", adapters=4), samples.model("poet")
+        )
+        backends = [engine_backend("b1", ["tutor"])]
+        wants = {"tutor": Want(3.0, 0), "poet": Want(0.1, 1)}
+        self.assertNotIn("poet", self.plan(backends, **wants))
+
+
+class TestVictims(unittest.TestCase):
+    def setUp(self):
+        self.spec = samples.engine(samples.model("tutor"), samples.model("poet"))
+        self.held = {"tutor": frozenset(), "poet": frozenset()}
+
+    def victims(self, in_use, values, incoming):
+        return choose_victims(self.spec, self.held, 30.0, in_use, values, incoming)
+
+    def test_the_least_wanted_idle_model_goes(self):
+        found = self.victims({}, {"tutor": 2.0, "poet": 0.1}, Want(0.1, 1))
+        self.assertEqual(found.models, ("poet",))
+
+    def test_a_model_with_calls_stays_while_another_is_idle(self):
+        values = {"tutor": 0.2, "poet": 0.1}
+        found = self.victims({"poet": 1}, values, Want(0.1, 1))
+        self.assertEqual(found.models, ("tutor",))
+        self.assertFalse(found.busy)
+
+    def test_rarely_used_models_take_turns(self):
+        values = {"tutor": 9.0, "poet": 0.1}
+        in_use = {"tutor": 5, "poet": 1}
+        found = self.victims(in_use, values, Want(0.1, 1))
+        self.assertEqual(found.models, ("poet",))
+        self.assertTrue(found.busy)
+
+    def test_nothing_with_calls_goes_for_what_nobody_waits_for(self):
+        in_use = {"tutor": 5, "poet": 1}
+        self.assertIsNone(self.victims(in_use, {"poet": 0.1}, Want(0.1, 0)))
+
+    def test_no_model_makes_way_for_one_that_is_wanted_far_less(self):
+        values = {"tutor": 50.0, "poet": 50.0}
+        self.assertIsNone(self.victims({}, values, Want(0.1, 1)))
--- /dev/null
+++ b/tests/gateway/failures/test_orders.py
@@ -0,0 +1,182 @@
+"""Orders to an engine when answers are lost, late or out of date."""
+
+import unittest
+
+from bambootiller_core.gateway.orders import (
+    EngineReport,
+    OrderAnswer,
+    OrderBook,
+    OrderKind,
+    Wish,
+)
+from bambootiller_core.gateway.residency import Want
+from tests.gateway.common import samples
+
+
+def report(accepted=0, holdings=(), **fields):
+    held = {name: frozenset() for name in holdings}
+    held.update(fields.pop("adapters", {}))
+    instance = fields.pop("instance", "b1")
+    return EngineReport(instance, held, accepted, **fields)
+
+
+class Case(unittest.TestCase):
+    def setUp(self):
+        self.book = OrderBook(
+            samples.engine(
+                samples.model("tutor", adapters=9, adapter_mb=1.0),
+                samples.model("poet"),
+                samples.model("clerk"),
+            )
+        )
+
+    def wish(self, model, adapter="", now=0.0, urgency=0):
+        self.book.wished(now, Wish(model, adapter, urgency))
+
+    def give(self, now, answer):
+        order = self.book.next_order(now)
+        self.book.sending(order)
+        self.book.answered(now, order, answer)
+        return order
+
+
+class TestLostAnswers(Case):
+    def test_an_unanswered_order_is_sent_again_with_the_same_number(self):
+        """Symptom: an engine loads two models and crashes for want of memory.
+
+        The answer to a load is lost, and the engine carries it out seconds later. If a
+        load of another model were sent meanwhile, both would be carried out. Sent with
+        the number of orders accepted so far, only one of them can be.
+        """
+        self.book.reported(0.0, report(accepted=4))
+        self.wish("tutor")
+        first = self.give(0.0, OrderAnswer.UNANSWERED)
+        self.book.reported(0.1, report(accepted=4))
+        self.wish("poet", now=0.1)
+        self.assertEqual(self.book.next_order(0.1), first)
+        self.assertEqual(first.expected, 4)
+
+    def test_a_number_that_has_moved_settles_it(self):
+        self.book.reported(0.0, report(accepted=4))
+        self.wish("tutor")
+        self.give(0.0, OrderAnswer.UNANSWERED)
+        self.book.reported(0.1, report(accepted=5, busy=True))
+        self.assertIsNone(self.book.unsettled)
+        self.assertEqual(self.book.state(0.1).loading.model, "tutor")
+
+    def test_its_memory_counts_until_it_is_settled(self):
+        self.book.reported(0.0, report(accepted=4))
+        self.wish("tutor")
+        self.give(0.0, OrderAnswer.UNANSWERED)
+        self.assertEqual(self.book.state(0.0).memory_mb_used, 40.0)
+
+    def test_nothing_is_decided_on_a_report_older_than_the_last_order(self):
+        self.book.reported(0.0, report())
+        self.wish("tutor", "a1")
+        self.wish("tutor")
+        self.give(0.0, OrderAnswer.ACCEPTED)
+        self.assertIsNone(self.book.next_order(0.0))
+
+
+class TestRefusedOrders(Case):
+    def test_nothing_is_ordered_while_a_model_comes(self):
+        """Symptom: thousands of orders for adapters, all turned down.
+
+        An engine that carries out an order for a model refuses those for adapters too.
+        """
+        self.book.reported(0.0, report(holdings=["tutor"], busy=True))
+        self.wish("tutor", "a1")
+        self.assertIsNone(self.book.next_order(0.0))
+
+    def test_a_higher_fence_stops_all_orders(self):
+        self.book.reported(0.0, report())
+        self.wish("tutor")
+        self.give(0.0, OrderAnswer.FENCED)
+        self.book.reported(0.1, report())
+        self.wish("tutor", now=0.1)
+        self.assertIsNone(self.book.next_order(0.1))
+        self.assertFalse(self.book.state(0.1).orderable)
+
+    def test_a_conflict_without_a_moved_number_frees_the_order(self):
+        self.book.reported(0.0, report(accepted=4))
+        self.wish("tutor")
+        order = self.give(0.0, OrderAnswer.CONFLICT)
+        self.book.reported(0.1, report(accepted=4))
+        self.book.conflict_seen(order)
+        self.assertIsNone(self.book.unsettled)
+
+
+class TestRestarts(Case):
+    def test_a_new_start_of_the_engine_knows_nothing_of_the_last(self):
+        self.book.reported(0.0, report(accepted=4))
+        self.wish("tutor")
+        self.give(0.0, OrderAnswer.UNANSWERED)
+        self.book.reported(3.0, report(instance="b2"))
+        self.assertIsNone(self.book.unsettled)
+        self.assertEqual(self.book.state(3.0).memory_mb_used, 0.0)
+
+
+class TestMemory(Case):
+    def test_room_is_made_before_a_model_is_loaded(self):
+        self.book.reported(0.0, report(holdings=["tutor", "poet"]))
+        self.book.entry_told(0.0, "e1", {"tutor": Want(5.0)}, {})
+        self.wish("clerk")
+        order = self.give(0.0, OrderAnswer.ACCEPTED)
+        self.assertEqual((order.kind, order.model), (OrderKind.UNLOAD, "poet"))
+        self.book.reported(0.2, report(accepted=1, holdings=["tutor"]))
+        order = self.book.next_order(0.2)
+        self.assertEqual((order.kind, order.model), (OrderKind.LOAD, "clerk"))
+
+    def test_while_room_is_made_the_load_counts_as_begun(self):
+        """Symptom: the weight store is asked for each model twice.
+
+        While an engine unloads one model for another it looked merely busy, so entries
+        planned the load at a second engine, and both loaded it.
+        """
+        self.book.reported(0.0, report(holdings=["tutor", "poet"]))
+        self.wish("clerk")
+        self.give(0.0, OrderAnswer.ACCEPTED)
+        loading = self.book.state(0.1).loading
+        self.assertEqual(loading.model, "clerk")
+        self.assertTrue(loading.from_store)
+
+    def test_a_model_being_unloaded_takes_no_new_calls(self):
+        self.book.reported(0.0, report(holdings=["tutor", "poet"]))
+        self.book.entry_told(0.0, "e1", {"tutor": Want(5.0)}, {})
+        self.wish("clerk")
+        self.give(0.0, OrderAnswer.ACCEPTED)
+        self.assertNotIn("poet", self.book.state(0.0).holdings)
+
+    def test_a_model_just_loaded_keeps_its_turn(self):
+        self.book.reported(0.0, report(holdings=["poet"]))
+        self.wish("tutor")
+        self.give(0.0, OrderAnswer.ACCEPTED)
+        self.book.reported(6.0, report(accepted=1, holdings=["poet", "tutor"]))
+        self.book.entry_told(6.0, "e1", {"poet": Want(50.0)}, {})
+        self.wish("clerk", now=6.0)
+        self.assertIsNone(self.book.next_order(6.0))
+
+    def test_an_idle_adapter_makes_way_for_another(self):
+        adapters = {"tutor": frozenset({"a1", "a2"})}
+        self.book.reported(9.0, report(adapters=adapters))
+        self.book.entry_told(9.0, "e1", {}, {"tutor/a1": 1})
+        self.wish("tutor", "a3", now=9.0)
+        order = self.book.next_order(9.0)
+        self.assertEqual((order.kind, order.adapter), (OrderKind.UNLOAD, "a2"))
+
+    def test_a_model_without_a_description_fills_the_memory(self):
+        self.book.reported(0.0, report(holdings=["unknown"]))
+        self.wish("tutor")
+        self.assertIsNone(self.book.next_order(0.0))
+
+
+class TestStaleWishes(Case):
+    def test_a_wish_is_forgotten_unless_it_is_renewed(self):
+        """Symptom: an engine loads a model that another has loaded meanwhile.
+
+        The plan moved on to another engine while this one was busy; carried out after
+        that, the old wish brings the model a second time.
+        """
+        self.book.reported(0.0, report())
+        self.wish("tutor")
+        self.assertIsNone(self.book.next_order(1.0))
--- /dev/null
+++ b/tests/gateway/randomised/test_budget.py
@@ -0,0 +1,60 @@
+"""The bound on second attempts, over entries that can't talk to each other."""
+
+import random
+import unittest
+
+from bambootiller_core.gateway.budget import AttemptBudget
+from tests.common import counting, profiles
+
+RATIO, SLACK, WINDOW_S = 0.2, 54.0, 10.0
+
+
+def play(seed, entries):
+    """Times of calls and of second attempts, when every call wants one."""
+    rng = random.Random(seed)
+    budgets = [AttemptBudget(RATIO, SLACK, WINDOW_S) for _ in range(entries)]
+    for budget in budgets:
+        budget.entries = entries
+    calls, spent, now = [], [], 0.0
+    for _ in range(3000):
+        now += rng.expovariate(40.0 if int(now) // 7 % 2 else 8.0)
+        budget = rng.choice(budgets[: rng.randint(1, entries)])
+        budget.called(now)
+        calls.append(now)
+        for _ in range(rng.randint(0, 2)):
+            if budget.take(now):
+                spent.append(now)
+    return calls, spent
+
+
+def within(times, begin, end):
+    return sum(1 for at in times if begin < at <= end)
+
+
+class TestSharedBudget(unittest.TestCase):
+    def test_no_window_has_more_second_attempts_than_the_platform_allows(self):
+        for seed in range(profiles.scale(10, 300)):
+            with self.subTest(seed=seed):
+                entries = 2 + seed % 7
+                calls, spent = play(seed, entries)
+                counting.add("gateway budget", len(calls))
+                for at in spent:
+                    begin = at - WINDOW_S
+                    allowed = RATIO * within(calls, begin, at) + SLACK
+                    self.assertLessEqual(within(spent, begin, at), allowed)
+
+    def test_some_second_attempts_are_allowed_at_once(self):
+        budget = AttemptBudget(RATIO, SLACK, WINDOW_S)
+        budget.called(0.0)
+        self.assertTrue(budget.take(0.0))
+
+    def test_spent_attempts_come_back_after_the_window(self):
+        budget = AttemptBudget(RATIO, SLACK, WINDOW_S)
+        while budget.take(0.0):
+            continue
+        self.assertFalse(budget.take(WINDOW_S - 0.1))
+        self.assertTrue(budget.take(WINDOW_S + 0.1))
+
+    def test_bad_figures_are_named(self):
+        with self.assertRaisesRegex(ValueError, "ratio -1"):
+            AttemptBudget(-1, 1, 1)
--- /dev/null
+++ b/tests/gateway/randomised/test_orders.py
@@ -0,0 +1,133 @@
+"""An engine whose answers are lost and whose orders come late never gets too much."""
+
+import random
+import unittest
+
+from bambootiller_core.gateway.orders import (
+    EngineReport,
+    OrderAnswer,
+    OrderBook,
+    OrderKind,
+    Wish,
+)
+from tests.common import counting, profiles
+from tests.gateway.common import samples
+
+MODELS = {f"m{n}": 20.0 + 10 * n for n in range(6)}
+ADAPTER_MB = 2.0
+MEMORY_MB = 100.0
+ADAPTER_SLOTS = 3
+LOAD_S = 2.0
+
+
+class FakeEngine:
+    """Follows the published rules of orders; ends a test that orders too much."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.start = 0
+        self.restart()
+        self.late = []
+
+    def restart(self):
+        self.start += 1
+        self.held = {}
+        self.accepted = 0
+        self.doing = None
+
+    @property
+    def instance(self):
+        return f"b{self.start}"
+
+    def used(self):
+        total = sum(MODELS[name] for name in self.held)
+        total += ADAPTER_MB * sum(len(found) for found in self.held.values())
+        if self.doing is not None and self.doing[1].kind is OrderKind.LOAD:
+            total += MODELS[self.doing[1].model]
+        return total
+
+    def report(self, now):
+        self.settle(now)
+        held = {name: frozenset(found) for name, found in self.held.items()}
+        return EngineReport(self.instance, held, self.accepted, self.doing is not None)
+
+    def settle(self, now):
+        for at, instance, order in [item for item in self.late if item[0] <= now]:
+            self.late.remove((at, instance, order))
+            self.carry_out(now, instance, order)
+        if self.doing is not None and self.doing[0] <= now:
+            order = self.doing[1]
+            if order.kind is OrderKind.LOAD:
+                self.held[order.model] = set()
+            else:
+                self.held.pop(order.model, None)
+            self.doing = None
+
+    def order(self, now, instance, order):
+        draw = self.rng.random()
+        if draw < 0.2:
+            self.late.append((now + self.rng.uniform(0.1, 9), instance, order))
+            return OrderAnswer.UNANSWERED
+        answer = self.carry_out(now, instance, order)
+        return OrderAnswer.UNANSWERED if draw < 0.3 else answer
+
+    def carry_out(self, now, instance, order):
+        if instance != self.instance:
+            return OrderAnswer.OTHER_INSTANCE
+        if self.doing is not None or order.expected != self.accepted:
+            return OrderAnswer.CONFLICT
+        self.accepted += 1
+        if order.adapter:
+            held = self.held.get(order.model, set())
+            change = held.add if order.kind is OrderKind.LOAD else held.discard
+            change(order.adapter)
+        else:
+            seconds = LOAD_S if order.kind is OrderKind.LOAD else 0.1
+            self.doing = (now + seconds, order)
+        slots = sum(len(found) for found in self.held.values())
+        if self.used() > MEMORY_MB or slots > ADAPTER_SLOTS:
+            raise AssertionError(f"crashed by {order}: {self.used()} MB, {slots} slots")
+        return OrderAnswer.ACCEPTED
+
+
+def play(seed, steps):
+    rng = random.Random(seed)
+    models = [
+        samples.model(name, size, adapters=4, adapter_mb=ADAPTER_MB)
+        for name, size in MODELS.items()
+    ]
+    spec = samples.engine(*models, memory_mb=MEMORY_MB, adapter_slots=ADAPTER_SLOTS)
+    book, engine, now, loads = OrderBook(spec), FakeEngine(rng), 0.0, 0
+    for _ in range(steps):
+        now += rng.uniform(0.0, 0.3)
+        model = rng.choice(list(MODELS))
+        adapter = rng.choice(["", "", "a1", "a2", "a3", "a4"])
+        book.wished(now, Wish(model, adapter, rng.choice([0, 5])))
+        if rng.random() < 0.01:
+            engine.restart()
+        if rng.random() < 0.01:
+            # A new agent process: it knows nothing of orders on their way.
+            book = OrderBook(spec)
+        instance = engine.instance
+        book.reported(now, engine.report(now))
+        order = book.next_order(now)
+        if order is None:
+            continue
+        book.sending(order)
+        answer = engine.order(now, instance, order)
+        book.answered(now, order, answer)
+        loads += order.kind is OrderKind.LOAD
+        if answer is OrderAnswer.CONFLICT:
+            book.reported(now, engine.report(now))
+            if book.report.accepted <= order.expected:
+                book.conflict_seen(order)
+    return loads
+
+
+class TestOrders(unittest.TestCase):
+    def test_the_engine_is_never_ordered_beyond_its_memory(self):
+        for seed in range(profiles.scale(60, 4000)):
+            with self.subTest(seed=seed):
+                loads = play(seed, 300)
+                counting.add("gateway orders", 300)
+                self.assertGreater(loads, 5)
