Run the real programs before stand-ins of the platform in tests

Ruled out: one address for all (an agent is found by its replica's address). Change: a fleet of processes on loopback addresses: cold load, adapter, silent store, a start during an outage, lost history, hang-up, planned stop, bad settings.

--- /dev/null
+++ b/tests/adapter/common/fleet.py
@@ -0,0 +1,196 @@
+"""The real programs as processes, before stand-ins for the store and the replicas.
+
+Each machine has an address of its own in the loopback network, as agents are found by
+the address of their replica.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+import aiohttp
+from bambootiller_platform_standins.replica import StandinReplica
+from bambootiller_platform_standins.store import StandinStore
+
+from tests.adapter import PLATFORM
+from tests.adapter.cover.test_documents import CONFIG, ROUTE, SERVICE
+
+#: Waiting for a condition is bounded generously: a busy machine proves nothing.
+WAIT_S = 40.0
+HOST = "classes.example"
+
+
+def free_port(host):
+    """A port that is free now."""
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
+async def until(condition, what):
+    """Wait until ``await condition()`` is true."""
+    end = asyncio.get_running_loop().time() + WAIT_S
+    while not await condition():
+        if asyncio.get_running_loop().time() > end:
+            raise AssertionError(f"{what}: not within {WAIT_S} s")
+        await asyncio.sleep(0.05)
+
+
+@dataclass
+class Program:
+    """One running program."""
+
+    process: asyncio.subprocess.Process
+    form: dict
+    log: Path
+
+    def lines(self):
+        """What it has logged."""
+        found = []
+        for line in self.log.read_text().splitlines():
+            with contextlib.suppress(ValueError):
+                found.append(json.loads(line))
+        return found
+
+    def events(self, kind):
+        """Its events of one kind."""
+        return [line for line in self.lines() if line.get("event") == kind]
+
+    async def stop(self, signum=signal.SIGTERM):
+        """Signal it, and return its exit code."""
+        if self.process.returncode is None:
+            self.process.send_signal(signum)
+        return await asyncio.wait_for(self.process.wait(), WAIT_S)
+
+
+class Fleet:
+    """Entries, agents, replicas and the store.
+
+    Example::
+
+        async with Fleet() as fleet:
+            fleet.configure()
+            await fleet.replica("127.0.0.2", "i-1", "llm", ("tutor",))
+            entry = await fleet.entry("e1")
+    """
+
+    def __init__(self):
+        self.store = StandinStore()
+        self.replicas = {}
+        self._programs = []
+        self._folder = tempfile.TemporaryDirectory()
+        self._ports = (free_port("127.0.0.1"), 0)
+        self.session = None
+
+    async def __aenter__(self):
+        await self.store.server.start()
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True)
+        )
+        return self
+
+    async def __aexit__(self, *details):
+        for program in self._programs:
+            await program.stop(signal.SIGKILL)
+        await self.session.close()
+        for replica in self.replicas.values():
+            await replica.server.stop()
+        await self.store.server.stop()
+        self._folder.cleanup()
+
+    def configure(self, version=1, **fields):
+        """Have the operator write a configuration."""
+        form = {
+            **CONFIG,
+            "version": version,
+            "routes": [ROUTE],
+            "services": [SERVICE],
+            **fields,
+        }
+        self.store.put("op/config", json.dumps(form).encode())
+
+    async def replica(self, host, instance, service, models=()):
+        """Start and list a replica."""
+        replica = StandinReplica(instance, service, models)
+        await replica.server.start(host)
+        self.replicas[instance] = replica
+        self.store.put(f"servers/{instance}", replica.entry())
+        return replica
+
+    async def entry(self, name, seeds=()):
+        """Start an entry; its ``form`` holds its addresses."""
+        host = "127.0.0.1"
+        listen = {
+            part: f"{host}:{free_port(host)}" for part in ("front", "ready", "control")
+        }
+        form = self._form(name, host, {"listen": listen, "seeds": list(seeds)})
+        return await self._start("entry", form)
+
+    async def agent(self, name, replica):
+        """Start the agent beside a replica."""
+        host = replica.server.address.rpartition(":")[0]
+        beside = {"app": replica.server.address, "service": replica.service}
+        return await self._start("agent", self._form(name, host, beside))
+
+    async def is_ready(self, entry):
+        """Whether the entry says that it is ready."""
+        url = f"http://{entry.form['listen']['ready']}/bambootiller/ready"
+        try:
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def wait_ready(self, entry):
+        """Wait until the entry is ready."""
+        await until(lambda: self.is_ready(entry), f"{entry.form['node-name']} ready")
+
+    async def call(self, entry, model, path="/a/x", attempt="r-1"):
+        """Call as a client; returns the status and the body."""
+        headers = {
+            "Host": HOST,
+            "X-Request-Attempt": attempt,
+            "X-Model": model,
+            "X-Deadline-Ms": "12000",
+        }
+        url = f"http://{entry.form['listen']['front']}{path}"
+        async with self.session.post(url, headers=headers, data=b"b") as response:
+            return response.status, await response.read()
+
+    def _form(self, name, host, fields):
+        return {
+            "node-name": name,
+            "ip": host,
+            "zone": "z1",
+            "region": "r1",
+            "internal-ports": list(self._ports),
+            "bounds": {"grace-s": 6},
+            "platform": {"address": self.store.server.address},
+            "unknown-field": 1,
+            **fields,
+        }
+
+    async def _start(self, role, form):
+        folder = Path(self._folder.name)
+        file = folder / f"{form['node-name']}-{len(self._programs)}.json"
+        file.write_text(json.dumps(form))
+        log = file.with_suffix(".log")
+        with log.open("wb") as out:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(PLATFORM / "launch.py"),
+                role,
+                stdout=out,
+                stderr=asyncio.subprocess.STDOUT,
+                env={**os.environ, "BAMBOOTILLER_NODE_FILE": str(file)},
+            )
+        program = Program(process, form, log)
+        self._programs.append(program)
+        return program
--- /dev/null
+++ b/tests/adapter/failures/test_processes.py
@@ -0,0 +1,157 @@
+"""The real programs before stand-ins of the platform, while parts fail."""
+
+import asyncio
+import json
+import signal
+import unittest
+
+from bambootiller_platform_standins.store import Trouble
+
+from tests.adapter.common.fleet import Fleet, until
+from tests.adapter.cover.test_documents import MODEL
+
+MODEL_NAME = MODEL["name"]
+
+
+class TestWholePath(unittest.IsolatedAsyncioTestCase):
+    async def test_a_model_that_nobody_holds_is_loaded_and_its_caller_served(self):
+        async with Fleet() as fleet:
+            fleet.configure()
+            replica = await fleet.replica("127.0.0.2", "i-1", "llm")
+            replica.on_disk.add(MODEL_NAME)
+            await fleet.agent("a1", replica)
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+
+            async def served():
+                status, body = await fleet.call(entry, MODEL_NAME)
+                return status == 200 and body.endswith(b"data: 5\n\n")
+
+            await until(served, "the cold model is served")
+            loads = [order["model"] for order in replica.orders]
+            self.assertEqual(loads, [MODEL_NAME])
+            self.assertGreater(replica.orders[0]["fencing-token"], 0)
+
+    async def test_an_adapter_is_loaded_when_a_call_asks_for_it(self):
+        async with Fleet() as fleet:
+            fleet.configure()
+            replica = await fleet.replica("127.0.0.2", "i-1", "llm", (MODEL_NAME,))
+            await fleet.agent("a1", replica)
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+
+            async def served():
+                status, _ = await fleet.call(entry, f"{MODEL_NAME}/a3")
+                return status == 200
+
+            await until(served, "the adapter is served")
+            self.assertEqual(replica.held[MODEL_NAME], {"a3"})
+
+
+class TestStoreInTrouble(unittest.IsolatedAsyncioTestCase):
+    async def test_what_was_known_goes_on_while_the_store_is_silent(self):
+        async with Fleet() as fleet:
+            fleet.configure()
+            await fleet.replica("127.0.0.2", "i-1", "llm", (MODEL_NAME,))
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+            fleet.store.trouble = Trouble.SILENT
+
+            async def noticed():
+                return bool(entry.events("dependency_lost"))
+
+            await until(noticed, "the entry notices that the store is silent")
+            status, _ = await fleet.call(entry, MODEL_NAME)
+            self.assertEqual(status, 200)
+            self.assertTrue(await fleet.is_ready(entry))
+
+    async def test_an_entry_that_starts_meanwhile_learns_from_another(self):
+        """Symptom: an entry that restarts during an outage refuses every call.
+
+        The store answers nobody, so the new process has no configuration and knows no
+        backend server, though the entry beside it knows both.
+        """
+        async with Fleet() as fleet:
+            fleet.configure(version=5)
+            await fleet.replica("127.0.0.2", "i-1", "llm", (MODEL_NAME,))
+            first = await fleet.entry("e1")
+            await fleet.wait_ready(first)
+            fleet.store.trouble = Trouble.BUSY
+            seed = first.form["listen"]["control"]
+            second = await fleet.entry("e2", seeds=[seed])
+            await fleet.wait_ready(second)
+            status, _ = await fleet.call(second, MODEL_NAME)
+            self.assertEqual(status, 200)
+            (taken,) = second.events("config_in_force")
+            self.assertEqual((taken["config_version"], taken["source"]), (5, "e1"))
+
+    async def test_a_change_is_in_force_after_the_history_is_lost(self):
+        async with Fleet() as fleet:
+            fleet.configure(version=1)
+            await fleet.replica("127.0.0.2", "i-1", "llm", (MODEL_NAME,))
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+            fleet.configure(version=2)
+            fleet.store.forget_history()
+            fleet.configure(version=4)
+
+            async def in_force():
+                taken = entry.events("config_in_force")
+                return taken[-1]["config_version"] == 4
+
+            await until(in_force, "version 4 is in force")
+            versions = [
+                line["config_version"] for line in entry.events("config_in_force")
+            ]
+            self.assertEqual(versions, sorted(versions))
+
+
+class TestSignals(unittest.IsolatedAsyncioTestCase):
+    async def test_a_hangup_ends_nothing_and_takes_up_the_new_settings(self):
+        """Symptom: the process ends with code 129 when its settings file changes."""
+        async with Fleet() as fleet:
+            fleet.configure()
+            replica = await fleet.replica("127.0.0.2", "i-1", "llm", (MODEL_NAME,))
+            agent = await fleet.agent("a1", replica)
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+            for program in (entry, agent):
+                program.process.send_signal(signal.SIGHUP)
+
+                async def reloaded(program=program):
+                    return bool(program.events("reloaded"))
+
+                await until(reloaded, "the settings are read again")
+            status, _ = await fleet.call(entry, MODEL_NAME)
+            self.assertEqual(status, 200)
+
+    async def test_a_planned_stop_cuts_no_stream(self):
+        async with Fleet() as fleet:
+            fleet.configure()
+            replica = await fleet.replica("127.0.0.2", "i-1", "llm", (MODEL_NAME,))
+            replica.events, replica.gap_s = 40, 0.05
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+            calls = [
+                asyncio.ensure_future(fleet.call(entry, MODEL_NAME, attempt=f"r-{n}"))
+                for n in range(5)
+            ]
+
+            async def running():
+                return len(replica.runs) == 5
+
+            await until(running, "five streams run")
+            code = await entry.stop()
+            self.assertEqual(code, 0)
+            for status, body in await asyncio.gather(*calls):
+                self.assertEqual(status, 200)
+                self.assertTrue(body.endswith(b"data: 40\n\n"))
+            self.assertFalse(await fleet.is_ready(entry))
+
+    async def test_bad_settings_are_named(self):
+        async with Fleet() as fleet:
+            entry = await fleet._start("entry", {"node-name": "e1"})
+            code = await asyncio.wait_for(entry.process.wait(), 30)
+            self.assertNotEqual(code, 0)
+            self.assertIn("internal-ports", entry.log.read_text())
+            self.assertNotIn(json.dumps({"ready": True})[1:-1], entry.log.read_text())
