--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -24,9 +24,6 @@
 #: Loads that the weight store serves at full speed; more at a time come no sooner and
 #: slow down the first. Stated by the first users for their sites of today.
 STORE_LOADS = 4
-#: The same for loads that no call waits for, so that one which calls wait for can begin
-#: at once.
-STORE_LOADS_AHEAD = 3
 #: An order takes this long besides the load itself. Seconds.
 ORDER_S = 0.05
 #: Loads longer than this stand in the way of others at the same engine. Seconds.
@@ -92,6 +89,16 @@
     UNASKED = 3
 
 
+#: At how many loads under way the next of each rank may still begin. A second copy keeps
+#: its engine from all other orders for seconds, so there is one such load at a time.
+_MOST_STORE_LOADS = {
+    _Rank.WAITED_FOR: STORE_LOADS,
+    _Rank.ASKED_FOR: STORE_LOADS,
+    _Rank.SECOND_COPY: 1,
+    _Rank.UNASKED: STORE_LOADS,
+}
+
+
 @dataclass(slots=True)
 class _Place:
     """An engine while a plan is made; ``free_in_s`` is when its next order can
@@ -161,7 +168,7 @@
             option = self._best(spec, places, wants, now)
             if option is None:
                 continue
-            most = STORE_LOADS if rank <= _Rank.ASKED_FOR else STORE_LOADS_AHEAD
+            most = _MOST_STORE_LOADS[rank]
             waits_for_store = option.from_store and store_loads >= most
             ready = option.ready_in_s
             if waits_for_store:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/selection.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/selection.py
@@ -13,8 +13,8 @@
 #: What another availability zone costs, in units of a full batch: traffic between zones
 #: is paid for, and takes a little longer.
 ZONE_COST = 0.08
-#: What it costs not to be the one that the prompt's shared parts are kept at.
-PREFIX_COST = 0.2
+#: What it costs to be one place later among the holders of a model.
+TURN_COST = 0.25
 #: Equal backend servers are drawn from, or all entries would choose the same one.
 JITTER = 0.04
 #: An entry has no more of its own calls at a backend server than this many times what
@@ -42,14 +42,13 @@
     able = reachable or free
     if not able:
         return None
-    preferred = _prefix_home(call, able)
+    turn = _turns(call, able)
 
     def cost(backend: Backend) -> float:
         total = backend.occupied(now) / max(1, backend.registered.slots)
         total += health.cost(now, backend.instance)
         total += ZONE_COST * (backend.registered.zone != zone)
-        if preferred is not None:
-            total += PREFIX_COST * (backend.instance != preferred)
+        total += TURN_COST * turn.get(backend.instance, 0)
         return total + rng.random() * JITTER
 
     return min(able, key=cost)
@@ -66,13 +65,14 @@
     return rendezvous.weight(f"{ask.model}/{ask.adapter}", instance)
 
 
-def _prefix_home(call: Call, able: Sequence[Backend]) -> str | None:
-    """Where the shared parts of the prompt are kept, if all entries choose alike.
+def _turns(call: Call, able: Sequence[Backend]) -> dict[str, int]:
+    """The place of each engine in the order in which all entries use a model's holders.
 
-    The last part is the call's own, so it says nothing of what is shared.
+    Calls of one model gather at the first of its holders, as long as that isn't much
+    busier than the next. The shared parts of their prompts are then read once, and the
+    further holders fall idle and make room for models that nobody holds.
     """
-    if call.ask is None or len(call.ask.prefix) < 2:
-        return None
-    ask = call.ask
-    subject = f"{ask.model}/{ask.adapter}/{ask.prefix[-2]}"
-    return rendezvous.first(subject, [backend.instance for backend in able])
+    if call.ask is None:
+        return {}
+    names = rendezvous.ranked(call.ask.model, [backend.instance for backend in able])
+    return {name: place for place, name in enumerate(names)}
