--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -10,7 +10,7 @@
 #: Demand fades by this factor of e in this time: long enough to see a model that is
 #: asked for once in a few seconds, short enough to follow demand that moves on.
 #: Seconds.
-MEMORY_S = 8.0
+MEMORY_S = 5.0
 #: A call that was refused because its model wasn't there counts as waiting for so long:
 #: its caller was told to come back, so the load has to go on. Seconds.
 REFUSED_WAITS_S = 3.0
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -24,6 +24,10 @@
 #: Loads that the weight store serves at full speed; more at a time come no sooner and
 #: slow down the first. Stated by the first users for their sites of today.
 STORE_LOADS = 4
+#: A model that so many calls wait for needn't wait for a place at the store: demand has
+#: moved to it, and every second costs as many calls. That many loads more may begin.
+MANY_WAITING = 4
+STORE_LOADS_URGENT = 2
 #: An order takes this long besides the load itself. Seconds.
 ORDER_S = 0.05
 #: Loads longer than this stand in the way of others at the same engine. Seconds.
@@ -44,6 +48,9 @@
 #: A model with calls under way makes way only if it is wanted no more than this: the
 #: calls a second of a rarely used model, or of one that other engines hold as well.
 MOST_CUT_SHORT = 1.0
+#: It also does if it is wanted no more than this part of the one that comes, as when
+#: demand has moved on and its last calls are under way.
+CUT_SHORT_SHARE = 0.125
 #: What a call that waits now adds to a model's demand, against its calls per second.
 WAITING_WEIGHT = 4.0
 
@@ -169,6 +176,8 @@
             if option is None:
                 continue
             most = _MOST_STORE_LOADS[rank]
+            if wants.get(spec.name, Want()).waiting >= MANY_WAITING:
+                most += STORE_LOADS_URGENT
             waits_for_store = option.from_store and store_loads >= most
             ready = option.ready_in_s
             if waits_for_store:
@@ -358,9 +367,10 @@
     idle = [name for name in order if not in_use.get(name)]
     busy = [name for name in order if in_use.get(name)] if incoming.waiting else []
     most = KEEP_FACTOR * max(incoming.value, LEAST_VALUE)
+    most_cut_short = max(MOST_CUT_SHORT, incoming.value * CUT_SHORT_SHARE)
     chosen: list[str] = []
     for name in idle + busy:
-        limit = MOST_CUT_SHORT if name in busy else most
+        limit = most_cut_short if name in busy else most
         spec = engine.models.get(name)
         if spec is None or keep_values.get(name, 0.0) > limit:
             continue
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -370,13 +370,13 @@
         headers.append(relays.dialect.time_left(call.deadline - began))
         conn.send(self._request_head(backend, headers), self._body)
         patience = self._silence_s(began)
-        head = await self._within(patience, conn.head(self._is_stray))
+        head = await self._within(patience, lambda: conn.head(self._is_stray))
         verdict = relays.dialect.judge(call, head)
         health = self._service.health
         if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
             self._progress.may_have_run = ran_before
             health.failed(relays.clock(), backend.instance)
-            await self._within(patience, _read_all(conn))
+            await self._within(patience, lambda: _read_all(conn))
             return Ended.REFUSED
         if verdict is Verdict.USELESS:
             raise ConnectionLost(f"useless answer of status {head.status}", False, True)
@@ -399,18 +399,36 @@
             lines.append(b"content-length: %d" % len(self._body))
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
-    async def _within(self, seconds: float | None, awaitable):
-        """Await, but for ``seconds`` at most; silence counts as a lost answer."""
+    async def _within(
+        self, seconds: float | None, wait: Callable[[], Awaitable[Any]]
+    ) -> Any:
+        """Await ``wait()``; silence of ``seconds`` counts as a lost answer, but only
+        while there is another backend server to turn to."""
         if seconds is None:
-            return await awaitable
-        try:
-            # Not wait_for(): where the awaited thing ends at the moment at which the
-            # caller leaves, that returns its result and forgets the cancellation, and
-            # the backend server goes on working for nobody.
-            async with asyncio.timeout(seconds):
-                return await awaitable
-        except TimeoutError as exc:
-            raise ConnectionLost(f"silent for {seconds:.2f} s", False, False) from exc
+            return await wait()
+        while True:
+            try:
+                # Not wait_for(): where the awaited thing ends at the moment at which
+                # the caller leaves, that returns its result and forgets the
+                # cancellation, and the backend server goes on working for nobody.
+                async with asyncio.timeout(seconds):
+                    return await wait()
+            except TimeoutError as exc:
+                if self._has_alternative():
+                    detail = f"silent for {seconds:.2f} s"
+                    raise ConnectionLost(detail, False, False) from exc
+
+    def _has_alternative(self) -> bool:
+        """Whether another backend server could serve the call now."""
+        ask = self._call.ask
+        return any(
+            ask is None
+            or (
+                ask.model in backend.holdings
+                and (not ask.adapter or ask.adapter in backend.holdings[ask.model])
+            )
+            for backend in self._untried()
+        )
 
     def _silence_s(self, now: float) -> float | None:
         """How long the backend server may be silent before the call goes elsewhere."""
@@ -455,7 +473,7 @@
         silence = self._silence_s(began)
         first = True
         while True:
-            data = await self._within(silence, conn.chunk())
+            data = await self._within(silence, conn.chunk)
             if data is None:
                 break
             events = splitter.feed(data)
--- a/tests/adapter/failures/test_calls.py
+++ b/tests/adapter/failures/test_calls.py
@@ -317,3 +317,37 @@
         answer = await self.call()
         self.assertFalse(answer.whole)
         self.assertEqual(answer.body, self.whole(2))
+
+
+class TestSilence(Case):
+    async def test_a_silent_replica_is_waited_for_if_there_is_no_other(self):
+        """Symptom: calls end with an unknown outcome right after a model was loaded.
+
+        All that waited for it arrive at once at its only holder, and the first event
+        takes longer than the silence after which a call goes elsewhere; but there is
+        nowhere to go.
+        """
+        replica = await self.llm()
+        replica.events, replica.gap_s = 2, 0.9
+        answer = await self.bench.call(path=b"/a/x", x_model=MODEL_NAME)
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.whole)
+
+    async def test_with_another_holder_the_call_goes_there(self):
+        replicas = [await self.llm("i-1"), await self.llm("i-2")]
+        silent = []
+
+        def reply_of(replica):
+            def reply(req):
+                if silent:
+                    return replica.stream(req)
+                silent.append(replica)
+                return Reply(silent=True)
+
+            return reply
+
+        for replica in replicas:
+            replica.next_replies = [reply_of(replica)]
+        answer = await self.bench.call(path=b"/a/x", x_model=MODEL_NAME)
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(len(silent), 1)
