--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -48,9 +48,6 @@
 #: A model with calls under way makes way only if it is wanted no more than this: the
 #: calls a second of a rarely used model, or of one that other engines hold as well.
 MOST_CUT_SHORT = 1.0
-#: It also does if it is wanted no more than this part of the one that comes, as when
-#: demand has moved on and its last calls are under way.
-CUT_SHORT_SHARE = 0.125
 #: What a call that waits now adds to a model's demand, against its calls per second.
 WAITING_WEIGHT = 4.0
 
@@ -367,10 +364,9 @@
     idle = [name for name in order if not in_use.get(name)]
     busy = [name for name in order if in_use.get(name)] if incoming.waiting else []
     most = KEEP_FACTOR * max(incoming.value, LEAST_VALUE)
-    most_cut_short = max(MOST_CUT_SHORT, incoming.value * CUT_SHORT_SHARE)
     chosen: list[str] = []
     for name in idle + busy:
-        limit = most_cut_short if name in busy else most
+        limit = MOST_CUT_SHORT if name in busy else most
         spec = engine.models.get(name)
         if spec is None or keep_values.get(name, 0.0) > limit:
             continue
