Split the relay and the orders, and count only attempts that went out

Change: relays, placing and relay; orders, order_messages and order_memory; Progress.sends. Before: the new test failed.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
@@ -131,7 +131,7 @@
 
 
 def _may_send_again(call: Call, progress: Progress, ended: Ended) -> bool:
-    if ended is not Ended.NOT_SENT and len(progress.tried) >= call.route.max_attempts:
+    if ended is not Ended.NOT_SENT and progress.sends >= call.route.max_attempts:
         return False
     if progress.passed_on:
         return call.route.resumable and progress.last_event is not None
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
@@ -63,11 +63,13 @@
 class Progress:
     """How far a call has come.
 
-    ``tried`` are the backend servers that it was sent to; ``last_event`` is the number
-    of the last whole event passed on.
+    ``tried`` are the backend servers that an attempt was made at; ``sends`` counts the
+    attempts for which a connection was made and the call went out. ``last_event`` is
+    the number of the last whole event passed on.
     """
 
     tried: list[str] = field(default_factory=list)
+    sends: int = 0
     may_have_run: bool = False
     passed_on: bool = False
     last_event: int | None = None
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_messages.py
@@ -0,0 +1,78 @@
+"""What passes between an engine's agent, the engine and the entries."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+
+class OrderKind(enum.Enum):
+    """What an engine is told to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOrder:
+    """An order; ``expected`` is the number of orders accepted before it."""
+
+    kind: OrderKind
+    model: str
+    adapter: str
+    expected: int
+
+
+class OrderAnswer(enum.Enum):
+    """What the engine said to an order.
+
+    ``ACCEPTED``: it is being carried out. ``HOLDS``: it has been carried out, or was so
+    already. ``CONFLICT``: another order is in progress, or the number accepted differs.
+    ``FENCED``: a higher fencing token has been seen. ``INVALID``: the engine knows no
+    such order. ``OTHER_INSTANCE``: another backend server has the address.
+    ``UNANSWERED``: it may have been accepted, or may be later.
+    """
+
+    ACCEPTED = "accepted"
+    HOLDS = "holds"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    INVALID = "invalid"
+    OTHER_INSTANCE = "other instance"
+    UNANSWERED = "unanswered"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an engine says of itself. ``accepted`` counts the orders accepted since its
+    start; ``adapters_coming`` are (model, adapter) on their way in."""
+
+    instance: str
+    holdings: Mapping[str, frozenset[str]]
+    accepted: int
+    busy: bool = False
+    adapters_coming: frozenset[tuple[str, str]] = frozenset()
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    running: int = 0
+    queued: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """A model, or an adapter of one, that an entry has calls for; 0 is most urgent."""
+
+    model: str
+    adapter: str = ""
+    urgency: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadEnded:
+    """A load that has ended; ``held`` tells whether the model is there."""
+
+    model: str
+    held: bool
+    seconds: float
+    from_store: bool
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -15,12 +15,20 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
 from bambootiller_core.gateway.fleet import EngineState, Loading
+from bambootiller_core.gateway.order_memory import memory_used
+from bambootiller_core.gateway.order_messages import (
+    EngineOrder,
+    EngineReport,
+    LoadEnded,
+    OrderAnswer,
+    OrderKind,
+    Wish,
+)
 from bambootiller_core.gateway.residency import RUN_S, Want, choose_victims, keep_values
 
 #: Adapters that may be on their way to an engine at a time.
@@ -42,67 +50,6 @@
 OVERRUN_SHARE = 0.15
 
 
-class OrderKind(enum.Enum):
-    """What an engine is told to do."""
-
-    LOAD = "load"
-    UNLOAD = "unload"
-
-
-@dataclass(frozen=True, slots=True)
-class EngineOrder:
-    """An order; ``expected`` is the number of orders accepted before it."""
-
-    kind: OrderKind
-    model: str
-    adapter: str
-    expected: int
-
-
-class OrderAnswer(enum.Enum):
-    """What the engine said to an order.
-
-    ``ACCEPTED``: it is being carried out. ``HOLDS``: it has been carried out, or was so
-    already. ``CONFLICT``: another order is in progress, or the number accepted differs.
-    ``FENCED``: a higher fencing token has been seen. ``INVALID``: the engine knows no
-    such order. ``OTHER_INSTANCE``: another backend server has the address.
-    ``UNANSWERED``: it may have been accepted, or may be later.
-    """
-
-    ACCEPTED = "accepted"
-    HOLDS = "holds"
-    CONFLICT = "conflict"
-    FENCED = "fenced"
-    INVALID = "invalid"
-    OTHER_INSTANCE = "other instance"
-    UNANSWERED = "unanswered"
-
-
-@dataclass(frozen=True, slots=True)
-class EngineReport:
-    """What an engine says of itself. ``accepted`` counts the orders accepted since its
-    start; ``adapters_coming`` are (model, adapter) on their way in."""
-
-    instance: str
-    holdings: Mapping[str, frozenset[str]]
-    accepted: int
-    busy: bool = False
-    adapters_coming: frozenset[tuple[str, str]] = frozenset()
-    in_memory: frozenset[str] = frozenset()
-    on_disk: frozenset[str] = frozenset()
-    running: int = 0
-    queued: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Wish:
-    """A model, or an adapter of one, that an entry has calls for; 0 is most urgent."""
-
-    model: str
-    adapter: str = ""
-    urgency: int = 0
-
-
 @dataclass(slots=True)
 class _EntryUse:
     """What one entry last said: demand and use by model, adapters in use."""
@@ -128,16 +75,6 @@
     since: float
 
 
-@dataclass(frozen=True, slots=True)
-class LoadEnded:
-    """A load that has ended; ``held`` tells whether the model is there."""
-
-    model: str
-    held: bool
-    seconds: float
-    from_store: bool
-
-
 @dataclass(slots=True)
 class _Book:
     wishes: dict[tuple[str, str], tuple[Wish, float]] = field(default_factory=dict)
@@ -434,31 +371,8 @@
         return EngineOrder(kind, model, adapter, self._report.accepted)
 
     def _memory_used(self) -> float:
-        """Megabytes held, on their way in, or possibly brought by an unsettled
-        order."""
-        report = self._report
-        total = 0.0
-        for model, adapters in report.holdings.items():
-            total += self._size(model) + len(adapters) * self._adapter_size(model)
-        for model, _ in report.adapters_coming:
-            total += self._adapter_size(model)
-        if self._load is not None and self._load.model not in report.holdings:
-            total += self._size(self._load.model)
-        unsettled = self._unsettled
-        if unsettled is not None and unsettled.kind is OrderKind.LOAD:
-            adapter = unsettled.adapter
-            size = self._adapter_size if adapter else self._size
-            total += size(unsettled.model)
-        return total
-
-    def _size(self, model: str) -> float:
-        spec = self._engine.models.get(model)
-        # A model that the configuration doesn't list any more still fills memory.
-        return self._engine.memory_mb if spec is None else spec.size_mb
-
-    def _adapter_size(self, model: str) -> float:
-        spec = self._engine.models.get(model)
-        return 0.0 if spec is None else spec.adapter_mb
+        loading = self._load.model if self._load is not None else None
+        return memory_used(self._engine, self._report, loading, self._unsettled)
 
     def wants(self) -> dict[str, Want]:
         """The demand of all entries together."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -93,8 +93,9 @@
     UNASKED = 3
 
 
-#: At how many loads under way the next of each rank may still begin. A second copy keeps
-#: its engine from all other orders for seconds, so there is one such load at a time.
+#: At how many loads under way the next of each rank may still begin. A second copy
+#: keeps its engine from all other orders for seconds, so there is one such load at a
+#: time.
 _MOST_STORE_LOADS = {
     _Rank.WAITED_FOR: STORE_LOADS,
     _Rank.ASKED_FOR: STORE_LOADS,
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -13,7 +13,8 @@
 from bambootiller_core import rendezvous
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.gateway.fleet import Backend
-from bambootiller_core.gateway.orders import WAITED_FOR, Wish
+from bambootiller_core.gateway.order_messages import Wish
+from bambootiller_core.gateway.orders import WAITED_FOR
 from bambootiller_core.gateway.residency import PlannedLoad, Planner, Want
 
 #: How often the plan of loads is made anew. Seconds.
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -15,7 +15,7 @@
 from bambootiller.gateway.front import Front, pages
 from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
 from bambootiller.gateway.ports import Platform
-from bambootiller.gateway.relay import Relays
+from bambootiller.gateway.relays import Relays
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller.settings import Address
 from bambootiller_core.gateway.budget import AttemptBudget
--- a/packages/bambootiller/src/bambootiller/gateway/front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/front.py
@@ -15,7 +15,8 @@
 import falcon.asgi
 
 from bambootiller.gateway.ports import Incoming, Unreadable
-from bambootiller.gateway.relay import AnswerCut, Relay, Relays
+from bambootiller.gateway.relay import AnswerCut, Relay
+from bambootiller.gateway.relays import Relays
 from bambootiller_core.gateway.attempts import COME_BACK_S, Reason, Refusal
 from bambootiller_core.gateway.calls import Call
 from bambootiller_core.gateway.config import GatewayConfig, Route
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -0,0 +1,162 @@
+"""Finds a place for one call, waiting for a model or an adapter if need be."""
+
+from __future__ import annotations
+
+from bambootiller.gateway.relays import Relays
+from bambootiller_core.gateway import attempts, selection
+from bambootiller_core.gateway.attempts import Reason, Refusal
+from bambootiller_core.gateway.calls import Call, Progress
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.order_messages import Wish
+
+#: A call that waits for a model looks again at least this often. Seconds.
+LOOK_AGAIN_S = 0.1
+#: What a stream needs between its model being there and its first event. Seconds.
+FIRST_EVENT_S = 0.15
+#: A stream lasts about so long. One that can't begin this long before the end of a
+#: planned stop is refused, because it would be cut. Seconds.
+STREAM_S = 3.0
+#: The longest come-back time; callers honour a part of the time they have left.
+#: Seconds.
+COME_BACK_MAX_S = 6.0
+#: An adapter that hasn't come after this time is sought at another engine. Seconds.
+ADAPTER_S = 0.4
+
+
+class Placing:
+    """The choice of backend servers for one call.
+
+    Example::
+
+        backend = await Placing(relays, call, progress).place()
+        if isinstance(backend, Refusal): ...
+    """
+
+    def __init__(self, relays: Relays, call: Call, progress: Progress) -> None:
+        self._relays = relays
+        self._call = call
+        self._progress = progress
+        self._health = relays.service(call.service).health
+
+    async def place(self) -> Backend | Refusal:
+        """The backend server for the next attempt, or why there is none."""
+        if self._call.ask is None:
+            return self._plain_place()
+        return await self._engine_place()
+
+    def has_alternative(self) -> bool:
+        """Whether another backend server could serve the call now."""
+        ask = self._call.ask
+        return any(
+            ask is None
+            or (
+                ask.model in backend.holdings
+                and (not ask.adapter or ask.adapter in backend.holdings[ask.model])
+            )
+            for backend in self.untried()
+        )
+
+    def untried(self) -> list[Backend]:
+        """The backend servers of the service that the call hasn't been sent to."""
+        fleet = self._relays.knowledge.fleet
+        return [
+            backend
+            for backend in fleet.of_service(self._call.service)
+            if backend.instance not in self._progress.tried
+        ]
+
+    def _choose(self, candidates: list[Backend]) -> Backend | None:
+        relays = self._relays
+        return selection.choose(
+            relays.clock(),
+            self._call,
+            candidates,
+            self._health,
+            relays.zone,
+            relays.rng,
+        )
+
+    def _plain_place(self) -> Backend | Refusal:
+        candidates = self.untried()
+        if not candidates:
+            return Refusal(Reason.NO_BACKEND, attempts.COME_BACK_S)
+        backend = self._choose(candidates)
+        if backend is None:
+            return Refusal(Reason.OVERLOADED, attempts.COME_BACK_S)
+        return backend
+
+    async def _engine_place(self) -> Backend | Refusal:
+        """An engine that holds the model and the adapter, waiting for one if need
+        be."""
+        relays, ask = self._relays, self._call.ask
+        demand = relays.engines.demand(self._call.service)
+        demand.begin_waiting(ask.model)
+        began = relays.clock()
+        try:
+            while True:
+                found = self._engine_now(began)
+                if found is not None:
+                    return found
+                await relays.knowledge.changed.wait(LOOK_AGAIN_S)
+        finally:
+            demand.end_waiting(ask.model)
+
+    def _engine_now(self, began: float) -> Backend | Refusal | None:
+        """An engine, a refusal, or None to wait."""
+        ask, now = self._call.ask, self._relays.clock()
+        untried = self.untried()
+        holders = [backend for backend in untried if ask.model in backend.holdings]
+        if not holders:
+            return self._await_model(now, untried)
+        with_adapter = [
+            backend
+            for backend in holders
+            if not ask.adapter or ask.adapter in backend.holdings[ask.model]
+        ]
+        chosen = self._choose(with_adapter)
+        if chosen is not None:
+            return chosen
+        if with_adapter or now > self._call.first_event_due - FIRST_EVENT_S:
+            return Refusal(Reason.OVERLOADED, attempts.COME_BACK_S)
+        return self._await_adapter(now, began, holders)
+
+    def _await_adapter(
+        self, now: float, began: float, holders: list[Backend]
+    ) -> Refusal | None:
+        ask = self._call.ask
+        able = [backend for backend in holders if backend.takes_orders(now)]
+        if not able:
+            return Refusal(Reason.COLD, attempts.COME_BACK_S)
+        soonest = min(_free_in(backend) for backend in able)
+        if now + soonest > self._call.first_event_due - FIRST_EVENT_S:
+            return Refusal(Reason.COLD, min(soonest, COME_BACK_MAX_S))
+        able = [backend for backend in able if _free_in(backend) <= soonest + ADAPTER_S]
+        able.sort(key=lambda backend: -selection.home_weight(ask, backend.instance))
+        turn = int((now - began) / ADAPTER_S) % len(able)
+        self._relays.engines.wish(able[turn], Wish(ask.model, ask.adapter))
+        return None
+
+    def _await_model(self, now: float, untried: list[Backend]) -> Refusal | None:
+        call, ask = self._call, self._call.ask
+        engines = self._relays.engines
+        planned = engines.planned(call.service, ask.model)
+        if planned is None:
+            engines.replan()
+            planned = engines.planned(call.service, ask.model)
+        due = min(call.first_event_due, call.deadline) - FIRST_EVENT_S
+        if self._relays.stop_by is not None:
+            due = min(due, self._relays.stop_by - STREAM_S)
+        ready_in = planned.ready_in_s if planned is not None else None
+        if ready_in is not None and now + ready_in < due:
+            return None
+        engines.demand(call.service).refused(now, ask.model)
+        come_back = COME_BACK_MAX_S if ready_in is None else ready_in
+        detail = "no engine can load it" if ready_in is None else ""
+        come_back = min(max(come_back, attempts.COME_BACK_S), COME_BACK_MAX_S)
+        return Refusal(Reason.COLD, come_back, detail)
+
+
+def _free_in(backend: Backend) -> float:
+    """When the engine takes an order for an adapter. Seconds."""
+    loading = backend.engine.loading if backend.engine is not None else None
+    return 0.0 if loading is None else loading.left_s
--- a/packages/bambootiller/src/bambootiller/gateway/ports.py
+++ b/packages/bambootiller/src/bambootiller/gateway/ports.py
@@ -10,7 +10,11 @@
 from bambootiller_core.gateway.calls import Call, ModelAsk
 from bambootiller_core.gateway.config import GatewayConfig
 from bambootiller_core.gateway.fleet import Registered
-from bambootiller_core.gateway.orders import EngineOrder, EngineReport, OrderAnswer
+from bambootiller_core.gateway.order_messages import (
+    EngineOrder,
+    EngineReport,
+    OrderAnswer,
+)
 from bambootiller_core.ports import KeyValue, Record
 
 #: Name and value as they stand on the wire, the name in lower case.
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -0,0 +1,91 @@
+"""What all calls of an entry share: connections, budgets, judgements of health."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bambootiller.gateway.connections import ConnectionPool
+from bambootiller.gateway.engines import Engines
+from bambootiller.gateway.eventlog import EventLog
+from bambootiller.gateway.knowledge import Knowledge
+from bambootiller.gateway.ports import Dialect
+from bambootiller_core.gateway.budget import ASSUMED_ENTRIES, AttemptBudget
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.health import Health
+
+#: Connections to one backend server where the configuration sets no limit.
+MOST_CONNECTIONS = 256
+#: No entry has fewer than this, however many share the limit.
+LEAST_CONNECTIONS = 8
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """What belongs to one service while it is configured."""
+
+    health: Health = field(default_factory=Health)
+    budget: AttemptBudget | None = None
+
+
+class Relays:
+    """Shared by all calls of an entry: pools, budgets and judgements of health."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        engines: Engines,
+        dialect: Dialect,
+        events: EventLog,
+        zone: str,
+        rng: random.Random,
+        clock: Callable[[], float],
+        new_budget: Callable[[], AttemptBudget],
+    ) -> None:
+        self.knowledge = knowledge
+        self.engines = engines
+        self.dialect = dialect
+        self.events = events
+        self.zone = zone
+        self.rng = rng
+        self.clock = clock
+        self._new_budget = new_budget
+        #: When a planned stop cuts what still runs; None while none has begun.
+        self.stop_by: float | None = None
+        self._services: dict[str, ServiceState] = {}
+        self._pools: dict[str, ConnectionPool] = {}
+
+    def service(self, name: str) -> ServiceState:
+        """What is kept for a service."""
+        found = self._services.get(name)
+        if found is None:
+            found = self._services[name] = ServiceState(budget=self._new_budget())
+        found.budget.entries = max(2, len(self.engines.entries) or ASSUMED_ENTRIES)
+        return found
+
+    def pool(self, backend: Backend) -> ConnectionPool:
+        """The connections to a backend server, by its instance: a new start at the same
+        address doesn't answer on those of the one before."""
+        found = self._pools.get(backend.instance)
+        if found is None:
+            most = self._most_connections(backend)
+            found = ConnectionPool(backend.registered.address, most)
+            self._pools[backend.instance] = found
+        return found
+
+    def sweep(self, now: float) -> None:
+        """Close idle connections past their time, and those to gone instances."""
+        for instance, pool in list(self._pools.items()):
+            pool.sweep(now)
+            if self.knowledge.fleet.get(instance) is None:
+                pool.close()
+                del self._pools[instance]
+
+    def _most_connections(self, backend: Backend) -> int:
+        config = self.knowledge.config
+        service = config.services.get(backend.registered.service) if config else None
+        if service is None or service.max_connections is None:
+            return MOST_CONNECTIONS
+        share = service.max_connections // max(2, len(self.engines.entries))
+        return max(LEAST_CONNECTIONS, share)
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -6,7 +6,7 @@
 
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core.gateway.fleet import EngineState, Loading
-from bambootiller_core.gateway.orders import Wish
+from bambootiller_core.gateway.order_messages import Wish
 from bambootiller_core.gateway.residency import Want
 
 
--- a/tests/adapter/common/entry.py
+++ b/tests/adapter/common/entry.py
@@ -10,7 +10,7 @@
 
 from bambootiller.gateway.front import Front
 from bambootiller.gateway.knowledge import Knowledge
-from bambootiller.gateway.relay import Relays
+from bambootiller.gateway.relays import Relays
 from bambootiller_core.gateway.budget import AttemptBudget
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.ports import Changed, Record
--- a/tests/gateway/cover/test_attempts.py
+++ b/tests/gateway/cover/test_attempts.py
@@ -22,7 +22,7 @@
 
 
 def sent(**fields):
-    return Progress(tried=["b1"], **fields)
+    return Progress(tried=["b1"], sends=1, **fields)
 
 
 class TestNotRun(unittest.TestCase):
@@ -42,6 +42,18 @@
         self.assertIsNotNone(decision.come_back_s)
 
 
+class TestUnreachable(unittest.TestCase):
+    def test_a_backend_server_that_was_not_reached_uses_up_no_attempt(self):
+        """Symptom: a call that may go to two backend servers ends after one refusal.
+
+        Its first choice can't be connected to, the second refuses it; the first was
+        counted as one of its two attempts.
+        """
+        progress = Progress(tried=["b1", "b2"], sends=1)
+        decision = decide(CallKind.NON_IDEMPOTENT, Ended.REFUSED, progress)
+        self.assertEqual(decision, SendAgain(False, True))
+
+
 class TestMayHaveRun(unittest.TestCase):
     def test_a_non_idempotent_call_is_never_sent_again(self):
         decision = decide(
@@ -60,7 +72,7 @@
         self.assertEqual(decision, SendAgain(False, True))
 
     def test_a_call_refused_elsewhere_keeps_the_doubt_of_its_first_attempt(self):
-        progress = Progress(tried=["b1", "b2"], may_have_run=True)
+        progress = Progress(tried=["b1", "b2"], sends=2, may_have_run=True)
         decision = decide(CallKind.IDEMPOTENT, Ended.REFUSED, progress)
         self.assertEqual(decision.reason, Reason.OUTCOME_UNKNOWN)
 
--- a/tests/gateway/failures/test_orders.py
+++ b/tests/gateway/failures/test_orders.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from bambootiller_core.gateway.orders import (
+from bambootiller_core.gateway.order_messages import (
     EngineReport,
     OrderAnswer,
-    OrderBook,
     OrderKind,
     Wish,
 )
+from bambootiller_core.gateway.orders import OrderBook
 from bambootiller_core.gateway.residency import Want
 from tests.gateway.common import samples
 
--- a/tests/gateway/randomised/test_orders.py
+++ b/tests/gateway/randomised/test_orders.py
@@ -3,13 +3,13 @@
 import random
 import unittest
 
-from bambootiller_core.gateway.orders import (
+from bambootiller_core.gateway.order_messages import (
     EngineReport,
     OrderAnswer,
-    OrderBook,
     OrderKind,
     Wish,
 )
+from bambootiller_core.gateway.orders import OrderBook
 from tests.common import counting, profiles
 from tests.gateway.common import samples
 
