--- a/packages/bambootiller/src/bambootiller/gateway/connections.py
+++ b/packages/bambootiller/src/bambootiller/gateway/connections.py
@@ -35,6 +35,13 @@
 #: The same where the backend server doesn't say: times below a second aren't stated.
 #: Seconds.
 KEEP_UNSTATED_S = 0.3
+#: An idle connection is probed after this time and then as often; after so many
+#: unanswered probes it is closed. Seconds, the least that the kernel takes.
+PROBE_IDLE_S = 1
+PROBES = 2
+#: Bytes that the other side hasn't acknowledged within this time end the connection.
+#: Milliseconds; far above any delay between availability zones.
+UNACKNOWLEDGED_MS = 1500
 #: Reading pauses while more than this waits to be passed on. Bytes.
 MOST_HELD = 256 * 1024
 #: Answers to other calls that are skipped before a connection is given up.
@@ -96,7 +103,7 @@
         self._transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            _notice_silence(sock)
 
     def data_received(self, data: bytes) -> None:
         """Bytes have come; outside of a call they spoil the connection."""
@@ -261,6 +268,24 @@
             self._wake.set_result(None)
 
 
+def _notice_silence(sock: socket.socket) -> None:
+    """Have the kernel close a connection whose other end has gone without a word.
+
+    A link that was cut, or a table that forgot the connection, sends no reset. Without
+    this, a call sent on such a kept connection hangs until its deadline, and its caller
+    is told that the outcome isn't known, although the call never arrived.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+        (socket.TCP_KEEPINTVL, PROBE_IDLE_S),
+        (socket.TCP_KEEPCNT, PROBES),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def _stated_keep(answer: _Answer) -> float:
     """For how long the connection may be used again. Seconds."""
     for name, value in answer.headers:
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -144,6 +144,9 @@
             return ended
         except ConnectionLost as exc:
             self._service.health.failed(relays.clock(), backend.instance)
+            if conn.reused:
+                # What took this connection may have taken the other idle ones too.
+                pool.close()
             relays.events.emit(
                 "answer_lost",
                 request=self._call.request_id,
--- /dev/null
+++ b/tests/gateway/failures/test_connections.py
@@ -0,0 +1,106 @@
+"""Connections to backend servers that go silent or are closed while idle."""
+
+import asyncio
+import socket
+import unittest
+
+from bambootiller.gateway.connections import (
+    CannotConnect,
+    ConnectionLost,
+    ConnectionPool,
+)
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
+
+
+class Case(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.extra = b""
+        self.writers = []
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.pool = ConnectionPool(f"127.0.0.1:{port}", most=2)
+
+    async def asyncTearDown(self):
+        self.pool.close()
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        while await reader.read(1000):
+            writer.write(ANSWER + self.extra + b"\r\nok")
+
+    async def use(self, now=0.0):
+        conn = await self.pool.acquire(now, 1.0)
+        conn.send(REQUEST, b"")
+        await conn.head(lambda head: False)
+        body = await conn.chunk()
+        self.pool.release(conn, now)
+        return conn, body
+
+
+class TestKeptConnections(Case):
+    async def test_one_is_used_again_within_its_time(self):
+        first, body = await self.use(0.0)
+        self.assertEqual(body, b"ok")
+        second, _ = await self.use(0.1)
+        self.assertIs(second, first)
+
+    async def test_one_is_not_used_close_to_the_end_of_its_time(self):
+        """Symptom: a non-idempotent call ends with an unknown outcome now and then.
+
+        The backend server closes an idle connection at the moment at which a call is
+        sent on it, and nobody can tell whether the call was read.
+        """
+        self.extra = b"keep-alive: timeout=5\r\n"
+        first, _ = await self.use(0.0)
+        second, _ = await self.use(2.9)
+        third, _ = await self.use(6.0)
+        self.assertIs(second, first)
+        self.assertIsNot(third, first)
+
+    async def test_one_that_is_to_be_closed_is_not_kept(self):
+        self.extra = b"connection: close\r\n"
+        first, _ = await self.use(0.0)
+        second, _ = await self.use(0.0)
+        self.assertIsNot(second, first)
+
+    async def test_one_that_was_closed_while_idle_is_not_used(self):
+        first, _ = await self.use(0.0)
+        self.writers[0].close()
+        await asyncio.sleep(0.05)
+        second, _ = await self.use(0.1)
+        self.assertIsNot(second, first)
+
+
+class TestSilence(Case):
+    async def test_the_kernel_is_asked_to_notice_a_silent_other_end(self):
+        """Symptom: calls hang until their deadline on connections that look open.
+
+        The path was cut while the connection was idle; no reset ever comes.
+        """
+        conn, _ = await self.use()
+        sock = conn._transport.get_extra_info("socket")
+        self.assertEqual(sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE), 1)
+        option = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        self.assertGreater(option, 0)
+
+
+class TestLimits(Case):
+    async def test_no_more_connections_are_made_than_allowed(self):
+        for _ in range(2):
+            await self.pool.acquire(0.0, 1.0)
+        with self.assertRaises(CannotConnect):
+            await self.pool.acquire(0.0, 1.0)
+
+    async def test_an_answer_cut_short_is_told_from_a_whole_one(self):
+        conn = await self.pool.acquire(0.0, 1.0)
+        self.extra = b"transfer-encoding: chunked\r\n"
+        conn.send(REQUEST, b"")
+        with self.assertRaises(ConnectionLost):
+            await conn.head(lambda head: False)
+            while await conn.chunk() is not None:
+                continue
