Don't send calls to engines that have just denied to hold their model

Ruled out: not trusting the registry at all (an engine without an agent would serve nobody). Change: what a backend server denies isn't asked of it for 1.5 s or until its agent speaks; an entry that has just started waits for its agents instead of refusing. Before: the tests of this change failed.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -17,6 +17,9 @@
 AGENT_SILENT_S = 1.5
 #: Load figures older than this tell nothing. Seconds.
 FIGURES_LIFE_S = 1.0
+#: For how long a backend server isn't asked again for what it has denied to hold.
+#: Seconds; about as long as the registry lags.
+DENIAL_S = 1.5
 #: While the store was away the registry may have dropped entries of live backend
 #: servers; those are back within two seconds of the store's return. Seconds.
 LAPSE_GRACE_S = 2.3
@@ -84,6 +87,7 @@
     in_flight: int = 0
     in_flight_by_model: dict[str, int] = field(default_factory=dict)
     missing_since: float | None = None
+    denied: dict[str, float] = field(default_factory=dict)
 
     @property
     def instance(self) -> str:
@@ -97,6 +101,25 @@
             return self.engine.holdings
         return self.registered.holdings
 
+    def serves(self, now: float, model: str, adapter: str = "") -> bool:
+        """Whether it can take a call for the model, and for the adapter if one is
+        named, as far as known."""
+        held = self.holdings.get(model)
+        if held is None or (adapter and adapter not in held):
+            return False
+        names = used_names(model, adapter)
+        return all(
+            now - self.denied.get(name, float("-inf")) > DENIAL_S for name in names
+        )
+
+    def denies(self, now: float, model: str, adapter: str) -> None:
+        """It has turned a call away because it doesn't hold what the call needs.
+
+        Without an agent the registry tells what it holds, a second or more late. After
+        a restart it is empty, and each call would be sent there only to be turned away.
+        """
+        self.denied[used_names(model, adapter)[-1]] = now
+
     def agent_heard(self, now: float) -> bool:
         """Whether the agent has spoken lately."""
         return self.engine is not None and now - self.heard_at < AGENT_SILENT_S
@@ -206,6 +229,7 @@
             return False
         backend.engine = state
         backend.heard_at = now
+        backend.denied.clear()
         return True
 
     def call_sent(self, instance: str, model: str, adapter: str = "") -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -46,13 +46,9 @@
 
     def has_alternative(self) -> bool:
         """Whether another backend server could serve the call now."""
-        ask = self._call.ask
+        ask, now = self._call.ask, self._relays.clock()
         return any(
-            ask is None
-            or (
-                ask.model in backend.holdings
-                and (not ask.adapter or ask.adapter in backend.holdings[ask.model])
-            )
+            ask is None or backend.serves(now, ask.model, ask.adapter)
             for backend in self.untried()
         )
 
@@ -105,13 +101,13 @@
         """An engine, a refusal, or None to wait."""
         ask, now = self._call.ask, self._relays.clock()
         untried = self.untried()
-        holders = [backend for backend in untried if ask.model in backend.holdings]
+        holders = [backend for backend in untried if backend.serves(now, ask.model)]
         if not holders:
             return self._await_model(now, untried)
         with_adapter = [
             backend
             for backend in holders
-            if not ask.adapter or ask.adapter in backend.holdings[ask.model]
+            if backend.serves(now, ask.model, ask.adapter)
         ]
         chosen = self._choose(with_adapter)
         if chosen is not None:
@@ -149,6 +145,8 @@
         ready_in = planned.ready_in_s if planned is not None else None
         if ready_in is not None and now + ready_in < due:
             return None
+        if ready_in is None and self._relays.is_starting() and now < due:
+            return None
         engines.demand(call.service).refused(now, ask.model)
         come_back = COME_BACK_MAX_S if ready_in is None else ready_in
         detail = "no engine can load it" if ready_in is None else ""
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -179,6 +179,8 @@
         health = self._service.health
         if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
             self._progress.may_have_run = ran_before
+            if verdict is Verdict.MISDIRECTED and call.ask is not None:
+                backend.denies(relays.clock(), call.ask.model, call.ask.adapter)
             health.failed(relays.clock(), backend.instance)
             await self._within(patience, lambda: _read_all(conn))
             return Ended.REFUSED
--- a/packages/bambootiller/src/bambootiller/gateway/relays.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -17,6 +17,8 @@
 
 #: Connections to one backend server where the configuration sets no limit.
 MOST_CONNECTIONS = 256
+#: A new entry has heard all agents that it can reach after this time. Seconds.
+STARTING_S = 1.5
 #: No entry has fewer than this, however many share the limit.
 LEAST_CONNECTIONS = 8
 
@@ -51,11 +53,17 @@
         self.rng = rng
         self.clock = clock
         self._new_budget = new_budget
+        self.began = clock()
         #: When a planned stop cuts what still runs; None while none has begun.
         self.stop_by: float | None = None
         self._services: dict[str, ServiceState] = {}
         self._pools: dict[str, ConnectionPool] = {}
 
+    def is_starting(self) -> bool:
+        """Whether this process has only just begun: it may not have heard the agents
+        yet, and knows less than a moment later."""
+        return self.clock() - self.began < STARTING_S
+
     def service(self, name: str) -> ServiceState:
         """What is kept for a service."""
         found = self._services.get(name)
--- a/tests/adapter/common/entry.py
+++ b/tests/adapter/common/entry.py
@@ -92,6 +92,8 @@
             loop.time,
             lambda: AttemptBudget(0.2, 54, 10.0),
         )
+        # It has been running for a while: what it doesn't know, it won't learn soon.
+        self.relays.began -= 60
         self.leaving = False
         self.front = Front(self.relays, None, lambda: True, lambda: self.leaving)
         self.replicas = []
--- a/tests/adapter/failures/test_calls.py
+++ b/tests/adapter/failures/test_calls.py
@@ -74,6 +74,20 @@
         self.assertLess(loop.time() - began, 1.0)
 
 
+    async def test_an_entry_that_has_just_started_waits_for_its_agents(self):
+        """Symptom: all calls of the first moment after a restart are refused.
+
+        The entry has its configuration, but no agent has said yet what it holds.
+        """
+        replica = await self.llm()
+        self.bench.relays.began = asyncio.get_running_loop().time()
+        calling = asyncio.ensure_future(self.bench.call(path=b"/a/x", x_model="poet"))
+        await asyncio.sleep(0.2)
+        replica.held["poet"] = set()
+        self.bench.learn("servers/i-1", replica.entry())
+        self.assertEqual((await calling).status, 200)
+
+
 class TestGarbledAnswers(Case):
     async def test_an_answer_cut_short_is_replaced_by_another(self):
         """Symptom: a caller gets half a body with a success.
--- a/tests/gateway/cover/test_fleet.py
+++ b/tests/gateway/cover/test_fleet.py
@@ -105,3 +105,38 @@
         self.fleet.call_ended("b1", "tutor", "a3")
         self.fleet.call_ended("b1", "tutor")
         self.assertEqual(uses, {})
+
+
+class TestDenials(unittest.TestCase):
+    def test_what_was_denied_is_not_asked_for_again_at_once(self):
+        """Symptom: after all processes lost power, calls are sent only to be refused.
+
+        The engines came back empty; the registry still lists what they held, and no
+        agent has spoken yet.
+        """
+        backend = samples.backend(service="llm")
+        backend.registered = samples.registered(
+            holdings={"tutor": frozenset({"a1"}), "poet": frozenset()}
+        )
+        backend.denies(5.0, "tutor", "")
+        self.assertFalse(backend.serves(5.5, "tutor"))
+        self.assertFalse(backend.serves(5.5, "tutor", "a1"))
+        self.assertTrue(backend.serves(5.5, "poet"))
+        self.assertTrue(backend.serves(8.0, "tutor"))
+
+    def test_a_denied_adapter_leaves_its_model(self):
+        backend = samples.backend(service="llm")
+        backend.registered = samples.registered(
+            holdings={"tutor": frozenset({"a1", "a2"})}
+        )
+        backend.denies(5.0, "tutor", "a1")
+        self.assertFalse(backend.serves(5.5, "tutor", "a1"))
+        self.assertTrue(backend.serves(5.5, "tutor", "a2"))
+
+    def test_the_agents_word_is_newer(self):
+        fleet = Fleet()
+        fleet.registry_changed(0.0, samples.registered(service="llm"))
+        backend = fleet.get("b1")
+        backend.denies(5.0, "tutor", "")
+        fleet.engine_told(5.1, samples.engine_state(holdings=["tutor"]))
+        self.assertTrue(backend.serves(5.2, "tutor"))
