Reset the connection of a call that is given up, and ask the only holder again

Its path was cut; an aborted asyncio transport closes in the ordinary way, so the kernel delivered the held bytes when the path was whole. Change: linger for no time before closing a call's connection; a tried holder may be asked again where nobody else holds the model and the call may run twice.

--- a/packages/bambootiller/src/bambootiller/gateway/connections.py
+++ b/packages/bambootiller/src/bambootiller/gateway/connections.py
@@ -18,6 +18,7 @@
 
 import asyncio
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -42,6 +43,8 @@
 #: Bytes that the other side hasn't acknowledged within this time end the connection.
 #: Milliseconds; far above any delay between availability zones.
 UNACKNOWLEDGED_MS = 1500
+#: Linger for no time: closing a socket sends a reset and drops what is unsent.
+_RESET = struct.pack("ii", 1, 0)
 #: Reading pauses while more than this waits to be passed on. Bytes.
 MOST_HELD = 256 * 1024
 #: Answers to other calls that are skipped before a connection is given up.
@@ -228,11 +231,11 @@
         if usable:
             self.keep_s = _stated_keep(self._answers[0])
             usable = self.keep_s > 0
-        self._active = False
         self.idle_since = now
         self.reused = True
         if not usable:
             self.close()
+        self._active = False
         return usable
 
     def fresh(self, now: float) -> bool:
@@ -242,10 +245,19 @@
         return now - self.idle_since < self.keep_s
 
     def close(self) -> None:
-        """Close at once, which has the backend server drop the call."""
+        """Close at once, which has the backend server drop the call.
+
+        A call that is given up resets its connection. Closed in the ordinary way, bytes
+        that a cut path has held up would still be delivered once the path is whole, and
+        a backend server would begin to work for a caller who left seconds before.
+        """
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if self._active and sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         self._active = False
-        if self._transport is not None:
-            self._transport.abort()
+        self._transport.abort()
 
     def _all_whole(self) -> bool:
         return bool(self._answers) and self._answers[-1].whole
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -54,13 +54,15 @@
 
     def untried(self) -> list[Backend]:
         """The backend servers of the service that the call hasn't been sent to."""
-        fleet = self._relays.knowledge.fleet
         return [
             backend
-            for backend in fleet.of_service(self._call.service)
+            for backend in self._in_service()
             if backend.instance not in self._progress.tried
         ]
 
+    def _in_service(self) -> list[Backend]:
+        return self._relays.knowledge.fleet.of_service(self._call.service)
+
     def _choose(self, candidates: list[Backend]) -> Backend | None:
         relays = self._relays
         return selection.choose(
@@ -102,6 +104,14 @@
         ask, now = self._call.ask, self._relays.clock()
         untried = self.untried()
         holders = [backend for backend in untried if backend.serves(now, ask.model)]
+        if not holders and self._progress.may_have_run:
+            # Its only holder lost the answer. Of all places that is the best to go to
+            # again: elsewhere the model would have to be loaded first.
+            holders = [
+                backend
+                for backend in self._in_service()
+                if backend.serves(now, ask.model)
+            ]
         if not holders:
             return self._await_model(now, untried)
         with_adapter = [
--- a/tests/gateway/failures/test_connections.py
+++ b/tests/gateway/failures/test_connections.py
@@ -89,6 +89,35 @@
         self.assertGreater(option, 0)
 
 
+class TestGivenUp(unittest.IsolatedAsyncioTestCase):
+    async def test_a_call_that_is_given_up_resets_its_connection(self):
+        """Symptom: a backend server gets a call six seconds after its caller left.
+
+        The path to it was cut when the call was sent. The caller leaves, the connection
+        is closed in the ordinary way, and the kernel delivers what it still holds once
+        the path is whole.
+        """
+        ended = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            await reader.read(1000)
+            try:
+                ended.set_result(await reader.read(1000))
+            except ConnectionError as exc:
+                ended.set_result(exc)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool(f"127.0.0.1:{port}", most=2)
+        conn = await pool.acquire(0.0, 1.0)
+        conn.send(REQUEST, b"")
+        await asyncio.sleep(0.05)
+        pool.discard(conn)
+        self.assertIsInstance(await ended, ConnectionResetError)
+        server.close()
+
+
 class TestLimits(Case):
     async def test_no_more_connections_are_made_than_allowed(self):
         for _ in range(2):
