Serve rarely used models first come, first served

Ruled out: refusing earlier (the plan had their model there in time when they came). Change: demand tells how long the first waiting call has waited; loads and wishes go by that, behind models that four calls or more wait for.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -24,14 +24,14 @@
     Example::
 
         demand.asked(now, "tutor")
-        with_waiting = demand.begin_waiting("tutor")
+        demand.begin_waiting(now, "tutor")
         ...
-        demand.end_waiting("tutor")
+        demand.end_waiting(now, "tutor")
     """
 
     def __init__(self) -> None:
         self._rates: dict[str, tuple[float, float]] = {}
-        self._waiting: dict[str, int] = {}
+        self._waiting: dict[str, list[float]] = {}
         self._refused: dict[str, deque[float]] = {}
 
     def asked(self, now: float, model: str) -> None:
@@ -39,17 +39,16 @@
         rate = self._rate(now, model) + 1.0 / MEMORY_S
         self._rates[model] = (rate, now)
 
-    def begin_waiting(self, model: str) -> None:
+    def begin_waiting(self, now: float, model: str) -> None:
         """A call begins to wait for the model to be loaded."""
-        self._waiting[model] = self._waiting.get(model, 0) + 1
+        self._waiting.setdefault(model, []).append(now)
 
-    def end_waiting(self, model: str) -> None:
-        """It waits no more."""
-        left = self._waiting.get(model, 0) - 1
-        if left > 0:
-            self._waiting[model] = left
-        else:
-            self._waiting.pop(model, None)
+    def end_waiting(self, since: float, model: str) -> None:
+        """The call that began to wait at ``since`` waits no more."""
+        times = self._waiting[model]
+        times.remove(since)
+        if not times:
+            del self._waiting[model]
 
     def refused(self, now: float, model: str) -> None:
         """A call was refused because the model isn't there in time."""
@@ -60,12 +59,14 @@
         found = {}
         for model in list(self._rates):
             rate = self._rate(now, model)
-            waiting = self._waiting.get(model, 0) + self._refused_lately(now, model)
+            times = self._waiting.get(model, [])
+            waiting = len(times) + self._refused_lately(now, model)
+            oldest_s = now - min(times) if times else 0.0
             if rate < LEAST_RATE and not waiting:
                 del self._rates[model]
                 self._refused.pop(model, None)
                 continue
-            found[model] = Want(rate, waiting, holders.get(model, 0))
+            found[model] = Want(rate, waiting, holders.get(model, 0), oldest_s)
         return found
 
     def _refused_lately(self, now: float, model: str) -> int:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -162,7 +162,8 @@
             # those for adapters too.
             return None
         wishes = [wish for wish, _ in self._book.wishes.values()]
-        wishes.sort(key=lambda wish: wish.urgency)
+        wants = self.wants()
+        wishes.sort(key=lambda wish: _turn(wish, wants))
         if self._preparing is not None:
             order = self._for_model(now, self._preparing.wish)
             if order is not None:
@@ -384,6 +385,7 @@
                     held.rate + want.rate,
                     held.waiting + want.waiting,
                     max(held.holders, want.holders),
+                    max(held.oldest_s, want.oldest_s),
                 )
         return merged
 
@@ -393,3 +395,8 @@
             for model, count in use.in_use.items():
                 merged[model] = merged.get(model, 0) + count
         return merged
+
+
+def _turn(wish: Wish, wants: Mapping[str, Want]) -> tuple[int, float]:
+    """Urgent wishes first, and among these the one whose calls have waited longest."""
+    return wish.urgency, -wants.get(wish.model, Want()).oldest_s
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -54,12 +54,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Want:
-    """The demand for one model: calls a second, calls waiting, and engines holding
-    it."""
+    """The demand for one model: calls a second, calls waiting, engines holding it, and
+    how long the first of the waiting calls has waited, in seconds."""
 
     rate: float = 0.0
     waiting: int = 0
     holders: int = 0
+    oldest_s: float = 0.0
 
     @property
     def value(self) -> float:
@@ -218,9 +219,14 @@
             if rank is not None:
                 # Entries agree on the order of equals, and so seldom ask for the same.
                 tie = rendezvous.weight("fetch", name)
-                ranked.append((rank, -want.value, tie, spec))
-        ranked.sort(key=lambda item: item[:3])
-        return [(item[3], item[0]) for item in ranked]
+                # First come, first served, but for models that many calls wait for:
+                # ordered by demand alone, later calls would overtake those that were
+                # told to wait, until these have waited for nothing.
+                many = want.waiting >= MANY_WAITING
+                key = (rank, not many, -round(want.oldest_s, 1), -want.value, tie)
+                ranked.append((key, spec, rank))
+        ranked.sort(key=lambda item: item[0])
+        return [(spec, rank) for _, spec, rank in ranked]
 
     def _place(self, backend: Backend) -> _Place:
         state = backend.engine
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -161,6 +161,7 @@
                 max(want.rate, total.rate),
                 max(want.waiting, total.waiting),
                 want.holders,
+                max(want.oldest_s, total.oldest_s),
             )
         return merged
 
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -88,8 +88,8 @@
         be."""
         relays, ask = self._relays, self._call.ask
         demand = relays.engines.demand(self._call.service)
-        demand.begin_waiting(ask.model)
         began = relays.clock()
+        demand.begin_waiting(began, ask.model)
         try:
             while True:
                 found = self._engine_now(began)
@@ -97,7 +97,7 @@
                     return found
                 await relays.knowledge.changed.wait(LOOK_AGAIN_S)
         finally:
-            demand.end_waiting(ask.model)
+            demand.end_waiting(began, ask.model)
 
     def _engine_now(self, began: float) -> Backend | Refusal | None:
         """An engine, a refusal, or None to wait."""
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -72,6 +72,7 @@
             calls_per_s=want.rate,
             waiting=want.waiting,
             holders=want.holders,
+            oldest_ms=int(want.oldest_s * 1000),
         )
         for model, want in wants.items()
     ]
@@ -80,7 +81,9 @@
 def wants_of(messages: Iterable[pb.ModelDemand]) -> dict[str, Want]:
     """The same, received."""
     return {
-        item.model: Want(item.calls_per_s, item.waiting, item.holders)
+        item.model: Want(
+            item.calls_per_s, item.waiting, item.holders, item.oldest_ms / 1000
+        )
         for item in messages
     }
 
--- /dev/null
+++ b/tests/gateway/cover/test_demand.py
@@ -0,0 +1,45 @@
+"""How much each model is asked for."""
+
+import unittest
+
+from bambootiller_core.gateway.demand import MEMORY_S, REFUSED_WAITS_S, Demand
+
+
+class TestDemand(unittest.TestCase):
+    def setUp(self):
+        self.demand = Demand()
+
+    def want(self, now, model="tutor"):
+        return self.demand.wants(now, {}).get(model)
+
+    def test_a_steady_rate_is_found(self):
+        for number in range(400):
+            self.demand.asked(number * 0.1, "tutor")
+        self.assertAlmostEqual(self.want(40.0).rate, 10.0, delta=1.0)
+
+    def test_demand_that_ends_is_forgotten(self):
+        self.demand.asked(0.0, "tutor")
+        self.assertIsNone(self.want(20 * MEMORY_S))
+
+    def test_waiting_calls_count_until_they_end(self):
+        self.demand.asked(0.0, "tutor")
+        self.demand.begin_waiting(0.0, "tutor")
+        self.demand.begin_waiting(1.0, "tutor")
+        self.assertEqual(self.want(2.0).waiting, 2)
+        self.assertEqual(self.want(2.0).oldest_s, 2.0)
+        self.demand.end_waiting(0.0, "tutor")
+        self.assertEqual((self.want(2.0).waiting, self.want(2.0).oldest_s), (1, 1.0))
+        self.demand.end_waiting(1.0, "tutor")
+        self.assertEqual(self.want(2.0).waiting, 0)
+
+    def test_a_refused_call_counts_as_waiting_for_a_while(self):
+        """Symptom: a model that demand has moved to isn't loaded for ten seconds.
+
+        Its calls are refused at once and so never wait, and the load goes to models
+        with a single caller that does.
+        """
+        self.demand.asked(0.0, "tutor")
+        for number in range(6):
+            self.demand.refused(number * 0.1, "tutor")
+        self.assertEqual(self.want(1.0).waiting, 6)
+        self.assertEqual(self.want(1.0 + REFUSED_WAITS_S).waiting, 0)
--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -101,6 +101,25 @@
         self.assertNotIn("poet", self.plan(backends, **wants))
 
 
+class TestTurns(unittest.TestCase):
+    def plan(self, **wants):
+        spec = samples.engine(*(samples.model(name) for name in sorted(wants)))
+        return list(Planner(spec).plan(NOW, [engine_backend("b1")], wants))
+
+    def test_the_calls_that_have_waited_longest_are_served_first(self):
+        """Symptom: calls are held for seconds and then refused after all.
+
+        They were told to wait, as the plan had their model there in time. Models asked
+        for later went before them, because a little more demand made them so.
+        """
+        plan = self.plan(early=Want(0.1, 1, 0, 3.0), late=Want(0.5, 3, 0, 1.0))
+        self.assertEqual(plan, ["early", "late"])
+
+    def test_a_model_that_many_calls_wait_for_goes_before_all(self):
+        plan = self.plan(early=Want(0.1, 1, 0, 3.0), hot=Want(5.0, 9, 0, 0.5))
+        self.assertEqual(plan, ["hot", "early"])
+
+
 class TestVictims(unittest.TestCase):
     def setUp(self):
         self.spec = samples.engine(samples.model("tutor"), samples.model("poet"))
