Keep the total demand of each service of engines by itself

Cause: agents tell entries the total demand for the models of their own service, and an entry kept one table for all. With two services of engines each agent's word wiped out what the other service's agents had said, so that plans were made on whichever spoke last. Found by reading. Ruled out: sending the service's name in each message; the entry knows the service of the engine that the message is about. Change: a table by service, in Engines.wants_of_all; `received` is public, as the stream's and the test's entry. Fields that nothing read are gone (_Place.taken, Bounds.drain_s, Bounds.grace_s).

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -15,7 +15,7 @@
 
 import enum
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from bambootiller_core import rendezvous
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
@@ -113,7 +113,6 @@
     backend: Backend
     free_in_s: float
     planned: int = 0
-    taken: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True)
@@ -304,7 +303,6 @@
     def _occupy(self, option: _Option, spec: ModelSpec) -> None:
         option.place.free_in_s = option.ready_in_s
         option.place.planned += 1
-        option.place.taken.add(spec.name)
 
 
 def _rank(want: Want, holders: int, copied: bool, total_rate: float) -> _Rank | None:
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -59,7 +59,7 @@
         self._demand: dict[str, Demand] = {}
         self._plans: dict[str, dict[str, PlannedLoad]] = {}
         self.entries: tuple[str, ...] = ()
-        self._total: dict[str, Want] = {}
+        self._totals: dict[str, dict[str, Want]] = {}
 
     def start(self) -> None:
         """Begin to review and to plan."""
@@ -116,7 +116,7 @@
     def _open(self, host: str, backend: Backend) -> None:
         address = f"{host}:{self._agent_port}"
         stream = self._exchanger.keep_open(
-            address, lambda update: self._fill(host, update), self._received
+            address, lambda update: self._fill(host, update), self.received
         )
         task = asyncio.get_running_loop().create_task(stream)
         self._links[host] = _Link(task, backend.instance)
@@ -135,12 +135,17 @@
             wire.add_wish(update, wish)
         link.wishes.clear()
 
-    def _received(self, update: Update) -> None:
+    def received(self, update: Update) -> None:
+        """Take over what the agent beside an engine says."""
         if not update.HasField("engine"):
             return
         self.entries = tuple(update.entries)
-        self._total = wire.wants_of(update.total_demand)
         state = wire.engine_state(update.engine)
+        backend = self._knowledge.fleet.get(state.instance)
+        if backend is not None:
+            # Agents know the demand for their own service only.
+            service = backend.registered.service
+            self._totals[service] = wire.wants_of(update.total_demand)
         if self._knowledge.fleet.engine_told(self._app.now(), state):
             self._knowledge.changed.notify()
 
@@ -151,10 +156,10 @@
                 holders[model] = holders.get(model, 0) + 1
         return self.demand(service).wants(self._app.now(), holders)
 
-    def _with_total(self, own: dict[str, Want]) -> dict[str, Want]:
-        """The demand of all entries as an agent told it last, and not less than what
-        this entry knows of its own."""
-        merged = dict(self._total)
+    def wants_of_all(self, service: str, own: dict[str, Want]) -> dict[str, Want]:
+        """The demand of all entries for the models of a service, as one of its agents
+        told it last, and not less than what this entry knows of its own."""
+        merged = dict(self._totals.get(service, {}))
         for model, want in own.items():
             total = merged.get(model, want)
             merged[model] = Want(
@@ -175,11 +180,17 @@
             planner = Planner(service.engine)
             backends = self._knowledge.fleet.of_service(service.name)
             wants = self._wants(service.name)
-            plan = planner.plan(now, backends, self._with_total(wants))
+            wants_of_all = self.wants_of_all(service.name, wants)
+            plan = planner.plan(now, backends, wants_of_all)
             self._plans[service.name] = plan
-            self._ask(plan, wants)
+            self._ask(plan, wants, wants_of_all)
 
-    def _ask(self, plan: dict[str, PlannedLoad], wants: dict[str, Want]) -> None:
+    def _ask(
+        self,
+        plan: dict[str, PlannedLoad],
+        wants: dict[str, Want],
+        wants_of_all: dict[str, Want],
+    ) -> None:
         for load in plan.values():
             if not load.ask_now:
                 continue
@@ -187,7 +198,7 @@
             if backend is None:
                 continue
             waiting = wants.get(load.model, Want()).waiting
-            total = self._total.get(load.model, Want()).waiting
+            total = wants_of_all.get(load.model, Want()).waiting
             alone = waiting and not load.from_store
             if not alone and not self._sees_to(load.model):
                 continue
--- a/packages/bambootiller/src/bambootiller/gateway/ports.py
+++ b/packages/bambootiller/src/bambootiller/gateway/ports.py
@@ -141,8 +141,6 @@
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
-    drain_s: float = 2.0
-    grace_s: float = 8.0
 
 
 @dataclass(slots=True)
