--- a/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from bambootiller_core.gateway.calls import Call, Progress
+from bambootiller_core.gateway.log_lines import PlanSeen
 
 #: A further attempt that has less time left than this would be cut before it answers.
 #: Seconds.
@@ -86,11 +87,12 @@
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """The gateway's own final answer. ``come_back_s`` is set where the call hasn't run
-    and may be sent again."""
+    and may be sent again, ``plan`` where it waited for a model."""
 
     reason: Reason
     come_back_s: float | None = None
     detail: str = ""
+    plan: PlanSeen | None = None
 
     @property
     def status(self) -> int:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/health.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/health.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 
 #: The weight of the newest call in the running means.
@@ -25,6 +26,30 @@
 #: each further failure up to the longest. Seconds.
 UNREACHABLE_S = 0.4
 UNREACHABLE_MAX_S = 4.0
+#: From this cost on a backend server counts as failing or slow, and below the second
+#: as good again; between them the judgement stays, so that it doesn't flap. Full
+#: batches: from one on, calls go elsewhere even while others are full.
+JUDGED_BAD = 1.0
+JUDGED_GOOD = 0.5
+
+
+class Standing(enum.Enum):
+    """How a backend server is judged, in a word."""
+
+    GOOD = "good"
+    FAILING = "failing"
+    SLOW = "slow"
+    UNREACHABLE = "unreachable"
+
+
+@dataclass(frozen=True, slots=True)
+class Judged:
+    """A judgement that has changed, and the figures behind it."""
+
+    before: Standing
+    standing: Standing
+    failure_rate: float
+    latency_s: float | None
 
 
 @dataclass(slots=True)
@@ -34,6 +59,7 @@
     noted_at: float = 0.0
     unreachable: int = 0
     avoid_until: float = 0.0
+    standing: Standing = Standing.GOOD
 
 
 class Health:
@@ -73,13 +99,44 @@
         score = self._scores.get(instance)
         if score is None:
             return 0.0
+        return self._failure_cost(now, score) + self._slowness_cost(now, score)
+
+    def standing(self, instance: str) -> Standing:
+        """How the backend server was judged last."""
+        score = self._scores.get(instance)
+        return score.standing if score is not None else Standing.GOOD
+
+    def review(self, now: float, instance: str) -> Judged | None:
+        """Judge the backend server anew; returns the judgement if it has changed."""
+        score = self._scores.get(instance)
+        if score is None:
+            return None
+        before, standing = score.standing, self._judge(now, score)
+        if standing is before:
+            return None
+        score.standing = standing
+        return Judged(before, standing, _faded(score, now), score.latency_s)
+
+    def _judge(self, now: float, score: _Score) -> Standing:
+        if now < score.avoid_until:
+            return Standing.UNREACHABLE
+        failing = self._failure_cost(now, score)
+        slow = self._slowness_cost(now, score)
+        was_bad = score.standing in (Standing.FAILING, Standing.SLOW)
+        if failing + slow < (JUDGED_GOOD if was_bad else JUDGED_BAD):
+            return Standing.GOOD
+        return Standing.FAILING if failing >= slow else Standing.SLOW
+
+    def _failure_cost(self, now: float, score: _Score) -> float:
         excess = _faded(score, now) - self._mean_failures(now) - EQUAL_RATE
-        cost = RATE_COST * max(0.0, excess)
+        return RATE_COST * max(0.0, excess)
+
+    def _slowness_cost(self, now: float, score: _Score) -> float:
         typical = self._typical_latency()
-        if score.latency_s is not None and typical > 0:
-            slowness = score.latency_s / typical - SLOW_FACTOR
-            cost += SLOW_COST * max(0.0, slowness) * _fading(score, now)
-        return cost
+        if score.latency_s is None or typical <= 0:
+            return 0.0
+        slowness = score.latency_s / typical - SLOW_FACTOR
+        return SLOW_COST * max(0.0, slowness) * _fading(score, now)
 
     def forget(self, instance: str) -> None:
         """The backend server is gone."""
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
@@ -0,0 +1,122 @@
+"""What entries have told one agent: wishes, demand, and their calls at its engine."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from bambootiller_core.gateway.order_messages import Wish
+from bambootiller_core.gateway.residency import Want
+
+#: What an entry asked for is forgotten after this time unless it is asked for again.
+#: Seconds.
+WISH_LIFE_S = 0.25
+#: An entry's figures of use count for this long after it fell silent: its calls may
+#: still be running here. Seconds.
+USE_LIFE_S = 3.0
+#: A model stays at least this long once it is loaded. Seconds.
+SHORTEST_TURN_S = 0.6
+#: An adapter used this recently isn't unloaded: the call that wanted it may be
+#: on its way. Seconds.
+USED_LATELY_S = 0.4
+
+_NEVER = float("-inf")
+
+
+@dataclass(slots=True)
+class _EntryUse:
+    """What one entry last said: demand and use by model, adapters in use."""
+
+    heard_at: float
+    wants: Mapping[str, Want]
+    in_use: Mapping[str, int]
+
+
+class EntriesSay:
+    """The words of all entries together, each for as long as it counts.
+
+    Example::
+
+        say.wished(now, Wish("tutor"))
+        say.told(now, "entry-1", wants, in_use)
+        first = say.wishes()[0]
+    """
+
+    def __init__(self) -> None:
+        self._wishes: dict[tuple[str, str], tuple[Wish, float]] = {}
+        self._entries: dict[str, _EntryUse] = {}
+        self._used_at: dict[tuple[str, str], float] = {}
+        self._loaded_at: dict[str, float] = {}
+
+    def wished(self, now: float, wish: Wish) -> None:
+        """An entry has calls that need the model or adapter."""
+        self._wishes[(wish.model, wish.adapter)] = (wish, now)
+        self._used_at[(wish.model, wish.adapter)] = now
+
+    def told(
+        self,
+        now: float,
+        entry: str,
+        wants: Mapping[str, Want],
+        in_use: Mapping[str, int],
+    ) -> None:
+        """An entry's demand over all engines, and its calls here, by model."""
+        self._entries[entry] = _EntryUse(now, wants, in_use)
+
+    def loaded(self, now: float, model: str) -> None:
+        """The model has come."""
+        self._loaded_at[model] = now
+
+    def forget(self, now: float) -> None:
+        """Drop what is too old to count."""
+        for key, (_, at) in list(self._wishes.items()):
+            if now - at > WISH_LIFE_S:
+                del self._wishes[key]
+        for entry, use in list(self._entries.items()):
+            if now - use.heard_at > USE_LIFE_S:
+                del self._entries[entry]
+
+    def wishes(self) -> list[Wish]:
+        """Urgent wishes first, and among these the one whose calls have waited
+        longest."""
+        wants = self.wants()
+        wishes = [wish for wish, _ in self._wishes.values()]
+        wishes.sort(
+            key=lambda wish: (wish.urgency, -wants.get(wish.model, Want()).oldest_s)
+        )
+        return wishes
+
+    def wants(self) -> dict[str, Want]:
+        """The demand of all entries together."""
+        merged: dict[str, Want] = {}
+        for use in self._entries.values():
+            for model, want in use.wants.items():
+                held = merged.get(model, Want())
+                merged[model] = Want(
+                    held.rate + want.rate,
+                    held.waiting + want.waiting,
+                    max(held.holders, want.holders),
+                    max(held.oldest_s, want.oldest_s),
+                )
+        return merged
+
+    def in_use(self) -> dict[str, int]:
+        """The calls of all entries at this engine, by model and MODEL/ADAPTER."""
+        merged: dict[str, int] = {}
+        for use in self._entries.values():
+            for model, count in use.in_use.items():
+                merged[model] = merged.get(model, 0) + count
+        return merged
+
+    def loaded_lately(self, now: float, model: str) -> bool:
+        """Whether the model came so lately that its waiting calls may not be here yet,
+        or have only begun; unloaded now, it would have been loaded for nothing."""
+        return now - self._loaded_at.get(model, _NEVER) < SHORTEST_TURN_S
+
+    def used_lately(self, now: float, model: str, adapter: str) -> bool:
+        """Whether a call that wants the adapter may be on its way."""
+        return now - self._used_at.get((model, adapter), _NEVER) <= USED_LATELY_S
+
+    def used_at(self, model: str, adapter: str) -> float:
+        """When the adapter was wished for last, 0 if it wasn't."""
+        return self._used_at.get((model, adapter), 0.0)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_messages.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_messages.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 class OrderKind(enum.Enum):
@@ -16,12 +16,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineOrder:
-    """An order; ``expected`` is the number of orders accepted before it."""
+    """An order; ``expected`` is the number of orders accepted before it, ``wanted_for``
+    the model that others are unloaded for, told for the log only."""
 
     kind: OrderKind
     model: str
     adapter: str
     expected: int
+    wanted_for: str = field(default="", compare=False)
 
 
 class OrderAnswer(enum.Enum):
@@ -59,6 +61,10 @@
     queued: int = 0
 
 
+#: The urgency of what calls wait for now; higher ones are asked for ahead of demand.
+WAITED_FOR = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Wish:
     """A model, or an adapter of one, that an entry has calls for; 0 is most urgent."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -16,12 +16,14 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
 from bambootiller_core.gateway.fleet import EngineState, Loading
+from bambootiller_core.gateway.order_demand import EntriesSay
 from bambootiller_core.gateway.order_memory import memory_used
 from bambootiller_core.gateway.order_messages import (
+    WAITED_FOR,
     EngineOrder,
     EngineReport,
     LoadEnded,
@@ -33,32 +35,13 @@
 
 #: Adapters that may be on their way to an engine at a time.
 ADAPTERS_AT_ONCE = 4
-#: What an entry asked for is forgotten after this time unless it is asked for again.
-#: Seconds.
-WISH_LIFE_S = 0.25
-#: An entry's figures of use count for this long after it fell silent: its calls may
-#: still be running here. Seconds.
-USE_LIFE_S = 3.0
-#: A model stays at least this long once it is loaded. Seconds.
-SHORTEST_TURN_S = 0.6
-#: The urgency of what calls wait for now; higher ones are asked for ahead of demand.
-WAITED_FOR = 0
-#: An adapter used this recently isn't unloaded: the call that wanted it may be
-#: on its way. Seconds.
-USED_LATELY_S = 0.4
+#: A load shows in reports within this time. An engine that isn't busy later than this,
+#: and doesn't hold the model, has given the load up. Seconds.
+LOAD_SHOWS_S = 0.4
 #: A load that has outlived its estimate is expected to last this part of it longer.
 OVERRUN_SHARE = 0.15
 
 
-@dataclass(slots=True)
-class _EntryUse:
-    """What one entry last said: demand and use by model, adapters in use."""
-
-    heard_at: float
-    wants: Mapping[str, Want]
-    in_use: Mapping[str, int]
-
-
 @dataclass(slots=True)
 class _Load:
     model: str
@@ -75,14 +58,6 @@
     since: float
 
 
-@dataclass(slots=True)
-class _Book:
-    wishes: dict[tuple[str, str], tuple[Wish, float]] = field(default_factory=dict)
-    entries: dict[str, _EntryUse] = field(default_factory=dict)
-    used_at: dict[tuple[str, str], float] = field(default_factory=dict)
-    loaded_at: dict[str, float] = field(default_factory=dict)
-
-
 class OrderBook:
     """Decides the orders of one engine.
 
@@ -102,7 +77,7 @@
         self._load: _Load | None = None
         self._unloading: str | None = None
         self._preparing: _Preparing | None = None
-        self._book = _Book()
+        self._say = EntriesSay()
         self.fenced = False
 
     @property
@@ -121,8 +96,7 @@
 
     def wished(self, now: float, wish: Wish) -> None:
         """An entry has calls that need the model or adapter."""
-        self._book.wishes[(wish.model, wish.adapter)] = (wish, now)
-        self._book.used_at[(wish.model, wish.adapter)] = now
+        self._say.wished(now, wish)
 
     def entry_told(
         self,
@@ -132,7 +106,7 @@
         in_use: Mapping[str, int],
     ) -> None:
         """An entry's demand over all engines, and its calls here, by model."""
-        self._book.entries[entry] = _EntryUse(now, wants, in_use)
+        self._say.told(now, entry, wants, in_use)
 
     def reported(self, now: float, report: EngineReport) -> LoadEnded | None:
         """Take over a report that was asked for after the last order was answered;
@@ -156,14 +130,12 @@
             return None
         if self._unsettled is not None:
             return self._unsettled
-        self._forget(now)
+        self._say.forget(now)
         if report.busy or self._load is not None or self._unloading is not None:
             # The engine turns down every order while it carries one out for a model,
             # those for adapters too.
             return None
-        wishes = [wish for wish, _ in self._book.wishes.values()]
-        wants = self.wants()
-        wishes.sort(key=lambda wish: _turn(wish, wants))
+        wishes = self._say.wishes()
         if self._preparing is not None:
             order = self._for_model(now, self._preparing.wish)
             if order is not None:
@@ -233,7 +205,7 @@
             memory_mb_used=self._memory_used(),
             orderable=not self.fenced,
             keep_values=keep_values(holdings, self.wants()),
-            in_use=self._in_use(now),
+            in_use=self._say.in_use(),
         )
 
     def _begun(self, now: float, order: EngineOrder) -> None:
@@ -261,12 +233,12 @@
         load, ended = self._load, None
         if load is not None:
             held = load.model in report.holdings
-            if held or (not report.busy and now - load.began > USED_LATELY_S):
+            if held or (not report.busy and now - load.began > LOAD_SHOWS_S):
                 self._load = None
                 seconds = now - load.began
                 ended = LoadEnded(load.model, held, seconds, load.from_store)
             if held:
-                self._book.loaded_at[load.model] = now
+                self._say.loaded(now, load.model)
         if self._unloading is not None and self._unsettled is None:
             if self._unloading not in report.holdings or not report.busy:
                 self._unloading = None
@@ -291,15 +263,6 @@
         left = max(0.0, preparing.since + RUN_S - now) + seconds
         return Loading(spec.name, left, from_store)
 
-    def _forget(self, now: float) -> None:
-        book = self._book
-        for key, (_, at) in list(book.wishes.items()):
-            if now - at > WISH_LIFE_S:
-                del book.wishes[key]
-        for entry, use in list(book.entries.items()):
-            if now - use.heard_at > USE_LIFE_S:
-                del book.entries[entry]
-
     def _for_adapter(self, now: float, wish: Wish) -> EngineOrder | None:
         report = self._report
         held = report.holdings.get(wish.model)
@@ -319,16 +282,16 @@
         victim = self._idle_adapter(now)
         if victim is None:
             return None
-        return self._order(OrderKind.UNLOAD, *victim)
+        return self._order(OrderKind.UNLOAD, *victim, wish.model)
 
     def _idle_adapter(self, now: float) -> tuple[str, str] | None:
-        used = self._book.used_at
-        in_use = self._in_use(now)
+        say = self._say
+        in_use = say.in_use()
         idle = [
-            (used.get((model, adapter), 0.0), model, adapter)
+            (say.used_at(model, adapter), model, adapter)
             for model, adapters in self._report.holdings.items()
             for adapter in adapters
-            if now - used.get((model, adapter), float("-inf")) > USED_LATELY_S
+            if not say.used_lately(now, model, adapter)
             and not in_use.get(f"{model}/{adapter}")
         ]
         if not idle:
@@ -345,14 +308,14 @@
         if need <= 0:
             return self._order(OrderKind.LOAD, wish.model, "")
         wants = self.wants()
-        in_use = self._in_use(now)
+        in_use = self._say.in_use()
         incoming = wants.get(wish.model, Want())
         if wish.urgency > WAITED_FOR:
             incoming = replace(incoming, waiting=0)
         elif not incoming.waiting:
             incoming = replace(incoming, waiting=1)
         values = keep_values(report.holdings, wants)
-        fresh = [name for name in report.holdings if self._loaded_lately(now, name)]
+        fresh = [name for name in report.holdings if self._say.loaded_lately(now, name)]
         values.update(dict.fromkeys(fresh, float("inf")))
         victims = choose_victims(
             self._engine, report.holdings, need, in_use, values, incoming
@@ -361,15 +324,12 @@
             return None
         if self._preparing is None:
             self._preparing = _Preparing(wish, now)
-        return self._order(OrderKind.UNLOAD, victims.models[0], "")
-
-    def _loaded_lately(self, now: float, model: str) -> bool:
-        """Whether the model came so lately that its waiting calls may not be here yet,
-        or have only begun; unloaded now, it would have been loaded for nothing."""
-        return now - self._book.loaded_at.get(model, float("-inf")) < SHORTEST_TURN_S
+        return self._order(OrderKind.UNLOAD, victims.models[0], "", wish.model)
 
-    def _order(self, kind: OrderKind, model: str, adapter: str) -> EngineOrder:
-        return EngineOrder(kind, model, adapter, self._report.accepted)
+    def _order(
+        self, kind: OrderKind, model: str, adapter: str, wanted_for: str = ""
+    ) -> EngineOrder:
+        return EngineOrder(kind, model, adapter, self._report.accepted, wanted_for)
 
     def _memory_used(self) -> float:
         loading = self._load.model if self._load is not None else None
@@ -377,26 +337,4 @@
 
     def wants(self) -> dict[str, Want]:
         """The demand of all entries together."""
-        merged: dict[str, Want] = {}
-        for use in self._book.entries.values():
-            for model, want in use.wants.items():
-                held = merged.get(model, Want())
-                merged[model] = Want(
-                    held.rate + want.rate,
-                    held.waiting + want.waiting,
-                    max(held.holders, want.holders),
-                    max(held.oldest_s, want.oldest_s),
-                )
-        return merged
-
-    def _in_use(self, now: float) -> dict[str, int]:
-        merged: dict[str, int] = {}
-        for use in self._book.entries.values():
-            for model, count in use.in_use.items():
-                merged[model] = merged.get(model, 0) + count
-        return merged
-
-
-def _turn(wish: Wish, wants: Mapping[str, Want]) -> tuple[int, float]:
-    """Urgent wishes first, and among these the one whose calls have waited longest."""
-    return wish.urgency, -wants.get(wish.model, Want()).oldest_s
+        return self._say.wants()
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from dataclasses import replace
 
 from bambootiller.app import Application
@@ -11,12 +12,15 @@
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.exchange import Exchanger, ResidencyServicer, Update
 from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
+from bambootiller.gateway.meters import Meters
 from bambootiller.gateway.ports import Engine, EngineSilent, Platform
 from bambootiller.rpc import bambootiller_pb2_grpc as api
+from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.config import EngineSpec, GatewayConfig
 from bambootiller_core.gateway.fleet import EngineState
 from bambootiller_core.gateway.order_messages import EngineOrder, LoadEnded, OrderAnswer
 from bambootiller_core.gateway.orders import OrderBook
+from bambootiller_core.gateway.residency import Want
 from bambootiller_core.ports import Committed, Compare, Found, Put
 
 #: How often the engine's report is read while nothing is going on, while an order is
@@ -50,6 +54,7 @@
         address: str,
         service: str,
         events: EventLog,
+        meters: Meters,
     ) -> None:
         self._app = app
         self._platform = platform
@@ -64,7 +69,9 @@
         self._wake = asyncio.Event()
         self._told: EngineState | None = None
         self._entries: dict[str, float] = {}
-        self._silent = False
+        self._silent_since: float | None = None
+        self._reported_at = 0.0
+        self._add_levels(meters)
         app.add_servicer(self._register)
 
     async def prepare(self) -> None:
@@ -82,16 +89,16 @@
             app.spawn(f"watch {prefix}", follow)
         app.spawn("fencing token", self._keep_token())
         app.spawn("engine", self._look_after())
-        self._events.emit("started", role="agent", zone=app.settings.zone)
+        self._events.emit(lines.Started("agent", app.settings.zone))
 
     async def drain(self, seconds: float) -> None:
         """Nothing is under way here that a stop could cut."""
-        self._events.emit("stopping", role="agent")
+        self._events.emit(lines.Stopping("agent"))
 
     async def stop(self) -> None:
         """Close the connections to the engine."""
         await self._engine.close()
-        self._events.emit("stopped", role="agent")
+        self._events.emit(lines.Stopped("agent"))
 
     def _no_entry_heard(self) -> bool:
         """Entries pass on all documents. While one is heard, the store is left alone:
@@ -104,6 +111,28 @@
         servicer = ResidencyServicer(self._exchanger, self._fill, self._received)
         api.add_ResidencyServicer_to_server(servicer, server)
 
+    def _add_levels(self, meters: Meters) -> None:
+        for name, text, read in (
+            ("engine_running", "Calls in the engine's batch", lambda s: s.running),
+            ("engine_queued", "Calls that wait in the engine", lambda s: s.queued),
+            ("engine_models", "Models held", lambda s: len(s.holdings)),
+            ("engine_memory_mb", "Memory of models", lambda s: s.memory_mb_used),
+            ("engine_orderable", "1 if it takes orders", lambda s: s.orderable),
+        ):
+            meters.level(name, text, self._reader(read))
+        meters.level("entries_known", "Entries heard", lambda: len(self._entries))
+        meters.level("fencing_token", "0 without one", lambda: self._token or 0)
+
+    def _reader(self, read: Callable[[EngineState], float]) -> Callable[[], float]:
+        """Reads a figure of the engine's state, 0 while there is none."""
+
+        def current() -> float:
+            book = self._book
+            state = book.state(self._app.now()) if book is not None else None
+            return float(read(state)) if state is not None else 0.0
+
+        return current
+
     def _configured(self, config: GatewayConfig) -> None:
         service = config.services.get(self._service)
         spec: EngineSpec | None = service.engine if service is not None else None
@@ -141,7 +170,7 @@
         written = await kv.transact([Compare(key, revision)], [Put(key, value)])
         if not isinstance(written, Committed):
             return None
-        self._events.emit("fencing_token", token=written.revision)
+        self._events.emit(lines.FencingToken(written.revision))
         return written.revision
 
     async def _look_after(self) -> None:
@@ -159,15 +188,15 @@
             return QUIET_S
         report = await self._engine.report()
         if isinstance(report, EngineSilent):
-            if not self._silent:
-                self._events.emit(
-                    "dependency_lost", dependency="engine", detail=report.detail
-                )
-            self._silent = True
+            if self._silent_since is None:
+                self._silent_since = self._app.now()
+                self._events.emit(lines.DependencyLost("engine", report.detail))
             return QUIET_S
-        if self._silent:
-            self._silent = False
-            self._events.emit("dependency_regained", dependency="engine")
+        self._reported_at = self._app.now()
+        if self._silent_since is not None:
+            away_ms = round((self._reported_at - self._silent_since) * 1000)
+            self._silent_since = None
+            self._events.emit(lines.DependencyRegained("engine", away_ms))
         instance = self._instance()
         if instance is None:
             return QUIET_S
@@ -199,29 +228,32 @@
     def _note_load(self, ended: LoadEnded | None) -> None:
         if ended is None:
             return
+        seconds = round(ended.seconds, 2)
         self._events.emit(
-            "load_ended",
-            model=ended.model,
-            held=ended.held,
-            seconds=round(ended.seconds, 2),
-            from_store=ended.from_store,
+            lines.LoadEnded(ended.model, ended.held, seconds, ended.from_store)
         )
 
     async def _give(self, order: EngineOrder, instance: str) -> None:
         book = self._book
         book.sending(order)
         self._tell()
+        decided = self._app.now()
+        want = book.wants().get(order.wanted_for or order.model, Want())
         answer = await self._engine.order(order, instance, self._token)
         book.answered(self._app.now(), order, answer)
-        self._events.emit(
-            "order",
-            order=order.kind.value,
-            model=order.model,
-            adapter=order.adapter,
-            expected=order.expected,
-            token=self._token,
-            answer=answer.value,
+        line = lines.Order(
+            order.kind.value,
+            order.model,
+            order.adapter,
+            order.expected,
+            self._token,
+            answer.value,
+            order.wanted_for,
+            round(want.rate, 2),
+            want.waiting,
+            round((decided - self._reported_at) * 1000),
         )
+        self._events.emit(line)
         if answer is OrderAnswer.CONFLICT:
             await self._settle_conflict(order)
 
@@ -251,6 +283,7 @@
         for entry, at in list(self._entries.items()):
             if now - at > ENTRY_HEARD_S:
                 del self._entries[entry]
+                self._events.emit(lines.EntryHeard(entry, heard=False))
         update.entries.extend(sorted(self._entries))
         state = self._book.state(now) if self._book is not None else None
         if state is not None:
@@ -262,6 +295,8 @@
         if self._book is None or not update.HasField("entry"):
             return
         now = self._app.now()
+        if update.sender not in self._entries:
+            self._events.emit(lines.EntryHeard(update.sender, heard=True))
         self._entries[update.sender] = now
         wants = wire.wants_of(update.entry.demand)
         in_use = dict(update.entry.in_use)
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -13,8 +13,8 @@
 from bambootiller_core import rendezvous
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.gateway.fleet import Backend
-from bambootiller_core.gateway.order_messages import Wish
-from bambootiller_core.gateway.orders import WAITED_FOR
+from bambootiller_core.gateway.log_lines import BackendRemoved
+from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
 from bambootiller_core.gateway.residency import PlannedLoad, Planner, Want
 
 #: How often the plan of loads is made anew. Seconds.
@@ -60,6 +60,7 @@
         self._plans: dict[str, dict[str, PlannedLoad]] = {}
         self.entries: tuple[str, ...] = ()
         self._totals: dict[str, dict[str, Want]] = {}
+        self._planned_for: dict[str, dict[str, Want]] = {}
 
     def start(self) -> None:
         """Begin to review and to plan."""
@@ -75,6 +76,10 @@
         """The load of the model that is under way or planned."""
         return self._plans.get(service, {}).get(model)
 
+    def waiting(self, service: str, model: str) -> int:
+        """The calls of all entries that waited for the model at the last plan."""
+        return self._planned_for.get(service, {}).get(model, Want()).waiting
+
     def replan(self) -> None:
         """Make the plan now, because a call has come that it doesn't know of."""
         self._plan(self._app.now())
@@ -88,6 +93,10 @@
         self._exchanger.poke()
         return True
 
+    def stream_count(self) -> int:
+        """How many streams to agents are kept."""
+        return len(self._links)
+
     def stop(self) -> None:
         """Close all streams."""
         for link in self._links.values():
@@ -96,7 +105,7 @@
 
     def _review(self, now: float) -> None:
         for instance in self._knowledge.fleet.sweep(now):
-            self._events.emit("backend_removed", backend=instance, reason="lapsed")
+            self._events.emit(BackendRemoved(instance, "missing_after_outage"))
         wanted = {}
         config = self._knowledge.config
         if config is None:
@@ -183,6 +192,7 @@
             wants_of_all = self.wants_of_all(service.name, wants)
             plan = planner.plan(now, backends, wants_of_all)
             self._plans[service.name] = plan
+            self._planned_for[service.name] = wants_of_all
             self._ask(plan, wants, wants_of_all)
 
     def _ask(
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -14,10 +14,12 @@
 from bambootiller.gateway.exchange import Exchanger, ResidencyServicer, Update
 from bambootiller.gateway.front import Front, pages
 from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
+from bambootiller.gateway.meters import Meters
 from bambootiller.gateway.ports import Platform
 from bambootiller.gateway.relays import Relays
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller.settings import Address
+from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.budget import AttemptBudget
 
 #: A leaving entry takes new calls for this long: the balancer has to miss its readiness
@@ -57,6 +59,7 @@
         platform: Platform,
         places: EntryPlaces,
         events: EventLog,
+        meters: Meters,
     ) -> None:
         self._app = app
         self._platform = platform
@@ -83,6 +86,7 @@
         )
         self._servers: list[HttpServer] = []
         self._leaving = False
+        self._add_levels(meters)
         app.add_servicer(self._register)
 
     async def prepare(self) -> None:
@@ -106,7 +110,7 @@
         for peer in self._places.peers:
             stream = self._exchanger.keep_open(str(peer), _nothing, _ignore)
             app.spawn(f"peer {peer}", stream)
-        self._events.emit("started", role="entry", zone=app.settings.zone)
+        self._events.emit(lines.Started("entry", app.settings.zone))
 
     def is_ready(self) -> bool:
         """Whether the balancer may send new connections here."""
@@ -119,7 +123,7 @@
         end = app.now() + seconds
         self._leaving = True
         self._relays.stop_by = end - TELL_S
-        self._events.emit("stopping", role="entry", under_way=self._front.under_way)
+        self._events.emit(lines.Stopping("entry", self._front.under_way))
         await asyncio.sleep(min(LAG_S, seconds / 2))
         self._servers[0].close_listener()
         left = end - TELL_S - app.now()
@@ -127,14 +131,28 @@
             async with asyncio.timeout(max(0.0, left)):
                 await self._front.idle.wait()
         except TimeoutError:
-            self._events.emit("cut_at_stop", under_way=self._front.under_way)
+            self._events.emit(lines.CutAtStop(self._front.under_way))
 
     async def stop(self) -> None:
         """Close the connections and the ports."""
         self._engines.stop()
         for server in self._servers:
             await server.stop(TELL_S)
-        self._events.emit("stopped", role="entry")
+        self._events.emit(lines.Stopped("entry"))
+
+    def _add_levels(self, meters: Meters) -> None:
+        front, relays, engines = self._front, self._relays, self._engines
+        meters.level("calls_under_way", "Calls taken in", lambda: front.under_way)
+        meters.level(
+            "second_attempts_left",
+            "Second attempts that the tightest budget of a service allows now",
+            relays.least_budget,
+        )
+        meters.level(
+            "backend_connections", "Connections to backend servers", relays.open_count
+        )
+        meters.level("entries_known", "Entries heard", lambda: len(engines.entries))
+        meters.level("engine_streams", "Streams to agents", engines.stream_count)
 
     def _register(self, server: object) -> None:
         servicer = ResidencyServicer(self._exchanger, _nothing, _ignore)
--- a/packages/bambootiller/src/bambootiller/gateway/eventlog.py
+++ b/packages/bambootiller/src/bambootiller/gateway/eventlog.py
@@ -8,7 +8,7 @@
 
 Example::
 
-    events.emit("refused", request=req_id, reason="no_backend", config_version=7)
+    events.emit(lines.PeerHeard("10.0.0.1:7"))
 """
 
 from __future__ import annotations
@@ -17,15 +17,23 @@
 import os
 import time
 from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any
 
-#: Lines a second of one kind. A failure's kinds are few, so they aren't crowded out by
-#: those of successes.
+from bambootiller_core.gateway.log_lines import LinesLeftOut, LogLine
+
+#: Lines a second of one kind. Failures have kinds of their own, so those of successes
+#: don't crowd them out.
 LINES_PER_S = 50.0
 #: What may wait for a reader that is slow, in bytes; beyond it lines are left out.
 MOST_WAITING = 256 * 1024
+#: The part of it that lines of successes may fill; the rest is kept for failures.
+SUCCESS_SHARE = 0.5
 #: How often lines left out are reported. Seconds.
 REPORT_S = 5.0
 
+Listener = Callable[[LogLine], None]
+
 
 class EventLog:
     """Writes events to a file descriptor that it sets to non-blocking."""
@@ -38,20 +46,34 @@
         self._left_out: Counter[str] = Counter()
         self._waiting: deque[bytes] = deque()
         self._waiting_bytes = 0
-        self._reported_at = 0.0
+        self._reported_at = time.monotonic()
+        self._began = time.monotonic()
+        self._listeners: list[Listener] = []
+        #: How many lines of each event weren't written since the start.
+        self.left_out: Counter[str] = Counter()
         os.set_blocking(fd, False)
 
-    def emit(self, kind: str, **fields: object) -> None:
-        """Write one event, unless its kind has used up its budget."""
+    def on_line(self, listener: Listener) -> None:
+        """Call ``listener`` for each line, also for those that are left out."""
+        self._listeners.append(listener)
+
+    def emit(self, line: LogLine) -> None:
+        """Write one line, unless its kind has used up its budget."""
         now = time.monotonic()
-        if not self._take(kind, now):
-            self._left_out[kind] += 1
-            return
-        self._write(kind, fields)
+        for listener in self._listeners:
+            listener(line)
+        if self._take(line.event, now):
+            self._write(line, now)
+        else:
+            self._leave_out(line)
         if self._left_out and now - self._reported_at > REPORT_S:
             self._reported_at = now
             left_out, self._left_out = self._left_out, Counter()
-            self._write("lines_left_out", dict(left_out))
+            self._write(LinesLeftOut(dict(left_out)), now)
+
+    def _leave_out(self, line: LogLine) -> None:
+        self._left_out[line.event] += 1
+        self.left_out[line.event] += 1
 
     def _take(self, kind: str, now: float) -> bool:
         tokens, at = self._tokens.get(kind, (self._per_s, now))
@@ -62,13 +84,20 @@
         self._tokens[kind] = (tokens - 1.0, now)
         return True
 
-    def _write(self, kind: str, fields: dict[str, object]) -> None:
-        line = {"time": round(time.time(), 3), "event": kind}
-        line["instance"] = self._instance
-        line.update(fields)
-        data = json.dumps(line, default=str, separators=(",", ":")).encode() + b"\n"
-        if self._waiting_bytes + len(data) > MOST_WAITING:
-            self._left_out[kind] += 1
+    def _write(self, line: LogLine, now: float) -> None:
+        # The time of day may jump; the time since the start doesn't, and puts the lines
+        # of one process in order.
+        form: dict[str, Any] = {
+            "time": round(time.time(), 3),
+            "uptime_s": round(now - self._began, 3),
+            "event": line.event,
+            "instance": self._instance,
+        }
+        form.update(line.to_json())
+        data = json.dumps(form, default=str, separators=(",", ":")).encode() + b"\n"
+        most = MOST_WAITING if line.failure else MOST_WAITING * SUCCESS_SHARE
+        if self._waiting_bytes + len(data) > most:
+            self._leave_out(line)
             return
         self._waiting.append(data)
         self._waiting_bytes += len(data)
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -18,6 +18,7 @@
 from bambootiller.gateway.knowledge import Knowledge
 from bambootiller.rpc import bambootiller_pb2 as pb, bambootiller_pb2_grpc as api
 from bambootiller.rpc.channels import Channels
+from bambootiller_core.gateway.log_lines import PeerHeard, PeerSilent
 from bambootiller_core.ports import Changed, Record
 
 #: The longest silence of a side that is well. Seconds.
@@ -108,8 +109,8 @@
             while True:
                 lived = await self._once(address, fill, received)
                 if lived != heard:
-                    kind = "peer_heard" if lived else "peer_silent"
-                    self._events.emit(kind, peer=address)
+                    line = PeerHeard if lived else PeerSilent
+                    self._events.emit(line(address))
                 heard = lived
                 pause = REOPEN_S if lived else min(pause * 2, REOPEN_MAX_S)
                 await asyncio.sleep(pause)
--- a/packages/bambootiller/src/bambootiller/gateway/front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/front.py
@@ -20,6 +20,7 @@
 from bambootiller_core.gateway.attempts import COME_BACK_S, Reason, Refusal
 from bambootiller_core.gateway.calls import Call
 from bambootiller_core.gateway.config import GatewayConfig, Route
+from bambootiller_core.gateway.log_lines import Refused
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -137,9 +138,7 @@
                 await asyncio.wait((running,))
             if running.done():
                 return running.result()
-            self._relays.events.emit(
-                "caller_gone", request=call.request_id, route=call.route.name
-            )
+            relay.report.caller_gone()
             raise CallerGone
         finally:
             watching.cancel()
@@ -197,10 +196,11 @@
         relays = self._relays
         known = incoming if isinstance(incoming, Incoming) else None
         config = relays.knowledge.config
-        relays.events.emit(
-            "refused",
+        line = Refused(
             request=known.request_id if known else None,
             route=call.route.name if call else None,
+            service=call.service if call else None,
+            kind=call.route.kind.value if call else None,
             model=call.ask.model if call and call.ask else None,
             reason=refusal.reason.value,
             status=refusal.status,
@@ -208,7 +208,9 @@
             held_ms=round((relays.clock() - arrived) * 1000),
             detail=refusal.detail,
             config_version=config.version if config else None,
+            plan=refusal.plan,
         )
+        relays.events.emit(line)
         body = refusal.reason.value.encode()
         headers = relays.dialect.refused(known, refusal.come_back_s)
         headers.append((b"content-length", b"%d" % len(body)))
--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -12,6 +12,7 @@
 
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.ports import Directory, Unreadable
+from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.config import GatewayConfig, newer
 from bambootiller_core.gateway.fleet import Fleet, Registered
 from bambootiller_core.ports import Changed, Found, KeyValue, Record, Unavailable
@@ -69,7 +70,7 @@
             return False
         self._records[record.key] = change
         if change.deleted:
-            self._removed(record.key)
+            self._removed(record, source)
         else:
             self._written(record, source)
         for listener in self._listeners:
@@ -88,12 +89,17 @@
                 gone = Record(key, b"", found.revision)
                 self.learnt(Changed(gone, deleted=True), source)
 
-    def _removed(self, key: str) -> None:
-        instance = self._directory.instance_of(key)
+    def _removed(self, record: Record, source: str) -> None:
+        instance = self._directory.instance_of(record.key)
         if instance is None:
             return
+        held = self.fleet.get(instance)
+        was_leaving = held.registered.leaving if held is not None else None
         self.fleet.registry_removed(self._clock(), instance)
-        self._events.emit("backend_removed", backend=instance)
+        line = lines.BackendRemoved(
+            instance, "removed", record.mod_revision, was_leaving, source
+        )
+        self._events.emit(line)
         self.changed.notify()
 
     def _written(self, record: Record, source: str) -> None:
@@ -116,13 +122,10 @@
         if not newer(self.config, config):
             return
         self.config = config
-        self._events.emit(
-            "config_in_force",
-            config_version=config.version,
-            revision=config.revision,
-            routes=len(config.routes),
-            source=source,
+        line = lines.ConfigInForce(
+            config.version, config.revision, len(config.routes), source
         )
+        self._events.emit(line)
         for listener in self._config_listeners:
             listener(config)
         self.changed.notify()
@@ -131,25 +134,21 @@
         held = self.fleet.get(registered.instance)
         self.fleet.registry_changed(self._clock(), registered)
         if held is None or held.registered.leaving != registered.leaving:
-            self._events.emit(
-                "backend_listed",
-                backend=registered.instance,
-                service=registered.service,
-                address=registered.address,
-                leaving=registered.leaving,
-                revision=registered.revision,
-                source=source,
+            line = lines.BackendListed(
+                registered.instance,
+                registered.service,
+                registered.address,
+                registered.leaving,
+                registered.revision,
+                source,
             )
+            self._events.emit(line)
         self.changed.notify()
 
     def _unreadable(self, record: Record, why: Unreadable) -> None:
         # What was known before stays in force.
-        self._events.emit(
-            "document_unreadable",
-            key=record.key,
-            revision=record.mod_revision,
-            detail=why.detail,
-        )
+        line = lines.DocumentUnreadable(record.key, record.mod_revision, why.detail)
+        self._events.emit(line)
 
 
 class Changes:
@@ -191,7 +190,7 @@
         self._knowledge = knowledge
         self._events = events
         self._clock = clock
-        self._away: set[str] = set()
+        self._away: dict[str, float] = {}
 
     async def follow(
         self, prefix: str, wanted: Callable[[], bool] = lambda: True
@@ -229,11 +228,13 @@
 
     def _lost(self, prefix: str, detail: str) -> None:
         if prefix not in self._away:
-            self._away.add(prefix)
-            self._events.emit("dependency_lost", dependency="store", detail=detail)
+            self._away[prefix] = self._clock()
+            self._events.emit(lines.DependencyLost("store", f"{prefix}: {detail}"))
 
     def _regained(self, prefix: str) -> None:
-        if prefix in self._away:
-            self._away.discard(prefix)
-            self._knowledge.fleet.store_returned(self._clock())
-            self._events.emit("dependency_regained", dependency="store")
+        since = self._away.pop(prefix, None)
+        if since is not None:
+            now = self._clock()
+            self._knowledge.fleet.store_returned(now)
+            away_ms = round((now - since) * 1000)
+            self._events.emit(lines.DependencyRegained("store", away_ms))
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/metered_store.py
@@ -0,0 +1,64 @@
+"""Counts the calls of the key-value service by their answers."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Sequence
+
+from bambootiller.gateway.meters import Meters
+from bambootiller_core.ports import (
+    Changed,
+    Compare,
+    Delete,
+    KeyValue,
+    Put,
+    ReadOutcome,
+    Unavailable,
+    WriteOutcome,
+)
+
+
+class MeteredKeyValue:
+    """A key-value service whose calls are counted; passes everything on.
+
+    Example::
+
+        kv = MeteredKeyValue(kv, meters)
+    """
+
+    def __init__(self, kv: KeyValue, meters: Meters) -> None:
+        self._kv = kv
+        self._meters = meters
+
+    async def get(self, key: str) -> ReadOutcome:
+        """Read one key."""
+        return self._counted("get", await self._kv.get(key))
+
+    async def get_prefix(self, prefix: str) -> ReadOutcome:
+        """Read all keys that start with ``prefix``."""
+        return self._counted("get_prefix", await self._kv.get_prefix(prefix))
+
+    async def transact(
+        self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
+    ) -> WriteOutcome:
+        """Carry out ``writes`` if all ``compares`` hold."""
+        return self._counted("transact", await self._kv.transact(compares, writes))
+
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncIterator[tuple[Changed, ...] | Unavailable]:
+        """Yield changes under ``prefix``; each answer counts as a call."""
+        async for batch in self._kv.watch(prefix, from_revision):
+            if isinstance(batch, Unavailable):
+                self._counted("watch", batch)
+            else:
+                self._meters.store_calls.labels("watch", "changes").inc()
+            yield batch
+
+    async def close(self) -> None:
+        """Release the connections."""
+        await self._kv.close()
+
+    def _counted(self, call, outcome):
+        answer = type(outcome).__name__.lower()
+        self._meters.store_calls.labels(call, answer).inc()
+        return outcome
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/meters.py
@@ -0,0 +1,237 @@
+"""Counters and latency histograms, kept from the lines that a process logs.
+
+Each kind of line that counts has a function here, registered by a decorator. Metrics
+are kept for every line, also for those that the log leaves out in a storm. Labels come
+from bounded sets: the operator may have hundreds of routes, and a label value each
+would fill the collector.
+
+Example::
+
+    meters = Meters()
+    events.on_line(meters.count)
+    page = meters.page()
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from bambootiller_core.gateway import log_lines as lines
+
+#: Values of one label that are told apart; all further ones count as "other".
+MOST_LABELS = 40
+OTHER = "other"
+PREFIX = "bambootiller_"
+#: From a few milliseconds, what a good answer takes, to the longest deadlines. Seconds.
+LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0)
+
+Count = Callable[["Meters", lines.LogLine], None]
+_COUNTS: dict[type[lines.LogLine], Count] = {}
+
+
+def counts(kind: type[lines.LogLine]) -> Callable[[Count], Count]:
+    """Register the function that counts lines of one kind."""
+
+    def register(function: Count) -> Count:
+        _COUNTS[kind] = function
+        return function
+
+    return register
+
+
+class BoundedLabel:
+    """Lets through the first values of a label, and calls the rest "other".
+
+    >>> label = BoundedLabel(most=1)
+    >>> label("a"), label("b"), label("a")
+    ('a', 'other', 'a')
+    """
+
+    def __init__(self, most: int = MOST_LABELS) -> None:
+        self._most = most
+        self._seen: set[str] = set()
+
+    def __call__(self, value: str) -> str:
+        """The value, or "other"."""
+        if value in self._seen:
+            return value
+        if len(self._seen) >= self._most:
+            return OTHER
+        self._seen.add(value)
+        return value
+
+
+class Meters:
+    """All metrics of one process."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._route = BoundedLabel()
+        self._service = BoundedLabel()
+        self.requests = self._counter(
+            "requests", "Calls by their end", "route", "kind", "outcome"
+        )
+        self.attempts = self._counter(
+            "attempts",
+            "Calls sent to backend servers, by their end",
+            "service",
+            "ended",
+        )
+        self.refusals = self._counter(
+            "refusals", "The gateway's own final answers", "reason", "status"
+        )
+        self.first_part = self._histogram(
+            "first_part_seconds", "From a call's arrival to its answer's first part"
+        )
+        self.longest_gap = self._histogram(
+            "longest_gap_seconds", "The longest pause between two parts of an answer"
+        )
+        self.held = self._histogram(
+            "refusal_held_seconds", "From a call's arrival to the gateway's own answer"
+        )
+        self.waited = self._histogram(
+            "placement_seconds",
+            "From a call's arrival to the choice of a backend server",
+        )
+        self.judged = self._counter(
+            "backend_judgements", "Changed judgements", "service", "standing"
+        )
+        self.registrations = self._counter(
+            "backend_registrations", "Changes of the registry", "change"
+        )
+        self.dependencies = self._counter(
+            "dependency_changes",
+            "Dependencies lost and regained",
+            "dependency",
+            "change",
+        )
+        self.orders = self._counter(
+            "orders", "Orders to the engine", "order", "target", "answer"
+        )
+        self.loads = self._histogram("load_seconds", "Loads of models", "tier", "held")
+        self.store_calls = self._counter(
+            "store_calls", "Calls of the store", "call", "answer"
+        )
+        self.config_version = self._gauge(
+            "config_version", "The configuration in force"
+        )
+
+    def count(self, line: lines.LogLine) -> None:
+        """Count one line."""
+        function = _COUNTS.get(type(line))
+        if function is not None:
+            function(self, line)
+
+    def route(self, name: str | None) -> str:
+        """A route's name as a label."""
+        return self._route(name) if name else "none"
+
+    def service(self, name: str) -> str:
+        """A service's name as a label."""
+        return self._service(name)
+
+    def level(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """A level that is read when the page is asked for."""
+        self._gauge(name, text).set_function(read)
+
+    def page(self) -> bytes:
+        """All metrics in the text format that scrapers read."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(PREFIX + name, text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(PREFIX + name, text, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, *labels: str) -> Histogram:
+        return Histogram(
+            PREFIX + name,
+            text,
+            labels,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS,
+        )
+
+
+@counts(lines.Answered)
+def _answered(meters: Meters, line: lines.Answered) -> None:
+    meters.requests.labels(meters.route(line.route), line.kind, "answered").inc()
+    meters.attempts.labels(meters.service(line.service), "answered").inc()
+    meters.first_part.observe(line.first_ms / 1000)
+    meters.waited.observe(line.waited_ms / 1000)
+    meters.longest_gap.observe(line.longest_gap_ms / 1000)
+
+
+@counts(lines.AttemptFailed)
+def _attempt_failed(meters: Meters, line: lines.AttemptFailed) -> None:
+    meters.attempts.labels(meters.service(line.service), line.ended).inc()
+
+
+@counts(lines.Refused)
+def _refused(meters: Meters, line: lines.Refused) -> None:
+    kind = line.kind or "none"
+    meters.requests.labels(meters.route(line.route), kind, "refused").inc()
+    meters.refusals.labels(line.reason, str(line.status)).inc()
+    meters.held.observe(line.held_ms / 1000)
+
+
+@counts(lines.Cut)
+def _cut(meters: Meters, line: lines.Cut) -> None:
+    meters.requests.labels(meters.route(line.route), line.kind, "cut").inc()
+
+
+@counts(lines.CallerGone)
+def _caller_gone(meters: Meters, line: lines.CallerGone) -> None:
+    meters.requests.labels(meters.route(line.route), line.kind, "caller_gone").inc()
+
+
+@counts(lines.ConfigInForce)
+def _config_in_force(meters: Meters, line: lines.ConfigInForce) -> None:
+    meters.config_version.set(line.config_version)
+
+
+@counts(lines.BackendListed)
+def _backend_listed(meters: Meters, line: lines.BackendListed) -> None:
+    change = "leaving" if line.leaving else "listed"
+    meters.registrations.labels(change).inc()
+
+
+@counts(lines.BackendRemoved)
+def _backend_removed(meters: Meters, line: lines.BackendRemoved) -> None:
+    meters.registrations.labels(line.reason).inc()
+
+
+@counts(lines.BackendJudged)
+def _backend_judged(meters: Meters, line: lines.BackendJudged) -> None:
+    meters.judged.labels(meters.service(line.service), line.standing).inc()
+
+
+@counts(lines.DependencyLost)
+def _dependency_lost(meters: Meters, line: lines.DependencyLost) -> None:
+    meters.dependencies.labels(line.dependency, "lost").inc()
+
+
+@counts(lines.DependencyRegained)
+def _dependency_regained(meters: Meters, line: lines.DependencyRegained) -> None:
+    meters.dependencies.labels(line.dependency, "regained").inc()
+
+
+@counts(lines.Order)
+def _order(meters: Meters, line: lines.Order) -> None:
+    target = "adapter" if line.adapter else "model"
+    meters.orders.labels(line.order, target, line.answer).inc()
+
+
+@counts(lines.LoadEnded)
+def _load_ended(meters: Meters, line: lines.LoadEnded) -> None:
+    tier = "store" if line.from_store else "copy"
+    meters.loads.labels(tier, "yes" if line.held else "no").observe(line.seconds)
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/metrics_page.py
@@ -0,0 +1,123 @@
+"""Serves the metrics page on a port of its own.
+
+The agent carries no HTTP server for calls, and one for a page that is read every few
+seconds would cost it a fifth more memory. So this speaks as much HTTP/1.1 as a scraper
+needs: one GET a connection. What else comes is answered with an error at once; a sender
+that dawdles is closed on.
+
+Example::
+
+    page = MetricsPage(meters.page, Address("10.0.0.1", 9464), "/metrics")
+    app.add(page)
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from bambootiller import logs
+from bambootiller.settings import Address
+
+#: A scraper that hasn't sent its request by then is closed on. Seconds.
+READ_S = 2.0
+#: One that hasn't taken the page by then is reset. Seconds.
+WRITE_S = 5.0
+#: The longest head that is read. Bytes.
+MOST_HEAD = 8192
+#: Connections at a time; further ones are closed at once.
+MOST_CONNECTIONS = 8
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+log = logs.logger("gateway.metrics")
+
+
+class MetricsPage:
+    """One page at one path, as a component of the application; others are 404."""
+
+    name = "metrics page"
+
+    def __init__(self, page: Callable[[], bytes], listen: Address, path: str) -> None:
+        self._page = page
+        self._listen = listen
+        self._path = path
+        self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
+
+    @property
+    def port(self) -> int:
+        """The bound port."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def prepare(self) -> None:
+        """Nothing to take beforehand."""
+
+    async def drain(self, seconds: float) -> None:
+        """A page is made in one step; nothing is under way."""
+
+    async def start(self) -> None:
+        """Listen. A port that can't be had costs the metrics, and no call."""
+        host, port = self._listen.host, self._listen.port
+        try:
+            self._server = await asyncio.start_server(
+                self._serve, host, port, limit=MOST_HEAD
+            )
+        except OSError as exc:
+            log.warning("no metrics page at {}:{}: {}", host, port, exc)
+
+    async def stop(self) -> None:
+        """Close the port and all connections."""
+        if self._server is None:
+            return
+        self._server.close()
+        for writer in list(self._open):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if len(self._open) >= MOST_CONNECTIONS:
+            writer.transport.abort()
+            return
+        self._open.add(writer)
+        try:
+            await self._answer(reader, writer)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            # The scraper has gone or dawdles. It comes again, and says so itself.
+            writer.transport.abort()
+        finally:
+            self._open.discard(writer)
+            writer.close()
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(READ_S):
+                head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.LimitOverrunError:
+            status, body = "431 Request Header Fields Too Large", b""
+        else:
+            status, body = self._respond(head)
+        lines = (
+            f"HTTP/1.1 {status}",
+            f"Content-Type: {CONTENT_TYPE}",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+        )
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        async with asyncio.timeout(WRITE_S):
+            await writer.drain()
+
+    def _respond(self, head: bytes) -> tuple[str, bytes]:
+        words = head.split(b"\r\n", 1)[0].split(b" ")
+        if len(words) != 3 or not words[2].startswith(b"HTTP/1."):
+            return "400 Bad Request", b""
+        if words[0] != b"GET":
+            return "405 Method Not Allowed", b""
+        if words[1].partition(b"?")[0] != self._path.encode():
+            return "404 Not Found", b""
+        return "200 OK", self._page()
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -7,7 +7,9 @@
 from bambootiller_core.gateway.attempts import Reason, Refusal
 from bambootiller_core.gateway.calls import Call, Progress
 from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.log_lines import PlanSeen
 from bambootiller_core.gateway.order_messages import Wish
+from bambootiller_core.gateway.residency import PlannedLoad
 
 #: A call that waits for a model looks again at least this often. Seconds.
 LOOK_AGAIN_S = 0.1
@@ -37,6 +39,8 @@
         self._call = call
         self._progress = progress
         self._health = relays.service(call.service).health
+        #: How many backend servers the last choice was made from.
+        self.candidates = 0
 
     async def place(self) -> Backend | Refusal:
         """The backend server for the next attempt, or why there is none."""
@@ -65,6 +69,7 @@
 
     def _choose(self, candidates: list[Backend]) -> Backend | None:
         relays = self._relays
+        self.candidates = len(candidates)
         return selection.choose(
             relays.clock(),
             self._call,
@@ -161,7 +166,24 @@
         come_back = COME_BACK_MAX_S if ready_in is None else ready_in
         detail = "no engine can load it" if ready_in is None else ""
         come_back = min(max(come_back, attempts.COME_BACK_S), COME_BACK_MAX_S)
-        return Refusal(Reason.COLD, come_back, detail)
+        plan = self._plan_seen(now, planned)
+        return Refusal(Reason.COLD, come_back, detail, plan)
+
+    def _plan_seen(self, now: float, planned: PlannedLoad | None) -> PlanSeen:
+        call = self._call
+        waiting = self._relays.engines.waiting(call.service, call.ask.model)
+        if planned is None:
+            return PlanSeen(waiting=waiting)
+        backend = self._relays.knowledge.fleet.get(planned.instance)
+        age_s = None if backend is None else now - backend.heard_at
+        return PlanSeen(
+            ready_in_s=round(planned.ready_in_s, 2),
+            backend=planned.instance,
+            from_store=planned.from_store,
+            asked=planned.ask_now,
+            agent_age_ms=None if age_s is None else round(age_s * 1000),
+            waiting=waiting,
+        )
 
 
 def _free_in(backend: Backend) -> float:
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -14,6 +14,7 @@
 from bambootiller.gateway.placing import Placing
 from bambootiller.gateway.ports import AnswerHead, Incoming, Verdict
 from bambootiller.gateway.relays import Relays
+from bambootiller.gateway.reporting import CallReport
 from bambootiller_core.gateway import attempts
 from bambootiller_core.gateway.attempts import CutOff, Ended, Refusal, SendAgain
 from bambootiller_core.gateway.calls import Call, Progress
@@ -51,6 +52,7 @@
         self._progress = Progress()
         self._service = relays.service(call.service)
         self._placing = Placing(relays, call, self._progress)
+        self.report = CallReport(relays, call, self._progress)
 
     async def run(self) -> Refusal | None:
         """Serve the call; returns the gateway's own final answer if there is to be one.
@@ -63,7 +65,7 @@
                 return await self._run()
         except TimeoutError:
             decision = attempts.give_up(self._progress, timed_out=True)
-            return self._finish(decision)
+            return self._finish(decision, "timed out")
 
     async def _run(self) -> Refusal | None:
         self._service.budget.called(self._relays.clock())
@@ -74,8 +76,10 @@
             backend = await self._placing.place()
             if isinstance(backend, Refusal):
                 if self._progress.passed_on or self._progress.may_have_run:
-                    return self._finish(attempts.give_up(self._progress))
+                    decision = attempts.give_up(self._progress)
+                    return self._finish(decision, backend.reason.value)
                 return backend
+            self.report.chosen(backend, self._placing.candidates)
             ended = await self._attempt(backend)
             if ended is None:
                 return None
@@ -84,33 +88,21 @@
             )
             if isinstance(decision, SendAgain) and not self._may_spend(decision):
                 decision = attempts.give_up(self._progress)
-            self._note_attempt(backend, ended, decision)
+            self.report.attempt_failed(backend, ended, decision)
             if not isinstance(decision, SendAgain):
-                return self._finish(decision)
+                return self._finish(decision, ended.value)
 
     def _may_spend(self, decision: SendAgain) -> bool:
         if not decision.costs_budget:
             return True
         return self._service.budget.take(self._relays.clock())
 
-    def _finish(self, decision: Refusal | CutOff) -> Refusal:
+    def _finish(self, decision: Refusal | CutOff, why: str) -> Refusal:
         if isinstance(decision, CutOff):
+            self.report.cut(why)
             raise AnswerCut
         return decision
 
-    def _note_attempt(self, backend: Backend, ended: Ended, decision: object) -> None:
-        self._relays.events.emit(
-            "attempt_failed",
-            request=self._call.request_id,
-            backend=backend.instance,
-            ended=ended.value,
-            attempts=self._progress.sends,
-            may_have_run=self._progress.may_have_run,
-            last_event=self._progress.last_event,
-            next=type(decision).__name__,
-            budget_left=round(self._service.budget.left(self._relays.clock()), 1),
-        )
-
     async def _attempt(self, backend: Backend) -> Ended | None:
         """Send the call to one backend server; None if the answer was passed on
         whole."""
@@ -121,12 +113,8 @@
             conn = await pool.acquire(now, self._call.deadline - now)
         except CannotConnect as exc:
             self._service.health.unreachable(relays.clock(), backend.instance)
-            relays.events.emit(
-                "cannot_connect",
-                request=self._call.request_id,
-                backend=backend.instance,
-                detail=str(exc),
-            )
+            relays.review_health(self._call.service, backend.instance)
+            self.report.cannot_connect(backend, str(exc))
             progress.tried.append(backend.instance)
             return Ended.NOT_SENT
         ask = self._call.ask
@@ -147,13 +135,8 @@
             if conn.reused:
                 # What took this connection may have taken the other idle ones too.
                 pool.close()
-            relays.events.emit(
-                "answer_lost",
-                request=self._call.request_id,
-                backend=backend.instance,
-                detail=str(exc),
-                reused=conn.reused,
-            )
+            relays.review_health(self._call.service, backend.instance)
+            self.report.answer_lost(backend, str(exc), conn.reused)
             return Ended.BROKEN if progress.passed_on else Ended.UNKNOWN
         finally:
             relays.knowledge.fleet.call_ended(backend.instance, model, adapter)
@@ -182,11 +165,13 @@
             if verdict is Verdict.MISDIRECTED and call.ask is not None:
                 backend.denies(relays.clock(), call.ask.model, call.ask.adapter)
             health.failed(relays.clock(), backend.instance)
+            relays.review_health(call.service, backend.instance)
             await self._within(patience, lambda: _read_all(conn))
             return Ended.REFUSED
         if verdict is Verdict.USELESS:
             raise ConnectionLost(f"useless answer of status {head.status}", False, True)
         await self._pass_on(backend, conn, head, began)
+        self.report.answered(backend, head.status)
         return None
 
     def _is_stray(self, head: AnswerHead) -> bool:
@@ -249,6 +234,7 @@
         while (data := await conn.chunk()) is not None:
             parts.append(data)
         self._judge(backend, head, relays.clock() - began)
+        self.report.part_passed_on()
         await self._start(head)
         await self._send({"type": "http.response.body", "body": b"".join(parts)})
 
@@ -258,6 +244,7 @@
             self._service.health.failed(now, backend.instance)
         else:
             self._service.health.succeeded(now, backend.instance, latency_s)
+        self._relays.review_health(self._call.service, backend.instance)
 
     async def _pass_events(
         self, backend: Backend, conn: BackendConnection, head: AnswerHead, began: float
@@ -298,6 +285,7 @@
             if event.number is not None:
                 progress.last_event = event.number
             data.append(event.data)
+        self.report.part_passed_on()
         if not progress.passed_on:
             await self._start(head)
             progress.passed_on = True
--- a/packages/bambootiller/src/bambootiller/gateway/relays.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -14,6 +14,7 @@
 from bambootiller_core.gateway.budget import ASSUMED_ENTRIES, AttemptBudget
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.health import Health
+from bambootiller_core.gateway.log_lines import BackendJudged
 
 #: Connections to one backend server where the configuration sets no limit.
 MOST_CONNECTIONS = 256
@@ -72,6 +73,22 @@
         found.budget.entries = max(2, len(self.engines.entries) or ASSUMED_ENTRIES)
         return found
 
+    def review_health(self, service: str, instance: str) -> None:
+        """Say so if a backend server is judged otherwise from now on."""
+        judged = self.service(service).health.review(self.clock(), instance)
+        if judged is None:
+            return
+        latency_s = judged.latency_s
+        line = BackendJudged(
+            backend=instance,
+            service=service,
+            standing=judged.standing.value,
+            before=judged.before.value,
+            failure_rate=round(judged.failure_rate, 3),
+            latency_ms=None if latency_s is None else round(latency_s * 1000),
+        )
+        self.events.emit(line)
+
     def pool(self, backend: Backend) -> ConnectionPool:
         """The connections to a backend server, by its instance: a new start at the same
         address doesn't answer on those of the one before."""
@@ -82,6 +99,16 @@
             self._pools[backend.instance] = found
         return found
 
+    def least_budget(self) -> float:
+        """The second attempts that the tightest budget of a service allows now."""
+        now = self.clock()
+        left = (state.budget.left(now) for state in self._services.values())
+        return min(left, default=0.0)
+
+    def open_count(self) -> int:
+        """The connections to backend servers, idle ones included."""
+        return sum(pool.open for pool in self._pools.values())
+
     def sweep(self, now: float) -> None:
         """Close idle connections past their time, and those to gone instances."""
         for instance, pool in list(self._pools.items()):
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -0,0 +1,156 @@
+"""The times of one call, and what the log says about it."""
+
+from __future__ import annotations
+
+from bambootiller.gateway.relays import Relays
+from bambootiller_core.gateway import log_lines as lines
+from bambootiller_core.gateway.attempts import Decision, Ended
+from bambootiller_core.gateway.calls import Call, Progress
+from bambootiller_core.gateway.fleet import Backend
+
+
+class CallReport:
+    """Keeps the times of one call, and writes a line for each decision on it.
+
+    Example::
+
+        report = CallReport(relays, call, progress)
+        report.chosen(backend, candidates=3)
+        report.part_passed_on()
+        report.answered(backend, 200)
+    """
+
+    def __init__(self, relays: Relays, call: Call, progress: Progress) -> None:
+        self._relays = relays
+        self._call = call
+        self._progress = progress
+        self._chosen_on: lines.ChosenOn | None = None
+        self._chosen_at = call.arrived
+        self._first_at: float | None = None
+        self._last_at = call.arrived
+        self._longest_gap_s = 0.0
+
+    def chosen(self, backend: Backend, candidates: int) -> None:
+        """A backend server was chosen; notes on what."""
+        now = self._relays.clock()
+        health = self._relays.service(self._call.service).health
+        heard = backend.engine is not None
+        self._chosen_at = now
+        self._chosen_on = lines.ChosenOn(
+            zone=backend.registered.zone,
+            occupied=backend.occupied(now),
+            candidates=candidates,
+            revision=backend.registered.revision,
+            standing=health.standing(backend.instance).value,
+            agent_age_ms=_ms(now - backend.heard_at) if heard else None,
+        )
+
+    def part_passed_on(self) -> None:
+        """A part of the answer goes to the caller now."""
+        now = self._relays.clock()
+        if self._first_at is None:
+            self._first_at = now
+        else:
+            self._longest_gap_s = max(self._longest_gap_s, now - self._last_at)
+        self._last_at = now
+
+    def answered(self, backend: Backend, status: int) -> None:
+        """The answer was passed on whole."""
+        call, now = self._call, self._relays.clock()
+        first_at = self._first_at if self._first_at is not None else now
+        self._emit(
+            lines.Answered(
+                request=call.request_id,
+                route=call.route.name,
+                service=call.service,
+                kind=call.route.kind.value,
+                model=_model(call),
+                backend=backend.instance,
+                status=status,
+                attempts=self._progress.sends,
+                waited_ms=_ms(self._chosen_at - call.arrived),
+                first_ms=_ms(first_at - call.arrived),
+                total_ms=_ms(now - call.arrived),
+                longest_gap_ms=_ms(self._longest_gap_s),
+                config_version=self._config_version(),
+                chosen_on=self._chosen_on,
+            )
+        )
+
+    def attempt_failed(self, backend: Backend, ended: Ended, then: Decision) -> None:
+        """An attempt ended without a whole answer, and ``then`` is done."""
+        call, progress, now = self._call, self._progress, self._relays.clock()
+        budget = self._relays.service(call.service).budget
+        self._emit(
+            lines.AttemptFailed(
+                request=call.request_id,
+                route=call.route.name,
+                service=call.service,
+                kind=call.route.kind.value,
+                resumable=call.route.resumable,
+                backend=backend.instance,
+                ended=ended.value,
+                attempts=progress.sends,
+                most_attempts=call.route.max_attempts,
+                may_have_run=progress.may_have_run,
+                last_event=progress.last_event,
+                next=type(then).__name__,
+                budget_left=round(budget.left(now), 1),
+                left_ms=_ms(call.deadline - now),
+                chosen_on=self._chosen_on,
+            )
+        )
+
+    def answer_lost(self, backend: Backend, detail: str, reused: bool) -> None:
+        """The connection broke, or what it brought is of no use."""
+        request = self._call.request_id
+        self._emit(lines.AnswerLost(request, backend.instance, detail, reused))
+
+    def cannot_connect(self, backend: Backend, detail: str) -> None:
+        """No connection was made."""
+        request = self._call.request_id
+        self._emit(lines.CannotConnect(request, backend.instance, detail))
+
+    def cut(self, reason: str) -> None:
+        """The caller's connection is cut, as its answer can't be finished."""
+        call = self._call
+        self._emit(
+            lines.Cut(
+                request=call.request_id,
+                route=call.route.name,
+                service=call.service,
+                kind=call.route.kind.value,
+                model=_model(call),
+                last_event=self._progress.last_event,
+                held_ms=_ms(self._relays.clock() - call.arrived),
+                reason=reason,
+            )
+        )
+
+    def caller_gone(self) -> None:
+        """The caller closed before its answer was whole."""
+        call, progress = self._call, self._progress
+        self._emit(
+            lines.CallerGone(
+                request=call.request_id,
+                route=call.route.name,
+                held_ms=_ms(self._relays.clock() - call.arrived),
+                attempts=progress.sends,
+                last_event=progress.last_event,
+            )
+        )
+
+    def _emit(self, line: lines.LogLine) -> None:
+        self._relays.events.emit(line)
+
+    def _config_version(self) -> int:
+        config = self._relays.knowledge.config
+        return config.version if config is not None else 0
+
+
+def _model(call: Call) -> str | None:
+    return call.ask.model if call.ask is not None else None
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/tests/adapter/common/entry.py
+++ b/tests/adapter/common/entry.py
@@ -27,11 +27,11 @@
     def __init__(self):
         self.lines = []
 
-    def emit(self, kind, **fields):
-        self.lines.append((kind, fields))
+    def emit(self, line):
+        self.lines.append(line)
 
-    def of(self, kind):
-        return [fields for found, fields in self.lines if found == kind]
+    def of(self, event):
+        return [line for line in self.lines if line.event == event]
 
 
 class NoEngines:
@@ -48,6 +48,9 @@
     def planned(self, service, model):
         return None
 
+    def waiting(self, service, model):
+        return 0
+
     def replan(self):
         pass
 
--- a/tests/adapter/common/fleet.py
+++ b/tests/adapter/common/fleet.py
@@ -50,6 +50,7 @@
     process: asyncio.subprocess.Process
     form: dict
     log: Path
+    metrics: str
 
     def lines(self):
         """What it has logged."""
@@ -131,13 +132,13 @@
             part: f"{host}:{free_port(host)}" for part in ("front", "ready", "control")
         }
         form = self._form(name, host, {"listen": listen, "seeds": list(seeds)})
-        return await self._start("entry", form)
+        return await self.start("entry", form)
 
     async def agent(self, name, replica):
         """Start the agent beside a replica."""
         host = replica.server.address.rpartition(":")[0]
         beside = {"app": replica.server.address, "service": replica.service}
-        return await self._start("agent", self._form(name, host, beside))
+        return await self.start("agent", self._form(name, host, beside))
 
     async def is_ready(self, entry):
         """Whether the entry says that it is ready."""
@@ -164,6 +165,13 @@
         async with self.session.post(url, headers=headers, data=b"b") as response:
             return response.status, await response.read()
 
+    async def metrics(self, program):
+        """What its metrics page shows, by name and labels as they stand there."""
+        async with self.session.get(f"http://{program.metrics}/metrics") as response:
+            text = await response.text()
+        lines = [line for line in text.splitlines() if not line.startswith("#")]
+        return {line.rpartition(" ")[0]: float(line.split()[-1]) for line in lines}
+
     def _form(self, name, host, fields):
         return {
             "node-name": name,
@@ -177,11 +185,15 @@
             **fields,
         }
 
-    async def _start(self, role, form):
+    async def start(self, role, form, metrics=None):
+        """Start a program; ``metrics`` is where it serves its metrics."""
         folder = Path(self._folder.name)
         file = folder / f"{form['node-name']}-{len(self._programs)}.json"
         file.write_text(json.dumps(form))
         log = file.with_suffix(".log")
+        if metrics is None:
+            host = form.get("ip", "127.0.0.1")
+            metrics = f"{host}:{free_port(host)}"
         with log.open("wb") as out:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -189,8 +201,12 @@
                 role,
                 stdout=out,
                 stderr=asyncio.subprocess.STDOUT,
-                env={**os.environ, "BAMBOOTILLER_NODE_FILE": str(file)},
+                env={
+                    **os.environ,
+                    "BAMBOOTILLER_NODE_FILE": str(file),
+                    "BAMBOOTILLER_METRICS_LISTEN": metrics,
+                },
             )
-        program = Program(process, form, log)
+        program = Program(process, form, log, metrics)
         self._programs.append(program)
         return program
--- a/tests/adapter/failures/test_processes.py
+++ b/tests/adapter/failures/test_processes.py
@@ -106,6 +106,47 @@
             self.assertEqual(versions, sorted(versions))
 
 
+class TestMetrics(unittest.IsolatedAsyncioTestCase):
+    async def test_both_programs_show_what_they_did(self):
+        async with Fleet() as fleet:
+            fleet.configure()
+            replica = await fleet.replica("127.0.0.2", "i-1", "llm")
+            replica.on_disk.add(MODEL_NAME)
+            agent = await fleet.agent("a1", replica)
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+
+            async def served():
+                status, _ = await fleet.call(entry, MODEL_NAME)
+                return status == 200
+
+            await until(served, "the cold model is served")
+            found = await fleet.metrics(entry)
+            answered = [
+                value
+                for name, value in found.items()
+                if name.startswith("bambootiller_requests_total")
+                and 'outcome="answered"' in name
+            ]
+            self.assertEqual(answered, [1])
+            self.assertEqual(found["bambootiller_first_part_seconds_count"], 1)
+            self.assertEqual(found["bambootiller_config_version"], 1)
+            found = await fleet.metrics(agent)
+            loads = 'bambootiller_load_seconds_count{held="yes",tier="copy"}'
+            self.assertEqual(found[loads], 1)
+            self.assertEqual(found["bambootiller_engine_models"], 1)
+            self.assertGreater(found["bambootiller_fencing_token"], 0)
+
+    async def test_a_metrics_address_that_is_none_is_told_at_the_start(self):
+        async with Fleet() as fleet:
+            fleet.configure()
+            replica = await fleet.replica("127.0.0.2", "i-1", "llm")
+            agent = await fleet.agent("a1", replica)
+            program = await fleet.start("agent", agent.form, metrics="9464")
+            self.assertEqual(await program.process.wait(), 78)
+            self.assertIn("HOST:PORT", program.log.read_text())
+
+
 class TestSignals(unittest.IsolatedAsyncioTestCase):
     async def test_a_hangup_ends_nothing_and_takes_up_the_new_settings(self):
         """Symptom: the process ends with code 129 when its settings file changes."""
@@ -150,7 +191,7 @@
 
     async def test_bad_settings_are_named(self):
         async with Fleet() as fleet:
-            entry = await fleet._start("entry", {"node-name": "e1"})
+            entry = await fleet.start("entry", {"node-name": "e1"})
             code = await asyncio.wait_for(entry.process.wait(), 30)
             self.assertNotEqual(code, 0)
             self.assertIn("internal-ports", entry.log.read_text())
--- /dev/null
+++ b/tests/gateway/cover/test_meters.py
@@ -0,0 +1,136 @@
+"""Metrics kept from log lines, and the page that serves them."""
+
+import asyncio
+import unittest
+
+from bambootiller.gateway.eventlog import EventLog
+from bambootiller.gateway.meters import MOST_LABELS, Meters
+from bambootiller.gateway.metrics_page import MOST_HEAD, MetricsPage
+from bambootiller.settings import Address
+from bambootiller_core.gateway import log_lines as lines
+
+
+def refused(route="r", reason="overloaded"):
+    return lines.Refused(
+        request="r-1",
+        route=route,
+        service="tutor",
+        kind="stream",
+        model=None,
+        reason=reason,
+        status=503,
+        come_back_s=0.25,
+        held_ms=120,
+        detail="",
+        config_version=3,
+    )
+
+
+class TestMeters(unittest.TestCase):
+    def setUp(self):
+        self.meters = Meters()
+
+    def value(self, name, **labels):
+        return self.meters.registry.get_sample_value(f"bambootiller_{name}", labels)
+
+    def test_a_refusal_counts_by_route_and_by_reason(self):
+        self.meters.count(refused())
+        self.assertEqual(
+            self.value("requests_total", route="r", kind="stream", outcome="refused"), 1
+        )
+        self.assertEqual(
+            self.value("refusals_total", reason="overloaded", status="503"), 1
+        )
+        self.assertEqual(self.value("refusal_held_seconds_sum"), 0.12)
+
+    def test_a_load_counts_by_where_it_came_from(self):
+        self.meters.count(lines.LoadEnded("tutor", True, 6.4, from_store=True))
+        self.assertEqual(self.value("load_seconds_sum", tier="store", held="yes"), 6.4)
+
+    def test_hundreds_of_routes_do_not_make_hundreds_of_series(self):
+        for number in range(500):
+            self.meters.count(refused(route=f"r-{number}"))
+        page = self.meters.page().decode()
+        self.assertLess(page.count("bambootiller_requests_total{"), MOST_LABELS + 2)
+        self.assertEqual(
+            self.value(
+                "requests_total", route="other", kind="stream", outcome="refused"
+            ),
+            500 - MOST_LABELS,
+        )
+
+    def test_lines_that_the_log_leaves_out_count_all_the_same(self):
+        """Symptom: during a storm of refusals the metrics show a handful of them.
+
+        The log writes so many lines of a kind a second and leaves the others out.
+        """
+        with open("/dev/null", "wb") as sink:
+            events = EventLog("i-1", sink.fileno(), per_s=5)
+            events.on_line(self.meters.count)
+            for _ in range(400):
+                events.emit(refused())
+        self.assertEqual(
+            self.value("refusals_total", reason="overloaded", status="503"), 400
+        )
+
+    def test_a_level_is_read_when_the_page_is_asked_for(self):
+        levels = [3]
+        self.meters.level("calls_under_way", "Calls", lambda: levels[0])
+        levels[0] = 8
+        self.assertIn(b"bambootiller_calls_under_way 8.0", self.meters.page())
+
+    def test_each_kind_of_line_that_is_counted_is_one_that_exists(self):
+        from bambootiller.gateway.meters import _COUNTS
+
+        known = set(lines.LogLine.__subclasses__())
+        self.assertLessEqual(set(_COUNTS), known)
+
+
+class TestMetricsPage(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.page = MetricsPage(lambda: b"up 1\n", Address("127.0.0.1", 0), "/metrics")
+        await self.page.start()
+
+    async def asyncTearDown(self):
+        await self.page.stop()
+
+    async def ask(self, data):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.page.port)
+        writer.write(data)
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    async def test_the_page_is_at_its_path(self):
+        answer = await self.ask(b"GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\n"), answer)
+        self.assertTrue(answer.endswith(b"\r\n\r\nup 1\n"), answer)
+
+    async def test_what_else_comes_is_answered_with_an_error(self):
+        for data, status in (
+            (b"GET /other HTTP/1.1\r\n\r\n", b"404"),
+            (b"POST /metrics HTTP/1.1\r\n\r\n", b"405"),
+            (b"\x16\x03\x01 nonsense\r\n\r\n", b"400"),
+            (b"GET /metrics HTTP/1.1\r\nx: " + b"a" * 2 * MOST_HEAD, b"431"),
+        ):
+            answer = await self.ask(data)
+            self.assertEqual(answer.split(b" ")[1], status, data[:40])
+
+    async def test_scrapers_that_say_nothing_do_not_pile_up(self):
+        """Symptom: the process runs out of descriptors.
+
+        Each connection to the metrics page that sends nothing is held for ever.
+        """
+        held = []
+        for _ in range(20):
+            held.append(await asyncio.open_connection("127.0.0.1", self.page.port))
+        await asyncio.sleep(0.05)
+        self.assertLessEqual(len(self.page._open), 8)
+        for _, writer in held:
+            writer.close()
+
+    async def test_a_taken_port_costs_the_metrics_and_nothing_else(self):
+        taken = Address("127.0.0.1", self.page.port)
+        second = MetricsPage(lambda: b"", taken, "/metrics")
+        await second.start()
+        await second.stop()
--- a/tests/gateway/failures/test_eventlog.py
+++ b/tests/gateway/failures/test_eventlog.py
@@ -5,6 +5,18 @@
 import unittest
 
 from bambootiller.gateway.eventlog import MOST_WAITING, EventLog
+from bambootiller_core.gateway.log_lines import (
+    AnswerLost,
+    ConfigInForce,
+    LoadEnded,
+    PeerHeard,
+)
+
+CONFIGURED = ConfigInForce(config_version=7, revision=9, routes=1, source="store")
+
+
+def lost(number, detail="reset"):
+    return AnswerLost(f"r-{number}", "b1", detail, reused=False)
 
 
 class TestEventLog(unittest.TestCase):
@@ -26,9 +38,9 @@
         return [json.loads(line) for line in data.splitlines()]
 
     def test_an_event_is_one_line(self):
-        EventLog("i-1", self.writer).emit("refused", request="r-1", reason="x\ny")
+        EventLog("i-1", self.writer).emit(lost(1, "x\ny"))
         (line,) = self.lines()
-        self.assertEqual((line["event"], line["request"]), ("refused", "r-1"))
+        self.assertEqual((line["event"], line["request"]), ("answer_lost", "r-1"))
         self.assertEqual(line["instance"], "i-1")
 
     def test_a_reader_that_stops_holds_up_nothing(self):
@@ -38,23 +50,44 @@
         """
         events = EventLog("i-1", self.writer, per_s=1e9)
         for number in range(20_000):
-            events.emit("refused", request=f"r-{number}", detail="d" * 100)
+            events.emit(lost(number, "d" * 100))
         self.assertLessEqual(events._waiting_bytes, MOST_WAITING)
 
     def test_a_storm_of_one_kind_leaves_room_for_others(self):
         events = EventLog("i-1", self.writer, per_s=10)
         for number in range(500):
-            events.emit("refused", request=f"r-{number}")
-        events.emit("config_in_force", config_version=7)
+            events.emit(lost(number))
+        events.emit(CONFIGURED)
         kinds = [line["event"] for line in self.lines()]
-        self.assertLess(kinds.count("refused"), 30)
+        self.assertLess(kinds.count("answer_lost"), 30)
         self.assertIn("config_in_force", kinds)
 
     def test_what_was_left_out_is_counted(self):
         events = EventLog("i-1", self.writer, per_s=5)
         for number in range(50):
-            events.emit("refused", request=f"r-{number}")
+            events.emit(lost(number))
         events._reported_at = float("-inf")
-        events.emit("config_in_force", config_version=7)
+        events.emit(CONFIGURED)
         (line,) = [each for each in self.lines() if each["event"] == "lines_left_out"]
-        self.assertGreater(line["refused"], 30)
+        self.assertGreater(line["counts"]["answer_lost"], 30)
+
+    def test_lines_of_failures_find_room_where_those_of_successes_do_not(self):
+        """Symptom: after a hang of the collector the failures of that time are missing.
+
+        The buffer is full of lines about what went well.
+        """
+        events = EventLog("i-1", self.writer, per_s=1e9)
+        for number in range(20_000):
+            events.emit(LoadEnded(f"m-{number}", True, 0.4, from_store=False))
+        before = events._waiting_bytes
+        events.emit(lost(1))
+        self.assertGreater(events._waiting_bytes, before)
+
+    def test_listeners_hear_of_lines_that_are_left_out(self):
+        events = EventLog("i-1", self.writer, per_s=5)
+        heard = []
+        events.on_line(heard.append)
+        for _ in range(50):
+            events.emit(PeerHeard("10.0.0.1:7"))
+        self.assertEqual(len(heard), 50)
+        self.assertGreater(events.left_out["peer_heard"], 30)
