Name errors where clients of the chat-completions interface look

Cause: those clients read error.message, error.type and error.code of a refusal's body. Ours was problem details only, so a common client showed "Error code: 404" and nothing else. Ruled out: a second content type by Accept; these clients accept anything. Change: problem details carry a member `error` with the three. Before: the new test fails (KeyError: 'error'), 72 of 73 of its area pass. After: 73 of 73 pass. The client itself wasn't run.

--- a/packages/bambootiller/src/bambootiller/entry/problems.py
+++ b/packages/bambootiller/src/bambootiller/entry/problems.py
@@ -1,4 +1,8 @@
-"""Refusals in the form that callers get, as problem details (RFC 9457)."""
+"""Refusals in the form that callers get, as problem details (RFC 9457).
+
+The member ``error`` repeats the problem for clients of the chat-completions interface,
+which look there for the message, the type and the code, and show nothing without it.
+"""
 
 from __future__ import annotations
 
@@ -34,17 +38,36 @@
 }
 
 
+#: What clients of the chat-completions interface call errors of each status.
+_ERROR_TYPES: dict[int, str] = {
+    400: "invalid_request_error",
+    401: "authentication_error",
+    403: "permission_error",
+    404: "not_found_error",
+    413: "invalid_request_error",
+    429: "rate_limit_error",
+}
+_SERVER_ERROR = "server_error"
+
+
 def problem_json(refused: Refused, request_id: str, status: int = 0) -> bytes:
     """The problem as JSON; ``status`` replaces the code's own if it isn't 0."""
+    title = _TITLES[refused.code]
+    shown_status = status or refused.status
     problem = {
         "type": "about:blank",
-        "title": _TITLES[refused.code],
-        "status": status or refused.status,
+        "title": title,
+        "status": shown_status,
         "code": refused.code.value,
         "detail": refused.detail,
         "executed": refused.executed.value,
         "retry_after_ms": refused.retry_after_ms,
         "request_id": request_id,
+        "error": {
+            "message": f"{title}: {refused.detail}" if refused.detail else title,
+            "type": _ERROR_TYPES.get(shown_status, _SERVER_ERROR),
+            "code": refused.code.value,
+        },
     }
     return json.dumps(problem).encode()
 
--- a/tests/entry/cover/test_bad_inputs.py
+++ b/tests/entry/cover/test_bad_inputs.py
@@ -164,6 +164,19 @@
             self.assertEqual(headers["Content-Type"], "application/problem+json")
             self.assertEqual(json.loads(body)["status"], status)
 
+    async def test_clients_of_the_chat_interface_find_the_error_where_they_look(self):
+        """Symptom: a common client shows "Error code: 404" and not a word more.
+
+        It reads ``error.message``, ``error.type`` and ``error.code`` of the body, and
+        the body was problem details only.
+        """
+        status, problem = await self.chat(model="nobody")
+        self.assertEqual(status, 404)
+        error = problem["error"]
+        self.assertEqual(error["code"], problem["code"])
+        self.assertEqual(error["type"], "not_found_error")
+        self.assertIn(problem["detail"], error["message"])
+
     async def test_a_full_entry_refuses_and_says_when_to_come_back(self):
         ticket = self.entry._intake.enter()
         status, problem = await self.chat()
