Tell the story of a request from the logs alone

Cause: `bambootiller explain` asks living processes. On the platform the process may be gone, and it has no disk; what is left are lines of many processes whose clocks disagree. Ruled out: order by the time of day (clocks differ and jump); a shared clock (nothing to agree on one with). Change: `bambootiller explain logs ID [FILE]...` joins the lines of a request with those about its model, its backend servers and the process that served it. Within one start of a process the uptime orders them; between processes, events that all see (a configuration or registration of one revision) are the anchors, and processes without one are named. Before: grep over each log by hand, ordered by clocks that disagree.

--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/story.py
@@ -0,0 +1,194 @@
+"""Joins the log lines of many processes into the story of one request.
+
+Two things stand in the way. The clocks of instances disagree and may jump, so lines of
+different processes can't be put in order by their times alone; and most of what decided
+a request was written without its id, by other processes, before it came.
+
+Each line carries the time since its process started, which neither jumps nor disagrees
+within one process. Between processes, events that all of them see serve as anchors: a
+configuration of one revision, or a registration of one revision, comes to all processes
+within a moment. The median of the differences is how far two processes are apart.
+
+Example::
+
+    story = tell(read_lines(text), "315a551c959c068c")
+    for step in story.steps: print(step.at_s, step.line["event"])
+"""
+
+from __future__ import annotations
+
+import json
+import statistics
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+Line = Mapping[str, Any]
+
+#: Lines about a backend server or model of the request count within this time of it.
+#: Seconds. A load from the weight store takes several.
+BEFORE_S = 10.0
+AFTER_S = 3.0
+#: What a process says in the first moment of its life is what it found, not what
+#: happened then, and anchors nothing. Seconds.
+LEARNING_S = 1.0
+#: Events that all processes see at nearly the same moment.
+_ANCHORS = ("config_in_force", "backend_listed")
+_ABOUT_MODEL = ("order", "load_ended")
+_ABOUT_BACKEND = ("backend_listed", "backend_removed", "backend_judged")
+_ABOUT_PROCESS = (
+    "started",
+    "stopping",
+    "stopped",
+    "cut_at_stop",
+    "config_in_force",
+    "dependency_lost",
+    "dependency_regained",
+    "lines_left_out",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One line of the story; ``at_s`` counts from the request's first line."""
+
+    at_s: float
+    own: bool
+    line: Line
+
+
+@dataclass(frozen=True, slots=True)
+class Story:
+    """The lines of a request and those that explain it, in order.
+
+    ``unaligned`` are processes without an anchor in common with the one that served the
+    request; their lines are placed by the time of day, which may be wrong."""
+
+    steps: tuple[Step, ...]
+    unaligned: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class _Run:
+    """One start of one process: its lines in the order in which it wrote them."""
+
+    instance: str
+    lines: list[Line]
+    #: What is added to its uptime to get the serving process's.
+    offset_s: float = 0.0
+    aligned: bool = True
+
+
+def read_lines(text: Iterable[str]) -> Iterator[Line]:
+    """The log lines in ``text``; what precedes the JSON on a line is skipped, and lines
+    that hold none as well."""
+    for raw in text:
+        start = raw.find("{")
+        if start < 0:
+            continue
+        try:
+            line = json.loads(raw[start:])
+        except ValueError:
+            continue
+        if isinstance(line, dict) and "event" in line and "uptime_s" in line:
+            yield line
+
+
+def tell(lines: Iterable[Line], request: str) -> Story | None:
+    """The story of ``request``; None if no line names it."""
+    runs = _runs(lines)
+    serving = [
+        run for run in runs if any(line.get("request") == request for line in run.lines)
+    ]
+    if not serving:
+        return None
+    for run in runs:
+        _align(run, serving[0])
+    own = [
+        (line["uptime_s"] + run.offset_s, line)
+        for run in serving
+        for line in run.lines
+        if line.get("request") == request
+    ]
+    begin, end = min(at for at, _ in own), max(at for at, _ in own)
+    begin -= max(line.get("held_ms", 0) for _, line in own) / 1000
+    subject = _Subject(request, [line for _, line in own], serving)
+    steps = []
+    for run in runs:
+        for line in run.lines:
+            at = line["uptime_s"] + run.offset_s
+            is_own = line.get("request") == request
+            near = begin - BEFORE_S <= at <= end + AFTER_S
+            if is_own or (near and subject.concerns(run, line)):
+                steps.append(Step(round(at - begin, 3), is_own, line))
+    steps.sort(key=lambda step: step.at_s)
+    unaligned = sorted({run.instance for run in runs if not run.aligned})
+    return Story(tuple(steps), tuple(unaligned))
+
+
+class _Subject:
+    """What a request is about: its model, its backend servers, who served it."""
+
+    def __init__(self, request: str, own: list[Line], serving: list[_Run]) -> None:
+        self._request = request
+        self._serving = {run.instance for run in serving}
+        self._models = {line["model"] for line in own if line.get("model")}
+        self._backends = {line["backend"] for line in own if line.get("backend")}
+        plans = [line["plan"] for line in own if line.get("plan")]
+        self._backends |= {plan["backend"] for plan in plans if plan.get("backend")}
+
+    def concerns(self, run: _Run, line: Line) -> bool:
+        """Whether a line without the request's id helps to explain it."""
+        event = line["event"]
+        if event in _ABOUT_MODEL:
+            return bool(self._models & {line.get("model"), line.get("wanted_for")})
+        if event in _ABOUT_BACKEND:
+            return line.get("backend") in self._backends
+        if event in _ABOUT_PROCESS:
+            return run.instance in self._serving
+        # Other requests that lost their answer at the same backend server tell whether
+        # it failed, or the way to it.
+        others = event in ("answer_lost", "cannot_connect")
+        return others and line.get("backend") in self._backends
+
+
+def _runs(lines: Iterable[Line]) -> list[_Run]:
+    """The lines by process and start: the uptime begins anew at each."""
+    runs: list[_Run] = []
+    current: dict[str, _Run] = {}
+    for line in lines:
+        instance = line.get("instance", "")
+        run = current.get(instance)
+        if run is None or line["uptime_s"] < run.lines[-1]["uptime_s"]:
+            run = current[instance] = _Run(instance, [])
+            runs.append(run)
+        run.lines.append(line)
+    return runs
+
+
+def _align(run: _Run, to: _Run) -> None:
+    if run is to:
+        return
+    there = _anchors(to)
+    differences = [there[key] - at for key, at in _anchors(run).items() if key in there]
+    if differences:
+        run.offset_s = statistics.median(differences)
+        return
+    run.aligned = False
+    run.offset_s = _clock_base(run) - _clock_base(to)
+
+
+def _anchors(run: _Run) -> dict[tuple[Any, ...], float]:
+    """When this process saw each event that all processes see."""
+    seen: dict[tuple[Any, ...], float] = {}
+    for line in run.lines:
+        if line["event"] not in _ANCHORS or line["uptime_s"] < LEARNING_S:
+            continue
+        key = (line["event"], line.get("backend"), line["revision"])
+        seen.setdefault(key, line["uptime_s"])
+    return seen
+
+
+def _clock_base(run: _Run) -> float:
+    """The time of day at the process's start, by most of its lines."""
+    return statistics.median(line["time"] - line["uptime_s"] for line in run.lines)
--- a/packages/bambootiller/src/bambootiller/cli/main.py
+++ b/packages/bambootiller/src/bambootiller/cli/main.py
@@ -7,6 +7,7 @@
 
 from bambootiller import logs
 from bambootiller.cli.exits import LEGEND
+from bambootiller.cli.explain_logs import explain_logs
 from bambootiller.cli.fleet import explain, status
 from bambootiller.cli.keys import key
 from bambootiller.cli.settings import settings
@@ -36,6 +37,8 @@
     ctx.obj = (ctx.find_object(Wiring) or wiring(ctx)).with_flags(flags)
 
 
+explain.add_command(explain_logs)
+
 for command in (template, audit, status, explain, settings, key):
     main.add_command(command)
 
--- /dev/null
+++ b/tests/gateway/cover/test_story.py
@@ -0,0 +1,118 @@
+"""The story of a request from the lines of many processes."""
+
+import json
+import unittest
+
+from bambootiller_core.gateway.story import read_lines, tell
+
+
+def line(instance, uptime_s, event, clock=1000.0, **fields):
+    return {
+        "time": clock + uptime_s,
+        "uptime_s": uptime_s,
+        "event": event,
+        "instance": instance,
+        **fields,
+    }
+
+
+def config(instance, uptime_s, revision, clock=1000.0):
+    fields = {"config_version": revision, "revision": revision}
+    return line(instance, uptime_s, "config_in_force", clock, **fields)
+
+
+def refused(uptime_s, held_ms=0, **fields):
+    fields = {"request": "r-1", "model": "poet", "held_ms": held_ms, **fields}
+    return line("entry", uptime_s, "refused", **fields)
+
+
+def order(uptime_s, model="poet", clock=1000.0, **fields):
+    return line("agent", uptime_s, "order", clock, order="load", model=model, **fields)
+
+
+class TestReading(unittest.TestCase):
+    def test_what_is_no_line_of_a_log_is_passed_over(self):
+        good = json.dumps(line("e", 1.0, "started"))
+        text = ["", "nonsense", "{broken", '{"ready": true}', "[1]", f"12.3 e {good}"]
+        self.assertEqual([item["event"] for item in read_lines(text)], ["started"])
+
+
+class TestStory(unittest.TestCase):
+    def events(self, story):
+        return [step.line["event"] for step in story.steps]
+
+    def test_a_request_that_nobody_names_has_no_story(self):
+        self.assertIsNone(tell([line("e", 1.0, "started")], "r-9"))
+
+    def test_orders_for_its_model_belong_to_it_and_others_do_not(self):
+        lines = [
+            order(4.0),
+            order(4.1, model="critic"),
+            order(4.2, model="critic", wanted_for="poet"),
+            refused(5.0),
+        ]
+        story = tell(lines, "r-1")
+        self.assertEqual(self.events(story), ["order", "order", "refused"])
+
+    def test_lines_are_in_order_though_clocks_disagree(self):
+        """Symptom: the order that loads a model seems to come after the refusal.
+
+        The agent's clock is four seconds ahead. By the times on the lines, the cause
+        stands behind its effect, and the reader looks for another.
+        """
+        ahead = 1004.0
+        lines = [
+            config("entry", 2.0, 7),
+            refused(5.0),
+            config("agent", 2.1, 7, ahead),
+            order(4.0, clock=ahead),
+        ]
+        story = tell(lines, "r-1")
+        self.assertEqual(self.events(story), ["config_in_force", "order", "refused"])
+        self.assertEqual(story.unaligned, ())
+
+    def test_a_clock_that_jumps_does_not_tear_a_process_apart(self):
+        lines = [
+            config("entry", 2.0, 7),
+            refused(5.0),
+            config("agent", 2.0, 7),
+            order(4.0, clock=980.0),
+            order(4.5, clock=1000.0),
+        ]
+        story = tell(lines, "r-1")
+        found = [step.at_s for step in story.steps if step.line["event"] == "order"]
+        self.assertEqual(found, [-1.0, -0.5])
+
+    def test_processes_without_a_common_event_are_named(self):
+        story = tell([refused(5.0), order(4.0)], "r-1")
+        self.assertEqual(story.unaligned, ("agent",))
+
+    def test_each_start_of_a_process_is_placed_by_itself(self):
+        """Symptom: what an agent did before its restart seems to happen after it."""
+        lines = [
+            config("entry", 20.0, 7),
+            config("entry", 26.0, 8),
+            refused(27.0),
+            config("agent", 20.0, 7),
+            order(24.0),
+            config("agent", 1.5, 8, clock=1024.5),
+            order(2.0, clock=1024.5, expected=2),
+        ]
+        story = tell(lines, "r-1")
+        found = [step.at_s for step in story.steps if step.line["event"] == "order"]
+        self.assertEqual(found, [-3.0, -0.5])
+
+    def test_time_counts_from_the_arrival_not_from_the_refusal(self):
+        story = tell([refused(5.0, held_ms=800)], "r-1")
+        self.assertEqual(story.steps[-1].at_s, 0.8)
+
+    def test_other_calls_lost_at_the_same_backend_server_are_shown(self):
+        lost = {"request": "r-1", "backend": "b1", "detail": "reset"}
+        other = {"request": "r-2", "backend": "b1", "detail": "reset"}
+        lines = [
+            line("entry", 5.0, "answer_lost", **lost),
+            line("other", 5.0, "answer_lost", **other),
+            line("other", 5.1, "answer_lost", **{**other, "backend": "b2"}),
+        ]
+        story = tell(lines, "r-1")
+        self.assertEqual([step.own for step in story.steps], [True, False])
