--- a/tests/adapter/common/fleet.py
+++ b/tests/adapter/common/fleet.py
@@ -158,9 +158,10 @@
         headers = {
             "Host": HOST,
             "X-Request-Attempt": attempt,
-            "X-Model": model,
             "X-Deadline-Ms": "12000",
         }
+        if model:
+            headers["X-Model"] = model
         url = f"http://{entry.form['listen']['front']}{path}"
         async with self.session.post(url, headers=headers, data=b"b") as response:
             return response.status, await response.read()
