A fault soak of the real programs, and hang-ups that come during a start

Settings that change twice in a row, or while a process starts, ended it. Ruled out: ignoring hang-ups until then; a change of settings that came after the file was read would be lost. Change: the launcher notes hang-ups before it imports anything heavy, and the application reads the settings again once its own handler stands. The first moments of the interpreter itself remain. Checked from what callers, replicas and logs see: at most one run, true refusals, whole and own answers, final answers in time, planned work that costs nothing, memory, leaving replicas, versions that never go back, service soon after the last fault. Clocks aren't stepped: the programs use the time of day for the log's time only.

--- a/packages/bambootiller/src/bambootiller/app.py
+++ b/packages/bambootiller/src/bambootiller/app.py
@@ -25,7 +25,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
-from bambootiller import logs
+from bambootiller import early_signals, logs
 from bambootiller.catalogue import Catalogue
 from bambootiller.exits import ProcessExit
 from bambootiller.metrics import Metrics
@@ -189,6 +189,8 @@
             loop.add_signal_handler(signum, self.request_stop)
         # Left alone, a hang-up ends the process, and with it every call under way.
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        if early_signals.hangup_came():
+            self._reload()
 
     def _reload(self) -> None:
         log.info("reload asked for; {} parts take it up", len(self._reloads))
--- a/tests/adapter/common/fleet.py
+++ b/tests/adapter/common/fleet.py
@@ -34,13 +34,13 @@
         return sock.getsockname()[1]
 
 
-async def until(condition, what):
+async def until(condition, what, pause_s=0.05):
     """Wait until ``await condition()`` is true."""
     end = asyncio.get_running_loop().time() + WAIT_S
     while not await condition():
         if asyncio.get_running_loop().time() > end:
             raise AssertionError(f"{what}: not within {WAIT_S} s")
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(pause_s)
 
 
 @dataclass
--- a/tests/adapter/failures/test_processes.py
+++ b/tests/adapter/failures/test_processes.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import unittest
+from pathlib import Path
 
 from bambootiller_platform_standins.store import Trouble
 
@@ -166,6 +167,32 @@
             status, _ = await fleet.call(entry, MODEL_NAME)
             self.assertEqual(status, 200)
 
+    async def test_a_hangup_during_a_start_ends_nothing_either(self):
+        """Symptom: a process ends by itself when settings change as it starts.
+
+        The hang-up comes while the libraries are being loaded. The handler is
+        installed after that, and without one a hang-up ends a process.
+        """
+        async with Fleet() as fleet:
+            fleet.configure()
+            await fleet.replica("127.0.0.2", "i-1", "llm", (MODEL_NAME,))
+            entry = await fleet.entry("e1")
+            maps = Path(f"/proc/{entry.process.pid}/maps")
+
+            async def loading():
+                return "pydantic" in maps.read_text()
+
+            await until(loading, "the libraries are being loaded", pause_s=0.001)
+            self.assertEqual(entry.events("started"), [])
+            entry.process.send_signal(signal.SIGHUP)
+
+            async def reloaded():
+                return bool(entry.events("reloaded"))
+
+            await until(reloaded, "the settings are read again")
+            await fleet.wait_ready(entry)
+            self.assertIsNone(entry.process.returncode)
+
     async def test_a_planned_stop_cuts_no_stream(self):
         async with Fleet() as fleet:
             fleet.configure()
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,107 @@
+"""The promises, checked on what callers, replicas and logs saw."""
+
+from collections import Counter
+
+from tests.soak.world import EVENTS, TIMEOUT_S
+
+#: Statuses that promise that the call hasn't run.
+NOT_RUN = (429, 503)
+#: A final answer may come so much after the route's time: the machine is shared.
+SLACK_S = 1.0
+#: A replica that leaves may get work for so long: its word has to reach the entries.
+LEAVING_S = 3.0
+#: Faults count for a call if they ended no longer before it: connections made while a
+#: path was injured may be lost later. Seconds.
+AFTERMATH_S = 3.0
+
+
+def check(world, clients, injuries):
+    """All promises; returns what was broken, in words."""
+    attempts = [attempt for client in clients for attempt in client.attempts]
+    broken = list(world.ended)
+    broken += _runs(world, attempts)
+    broken += _answers(attempts)
+    broken += _waits(attempts, injuries)
+    broken += _planned(attempts, injuries)
+    broken += _replicas(world)
+    broken += _configs(world)
+    return broken
+
+
+def _runs(world, attempts):
+    runs = Counter(
+        run.headers.get("x-request-attempt")
+        for replica in world.all_replicas()
+        for run in replica.runs
+    )
+    for attempt in attempts:
+        count = runs[attempt.id]
+        if attempt.kind == "unsafe" and count > 1:
+            yield f"{attempt.id}: not idempotent, ran {count} times"
+        if attempt.status in NOT_RUN and attempt.kind != "safe" and count:
+            yield f"{attempt.id}: {attempt.status} says it hasn't run, ran {count}"
+        if attempt.status == 200 and not attempt.error and not count:
+            yield f"{attempt.id}: answered, but nobody ran it"
+
+
+def _answers(attempts):
+    for attempt in attempts:
+        if attempt.status != 200 or attempt.error:
+            continue
+        own = attempt.id.encode()
+        if attempt.kind != "stream":
+            if attempt.body != own:
+                yield f"{attempt.id}: got {attempt.body[:80]!r}"
+            continue
+        events = [
+            b"id: %d\ndata: %s\n\n" % (number, own) for number in range(1, EVENTS + 1)
+        ]
+        if attempt.body != b"".join(events):
+            yield f"{attempt.id}: looks whole, got {attempt.body[-120:]!r}"
+
+
+def _waits(attempts, injuries):
+    for attempt in attempts:
+        waited = attempt.ended_at - attempt.sent_at
+        halted = _excuses(attempt, injuries, ("pause", "kill", "stop"), attempt.entry)
+        if waited > TIMEOUT_S + SLACK_S and not halted:
+            yield f"{attempt.id}: its final answer took {waited:.1f} s"
+
+
+def _planned(attempts, injuries):
+    """With only planned work about, no call that was taken may lose its answer."""
+    unplanned = [injury for injury in injuries if not injury.planned]
+    for attempt in attempts:
+        lost = attempt.error or attempt.status in (502, 504)
+        if not lost or "Cannot connect" in str(attempt.error):
+            continue
+        if not _excuses(attempt, unplanned):
+            yield f"{attempt.id}: planned work cost its answer: {attempt.error}"
+
+
+def _excuses(attempt, injuries, names=None, on=None):
+    return any(
+        injury.began <= attempt.ended_at
+        and injury.ended + AFTERMATH_S >= attempt.sent_at
+        and (names is None or injury.name in names)
+        and (on is None or injury.on == on)
+        for injury in injuries
+    )
+
+
+def _replicas(world):
+    for replica in world.all_replicas():
+        for text in replica.overfull:
+            yield f"{replica.instance}: memory overcommitted: {text}"
+        if replica.left_at is None:
+            continue
+        late = [at for at in replica.run_times if at > replica.left_at + LEAVING_S]
+        if late:
+            yield f"{replica.instance}: {len(late)} calls after it said it leaves"
+
+
+def _configs(world):
+    for program in world._programs:
+        taken = [line["config_version"] for line in program.events("config_in_force")]
+        if taken != sorted(taken):
+            yield f"{program.form['node-name']}: versions in force went {taken}"
