Take an engine for lost when it and its agent are silent

Ruled out: trusting the agent's silence alone (its process may be killed while the engine serves); trusting the engine's silence alone (a batch may be long). Change: an engine whose agent has been silent for 1.5 s and that a call couldn't reach, or met silence at, is lost for 3 s or until its agent speaks: no calls go there, calls that hang there are given up with their final answer, and the plan loads its models elsewhere. Also: `peer_heard` is logged when a stream first brings something, no longer when it ends.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -15,6 +15,10 @@
 #: An agent that hasn't been heard for so long takes no orders, as far as an entry
 #: knows. Agents speak at least every half second. Seconds.
 AGENT_SILENT_S = 1.5
+#: An engine that could not be reached is taken for lost for so long, while its agent
+#: is silent too; then somebody tries again. Seconds; longer than a registration takes
+#: to lapse would be of no use.
+LOST_S = 3.0
 #: Load figures older than this tell nothing. Seconds.
 FIGURES_LIFE_S = 1.0
 #: For how long a backend server isn't asked again for what it has denied to hold.
@@ -87,6 +91,7 @@
     in_flight: int = 0
     in_flight_by_model: dict[str, int] = field(default_factory=dict)
     missing_since: float | None = None
+    unreached_at: float = float("-inf")
     denied: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -124,6 +129,22 @@
         """Whether the agent has spoken lately."""
         return self.engine is not None and now - self.heard_at < AGENT_SILENT_S
 
+    def unreached(self, now: float) -> None:
+        """No connection was made to it, or a call there met silence."""
+        self.unreached_at = now
+
+    def lost(self, now: float) -> bool:
+        """Whether the engine is gone or cut off, as far as an entry can tell.
+
+        The registry says so only some seconds later. Until then calls would be sent
+        there one after the other, and models that nobody else holds would count as
+        held, so that nobody loads them. Silence of the agent alone doesn't tell: its
+        process may have ended while the engine works on. Nor does silence of the
+        engine alone, which may be busy.
+        """
+        had_agent = self.engine is not None and not self.agent_heard(now)
+        return had_agent and now - self.unreached_at < LOST_S
+
     def takes_orders(self, now: float) -> bool:
         """Whether a load can be ordered here."""
         if self.registered.leaving or not self.agent_heard(now):
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines.py
@@ -292,7 +292,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerSilent(LogLine):
-    """The stream to another process has ended, or never brought anything."""
+    """The stream to another process has ended or brings nothing any more."""
 
     event: ClassVar[str] = "peer_silent"
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -163,7 +163,11 @@
         it as well. Models that no engine has a copy of are fetched even if nobody asks
         for them yet, behind all others.
         """
-        known = [backend for backend in backends if backend.engine is not None]
+        known = [
+            backend
+            for backend in backends
+            if backend.engine is not None and not backend.lost(now)
+        ]
         places = [
             self._place(backend) for backend in known if backend.takes_orders(now)
         ]
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -104,14 +104,11 @@
     async def keep_open(self, address: str, fill: Fill, received: Received) -> None:
         """Keep a stream to ``address`` open until cancelled."""
         pause = REOPEN_S
-        heard = False
         try:
             while True:
                 lived = await self._once(address, fill, received)
-                if lived != heard:
-                    line = PeerHeard if lived else PeerSilent
-                    self._events.emit(line(address))
-                heard = lived
+                if lived:
+                    self._events.emit(PeerSilent(address))
                 pause = REOPEN_S if lived else min(pause * 2, REOPEN_MAX_S)
                 await asyncio.sleep(pause)
         finally:
@@ -144,7 +141,9 @@
                     update = await call.read()
                 if update is grpc.aio.EOF:
                     return heard
-                heard = True
+                if not heard:
+                    heard = True
+                    self._events.emit(PeerHeard(address))
                 self._take(update, received)
         except (grpc.aio.AioRpcError, TimeoutError):
             return heard
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -65,7 +65,9 @@
         ]
 
     def _in_service(self) -> list[Backend]:
-        return self._relays.knowledge.fleet.of_service(self._call.service)
+        fleet, now = self._relays.knowledge.fleet, self._relays.clock()
+        backends = fleet.of_service(self._call.service)
+        return [backend for backend in backends if not backend.lost(now)]
 
     def _choose(self, candidates: list[Backend]) -> Backend | None:
         relays = self._relays
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -112,6 +112,7 @@
         try:
             conn = await pool.acquire(now, self._call.deadline - now)
         except CannotConnect as exc:
+            backend.unreached(relays.clock())
             self._service.health.unreachable(relays.clock(), backend.instance)
             relays.review_health(self._call.service, backend.instance)
             self.report.cannot_connect(backend, str(exc))
@@ -157,7 +158,7 @@
         headers.append(relays.dialect.time_left(call.deadline - began))
         conn.send(self._request_head(backend, headers), self._body)
         patience = self._silence_s(began)
-        head = await self._within(patience, lambda: conn.head(self._is_stray))
+        head = await self._within(backend, patience, lambda: conn.head(self._is_stray))
         verdict = relays.dialect.judge(call, head)
         health = self._service.health
         if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
@@ -166,7 +167,7 @@
                 backend.denies(relays.clock(), call.ask.model, call.ask.adapter)
             health.failed(relays.clock(), backend.instance)
             relays.review_health(call.service, backend.instance)
-            await self._within(patience, lambda: _read_all(conn))
+            await self._within(backend, patience, lambda: _read_all(conn))
             return Ended.REFUSED
         if verdict is Verdict.USELESS:
             raise ConnectionLost(f"useless answer of status {head.status}", False, True)
@@ -191,10 +192,13 @@
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
     async def _within(
-        self, seconds: float | None, wait: Callable[[], Awaitable[Any]]
+        self,
+        backend: Backend,
+        seconds: float | None,
+        wait: Callable[[], Awaitable[Any]],
     ) -> Any:
         """Await ``wait()``; silence of ``seconds`` counts as a lost answer, but only
-        while there is another backend server to turn to."""
+        while there is another backend server to turn to, or if this one is lost."""
         if seconds is None:
             return await wait()
         while True:
@@ -205,7 +209,9 @@
                 async with asyncio.timeout(seconds):
                     return await wait()
             except TimeoutError as exc:
-                if self._placing.has_alternative():
+                now = self._relays.clock()
+                backend.unreached(now)
+                if self._placing.has_alternative() or backend.lost(now):
                     detail = f"silent for {seconds:.2f} s"
                     raise ConnectionLost(detail, False, False) from exc
 
@@ -254,7 +260,7 @@
         silence = self._silence_s(began)
         first = True
         while True:
-            data = await self._within(silence, conn.chunk)
+            data = await self._within(backend, silence, conn.chunk)
             if data is None:
                 break
             events = splitter.feed(data)
--- a/tests/adapter/failures/test_calls.py
+++ b/tests/adapter/failures/test_calls.py
@@ -7,6 +7,7 @@
 from bambootiller_platform_standins.replica import StandinReplica
 
 from tests.adapter.common.entry import MODEL_NAME, Bench
+from tests.gateway.common import samples
 
 
 class Case(unittest.IsolatedAsyncioTestCase):
@@ -362,6 +363,22 @@
         self.assertEqual(answer.status, 200)
         self.assertTrue(answer.whole)
 
+    async def test_a_call_is_given_up_if_its_engine_has_gone_with_its_agent(self):
+        """Symptom: callers are held until they leave, by an instance without power.
+
+        Its engine is the only one that holds the model, so there is nowhere to turn to;
+        but nothing will come of waiting either.
+        """
+        replica = await self.llm()
+        replica.next_replies = [lambda req: Reply(silent=True)]
+        loop = asyncio.get_running_loop()
+        state = samples.engine_state("i-1", (MODEL_NAME,))
+        self.bench.knowledge.fleet.engine_told(loop.time() - 2.0, state)
+        began = loop.time()
+        answer = await self.bench.call(path=b"/a/x", x_model=MODEL_NAME)
+        self.assertEqual(answer.status, 502)
+        self.assertLess(loop.time() - began, 1.5)
+
     async def test_with_another_holder_the_call_goes_there(self):
         replicas = [await self.llm("i-1"), await self.llm("i-2")]
         silent = []
--- a/tests/gateway/cover/test_fleet.py
+++ b/tests/gateway/cover/test_fleet.py
@@ -92,6 +92,23 @@
         self.assertEqual(backend.occupied(1.5), 9)
         self.assertEqual(backend.occupied(60.0), 0)
 
+    def test_an_engine_that_is_silent_and_whose_agent_is_too_is_lost(self):
+        """Symptom: for seconds after an instance's power loss its models are asked of
+        it, and nobody loads them elsewhere.
+
+        Engine and agent are gone together. The registry drops the engine only when its
+        registration lapses.
+        """
+        backend = samples.backend("b1", 0.0, samples.engine_state("b1", ("tutor",)))
+        backend.unreached(1.0)
+        self.assertFalse(backend.lost(1.0), "its agent spoke a second ago")
+        self.assertTrue(backend.lost(2.0))
+        self.assertFalse(backend.lost(5.0), "somebody has to try again")
+
+    def test_an_engine_whose_agent_alone_is_silent_is_not_lost(self):
+        backend = samples.backend("b1", 0.0, samples.engine_state("b1", ("tutor",)))
+        self.assertFalse(backend.lost(60.0))
+
     def test_an_unlisted_instance_is_not_made_up(self):
         state = samples.engine_state("b9", ["tutor"])
         self.assertFalse(self.fleet.engine_told(1.0, state))
--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -87,6 +87,16 @@
         load = self.plan(backends, tutor=Want(9.0, 0))["tutor"]
         self.assertEqual(load.instance, "b2")
 
+    def test_a_model_that_only_a_lost_engine_holds_is_loaded_elsewhere(self):
+        lost = engine_backend("b1", ("tutor",))
+        lost.heard_at = NOW - 2.0
+        backends = [lost, engine_backend("b2")]
+        wants = {"tutor": Want(2.0, 3), "poet": Want(90.0)}
+        self.assertNotIn("tutor", self.plan(backends, **wants))
+        lost.unreached(NOW - 0.1)
+        load = self.plan(backends, **wants)["tutor"]
+        self.assertEqual((load.instance, load.ask_now), ("b2", True))
+
     def test_an_engine_whose_agent_is_silent_gets_no_load(self):
         backend = engine_backend("b1")
         backend.heard_at = NOW - 60
