Two agents collect the demand of all entries, instead of all agents

Each carried the demand for all models in both directions, and an agent summed up what 32 entries say anew for each of its 32 streams, 5 ms each with 60 models. Ruled out: fewer heartbeats (silence of 1.5 s has to show); entries that tell each other (another mesh of the same size); leaving totals out (the one entry that sees to a load has to know of the others' calls). Change: bambootiller_core.gateway.collecting: each entry tells its whole demand to two agents of a service, chosen by rendezvous hashing among those it hears, and hears the sum from them; the others hear of the models that their engine holds or loads. The demand of all comes with the wish for a load. What an agent says is made once for all streams, a wish wakes only its own stream, and the plan is made every 50 ms only while calls wait, else every 250.

--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
@@ -0,0 +1,89 @@
+"""How the demand of all entries becomes known to each, without all telling all.
+
+With dozens of entries and engines there are a thousand streams. If each carried the
+demand for every model in both directions, the small instances would do nothing but read
+it. So two agents of a service collect the whole demand and tell the sum; the others
+hear only of the models that concern their own engine.
+
+Measured with 32 entries and 30 agents, all demand on all streams took 0.19 cores an
+entry, 0.23 an agent and 16 MB a second between them.
+
+Entries choose the collectors by themselves, from the agents that they hear. Where they
+disagree for a moment, the sums are too small for that moment; then loads come later
+than they could, and no promise depends on it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from bambootiller_core import rendezvous
+from bambootiller_core.gateway.fleet import AGENT_SILENT_S, EngineState
+from bambootiller_core.gateway.residency import Want
+
+#: One would do; the second is there when the first is lost.
+COLLECTORS = 2
+
+
+def collectors(service: str, hosts: Iterable[str]) -> list[str]:
+    """The hosts whose agents collect the demand for the service.
+
+    >>> collectors("tutor", ["10.0.0.1"])
+    ['10.0.0.1']
+    """
+    return rendezvous.ranked(f"collector of {service}", hosts)[:COLLECTORS]
+
+
+def concerning(wants: Mapping[str, Want], state: EngineState | None) -> dict[str, Want]:
+    """The part of the demand that one agent decides on: of the models that its engine
+    holds or loads. With the wish for a load comes the demand for that model."""
+    if state is None:
+        return {}
+    names = set(state.holdings)
+    if state.loading is not None:
+        names.add(state.loading.model)
+    return {name: wants[name] for name in names if name in wants}
+
+
+class Totals:
+    """What the collectors told last, by service.
+
+    Example::
+
+        totals.told(now, "tutor", "10.0.0.1", wants)
+        wants = totals.of(now, "tutor")
+    """
+
+    def __init__(self) -> None:
+        self._told: dict[str, dict[str, tuple[float, Mapping[str, Want]]]] = {}
+
+    def told(
+        self, now: float, service: str, host: str, wants: Mapping[str, Want]
+    ) -> None:
+        """Take over the sum that the collector on ``host`` tells."""
+        self._told.setdefault(service, {})[host] = (now, wants)
+
+    def of(self, now: float, service: str) -> dict[str, Want]:
+        """The demand for each model by the collector that knows of more."""
+        told = self._told.get(service, {})
+        for host, (at, _) in list(told.items()):
+            if now - at > AGENT_SILENT_S:
+                del told[host]
+        merged: dict[str, Want] = {}
+        for _, wants in told.values():
+            merged = greater(merged, wants)
+        return merged
+
+
+def greater(first: Mapping[str, Want], second: Mapping[str, Want]) -> dict[str, Want]:
+    """For each model the greater demand of the two."""
+    merged = dict(first)
+    for model, want in second.items():
+        held = merged.get(model, want)
+        merged[model] = Want(
+            max(want.rate, held.rate),
+            max(want.waiting, held.waiting),
+            want.holders,
+            max(want.oldest_s, held.oldest_s),
+        )
+    return merged
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -50,6 +50,11 @@
         if not times:
             del self._waiting[model]
 
+    @property
+    def anyone_waits(self) -> bool:
+        """Whether a call waits for a model now."""
+        return bool(self._waiting)
+
     def refused(self, now: float, model: str) -> None:
         """A call was refused because the model isn't there in time."""
         self._refused.setdefault(model, deque()).append(now)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from bambootiller_core.gateway.collecting import greater
 from bambootiller_core.gateway.order_messages import Wish
 from bambootiller_core.gateway.residency import Want
 
@@ -47,9 +48,12 @@
         self._entries: dict[str, _EntryUse] = {}
         self._used_at: dict[tuple[str, str], float] = {}
         self._loaded_at: dict[str, float] = {}
+        #: The sum over all entries; None once one of them has spoken since.
+        self._wants: dict[str, Want] | None = None
 
     def wished(self, now: float, wish: Wish) -> None:
         """An entry has calls that need the model or adapter."""
+        self._wants = None
         self._wishes[(wish.model, wish.adapter)] = (wish, now)
         self._used_at[(wish.model, wish.adapter)] = now
 
@@ -61,6 +65,7 @@
         in_use: Mapping[str, int],
     ) -> None:
         """An entry's demand over all engines, and its calls here, by model."""
+        self._wants = None
         self._entries[entry] = _EntryUse(now, wants, in_use)
 
     def loaded(self, now: float, model: str) -> None:
@@ -71,9 +76,11 @@
         """Drop what is too old to count."""
         for key, (_, at) in list(self._wishes.items()):
             if now - at > WISH_LIFE_S:
+                self._wants = None
                 del self._wishes[key]
         for entry, use in list(self._entries.items()):
             if now - use.heard_at > USE_LIFE_S:
+                self._wants = None
                 del self._entries[entry]
 
     def wishes(self) -> list[Wish]:
@@ -87,7 +94,13 @@
         return wishes
 
     def wants(self) -> dict[str, Want]:
-        """The demand of all entries together."""
+        """The demand of all entries together, by what they say here, or by what the
+        one that asks for a load knows from the collectors if that is more."""
+        if self._wants is None:
+            self._wants = self._sum()
+        return self._wants
+
+    def _sum(self) -> dict[str, Want]:
         merged: dict[str, Want] = {}
         for use in self._entries.values():
             for model, want in use.wants.items():
@@ -98,7 +111,8 @@
                     max(held.holders, want.holders),
                     max(held.oldest_s, want.oldest_s),
                 )
-        return merged
+        wished = {wish.model: wish.want for wish, _ in self._wishes.values()}
+        return greater(merged, wished)
 
     def in_use(self) -> dict[str, int]:
         """The calls of all entries at this engine, by model and MODEL/ADAPTER."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_messages.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_messages.py
@@ -6,6 +6,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from bambootiller_core.gateway.residency import Want
+
 
 class OrderKind(enum.Enum):
     """What an engine is told to do."""
@@ -67,11 +69,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Wish:
-    """A model, or an adapter of one, that an entry has calls for; 0 is most urgent."""
+    """A model, or an adapter of one, that an entry has calls for; 0 is most urgent.
+    ``want`` is the demand of all entries for the model, as the one that asks knows
+    it."""
 
     model: str
     adapter: str = ""
     urgency: int = 0
+    want: Want = Want()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -18,6 +18,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
+from bambootiller_core.gateway.collecting import greater
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
 from bambootiller_core.gateway.fleet import EngineState, Loading
 from bambootiller_core.gateway.order_demand import EntriesSay
@@ -309,7 +310,7 @@
             return self._order(OrderKind.LOAD, wish.model, "")
         wants = self.wants()
         in_use = self._say.in_use()
-        incoming = wants.get(wish.model, Want())
+        incoming = greater(wants, {wish.model: wish.want})[wish.model]
         if wish.urgency > WAITED_FOR:
             incoming = replace(incoming, waiting=0)
         elif not incoming.waiting:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -132,15 +132,15 @@
     return spec.load_s, True
 
 
-def has_copy(name: str, backend: Backend) -> bool:
-    """Whether the engine holds the model or a copy of its weights."""
+def copies_at(backend: Backend) -> set[str]:
+    """The models that the engine holds, loads, or has copies of."""
     state = backend.engine
-    if name in backend.holdings:
-        return True
-    if state is None:
-        return False
-    loading = state.loading is not None and state.loading.model == name
-    return loading or name in state.in_memory or name in state.on_disk
+    names = set(backend.holdings)
+    if state is not None:
+        names |= state.in_memory | state.on_disk
+        if state.loading is not None:
+            names.add(state.loading.model)
+    return names
 
 
 class Planner:
@@ -206,9 +206,7 @@
         holders = {name: 0 for name in self._engine.models}
         copied = set()
         for backend in known:
-            for name in self._engine.models:
-                if has_copy(name, backend):
-                    copied.add(name)
+            copied |= copies_at(backend)
             for name in backend.holdings:
                 if name in holders:
                     holders[name] += 1
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -32,6 +32,9 @@
 TOKEN_RETRY_S = 0.5
 #: Entries heard within this time count. Seconds.
 ENTRY_HEARD_S = 3.0
+#: For so long all entries are told the same, unless something they decide on changes.
+#: Seconds; far below the time between two messages on one stream.
+SAID_S = 0.05
 #: Where holders of fencing tokens are written.
 HOLDERS_PREFIX = "bambootiller/holders/"
 
@@ -69,6 +72,9 @@
         self._wake = asyncio.Event()
         self._told: EngineState | None = None
         self._entries: dict[str, float] = {}
+        self._collected_for: set[str] = set()
+        self._saying: Update | None = None
+        self._said_at = float("-inf")
         self._silent_since: float | None = None
         self._reported_at = 0.0
         self._add_levels(meters)
@@ -276,20 +282,44 @@
         told = self._told
         if told is None or _differs(told, state):
             self._told = state
+            self._saying = None
             self._exchanger.poke()
 
-    def _fill(self, update: Update) -> None:
+    def _fill(self, update: Update, peer: str) -> None:
         now = self._app.now()
+        self._forget_entries(now)
+        update.entries.extend(sorted(self._entries))
+        said = self._said(now)
+        if said is None:
+            return
+        update.engine.CopyFrom(said.engine)
+        if peer in self._collected_for:
+            update.total_demand.extend(said.total_demand)
+
+    def _said(self, now: float) -> Update | None:
+        """What all entries are told, made once for all streams.
+
+        A change goes out on all of them in the same moment. Made for each, with 32
+        entries that took 5 ms a stream, 0.2 of a core.
+        """
+        if self._saying is not None and now - self._said_at < SAID_S:
+            return self._saying
+        state = self._book.state(now) if self._book is not None else None
+        if state is None:
+            return None
+        saying = Update(engine=wire.engine_message(state))
+        saying.engine.orderable = state.orderable and self._token is not None
+        if self._collected_for:
+            saying.total_demand.extend(wire.demand_messages(self._book.wants()))
+        self._saying, self._said_at = saying, now
+        return saying
+
+    def _forget_entries(self, now: float) -> None:
         for entry, at in list(self._entries.items()):
             if now - at > ENTRY_HEARD_S:
                 del self._entries[entry]
+                self._collected_for.discard(entry)
                 self._events.emit(lines.EntryHeard(entry, heard=False))
-        update.entries.extend(sorted(self._entries))
-        state = self._book.state(now) if self._book is not None else None
-        if state is not None:
-            update.engine.CopyFrom(wire.engine_message(state))
-            update.total_demand.extend(wire.demand_messages(self._book.wants()))
-            update.engine.orderable = state.orderable and self._token is not None
 
     def _received(self, update: Update) -> None:
         if self._book is None or not update.HasField("entry"):
@@ -298,6 +328,10 @@
         if update.sender not in self._entries:
             self._events.emit(lines.EntryHeard(update.sender, heard=True))
         self._entries[update.sender] = now
+        if update.entry.collect:
+            self._collected_for.add(update.sender)
+        else:
+            self._collected_for.discard(update.sender)
         wants = wire.wants_of(update.entry.demand)
         in_use = dict(update.entry.in_use)
         self._book.entry_told(now, update.sender, wants, in_use)
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -10,7 +10,14 @@
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.exchange import Exchanger, Update
 from bambootiller.gateway.knowledge import Knowledge
+from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core import rendezvous
+from bambootiller_core.gateway.collecting import (
+    Totals,
+    collectors,
+    concerning,
+    greater,
+)
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.log_lines import BackendRemoved
@@ -19,6 +26,8 @@
 
 #: How often the plan of loads is made anew. Seconds.
 PLAN_S = 0.05
+#: How often it is made while no call waits. Seconds.
+IDLE_PLAN_S = 0.25
 #: How often streams to agents are opened for new engines, and closed for gone ones.
 #: Seconds.
 REVIEW_S = 0.25
@@ -59,8 +68,11 @@
         self._demand: dict[str, Demand] = {}
         self._plans: dict[str, dict[str, PlannedLoad]] = {}
         self.entries: tuple[str, ...] = ()
-        self._totals: dict[str, dict[str, Want]] = {}
+        self._totals = Totals()
+        self._collectors: dict[str, list[str]] = {}
         self._planned_for: dict[str, dict[str, Want]] = {}
+        self._own: dict[str, dict[str, Want]] = {}
+        self._planned_at = float("-inf")
 
     def start(self) -> None:
         """Begin to review and to plan."""
@@ -82,7 +94,7 @@
 
     def replan(self) -> None:
         """Make the plan now, because a call has come that it doesn't know of."""
-        self._plan(self._app.now())
+        self._plan_all(self._app.now())
 
     def wish(self, backend: Backend, wish: Wish) -> bool:
         """Ask the agent beside the engine for a load; False if there is none."""
@@ -90,7 +102,7 @@
         if link is None:
             return False
         link.wishes[(wish.model, wish.adapter)] = wish
-        self._exchanger.poke()
+        self._exchanger.poke_at(self._address(backend.registered.host))
         return True
 
     def stream_count(self) -> int:
@@ -121,11 +133,25 @@
             if host not in self._links:
                 self._open(host, backend)
             self._links[host].instance = backend.instance
+        self._choose_collectors(now, wanted)
+
+    def _choose_collectors(self, now: float, wanted: dict[str, Backend]) -> None:
+        heard: dict[str, list[str]] = {}
+        for host, backend in wanted.items():
+            if backend.agent_heard(now):
+                heard.setdefault(backend.registered.service, []).append(host)
+        self._collectors = {
+            service: collectors(service, hosts) for service, hosts in heard.items()
+        }
+
+    def _address(self, host: str) -> str:
+        return f"{host}:{self._agent_port}"
 
     def _open(self, host: str, backend: Backend) -> None:
-        address = f"{host}:{self._agent_port}"
         stream = self._exchanger.keep_open(
-            address, lambda update: self._fill(host, update), self.received
+            self._address(host),
+            lambda update, peer: self._fill(host, update),
+            self.received,
         )
         task = asyncio.get_running_loop().create_task(stream)
         self._links[host] = _Link(task, backend.instance)
@@ -137,13 +163,22 @@
         backend = self._knowledge.fleet.get(link.instance)
         if backend is None:
             return
-        wants = self._wants(backend.registered.service)
-        in_use = backend.in_flight_by_model
-        update.entry.CopyFrom(wire.entry_message(wants, in_use))
+        update.entry.CopyFrom(self.figures_for(backend))
         for wish in link.wishes.values():
             wire.add_wish(update, wish)
         link.wishes.clear()
 
+    def figures_for(self, backend: Backend) -> pb.EntryFigures:
+        """What the agent beside the engine is told of this entry's calls."""
+        service, host = backend.registered.service, backend.registered.host
+        wants = self._own.get(service)
+        if wants is None:
+            wants = self._wants(service)
+        collect = host in self._collectors.get(service, ())
+        if not collect:
+            wants = concerning(wants, backend.engine)
+        return wire.entry_message(wants, backend.in_flight_by_model, collect)
+
     def received(self, update: Update) -> None:
         """Take over what the agent beside an engine says."""
         if not update.HasField("engine"):
@@ -151,10 +186,10 @@
         self.entries = tuple(update.entries)
         state = wire.engine_state(update.engine)
         backend = self._knowledge.fleet.get(state.instance)
-        if backend is not None:
-            # Agents know the demand for their own service only.
-            service = backend.registered.service
-            self._totals[service] = wire.wants_of(update.total_demand)
+        if backend is not None and update.total_demand:
+            service, host = backend.registered.service, backend.registered.host
+            wants = wire.wants_of(update.total_demand)
+            self._totals.told(self._app.now(), service, host, wants)
         if self._knowledge.fleet.engine_told(self._app.now(), state):
             self._knowledge.changed.notify()
 
@@ -166,20 +201,26 @@
         return self.demand(service).wants(self._app.now(), holders)
 
     def wants_of_all(self, service: str, own: dict[str, Want]) -> dict[str, Want]:
-        """The demand of all entries for the models of a service, as one of its agents
+        """The demand of all entries for the models of a service, as its collectors
         told it last, and not less than what this entry knows of its own."""
-        merged = dict(self._totals.get(service, {}))
-        for model, want in own.items():
-            total = merged.get(model, want)
-            merged[model] = Want(
-                max(want.rate, total.rate),
-                max(want.waiting, total.waiting),
-                want.holders,
-                max(want.oldest_s, total.oldest_s),
-            )
-        return merged
+        return greater(self._totals.of(self._app.now(), service), own)
 
     def _plan(self, now: float) -> None:
+        if now - self._planned_at < IDLE_PLAN_S and not self._any_waits():
+            return
+        self._plan_all(now)
+
+    def _any_waits(self) -> bool:
+        if any(demand.anyone_waits for demand in self._demand.values()):
+            return True
+        return any(
+            want.waiting
+            for wants in self._planned_for.values()
+            for want in wants.values()
+        )
+
+    def _plan_all(self, now: float) -> None:
+        self._planned_at = now
         config = self._knowledge.config
         if config is None:
             return
@@ -188,7 +229,7 @@
                 continue
             planner = Planner(service.engine)
             backends = self._knowledge.fleet.of_service(service.name)
-            wants = self._wants(service.name)
+            wants = self._own[service.name] = self._wants(service.name)
             wants_of_all = self.wants_of_all(service.name, wants)
             plan = planner.plan(now, backends, wants_of_all)
             self._plans[service.name] = plan
@@ -208,12 +249,12 @@
             if backend is None:
                 continue
             waiting = wants.get(load.model, Want()).waiting
-            total = wants_of_all.get(load.model, Want()).waiting
+            want = wants_of_all.get(load.model, Want())
             alone = waiting and not load.from_store
             if not alone and not self._sees_to(load.model):
                 continue
-            urgency = WAITED_FOR if waiting or total else AHEAD
-            self.wish(backend, Wish(load.model, "", urgency))
+            urgency = WAITED_FOR if waiting or want.waiting else AHEAD
+            self.wish(backend, Wish(load.model, "", urgency, want))
 
     def _sees_to(self, model: str) -> bool:
         """Whether this entry is the one to ask for a load from the weight store, or
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -165,7 +165,7 @@
         )
 
 
-def _nothing(update: Update) -> None:
+def _nothing(update: Update, peer: str) -> None:
     """Entries tell each other documents only."""
 
 
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -32,8 +32,9 @@
 GATHER_S = 0.003
 
 Update = pb.ResidencyUpdate
-#: Fills a message with what this side has to say beside documents.
-Fill = Callable[[Update], None]
+#: Fills a message to a peer with what this side has to say beside documents. The peer's
+#: name is empty as long as it hasn't spoken.
+Fill = Callable[[Update, str], None]
 Received = Callable[[Update], None]
 
 
@@ -44,6 +45,7 @@
         self._sender = sender
         self._documents: dict[str, Changed] = {}
         self._fill = fill
+        self.peer = ""
         self._wake = asyncio.Event()
         for change in knowledge.documents():
             self.document(change)
@@ -79,7 +81,7 @@
                 deleted=change.deleted,
             )
         self._documents.clear()
-        self._fill(update)
+        self._fill(update, self.peer)
         return update
 
 
@@ -94,6 +96,7 @@
         self._events = events
         self._channels = channels
         self._outgoing: set[Outgoing] = set()
+        self._kept: dict[str, Outgoing] = {}
         knowledge.on_document(self._document)
 
     def poke(self) -> None:
@@ -101,6 +104,12 @@
         for outgoing in self._outgoing:
             outgoing.poke()
 
+    def poke_at(self, address: str) -> None:
+        """There is something to tell the peer at ``address`` soon."""
+        outgoing = self._kept.get(address)
+        if outgoing is not None:
+            outgoing.poke()
+
     async def keep_open(self, address: str, fill: Fill, received: Received) -> None:
         """Keep a stream to ``address`` open until cancelled."""
         pause = REOPEN_S
@@ -120,7 +129,7 @@
         """The answers to a stream that a peer has opened."""
         outgoing = Outgoing(self._name, self._knowledge, fill)
         self._outgoing.add(outgoing)
-        reader = asyncio.create_task(self._read(requests, received))
+        reader = asyncio.create_task(self._read(requests, received, outgoing))
         try:
             async for update in outgoing.updates():
                 if reader.done():
@@ -133,6 +142,7 @@
     async def _once(self, address: str, fill: Fill, received: Received) -> bool:
         outgoing = Outgoing(self._name, self._knowledge, fill)
         self._outgoing.add(outgoing)
+        self._kept[address] = outgoing
         call = self._channels.residency(address).Exchange(outgoing.updates())
         heard = False
         try:
@@ -149,11 +159,18 @@
             return heard
         finally:
             self._outgoing.discard(outgoing)
+            self._kept.pop(address, None)
             call.cancel()
 
-    async def _read(self, requests: AsyncIterator[Update], received: Received) -> None:
+    async def _read(
+        self,
+        requests: AsyncIterator[Update],
+        received: Received,
+        outgoing: Outgoing,
+    ) -> None:
         try:
             async for update in requests:
+                outgoing.peer = update.sender
                 self._take(update, received)
         except (grpc.aio.AioRpcError, grpc.RpcError, asyncio.CancelledError):
             return
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -56,10 +56,10 @@
 
 
 def entry_message(
-    wants: Mapping[str, Want], in_use: Mapping[str, int]
+    wants: Mapping[str, Want], in_use: Mapping[str, int], collect: bool
 ) -> pb.EntryFigures:
     """What an entry says of its demand, and of its calls at one engine."""
-    message = pb.EntryFigures(in_use=in_use)
+    message = pb.EntryFigures(in_use=in_use, collect=collect)
     message.demand.extend(demand_messages(wants))
     return message
 
@@ -80,19 +80,24 @@
 
 def wants_of(messages: Iterable[pb.ModelDemand]) -> dict[str, Want]:
     """The same, received."""
-    return {
-        item.model: Want(
-            item.calls_per_s, item.waiting, item.holders, item.oldest_ms / 1000
-        )
-        for item in messages
-    }
+    return {item.model: _want(item) for item in messages}
+
+
+def _want(message: pb.ModelDemand) -> Want:
+    oldest_s = message.oldest_ms / 1000
+    return Want(message.calls_per_s, message.waiting, message.holders, oldest_s)
 
 
 def add_wish(update: pb.ResidencyUpdate, wish: Wish) -> None:
     """Put a wish into a message."""
-    update.wishes.add(model=wish.model, adapter=wish.adapter, urgency=wish.urgency)
+    message = update.wishes.add(
+        model=wish.model, adapter=wish.adapter, urgency=wish.urgency
+    )
+    if wish.want != Want():
+        message.demand.CopyFrom(demand_messages({wish.model: wish.want})[0])
 
 
 def wish_of(message: pb.ModelWish) -> Wish:
     """A wish received."""
-    return Wish(message.model, message.adapter, message.urgency)
+    want = _want(message.demand) if message.HasField("demand") else Want()
+    return Wish(message.model, message.adapter, message.urgency, want)
--- /dev/null
+++ b/tests/gateway/cover/test_collecting.py
@@ -0,0 +1,99 @@
+"""How the demand of all entries becomes known to each."""
+
+import unittest
+
+from bambootiller.gateway import wire
+from bambootiller.gateway.engines import Engines
+from bambootiller.rpc import bambootiller_pb2 as pb
+from bambootiller_core.gateway.collecting import Totals, collectors, concerning
+from bambootiller_core.gateway.fleet import Loading
+from bambootiller_core.gateway.order_demand import EntriesSay
+from bambootiller_core.gateway.order_messages import Wish
+from bambootiller_core.gateway.residency import Want
+from tests.gateway.common import samples
+from tests.gateway.failures.test_engines import App, Known
+
+HOSTS = [f"10.0.0.{number}" for number in range(30)]
+
+
+class TestCollectors(unittest.TestCase):
+    def test_all_entries_choose_the_same_few(self):
+        chosen = collectors("tutor", HOSTS)
+        self.assertEqual(len(chosen), 2)
+        self.assertEqual(chosen, collectors("tutor", reversed(HOSTS)))
+
+    def test_the_loss_of_one_moves_only_its_place(self):
+        first, second = collectors("tutor", HOSTS)
+        left = [host for host in HOSTS if host != first]
+        self.assertEqual(collectors("tutor", left)[0], second)
+
+
+class TestTotals(unittest.TestCase):
+    def test_the_collector_that_knows_of_more_counts(self):
+        totals = Totals()
+        totals.told(1.0, "tutor", "h1", {"poet": Want(3.0, 1)})
+        totals.told(1.0, "tutor", "h2", {"poet": Want(2.0, 4)})
+        self.assertEqual(totals.of(1.5, "tutor")["poet"], Want(3.0, 4))
+
+    def test_a_lost_collectors_word_is_forgotten(self):
+        """Symptom: a model that nobody asks for any more keeps an engine.
+
+        The agent that collected its demand was killed, and its last sum stays.
+        """
+        totals = Totals()
+        totals.told(1.0, "tutor", "h1", {"poet": Want(3.0, 1)})
+        totals.told(4.0, "tutor", "h2", {"critic": Want(1.0)})
+        self.assertEqual(list(totals.of(4.0, "tutor")), ["critic"])
+
+
+class TestConcerning(unittest.TestCase):
+    def test_an_agent_hears_of_what_its_engine_holds_or_loads(self):
+        loading = Loading("critic", 2.0, True)
+        state = samples.engine_state("b1", ("poet",), loading=loading)
+        wants = {name: Want(1.0) for name in ("poet", "critic", "clerk")}
+        self.assertEqual(sorted(concerning(wants, state)), ["critic", "poet"])
+
+    def test_without_its_word_it_hears_of_nothing(self):
+        self.assertEqual(concerning({"poet": Want(1.0)}, None), {})
+
+
+class TestWishes(unittest.TestCase):
+    def test_the_demand_of_all_comes_with_the_wish(self):
+        """Symptom: a model that all entries wait for doesn't make others go.
+
+        Its agent heard of the calls of the one entry that asks for the load, as the
+        others see that this one does.
+        """
+        update = pb.ResidencyUpdate()
+        wire.add_wish(update, Wish("poet", "", 0, Want(9.0, 30, 0, 1.5)))
+        wish = wire.wish_of(update.wishes[0])
+        say = EntriesSay()
+        say.told(1.0, "e1", {"poet": Want(0.5, 2)}, {})
+        say.wished(1.0, wish)
+        self.assertEqual(say.wants()["poet"], Want(9.0, 30, 0, 1.5))
+
+    def test_a_wish_without_demand_stays_without(self):
+        update = pb.ResidencyUpdate()
+        wire.add_wish(update, Wish("poet", "a1"))
+        self.assertEqual(wire.wish_of(update.wishes[0]), Wish("poet", "a1"))
+
+
+class TestSize(unittest.TestCase):
+    def test_a_message_does_not_grow_with_the_number_of_models(self):
+        """Symptom: with 32 entries and 30 agents the small instances read all day.
+
+        Each of the thousand streams carried the demand for all models, twice.
+        """
+        sizes = []
+        for count in (5, 500):
+            engines = Engines(App(), Known(), None, None, 7)
+            fleet = engines._knowledge.fleet
+            fleet.engine_told(10.0, samples.engine_state("b1", ("m0", "m1")))
+            for number in range(count):
+                engines.demand("tutor").asked(10.0, f"m{number}")
+            figures = engines.figures_for(fleet.get("b1"))
+            self.assertEqual(
+                sorted(item.model for item in figures.demand), ["m0", "m1"]
+            )
+            sizes.append(figures.ByteSize())
+        self.assertEqual(sizes[0], sizes[1])
