Learn how many loads the weight store serves at full speed

Cause: the number was a constant, 4, stated for two sites; settings don't tell it. On the grown sites the store serves one at full speed, so four at a time each take four times as long. Ruled out: a setting for it (the platform doesn't state it); writing what was learnt into the store (one more document for a figure that shows within one load). Change: StoreSpeed watches the loads that agents tell of. Loads overdue at two engines or more lower the estimate at once, as far as the delay explains; loads at full speed with more under way raise it. Planner takes it as an argument. Before: no estimate; the tests of test_store_speed fail to import.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -21,9 +21,6 @@
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
 from bambootiller_core.gateway.fleet import Backend
 
-#: Loads that the weight store serves at full speed; more at a time come no sooner and
-#: slow down the first. Stated by the first users for their sites of today.
-STORE_LOADS = 4
 #: A model that so many calls wait for needn't wait for a place at the store: demand has
 #: moved to it, and every second costs as many calls. That many loads more may begin.
 MANY_WAITING = 4
@@ -94,15 +91,9 @@
     UNASKED = 3
 
 
-#: At how many loads under way the next of each rank may still begin. A second copy
-#: keeps its engine from all other orders for seconds, so there is one such load at a
-#: time.
-_MOST_STORE_LOADS = {
-    _Rank.WAITED_FOR: STORE_LOADS,
-    _Rank.ASKED_FOR: STORE_LOADS,
-    _Rank.SECOND_COPY: 1,
-    _Rank.UNASKED: STORE_LOADS,
-}
+#: A second copy keeps its engine from all other orders for seconds, so there is one
+#: such load at a time.
+SECOND_COPY_LOADS = 1
 
 
 @dataclass(slots=True)
@@ -144,10 +135,15 @@
 
 
 class Planner:
-    """Plans the loads of one service of engines."""
+    """Plans the loads of one service of engines.
 
-    def __init__(self, engine: EngineSpec) -> None:
+    ``store_loads`` is how many loads the weight store serves at full speed; more at a
+    time come no sooner and slow down the first.
+    """
+
+    def __init__(self, engine: EngineSpec, store_loads: int) -> None:
         self._engine = engine
+        self._store_loads = store_loads
 
     def plan(
         self,
@@ -171,20 +167,22 @@
         places = [
             self._place(backend) for backend in known if backend.takes_orders(now)
         ]
-        plan = _under_way(known)
+        plan = _under_way(known, self._store_loads)
         store_loads = sum(1 for load in plan.values() if load.from_store)
         for spec, rank in self._in_order(known, wants, plan):
             option = self._best(spec, places, wants, now)
             if option is None:
                 continue
-            most = _MOST_STORE_LOADS[rank]
+            most = self._store_loads
+            if rank is _Rank.SECOND_COPY:
+                most = min(most, SECOND_COPY_LOADS)
             if wants.get(spec.name, Want()).waiting >= MANY_WAITING:
                 most += STORE_LOADS_URGENT
             waits_for_store = option.from_store and store_loads >= most
             ready = option.ready_in_s
             if waits_for_store:
                 queued = store_loads - most + 1
-                ready += spec.load_s * queued / STORE_LOADS
+                ready += spec.load_s * queued / self._store_loads
             starts_now = option.place.free_in_s <= 0 and option.place.planned == 0
             plan[spec.name] = PlannedLoad(
                 spec.name,
@@ -323,13 +321,13 @@
     return None
 
 
-def _under_way(known: list[Backend]) -> dict[str, PlannedLoad]:
+def _under_way(known: list[Backend], store_loads: int) -> dict[str, PlannedLoad]:
     found: dict[str, PlannedLoad] = {}
     loads = [backend.engine.loading for backend in known if backend.engine.loading]
     from_store = sum(1 for loading in loads if loading.from_store)
     # The store's speed is shared by all loads beyond those that it serves at full
     # speed.
-    stretch = max(1.0, from_store / STORE_LOADS)
+    stretch = max(1.0, from_store / store_loads)
     for backend in known:
         loading = backend.engine.loading
         if loading is not None:
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -23,6 +23,7 @@
 from bambootiller_core.gateway.log_lines import BackendRemoved
 from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
 from bambootiller_core.gateway.residency import PlannedLoad, Planner, Want
+from bambootiller_core.gateway.store_speed import StoreSpeed
 
 #: How often the plan of loads is made anew. Seconds.
 PLAN_S = 0.05
@@ -72,6 +73,7 @@
         self._collectors: dict[str, list[str]] = {}
         self._planned_for: dict[str, dict[str, Want]] = {}
         self._own: dict[str, dict[str, Want]] = {}
+        self._speeds: dict[str, StoreSpeed] = {}
         self._planned_at = float("-inf")
 
     def start(self) -> None:
@@ -105,6 +107,11 @@
         self._exchanger.poke_at(self._address(backend.registered.host))
         return True
 
+    def store_loads(self) -> float:
+        """The loads that the weight store is taken to serve at full speed, by the
+        slowest of the services."""
+        return min((speed.loads for speed in self._speeds.values()), default=0)
+
     def stream_count(self) -> int:
         """How many streams to agents are kept."""
         return len(self._links)
@@ -227,8 +234,10 @@
         for service in config.services.values():
             if service.engine is None:
                 continue
-            planner = Planner(service.engine)
             backends = self._knowledge.fleet.of_service(service.name)
+            speed = self._speeds.setdefault(service.name, StoreSpeed())
+            speed.observe(now, backends, service.engine)
+            planner = Planner(service.engine, speed.loads)
             wants = self._own[service.name] = self._wants(service.name)
             wants_of_all = self.wants_of_all(service.name, wants)
             plan = planner.plan(now, backends, wants_of_all)
--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -4,7 +4,6 @@
 
 from bambootiller_core.gateway.fleet import Loading
 from bambootiller_core.gateway.residency import (
-    STORE_LOADS,
     Planner,
     Want,
     choose_victims,
@@ -12,6 +11,7 @@
 from tests.gateway.common import samples
 
 NOW = 5.0
+STORE_LOADS = 4
 
 
 def engine_backend(instance, holdings=(), **fields):
@@ -27,7 +27,7 @@
         )
 
     def plan(self, backends, **wants):
-        return Planner(self.spec).plan(NOW, backends, wants)
+        return Planner(self.spec, STORE_LOADS).plan(NOW, backends, wants)
 
     def test_a_model_with_waiting_calls_is_asked_for_now(self):
         load = self.plan([engine_backend("b1")], tutor=Want(0.1, 1))["tutor"]
@@ -114,7 +114,7 @@
 class TestTurns(unittest.TestCase):
     def plan(self, **wants):
         spec = samples.engine(*(samples.model(name) for name in sorted(wants)))
-        return list(Planner(spec).plan(NOW, [engine_backend("b1")], wants))
+        return list(Planner(spec, STORE_LOADS).plan(NOW, [engine_backend("b1")], wants))
 
     def test_the_calls_that_have_waited_longest_are_served_first(self):
         """Symptom: calls are held for seconds and then refused after all.
--- /dev/null
+++ b/tests/gateway/cover/test_store_speed.py
@@ -0,0 +1,90 @@
+"""How many loads the weight store serves at full speed, learnt from the loads."""
+
+import unittest
+
+from bambootiller_core.gateway.fleet import Loading
+from bambootiller_core.gateway.residency import Planner, Want
+from bambootiller_core.gateway.store_speed import ASSUMED_LOADS, StoreSpeed
+from tests.gateway.common import samples
+
+STEP_S = 0.05
+LOAD_S = 6.0
+
+
+class Store:
+    """Loads that share a store which serves ``full`` of them at full speed."""
+
+    def __init__(self, full):
+        self.full = full
+        self.now = 0.0
+        self.speed = StoreSpeed()
+        self.left = {}
+        self.spec = samples.engine(samples.model("tutor"))
+
+    def run(self, seconds, at_once, frozen=()):
+        for _ in range(round(seconds / STEP_S)):
+            self.step(at_once, frozen)
+
+    def step(self, at_once, frozen):
+        for number in range(at_once):
+            self.left.setdefault(f"b{number}", LOAD_S)
+        pace = min(1.0, self.full / len(self.left)) * STEP_S
+        self.now += STEP_S
+        for name in list(self.left):
+            self.left[name] -= 0.0 if name in frozen else pace
+            if self.left[name] <= 0:
+                del self.left[name]
+        backends = []
+        for number in range(at_once):
+            name = f"b{number}"
+            loading = Loading("tutor", 1.0, True) if name in self.left else None
+            state = samples.engine_state(name, loading=loading)
+            backends.append(samples.backend(name, self.now, state, service="llm"))
+        self.speed.observe(self.now, backends, self.spec)
+
+
+class TestStoreSpeed(unittest.TestCase):
+    def test_at_full_speed_the_assumption_stays(self):
+        store = Store(full=4)
+        store.run(30.0, at_once=4)
+        self.assertEqual(store.speed.loads, ASSUMED_LOADS)
+
+    def test_a_store_for_one_is_found_out(self):
+        """Symptom: every cold start takes four times as long as the model's load time.
+
+        The store serves one load at full speed, and four are always under way.
+        """
+        store = Store(full=1)
+        store.run(4.1 * LOAD_S, at_once=4)
+        self.assertEqual(store.speed.loads, 1)
+
+    def test_it_shows_before_the_first_load_ends(self):
+        store = Store(full=1)
+        store.run(2.1 * LOAD_S, at_once=4)
+        self.assertLessEqual(store.speed.loads, 2)
+
+    def test_a_store_for_more_is_found_out_when_more_are_needed(self):
+        store = Store(full=8)
+        store.run(2 * LOAD_S, at_once=6)
+        self.assertEqual(store.speed.loads, 6)
+
+    def test_two_more_for_a_moment_do_not_spoil_the_estimate(self):
+        store = Store(full=4)
+        store.run(20.0, at_once=6)
+        self.assertEqual(store.speed.loads, 4)
+
+    def test_one_engine_that_stands_still_says_nothing_of_the_store(self):
+        store = Store(full=4)
+        store.run(30.0, at_once=3, frozen=("b0",))
+        self.assertEqual(store.speed.loads, ASSUMED_LOADS)
+
+    def test_the_plan_keeps_to_it(self):
+        spec = samples.engine(*(samples.model(f"m{number}") for number in range(6)))
+        states = [
+            samples.backend(f"b{n}", 5.0, samples.engine_state(f"b{n}"), service="llm")
+            for n in range(6)
+        ]
+        wants = {f"m{number}": Want(0.1, 1) for number in range(6)}
+        for most in (1, 3):
+            plan = Planner(spec, most).plan(5.0, states, wants)
+            self.assertEqual(sum(load.ask_now for load in plan.values()), most)
