Make room for awaited models by moving others to their copies

Each waited 6 to 11 s for the weight store, while its only copy lay at an engine that was full of other busy models, or that was itself loading a rarely used one from the store and took no order meanwhile. Change: an awaited model that would come 2 s or more later than through a move has one of the models at its copy's engine loaded where that has a copy and room; held twice, that one makes way. Long loads go where they put fewest models out of reach. A model that other engines have a copy of makes way before one that has its only copy here; agents hear how many copies there are. The new tests fail (the awaited model comes from the store in 6.05 s).

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
@@ -19,7 +19,7 @@
 
 from bambootiller_core import rendezvous
 from bambootiller_core.gateway.fleet import AGENT_SILENT_S, EngineState
-from bambootiller_core.gateway.residency import Want
+from bambootiller_core.gateway.want import Want
 
 #: One would do; the second is there when the first is lost.
 COLLECTORS = 2
@@ -85,5 +85,6 @@
             max(want.waiting, held.waiting),
             want.holders,
             max(want.oldest_s, held.oldest_s),
+            want.copies,
         )
     return merged
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -4,8 +4,9 @@
 
 import math
 from collections import deque
+from collections.abc import Mapping
 
-from bambootiller_core.gateway.residency import Want
+from bambootiller_core.gateway.want import Want
 
 #: Demand fades by this factor of e in this time: long enough to see a model that is
 #: asked for once in a few seconds, short enough to follow demand that moves on.
@@ -59,8 +60,11 @@
         """A call was refused because the model isn't there in time."""
         self._refused.setdefault(model, deque()).append(now)
 
-    def wants(self, now: float, holders: dict[str, int]) -> dict[str, Want]:
-        """The demand for each model asked for lately."""
+    def wants(
+        self, now: float, holders: Mapping[str, int], copies: Mapping[str, int]
+    ) -> dict[str, Want]:
+        """The demand for each model asked for lately, with the numbers of engines that
+        hold it, and that have its weights."""
         found = {}
         for model in list(self._rates):
             rate = self._rate(now, model)
@@ -71,7 +75,9 @@
                 del self._rates[model]
                 self._refused.pop(model, None)
                 continue
-            found[model] = Want(rate, waiting, holders.get(model, 0), oldest_s)
+            found[model] = Want(
+                rate, waiting, holders.get(model, 0), oldest_s, copies.get(model, 0)
+            )
         return found
 
     def _refused_lately(self, now: float, model: str) -> int:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
@@ -7,7 +7,7 @@
 
 from bambootiller_core.gateway.collecting import greater
 from bambootiller_core.gateway.order_messages import Wish
-from bambootiller_core.gateway.residency import Want
+from bambootiller_core.gateway.want import Want
 
 #: What an entry asked for is forgotten after this time unless it is asked for again.
 #: Seconds.
@@ -110,6 +110,7 @@
                     held.waiting + want.waiting,
                     max(held.holders, want.holders),
                     max(held.oldest_s, want.oldest_s),
+                    max(held.copies, want.copies),
                 )
         wished = {wish.model: wish.want for wish, _ in self._wishes.values()}
         return greater(merged, wished)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_messages.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_messages.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from bambootiller_core.gateway.residency import Want
+from bambootiller_core.gateway.want import Want
 
 
 class OrderKind(enum.Enum):
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -32,7 +32,8 @@
     OrderKind,
     Wish,
 )
-from bambootiller_core.gateway.residency import RUN_S, Want, choose_victims, keep_values
+from bambootiller_core.gateway.places import RUN_S, choose_victims, keep_values
+from bambootiller_core.gateway.want import Want
 
 #: Adapters that may be on their way to an engine at a time.
 ADAPTERS_AT_ONCE = 4
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/places.py
@@ -0,0 +1,105 @@
+"""Engines as places for models: how soon a load could be there, and what makes way."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from bambootiller_core.gateway.config import EngineSpec, ModelSpec
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.want import Want
+
+#: An order takes this long besides the load itself. Seconds.
+ORDER_S = 0.05
+#: A model that must wait for another's calls to end there waits about so long. Seconds.
+RUN_S = 1.5
+#: Demand that is this many times another's isn't made way for it.
+KEEP_FACTOR = 3.0
+#: What the demand for a model that nobody has asked for yet is taken for, in calls a
+#: second: about that of a rarely used model.
+LEAST_VALUE = 0.1
+#: A model with calls under way makes way only if it is wanted no more than this: the
+#: calls a second of a rarely used model, or of one that other engines hold as well.
+MOST_CUT_SHORT = 1.0
+
+
+@dataclass(slots=True)
+class Place:
+    """An engine while a plan is made; ``free_in_s`` is when its next order can
+    begin."""
+
+    backend: Backend
+    free_in_s: float
+    planned: int = 0
+
+    @property
+    def is_free(self) -> bool:
+        """Whether an order can begin now."""
+        return self.free_in_s <= 0 and self.planned == 0
+
+
+def tier_seconds(spec: ModelSpec, backend: Backend) -> tuple[float, bool]:
+    """How long a load takes there, and whether it draws on the weight store."""
+    state = backend.engine
+    if state is not None and spec.name in state.in_memory:
+        return spec.memory_s, False
+    if state is not None and spec.name in state.on_disk:
+        return spec.disk_s, False
+    return spec.load_s, True
+
+
+def copies_at(backend: Backend) -> set[str]:
+    """The models that the engine holds, loads, or has copies of."""
+    state = backend.engine
+    names = set(backend.holdings)
+    if state is not None:
+        names |= state.in_memory | state.on_disk
+        if state.loading is not None:
+            names.add(state.loading.model)
+    return names
+
+
+@dataclass(frozen=True, slots=True)
+class Victims:
+    """Models that make way; ``busy`` if some have calls that must end first."""
+
+    models: tuple[str, ...]
+    busy: bool = False
+
+
+def choose_victims(
+    engine: EngineSpec,
+    holdings: Mapping[str, frozenset[str]],
+    need_mb: float,
+    in_use: Mapping[str, int],
+    keep_values: Mapping[str, float],
+    incoming: Want,
+) -> Victims | None:
+    """Which held models make way for ``need_mb`` more; None if that isn't worth it.
+
+    Among the models without calls the least wanted goes first, and none that is wanted
+    far more than the one that comes. Only calls that wait make a model with calls go:
+    it takes no new ones from then on, so rarely used models share an engine by turns.
+    """
+    if need_mb <= 0:
+        return Victims(())
+    order = sorted(holdings, key=lambda name: (keep_values.get(name, 0.0), name))
+    idle = [name for name in order if not in_use.get(name)]
+    busy = [name for name in order if in_use.get(name)] if incoming.waiting else []
+    most = KEEP_FACTOR * max(incoming.value, LEAST_VALUE)
+    chosen: list[str] = []
+    for name in idle + busy:
+        limit = MOST_CUT_SHORT if name in busy else most
+        spec = engine.models.get(name)
+        if spec is None or keep_values.get(name, 0.0) > limit:
+            continue
+        chosen.append(name)
+        need_mb -= spec.size_mb + len(holdings[name]) * spec.adapter_mb
+        if need_mb <= 0:
+            return Victims(tuple(chosen), any(name in busy for name in chosen))
+    return None
+
+
+def keep_values(holdings: Iterable[str], wants: Mapping[str, Want]) -> dict[str, float]:
+    """How much it matters that an engine keeps each model that it holds."""
+    return {name: wants.get(name, Want()).value_of_one for name in holdings}
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -14,61 +14,37 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from bambootiller_core import rendezvous
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
 from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.moving import WORTH_S, WORTH_WAITING, find_move
+from bambootiller_core.gateway.places import (
+    ORDER_S,
+    RUN_S,
+    Place,
+    Victims,
+    choose_victims,
+    copies_at,
+    tier_seconds,
+)
+from bambootiller_core.gateway.want import Want
 
 #: A model that so many calls wait for needn't wait for a place at the store: demand has
 #: moved to it, and every second costs as many calls. That many loads more may begin.
 MANY_WAITING = 4
 STORE_LOADS_URGENT = 2
-#: An order takes this long besides the load itself. Seconds.
-ORDER_S = 0.05
 #: Loads longer than this stand in the way of others at the same engine. Seconds.
 LONG_LOAD_S = 1.5
-#: A model that must wait for another's calls to end there waits about so long. Seconds.
-RUN_S = 1.5
+#: What it counts, in seconds, that a long load puts one model out of reach: asked for
+#: meanwhile, it would be late by half of the load, and most aren't asked for.
+BLOCKED_S = 0.3
 #: A model that takes at least this part of all demand gets a second engine, so that the
 #: loss of one doesn't stop it.
 SECOND_COPY_SHARE = 0.08
-#: Demand that is this many times another's isn't made way for it.
-KEEP_FACTOR = 3.0
-#: What keeping a model is worth without any demand for it, so that of models nobody
-#: asks for the one that several engines hold goes first. Calls a second.
-LEAST_KEEP = 0.01
-#: What the demand for a model that nobody has asked for yet is taken for, in calls a
-#: second: about that of a rarely used model.
-LEAST_VALUE = 0.1
-#: A model with calls under way makes way only if it is wanted no more than this: the
-#: calls a second of a rarely used model, or of one that other engines hold as well.
-MOST_CUT_SHORT = 1.0
-#: What a call that waits now adds to a model's demand, against its calls per second.
-WAITING_WEIGHT = 4.0
-
-
-@dataclass(frozen=True, slots=True)
-class Want:
-    """The demand for one model: calls a second, calls waiting, engines holding it, and
-    how long the first of the waiting calls has waited, in seconds."""
-
-    rate: float = 0.0
-    waiting: int = 0
-    holders: int = 0
-    oldest_s: float = 0.0
-
-    @property
-    def value(self) -> float:
-        """How much a load is worth, to compare models."""
-        return self.rate + WAITING_WEIGHT * self.waiting
-
-    @property
-    def value_of_one(self) -> float:
-        """How much it matters that one engine keeps the model. Every further engine
-        that holds it as well makes it matter far less."""
-        return (LEAST_KEEP + self.value) / max(1, self.holders) ** 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,42 +72,12 @@
 SECOND_COPY_LOADS = 1
 
 
-@dataclass(slots=True)
-class _Place:
-    """An engine while a plan is made; ``free_in_s`` is when its next order can
-    begin."""
-
-    backend: Backend
-    free_in_s: float
-    planned: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class _Option:
-    place: _Place
+    place: Place
     ready_in_s: float
     from_store: bool
-
-
-def tier_seconds(spec: ModelSpec, backend: Backend) -> tuple[float, bool]:
-    """How long a load takes there, and whether it draws on the weight store."""
-    state = backend.engine
-    if state is not None and spec.name in state.in_memory:
-        return spec.memory_s, False
-    if state is not None and spec.name in state.on_disk:
-        return spec.disk_s, False
-    return spec.load_s, True
-
-
-def copies_at(backend: Backend) -> set[str]:
-    """The models that the engine holds, loads, or has copies of."""
-    state = backend.engine
-    names = set(backend.holdings)
-    if state is not None:
-        names |= state.in_memory | state.on_disk
-        if state.loading is not None:
-            names.add(state.loading.model)
-    return names
+    blocked: int
 
 
 class Planner:
@@ -144,6 +90,7 @@
     def __init__(self, engine: EngineSpec, store_loads: int) -> None:
         self._engine = engine
         self._store_loads = store_loads
+        self._only_here: dict[str, set[str]] = {}
 
     def plan(
         self,
@@ -167,9 +114,19 @@
         places = [
             self._place(backend) for backend in known if backend.takes_orders(now)
         ]
+        copies = Counter(name for backend in known for name in copies_at(backend))
+        self._only_here = {
+            place.backend.instance: {
+                name for name in copies_at(place.backend) if copies[name] == 1
+            }
+            for place in places
+        }
         plan = _under_way(known, self._store_loads)
         store_loads = sum(1 for load in plan.values() if load.from_store)
         for spec, rank in self._in_order(known, wants, plan):
+            if spec.name in plan:
+                # It is being moved, to make room for one before it in the order.
+                continue
             option = self._best(spec, places, wants, now)
             if option is None:
                 continue
@@ -183,7 +140,9 @@
             if waits_for_store:
                 queued = store_loads - most + 1
                 ready += spec.load_s * queued / self._store_loads
-            starts_now = option.place.free_in_s <= 0 and option.place.planned == 0
+            if self._moves(spec, ready, places, wants, plan):
+                continue
+            starts_now = option.place.is_free
             plan[spec.name] = PlannedLoad(
                 spec.name,
                 option.place.backend.instance,
@@ -195,6 +154,43 @@
             self._occupy(option, spec)
         return plan
 
+    def _moves(
+        self,
+        spec: ModelSpec,
+        ready_in_s: float,
+        places: list[Place],
+        wants: Mapping[str, Want],
+        plan: dict[str, PlannedLoad],
+    ) -> bool:
+        """Plan to make room for an awaited model at its copy by moving another, if
+        that is much sooner than ``ready_in_s``."""
+        if wants.get(spec.name, Want()).waiting < WORTH_WAITING:
+            return False
+        coming = {
+            load.model: load.ready_in_s for load in plan.values() if not load.from_store
+        }
+        move = find_move(self._engine, spec, places, wants, coming, self._victims)
+        if move is None or move.ready_in_s + WORTH_S > ready_in_s:
+            return False
+        if move.to is not None:
+            move.to.planned += 1
+            plan[move.moved.name] = PlannedLoad(
+                move.moved.name,
+                move.to.backend.instance,
+                move.moved_in_s,
+                ask_now=True,
+                from_store=False,
+            )
+        move.at.planned += 1
+        plan[spec.name] = PlannedLoad(
+            spec.name,
+            move.at.backend.instance,
+            move.ready_in_s,
+            ask_now=False,
+            from_store=False,
+        )
+        return True
+
     def _in_order(
         self,
         known: list[Backend],
@@ -227,19 +223,19 @@
         ranked.sort(key=lambda item: item[0])
         return [(spec, rank) for _, spec, rank in ranked]
 
-    def _place(self, backend: Backend) -> _Place:
+    def _place(self, backend: Backend) -> Place:
         state = backend.engine
         free_in = 0.0
         if state.loading is not None:
             free_in = max(ORDER_S, state.loading.left_s)
         elif state.busy:
             free_in = RUN_S
-        return _Place(backend, free_in)
+        return Place(backend, free_in)
 
     def _best(
         self,
         spec: ModelSpec,
-        places: list[_Place],
+        places: list[Place],
         wants: Mapping[str, Want],
         now: float,
     ) -> _Option | None:
@@ -255,18 +251,28 @@
             if seconds > LONG_LOAD_S and self._last_for_adapters(place, places, wants):
                 continue
             ready = place.free_in_s + seconds + ORDER_S + RUN_S * victims.busy
-            options.append(_Option(place, ready, from_store))
+            blocked = 0
+            if seconds > LONG_LOAD_S:
+                blocked = self._blocked_by_load(place, victims)
+            options.append(_Option(place, ready, from_store, blocked))
         return min(
             options,
             key=lambda opt: (
-                round(opt.ready_in_s, 1),
+                round(opt.ready_in_s + BLOCKED_S * opt.blocked, 1),
                 -rendezvous.weight(spec.name, opt.place.backend.instance),
             ),
             default=None,
         )
 
+    def _blocked_by_load(self, place: Place, victims: Victims) -> int:
+        """How many models can't be had while a long load keeps this engine from all
+        other orders: those of which it has the only copy and that it won't hold."""
+        only_here = self._only_here.get(place.backend.instance, set())
+        kept = set(place.backend.holdings) - set(victims.models)
+        return len(only_here - kept)
+
     def _last_for_adapters(
-        self, place: _Place, places: list[_Place], wants: Mapping[str, Want]
+        self, place: Place, places: list[Place], wants: Mapping[str, Want]
     ) -> bool:
         """Whether a long load here would leave a model without a place for adapters.
 
@@ -288,7 +294,7 @@
                 return True
         return False
 
-    def _victims(self, spec: ModelSpec, want: Want, place: _Place) -> Victims | None:
+    def _victims(self, spec: ModelSpec, want: Want, place: Place) -> Victims | None:
         state = place.backend.engine
         need = spec.size_mb - (self._engine.memory_mb - state.memory_mb_used)
         return choose_victims(
@@ -339,49 +345,3 @@
                 from_store=loading.from_store,
             )
     return found
-
-
-@dataclass(frozen=True, slots=True)
-class Victims:
-    """Models that make way; ``busy`` if some have calls that must end first."""
-
-    models: tuple[str, ...]
-    busy: bool = False
-
-
-def choose_victims(
-    engine: EngineSpec,
-    holdings: Mapping[str, frozenset[str]],
-    need_mb: float,
-    in_use: Mapping[str, int],
-    keep_values: Mapping[str, float],
-    incoming: Want,
-) -> Victims | None:
-    """Which held models make way for ``need_mb`` more; None if that isn't worth it.
-
-    Among the models without calls the least wanted goes first, and none that is wanted
-    far more than the one that comes. Only calls that wait make a model with calls go:
-    it takes no new ones from then on, so rarely used models share an engine by turns.
-    """
-    if need_mb <= 0:
-        return Victims(())
-    order = sorted(holdings, key=lambda name: (keep_values.get(name, 0.0), name))
-    idle = [name for name in order if not in_use.get(name)]
-    busy = [name for name in order if in_use.get(name)] if incoming.waiting else []
-    most = KEEP_FACTOR * max(incoming.value, LEAST_VALUE)
-    chosen: list[str] = []
-    for name in idle + busy:
-        limit = MOST_CUT_SHORT if name in busy else most
-        spec = engine.models.get(name)
-        if spec is None or keep_values.get(name, 0.0) > limit:
-            continue
-        chosen.append(name)
-        need_mb -= spec.size_mb + len(holdings[name]) * spec.adapter_mb
-        if need_mb <= 0:
-            return Victims(tuple(chosen), any(name in busy for name in chosen))
-    return None
-
-
-def keep_values(holdings: Iterable[str], wants: Mapping[str, Want]) -> dict[str, float]:
-    """How much it matters that an engine keeps each model that it holds."""
-    return {name: wants.get(name, Want()).value_of_one for name in holdings}
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
@@ -0,0 +1,41 @@
+"""The demand for one model, and how it compares with that for another."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+#: What a call that waits now adds to a model's demand, against its calls per second.
+WAITING_WEIGHT = 4.0
+#: What keeping a model is worth without any demand for it, so that of models nobody
+#: asks for the one that several engines hold goes first. Calls a second.
+LEAST_KEEP = 0.01
+#: How much it matters to keep a model of which another engine has a copy, against one
+#: whose only copy is here.
+COPIED_KEEP = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """The demand for one model: calls a second, calls waiting, engines holding it, how
+    long the first of the waiting calls has waited, in seconds, and how many engines
+    have its weights, those that hold it included."""
+
+    rate: float = 0.0
+    waiting: int = 0
+    holders: int = 0
+    oldest_s: float = 0.0
+    copies: int = 0
+
+    @property
+    def value(self) -> float:
+        """How much a load is worth, to compare models."""
+        return self.rate + WAITING_WEIGHT * self.waiting
+
+    @property
+    def value_of_one(self) -> float:
+        """How much it matters that one engine keeps the model. Every further engine
+        that holds it as well makes it matter far less, and one that could load it from
+        a copy somewhat less: unloaded for a load that takes long, a model with its only
+        copy there can't be had at all meanwhile."""
+        others = COPIED_KEEP if self.copies > max(1, self.holders) else 1.0
+        return others * (LEAST_KEEP + self.value) / max(1, self.holders) ** 2
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -20,7 +20,7 @@
 from bambootiller_core.gateway.fleet import EngineState
 from bambootiller_core.gateway.order_messages import EngineOrder, LoadEnded, OrderAnswer
 from bambootiller_core.gateway.orders import OrderBook
-from bambootiller_core.gateway.residency import Want
+from bambootiller_core.gateway.want import Want
 from bambootiller_core.ports import Committed, Compare, Found, Put
 
 #: How often the engine's report is read while nothing is going on, while an order is
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, field
 
 from bambootiller.app import Application
@@ -22,8 +23,10 @@
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.log_lines import BackendRemoved
 from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
-from bambootiller_core.gateway.residency import PlannedLoad, Planner, Want
+from bambootiller_core.gateway.places import copies_at
+from bambootiller_core.gateway.residency import PlannedLoad, Planner
 from bambootiller_core.gateway.store_speed import StoreSpeed
+from bambootiller_core.gateway.want import Want
 
 #: How often the plan of loads is made anew. Seconds.
 PLAN_S = 0.05
@@ -182,8 +185,11 @@
         if wants is None:
             wants = self._wants(service)
         collect = host in self._collectors.get(service, ())
-        if not collect:
-            wants = concerning(wants, backend.engine)
+        own_part = concerning(wants, backend.engine)
+        if collect:
+            asked = {name: want for name, want in wants.items() if want.value}
+            own_part = {**asked, **own_part}
+        wants = own_part
         return wire.entry_message(wants, backend.in_flight_by_model, collect)
 
     def received(self, update: Update) -> None:
@@ -201,11 +207,18 @@
             self._knowledge.changed.notify()
 
     def _wants(self, service: str) -> dict[str, Want]:
-        holders: dict[str, int] = {}
+        """This entry's demand; models that engines hold are in it also if nobody asks
+        for them, as agents have to know which of them other engines have as well."""
+        holders: Counter[str] = Counter()
+        copies: Counter[str] = Counter()
         for backend in self._knowledge.fleet.of_service(service):
-            for model in backend.holdings:
-                holders[model] = holders.get(model, 0) + 1
-        return self.demand(service).wants(self._app.now(), holders)
+            holders.update(backend.holdings.keys())
+            copies.update(copies_at(backend))
+        wants = self.demand(service).wants(self._app.now(), holders, copies)
+        for model, count in holders.items():
+            if model not in wants:
+                wants[model] = Want(holders=count, copies=copies[model])
+        return wants
 
     def wants_of_all(self, service: str, own: dict[str, Want]) -> dict[str, Want]:
         """The demand of all entries for the models of a service, as its collectors
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -7,7 +7,7 @@
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core.gateway.fleet import EngineState, Loading
 from bambootiller_core.gateway.order_messages import Wish
-from bambootiller_core.gateway.residency import Want
+from bambootiller_core.gateway.want import Want
 
 
 def engine_message(state: EngineState) -> pb.EngineFigures:
@@ -73,6 +73,7 @@
             waiting=want.waiting,
             holders=want.holders,
             oldest_ms=int(want.oldest_s * 1000),
+            copies=want.copies,
         )
         for model, want in wants.items()
     ]
@@ -85,7 +86,13 @@
 
 def _want(message: pb.ModelDemand) -> Want:
     oldest_s = message.oldest_ms / 1000
-    return Want(message.calls_per_s, message.waiting, message.holders, oldest_s)
+    return Want(
+        message.calls_per_s,
+        message.waiting,
+        message.holders,
+        oldest_s,
+        message.copies,
+    )
 
 
 def add_wish(update: pb.ResidencyUpdate, wish: Wish) -> None:
--- a/tests/gateway/cover/test_collecting.py
+++ b/tests/gateway/cover/test_collecting.py
@@ -9,7 +9,7 @@
 from bambootiller_core.gateway.fleet import Loading
 from bambootiller_core.gateway.order_demand import EntriesSay
 from bambootiller_core.gateway.order_messages import Wish
-from bambootiller_core.gateway.residency import Want
+from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
 from tests.gateway.failures.test_engines import App, Known
 
--- a/tests/gateway/cover/test_demand.py
+++ b/tests/gateway/cover/test_demand.py
@@ -10,7 +10,7 @@
         self.demand = Demand()
 
     def want(self, now, model="tutor"):
-        return self.demand.wants(now, {}).get(model)
+        return self.demand.wants(now, {}, {}).get(model)
 
     def test_a_steady_rate_is_found(self):
         for number in range(400):
--- /dev/null
+++ b/tests/gateway/cover/test_moving.py
@@ -0,0 +1,120 @@
+"""Room for an awaited model, made by moving another to where that has a copy."""
+
+import unittest
+
+from bambootiller_core.gateway.fleet import Loading
+from bambootiller_core.gateway.residency import Planner
+from bambootiller_core.gateway.want import Want
+from tests.gateway.common import samples
+from tests.gateway.cover.test_residency import NOW, engine_backend
+
+BUSY = {
+    "tutor": Want(3.0, 0, 1, 0.0, 2),
+    "poet": Want(3.5, 0, 1, 0.0, 1),
+    # Much more than these, or they would get a second engine anyway.
+    "others": Want(100.0, 0, 3, 0.0, 3),
+}
+AWAITED = Want(2.0, 6, 0, 1.0, 1)
+
+
+class TestMoving(unittest.TestCase):
+    """The first engine is full of tutor and poet, which have calls, and has the only
+    copy of clerk. The second holds scribe, idle, and has a copy of tutor."""
+
+    def setUp(self):
+        names = ("tutor", "poet", "clerk", "scribe", "extra")
+        self.spec = samples.engine(*map(samples.model, names))
+
+    def first(self, **fields):
+        fields = {
+            "on_disk": frozenset({"clerk"}),
+            "in_use": {"tutor": 2, "poet": 3},
+            "keep_values": {"tutor": 3.0, "poet": 3.5},
+            **fields,
+        }
+        return engine_backend("b1", ("tutor", "poet"), **fields)
+
+    def second(self, holdings=("scribe", "extra"), **fields):
+        fields = {"on_disk": frozenset({"tutor"}), **fields}
+        return engine_backend("b2", holdings, **fields)
+
+    def plan(self, *backends, clerk=AWAITED, **wants):
+        wants = {**BUSY, "clerk": clerk, **wants}
+        return Planner(self.spec, 4).plan(NOW, backends, wants)
+
+    def test_a_model_in_the_way_is_loaded_where_it_has_a_copy(self):
+        """Symptom: demand moves to a model, and its calls are refused for 6 seconds.
+
+        Its only copy lies at an engine that is full of busy models, so it is loaded
+        from the weight store at another. One of those models has a copy elsewhere,
+        from which it would have been loaded there in half a second.
+        """
+        plan = self.plan(self.first(), self.second())
+        self.assertEqual((plan["tutor"].instance, plan["tutor"].ask_now), ("b2", True))
+        self.assertFalse(plan["tutor"].from_store)
+        self.assertEqual((plan["clerk"].instance, plan["clerk"].ask_now), ("b1", False))
+        self.assertLess(plan["clerk"].ready_in_s, 3.5)
+
+    def test_while_it_is_being_moved_nothing_comes_from_the_store(self):
+        loading = Loading("tutor", 0.4, False)
+        second = self.second(("scribe",), loading=loading, busy=True)
+        plan = self.plan(self.first(), second)
+        self.assertFalse(plan["clerk"].from_store)
+        self.assertEqual(plan["clerk"].instance, "b1")
+
+    def test_once_it_is_held_twice_it_makes_way(self):
+        first = self.first(keep_values={"tutor": 0.4, "poet": 3.5})
+        wants = {"tutor": Want(3.0, 0, 2, 0.0, 2)}
+        plan = self.plan(first, self.second(("scribe", "tutor")), **wants)
+        self.assertEqual((plan["clerk"].instance, plan["clerk"].ask_now), ("b1", True))
+
+    def test_a_single_call_moves_nothing(self):
+        plan = self.plan(self.first(), self.second(), clerk=Want(0.1, 1, 0, 0.1, 1))
+        self.assertNotIn("tutor", plan)
+        self.assertTrue(plan["clerk"].from_store)
+
+    def test_without_a_copy_elsewhere_it_comes_from_the_store(self):
+        plan = self.plan(self.first(), self.second(on_disk=frozenset()))
+        self.assertTrue(plan["clerk"].from_store)
+
+    def test_a_model_that_many_calls_use_is_not_moved(self):
+        wants = {"tutor": Want(30.0, 0, 1, 0.0, 2)}
+        plan = self.plan(self.first(), self.second(), **wants)
+        self.assertTrue(plan["clerk"].from_store)
+
+
+class TestLongLoads(unittest.TestCase):
+    def test_a_long_load_goes_where_it_puts_fewest_models_out_of_reach(self):
+        """Symptom: a model is asked for, and its only copy can't be used for seconds.
+
+        Its engine loads another from the weight store meanwhile and takes no order,
+        though an engine without such copies was free as well.
+        """
+        spec = samples.engine(*(samples.model(f"m{n}") for n in range(9)))
+        copies = frozenset({"m1", "m2", "m3"})
+        for first, second in (("b1", "b2"), ("b2", "b1")):
+            backends = [
+                engine_backend(first, on_disk=copies),
+                engine_backend(second),
+            ]
+            plan = Planner(spec, 4).plan(NOW, backends, {"m0": Want(0.1, 1)})
+            self.assertEqual(plan["m0"].instance, second)
+
+    def test_copies_that_others_have_as_well_do_not_count(self):
+        spec = samples.engine(*(samples.model(f"m{n}") for n in range(9)))
+        copies = frozenset({"m1", "m2", "m3"})
+        backends = [engine_backend("b1", on_disk=copies)]
+        backends.append(engine_backend("b2", on_disk=copies | {"m4"}))
+        plan = Planner(spec, 4).plan(NOW, backends, {"m0": Want(0.1, 1)})
+        self.assertEqual(plan["m0"].instance, "b1")
+
+
+class TestKeeping(unittest.TestCase):
+    def test_of_equals_the_one_with_a_copy_elsewhere_goes_first(self):
+        alone, copied = Want(0.0, 0, 1, 0.0, 1), Want(0.0, 0, 1, 0.0, 2)
+        self.assertGreater(alone.value_of_one, copied.value_of_one)
+
+    def test_where_copies_are_not_known_nothing_is_assumed(self):
+        self.assertEqual(
+            Want(1.0, 0, 1).value_of_one, Want(1.0, 0, 1, 0.0, 1).value_of_one
+        )
--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -3,11 +3,9 @@
 import unittest
 
 from bambootiller_core.gateway.fleet import Loading
-from bambootiller_core.gateway.residency import (
-    Planner,
-    Want,
-    choose_victims,
-)
+from bambootiller_core.gateway.places import choose_victims
+from bambootiller_core.gateway.residency import Planner
+from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
 
 NOW = 5.0
--- a/tests/gateway/cover/test_store_speed.py
+++ b/tests/gateway/cover/test_store_speed.py
@@ -3,8 +3,9 @@
 import unittest
 
 from bambootiller_core.gateway.fleet import Loading
-from bambootiller_core.gateway.residency import Planner, Want
+from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.store_speed import ASSUMED_LOADS, StoreSpeed
+from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
 
 STEP_S = 0.05
--- a/tests/gateway/failures/test_engines.py
+++ b/tests/gateway/failures/test_engines.py
@@ -6,7 +6,7 @@
 from bambootiller.gateway.engines import Engines
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core.gateway.fleet import Fleet
-from bambootiller_core.gateway.residency import Want
+from bambootiller_core.gateway.want import Want
 from tests.gateway.common.samples import engine_state, registered
 
 
--- a/tests/gateway/failures/test_orders.py
+++ b/tests/gateway/failures/test_orders.py
@@ -9,7 +9,7 @@
     Wish,
 )
 from bambootiller_core.gateway.orders import OrderBook
-from bambootiller_core.gateway.residency import Want
+from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
 
 
