Keep a model whose refused callers are due back

Refused calls also counted as waiting for 3 s, whatever their callers had been told. Ruled out: a longer least stay for all models (rarely used ones take turns). Change: a refused call counts until its caller is due back. A model with such callers makes way only for one that is wanted three times as much, where else one that is wanted a third as much is enough. The new tests fail without it.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -12,9 +12,11 @@
 #: asked for once in a few seconds, short enough to follow demand that moves on.
 #: Seconds.
 MEMORY_S = 5.0
-#: A call that was refused because its model wasn't there counts as waiting for so long:
-#: its caller was told to come back, so the load has to go on. Seconds.
-REFUSED_WAITS_S = 3.0
+#: A call that was refused because its model wasn't there counts as waiting until its
+#: caller comes back: so much later than it was told, but no longer than the other.
+#: Callers come sooner than told if they have little time. Seconds.
+DUE_BACK_LATE_S = 0.5
+DUE_BACK_MOST_S = 3.0
 #: Below this rate a model isn't told of any more. Calls a second.
 LEAST_RATE = 0.005
 
@@ -56,9 +58,11 @@
         """Whether a call waits for a model now."""
         return bool(self._waiting)
 
-    def refused(self, now: float, model: str) -> None:
+    def refused(self, now: float, model: str, come_back_s: float) -> None:
         """A call was refused because the model isn't there in time."""
-        self._refused.setdefault(model, deque()).append(now)
+        due_in_s = min(come_back_s + DUE_BACK_LATE_S, DUE_BACK_MOST_S)
+        due = self._refused.setdefault(model, deque())
+        due.append(now + due_in_s)
 
     def wants(
         self, now: float, holders: Mapping[str, int], copies: Mapping[str, int]
@@ -69,7 +73,7 @@
         for model in list(self._rates):
             rate = self._rate(now, model)
             times = self._waiting.get(model, [])
-            waiting = len(times) + self._refused_lately(now, model)
+            waiting = len(times) + self._due_back(now, model)
             oldest_s = now - min(times) if times else 0.0
             if rate < LEAST_RATE and not waiting:
                 del self._rates[model]
@@ -80,13 +84,13 @@
             )
         return found
 
-    def _refused_lately(self, now: float, model: str) -> int:
-        times = self._refused.get(model)
-        if times is None:
+    def _due_back(self, now: float, model: str) -> int:
+        due = self._refused.get(model)
+        if due is None:
             return 0
-        while times and now - times[0] > REFUSED_WAITS_S:
-            times.popleft()
-        return len(times)
+        while due and due[0] < now:
+            due.popleft()
+        return sum(1 for at in due if at >= now)
 
     def _rate(self, now: float, model: str) -> float:
         rate, at = self._rates.get(model, (0.0, now))
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/places.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/places.py
@@ -15,6 +15,10 @@
 RUN_S = 1.5
 #: Demand that is this many times another's isn't made way for it.
 KEEP_FACTOR = 3.0
+#: Callers who were refused are due back for a model that has come meanwhile. For one
+#: that is wanted as much it doesn't go: they would be refused again, and so would those
+#: of the other after them. As many times less wanted as otherwise more.
+DUE_BACK_FACTOR = KEEP_FACTOR**2
 #: What the demand for a model that nobody has asked for yet is taken for, in calls a
 #: second: about that of a rarely used model.
 LEAST_VALUE = 0.1
@@ -102,4 +106,8 @@
 
 def keep_values(holdings: Iterable[str], wants: Mapping[str, Want]) -> dict[str, float]:
     """How much it matters that an engine keeps each model that it holds."""
-    return {name: wants.get(name, Want()).value_of_one for name in holdings}
+    return {name: _keep_value(wants.get(name, Want())) for name in holdings}
+
+
+def _keep_value(want: Want) -> float:
+    return want.value_of_one * (DUE_BACK_FACTOR if want.waiting else 1.0)
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -164,10 +164,10 @@
             return None
         if ready_in is None and self._relays.is_starting() and now < due:
             return None
-        engines.demand(call.service).refused(now, ask.model)
         come_back = COME_BACK_MAX_S if ready_in is None else ready_in
         detail = "no engine can load it" if ready_in is None else ""
         come_back = min(max(come_back, attempts.COME_BACK_S), COME_BACK_MAX_S)
+        engines.demand(call.service).refused(now, ask.model, come_back)
         plan = self._plan_seen(now, planned)
         return Refusal(Reason.COLD, come_back, detail, plan)
 
--- a/tests/gateway/cover/test_demand.py
+++ b/tests/gateway/cover/test_demand.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from bambootiller_core.gateway.demand import MEMORY_S, REFUSED_WAITS_S, Demand
+from bambootiller_core.gateway.demand import (
+    DUE_BACK_LATE_S,
+    DUE_BACK_MOST_S,
+    MEMORY_S,
+    Demand,
+)
 
 
 class TestDemand(unittest.TestCase):
@@ -40,6 +45,12 @@
         """
         self.demand.asked(0.0, "tutor")
         for number in range(6):
-            self.demand.refused(number * 0.1, "tutor")
+            self.demand.refused(number * 0.1, "tutor", come_back_s=6.0)
         self.assertEqual(self.want(1.0).waiting, 6)
-        self.assertEqual(self.want(1.0 + REFUSED_WAITS_S).waiting, 0)
+        self.assertEqual(self.want(1.0 + DUE_BACK_MOST_S).waiting, 0)
+
+    def test_a_caller_told_to_come_soon_is_not_waited_for_longer(self):
+        self.demand.asked(0.0, "tutor")
+        self.demand.refused(0.0, "tutor", come_back_s=0.3)
+        self.assertEqual(self.want(0.3).waiting, 1)
+        self.assertEqual(self.want(0.4 + DUE_BACK_LATE_S).waiting, 0)
--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -3,7 +3,7 @@
 import unittest
 
 from bambootiller_core.gateway.fleet import Loading
-from bambootiller_core.gateway.places import choose_victims
+from bambootiller_core.gateway.places import choose_victims, keep_values
 from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
@@ -157,6 +157,20 @@
         in_use = {"tutor": 5, "poet": 1}
         self.assertIsNone(self.victims(in_use, {"poet": 0.1}, Want(0.1, 0)))
 
+    def test_a_model_whose_callers_are_due_back_stays_for_one_wanted_as_much(self):
+        """Symptom: callers come back when they were told to, and are refused again.
+
+        Their model came in time, and was unloaded in the second before for another
+        that was wanted about as much.
+        """
+        due = {"tutor": Want(1.0, 6, 1), "poet": Want(900.0, 0, 1)}
+        values = keep_values(("tutor", "poet"), due)
+        rival, greater = Want(1.3, 8), Want(1.3, 30)
+        holdings = {"tutor": frozenset(), "poet": frozenset()}
+        for incoming, goes in ((rival, False), (greater, True)):
+            victims = choose_victims(self.spec, holdings, 20.0, {}, values, incoming)
+            self.assertEqual(victims is not None, goes, incoming)
+
     def test_no_model_makes_way_for_one_that_is_wanted_far_less(self):
         values = {"tutor": 50.0, "poet": 50.0}
         self.assertIsNone(self.victims({}, values, Want(0.1, 1)))
