Pass documents on only to peers that lack them

Each change in the registry, and each configuration, crossed 960 streams in one direction and most in the other. Each message named all entries and all copies of weights. Ruled out: asking for documents only when the store is known to be away (a watch that hangs shows after 3.5 s, a configuration is due in 2). Change: each process says up to which revision it has everything, by the prefix of keys. A document goes out 0.7 s after it became known to those that still lack it; two entries, chosen by rendezvous hashing, tell each agent at once, as agents leave the store alone. Copies are told when they change and every 2 s; the entries' names by the collectors only. Before: the tests of test_relaying don't import. After: 11 new tests pass, gateway and adapter 244 of 244.

--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/relaying.py
@@ -0,0 +1,86 @@
+"""Which documents a process passes on to a peer, and when.
+
+Whoever the store turns away keeps up through its peers. But most peers keep up by
+themselves: passed on by all to all, a configuration of 60 kB would cross a thousand
+streams. So each process says up to which revision it has everything, by the part of the
+store, and a document goes out only to a peer that still lacks it a moment after it
+became known. Agents don't follow the store; two of the entries tell each at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from bambootiller_core import rendezvous
+from bambootiller_core.ports import Changed
+
+#: How long a peer is given to learn of a document by itself. Watches gather changes for
+#: a third of a second, and a peer that hangs has to be told well within two. Seconds.
+OWN_TIME_S = 0.7
+#: How many entries tell an agent at once; one would do.
+TELLERS = 2
+
+Complete = Mapping[str, int]
+
+
+def tells_at_once(entry: str, agent: str, entries: Iterable[str]) -> bool:
+    """Whether ``entry`` is one of those that keep ``agent`` up to date.
+
+    >>> tells_at_once("e1", "10.0.0.1:7", ["e1"])
+    True
+    """
+    known = set(entries) | {entry}
+    return entry in rendezvous.ranked(f"tells {agent}", known)[:TELLERS]
+
+
+def covers(complete: Complete, change: Changed) -> bool:
+    """Whether someone who has everything up to ``complete`` has this document.
+
+    >>> from bambootiller_core.ports import Record
+    >>> covers({"a/": 5}, Changed(Record("a/b", b"", 5)))
+    True
+    """
+    record = change.record
+    return any(
+        record.key.startswith(prefix) and record.mod_revision <= revision
+        for prefix, revision in complete.items()
+    )
+
+
+class ForPeer:
+    """The documents that one peer may lack.
+
+    Example::
+
+        queue.add(now, change, at_once=False)
+        queue.peer_has({"registry/": 90})
+        for change in queue.due(now): ...
+    """
+
+    def __init__(self) -> None:
+        self._queued: dict[str, tuple[Changed, float]] = {}
+        self._peer: Complete | None = None
+
+    def add(self, now: float, change: Changed, at_once: bool) -> None:
+        """A document has become known here."""
+        due_at = now if at_once else now + OWN_TIME_S
+        self._queued[change.record.key] = (change, due_at)
+
+    def peer_has(self, complete: Complete) -> None:
+        """The peer says up to where it has everything."""
+        self._peer = complete
+        for key, (change, _) in list(self._queued.items()):
+            if covers(complete, change):
+                del self._queued[key]
+
+    def due(self, now: float) -> list[Changed]:
+        """What goes out now; nothing before the peer has said what it has."""
+        if self._peer is None:
+            return []
+        ready = [key for key, (_, due_at) in self._queued.items() if due_at <= now]
+        return [self._queued.pop(key)[0] for key in ready]
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the peer lacks nothing that is known here."""
+        return self._peer is not None and not self._queued
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -10,7 +10,12 @@
 from bambootiller.app import Application
 from bambootiller.gateway import wire
 from bambootiller.gateway.eventlog import EventLog
-from bambootiller.gateway.exchange import Exchanger, ResidencyServicer, Update
+from bambootiller.gateway.exchange import (
+    Exchanger,
+    Outgoing,
+    ResidencyServicer,
+    Update,
+)
 from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
 from bambootiller.gateway.meters import Meters
 from bambootiller.gateway.ports import Engine, EngineSilent, Platform
@@ -35,6 +40,8 @@
 #: For so long all entries are told the same, unless something they decide on changes.
 #: Seconds; far below the time between two messages on one stream.
 SAID_S = 0.05
+#: How often an entry is told of copies that haven't changed. Seconds.
+COPIES_S = 2.0
 #: Where holders of fencing tokens are written.
 HOLDERS_PREFIX = "bambootiller/holders/"
 
@@ -285,17 +292,31 @@
             self._saying = None
             self._exchanger.poke()
 
-    def _fill(self, update: Update, peer: str) -> None:
+    def _fill(self, update: Update, outgoing: Outgoing) -> None:
         now = self._app.now()
         self._forget_entries(now)
-        update.entries.extend(sorted(self._entries))
         said = self._said(now)
         if said is None:
             return
         update.engine.CopyFrom(said.engine)
-        if peer in self._collected_for:
+        self._leave_out_copies(now, update, outgoing)
+        if outgoing.peer in self._collected_for:
+            update.entries.extend(sorted(self._entries))
             update.total_demand.extend(said.total_demand)
 
+    def _leave_out_copies(self, now: float, update: Update, outgoing: Outgoing) -> None:
+        """Which copies an engine has changes once in seconds, and with many models is
+        most of the message. It is said again now and then, for a receiver that has
+        begun anew with this engine."""
+        copies = (tuple(update.engine.in_memory), tuple(update.engine.on_disk))
+        said, at = outgoing.told.get("copies", (None, 0.0))
+        if copies == said and now - at < COPIES_S:
+            update.engine.same_copies = True
+            del update.engine.in_memory[:]
+            del update.engine.on_disk[:]
+        else:
+            outgoing.told["copies"] = (copies, now)
+
     def _said(self, now: float) -> Update | None:
         """What all entries are told, made once for all streams.
 
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -24,6 +24,7 @@
 from bambootiller_core.gateway.log_lines import BackendRemoved
 from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
 from bambootiller_core.gateway.places import copies_at
+from bambootiller_core.gateway.relaying import tells_at_once
 from bambootiller_core.gateway.residency import PlannedLoad, Planner
 from bambootiller_core.gateway.store_speed import StoreSpeed
 from bambootiller_core.gateway.want import Want
@@ -160,8 +161,9 @@
     def _open(self, host: str, backend: Backend) -> None:
         stream = self._exchanger.keep_open(
             self._address(host),
-            lambda update, peer: self._fill(host, update),
+            lambda update, outgoing: self._fill(host, update),
             self.received,
+            lambda: tells_at_once(self._app.instance, host, self.entries),
         )
         task = asyncio.get_running_loop().create_task(stream)
         self._links[host] = _Link(task, backend.instance)
@@ -196,9 +198,10 @@
         """Take over what the agent beside an engine says."""
         if not update.HasField("engine"):
             return
-        self.entries = tuple(update.entries)
-        state = wire.engine_state(update.engine)
-        backend = self._knowledge.fleet.get(state.instance)
+        if update.entries:
+            self.entries = tuple(update.entries)
+        backend = self._knowledge.fleet.get(update.engine.instance)
+        state = wire.engine_state(update.engine, backend and backend.engine)
         if backend is not None and update.total_demand:
             service, host = backend.registered.service, backend.registered.host
             wants = wire.wants_of(update.total_demand)
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -11,7 +11,12 @@
 from bambootiller.entry.httpserver import HttpServer
 from bambootiller.gateway.engines import Engines
 from bambootiller.gateway.eventlog import EventLog
-from bambootiller.gateway.exchange import Exchanger, ResidencyServicer, Update
+from bambootiller.gateway.exchange import (
+    Exchanger,
+    Outgoing,
+    ResidencyServicer,
+    Update,
+)
 from bambootiller.gateway.front import Front, pages
 from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
 from bambootiller.gateway.meters import Meters
@@ -170,7 +175,7 @@
         )
 
 
-def _nothing(update: Update, peer: str) -> None:
+def _nothing(update: Update, outgoing: Outgoing) -> None:
     """Entries tell each other documents only."""
 
 
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -1,7 +1,8 @@
 """The stream between two processes of the gateway.
 
 An entry opens one to the agent beside each engine, and one to a few other entries. Both
-sides send what has changed, and something at least every half second. A connection can
+sides send what has changed and what the other lacks, and something at least every half
+second. A connection can
 go silent without an error; so a stream that hasn't brought anything for a while is
 given up, and opened anew.
 """
@@ -19,6 +20,7 @@
 from bambootiller.rpc import bambootiller_pb2 as pb, bambootiller_pb2_grpc as api
 from bambootiller.rpc.channels import Channels
 from bambootiller_core.gateway.log_lines import PeerHeard, PeerSilent
+from bambootiller_core.gateway.relaying import ForPeer
 from bambootiller_core.ports import Changed, Record
 
 #: The longest silence of a side that is well. Seconds.
@@ -32,28 +34,48 @@
 GATHER_S = 0.003
 
 Update = pb.ResidencyUpdate
-#: Fills a message to a peer with what this side has to say beside documents. The peer's
-#: name is empty as long as it hasn't spoken.
-Fill = Callable[[Update, str], None]
+#: Fills a message to a peer with what this side has to say beside documents.
+Fill = Callable[[Update, "Outgoing"], None]
 Received = Callable[[Update], None]
 
 
 class Outgoing:
-    """One side of a stream: gathers documents and figures, and beats."""
+    """One side of a stream: gathers documents and figures, and beats.
 
-    def __init__(self, sender: str, knowledge: Knowledge, fill: Fill) -> None:
+    ``peer`` is the other side's name, empty as long as it hasn't spoken. ``told`` is
+    for :data:`Fill`, to remember what needn't be said again.
+    """
+
+    def __init__(
+        self, sender: str, knowledge: Knowledge, fill: Fill, at_once: Callable[[], bool]
+    ) -> None:
         self._sender = sender
-        self._documents: dict[str, Changed] = {}
+        self._knowledge = knowledge
+        self._documents = ForPeer()
         self._fill = fill
+        self._at_once = at_once
         self.peer = ""
+        self.told: dict[str, object] = {}
         self._wake = asyncio.Event()
+        now = asyncio.get_running_loop().time()
         for change in knowledge.documents():
-            self.document(change)
+            self._documents.add(now, change, at_once=True)
 
     def document(self, change: Changed) -> None:
-        """Have a document sent."""
-        self._documents[change.record.key] = change
-        self._wake.set()
+        """The other side may lack a document."""
+        at_once = self._at_once()
+        now = asyncio.get_running_loop().time()
+        self._documents.add(now, change, at_once)
+        if at_once:
+            self._wake.set()
+
+    def heard(self, update: Update) -> None:
+        """The other side has spoken."""
+        first = not self.peer
+        self.peer = update.sender
+        self._documents.peer_has(dict(update.complete))
+        if first and not self._documents.is_empty:
+            self._wake.set()
 
     def poke(self) -> None:
         """Have the figures sent soon."""
@@ -71,8 +93,9 @@
             self._wake.clear()
 
     def _next(self) -> Update:
-        update = Update(sender=self._sender)
-        for change in self._documents.values():
+        complete = dict(self._knowledge.complete)
+        update = Update(sender=self._sender, complete=complete)
+        for change in self._documents.due(asyncio.get_running_loop().time()):
             record = change.record
             update.documents.add(
                 key=record.key,
@@ -80,8 +103,8 @@
                 value=record.value,
                 deleted=change.deleted,
             )
-        self._documents.clear()
-        self._fill(update, self.peer)
+        update.whole = self._documents.is_empty
+        self._fill(update, self)
         return update
 
 
@@ -110,12 +133,19 @@
         if outgoing is not None:
             outgoing.poke()
 
-    async def keep_open(self, address: str, fill: Fill, received: Received) -> None:
-        """Keep a stream to ``address`` open until cancelled."""
+    async def keep_open(
+        self,
+        address: str,
+        fill: Fill,
+        received: Received,
+        at_once: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Keep a stream to ``address`` open until cancelled; ``at_once`` tells whether
+        the peer is told of documents without giving it time to learn by itself."""
         pause = REOPEN_S
         try:
             while True:
-                lived = await self._once(address, fill, received)
+                lived = await self._once(address, fill, received, at_once)
                 if lived:
                     self._events.emit(PeerSilent(address))
                 pause = REOPEN_S if lived else min(pause * 2, REOPEN_MAX_S)
@@ -127,7 +157,7 @@
         self, requests: AsyncIterator[Update], fill: Fill, received: Received
     ) -> AsyncIterator[Update]:
         """The answers to a stream that a peer has opened."""
-        outgoing = Outgoing(self._name, self._knowledge, fill)
+        outgoing = Outgoing(self._name, self._knowledge, fill, lambda: False)
         self._outgoing.add(outgoing)
         reader = asyncio.create_task(self._read(requests, received, outgoing))
         try:
@@ -139,8 +169,14 @@
             reader.cancel()
             self._outgoing.discard(outgoing)
 
-    async def _once(self, address: str, fill: Fill, received: Received) -> bool:
-        outgoing = Outgoing(self._name, self._knowledge, fill)
+    async def _once(
+        self,
+        address: str,
+        fill: Fill,
+        received: Received,
+        at_once: Callable[[], bool],
+    ) -> bool:
+        outgoing = Outgoing(self._name, self._knowledge, fill, at_once)
         self._outgoing.add(outgoing)
         self._kept[address] = outgoing
         call = self._channels.residency(address).Exchange(outgoing.updates())
@@ -154,6 +190,7 @@
                 if not heard:
                     heard = True
                     self._events.emit(PeerHeard(address))
+                outgoing.heard(update)
                 self._take(update, received)
         except (grpc.aio.AioRpcError, TimeoutError):
             return heard
@@ -170,7 +207,7 @@
     ) -> None:
         try:
             async for update in requests:
-                outgoing.peer = update.sender
+                outgoing.heard(update)
                 self._take(update, received)
         except (grpc.aio.AioRpcError, grpc.RpcError, asyncio.CancelledError):
             return
@@ -180,6 +217,8 @@
             record = Record(document.key, document.value, document.revision)
             change = Changed(record, document.deleted)
             self._knowledge.learnt(change, update.sender)
+        if update.whole:
+            self._knowledge.has_all(update.complete)
         received(update)
 
     def _document(self, change: Changed) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.ports import Directory, Unreadable
@@ -44,6 +44,8 @@
         self._directory = directory
         self._events = events
         self._clock = clock
+        #: Up to which revision everything is known, by the prefix of keys.
+        self.complete: dict[str, int] = {}
         self._records: dict[str, Changed] = {}
         self._listeners: list[Listener] = []
         self._config_listeners: list[Callable[[GatewayConfig], None]] = []
@@ -89,6 +91,11 @@
                 gone = Record(key, b"", found.revision)
                 self.learnt(Changed(gone, deleted=True), source)
 
+    def has_all(self, complete: Mapping[str, int]) -> None:
+        """Everything up to these revisions has been learnt, by the prefix of keys."""
+        for prefix, revision in complete.items():
+            self.complete[prefix] = max(revision, self.complete.get(prefix, 0))
+
     def _removed(self, record: Record, source: str) -> None:
         instance = self._directory.instance_of(record.key)
         if instance is None:
@@ -211,6 +218,7 @@
             pause = RETRY_S
             self._regained(prefix)
             self._knowledge.listed(prefix, found, "store")
+            self._knowledge.has_all({prefix: found.revision})
             await self._watch(prefix, found.revision + 1, wanted)
 
     async def _watch(
@@ -222,6 +230,7 @@
                 return
             for change in batch:
                 self._knowledge.learnt(change, "store")
+                self._knowledge.has_all({prefix: change.record.mod_revision})
             if not wanted():
                 return
             await asyncio.sleep(GATHER_S)
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -33,8 +33,13 @@
     return message
 
 
-def engine_state(message: pb.EngineFigures) -> EngineState:
-    """The same, received."""
+def engine_state(
+    message: pb.EngineFigures, before: EngineState | None = None
+) -> EngineState:
+    """The same, received; ``before`` is what the agent had said last."""
+    in_memory, on_disk = frozenset(message.in_memory), frozenset(message.on_disk)
+    if message.same_copies and before is not None:
+        in_memory, on_disk = before.in_memory, before.on_disk
     loading = None
     if message.loading:
         left_s = message.loading_left_ms / 1000
@@ -44,8 +49,8 @@
         holdings={item.model: frozenset(item.adapters) for item in message.holdings},
         loading=loading,
         busy=message.busy,
-        in_memory=frozenset(message.in_memory),
-        on_disk=frozenset(message.on_disk),
+        in_memory=in_memory,
+        on_disk=on_disk,
         running=message.running,
         queued=message.queued,
         memory_mb_used=message.memory_mb_used,
--- /dev/null
+++ b/tests/gateway/cover/test_relaying.py
@@ -0,0 +1,84 @@
+"""Which documents a process passes on to a peer, and when."""
+
+import unittest
+
+from bambootiller_core.gateway.relaying import (
+    OWN_TIME_S,
+    ForPeer,
+    covers,
+    tells_at_once,
+)
+from bambootiller_core.ports import Changed, Record
+
+ENTRIES = [f"e{number}" for number in range(32)]
+
+
+def change(key="config/x", revision=7):
+    return Changed(Record(key, b"v", revision))
+
+
+class TestForPeer(unittest.TestCase):
+    def setUp(self):
+        self.queue = ForPeer()
+
+    def due(self, now):
+        return [item.record.key for item in self.queue.due(now)]
+
+    def test_nothing_goes_out_before_the_peer_has_said_what_it_has(self):
+        self.queue.add(0.0, change(), at_once=True)
+        self.assertEqual(self.due(9.0), [])
+        self.queue.peer_has({})
+        self.assertEqual(self.due(9.0), ["config/x"])
+        self.assertTrue(self.queue.is_empty)
+
+    def test_a_peer_that_learns_by_itself_is_not_told(self):
+        """Symptom: each change of the configuration crosses a thousand streams.
+
+        Every process passed on every document to every peer, though all but a few had
+        just read it from the store.
+        """
+        self.queue.peer_has({"config/": 6})
+        self.queue.add(0.0, change(), at_once=False)
+        self.queue.peer_has({"config/": 7})
+        self.assertEqual(self.due(9.0), [])
+
+    def test_a_peer_that_hangs_is_told_a_moment_later(self):
+        self.queue.peer_has({"config/": 6})
+        self.queue.add(0.0, change(), at_once=False)
+        self.assertEqual(self.due(OWN_TIME_S / 2), [])
+        self.assertFalse(self.queue.is_empty)
+        self.queue.peer_has({"config/": 6})
+        self.assertEqual(self.due(OWN_TIME_S), ["config/x"])
+
+    def test_what_a_peer_has_of_one_part_says_nothing_of_another(self):
+        self.queue.peer_has({"registry/": 90})
+        self.queue.add(0.0, change(), at_once=True)
+        self.assertEqual(self.due(0.0), ["config/x"])
+
+    def test_only_the_newest_of_a_document_goes_out(self):
+        self.queue.peer_has({})
+        for revision in (7, 8):
+            self.queue.add(0.0, change(revision=revision), at_once=True)
+        (sent,) = self.queue.due(0.0)
+        self.assertEqual(sent.record.mod_revision, 8)
+
+
+class TestWhoTells(unittest.TestCase):
+    def test_two_entries_keep_an_agent_up_to_date(self):
+        telling = [name for name in ENTRIES if tells_at_once(name, "a1", ENTRIES)]
+        self.assertEqual(len(telling), 2)
+
+    def test_an_entry_that_knows_of_no_other_tells(self):
+        self.assertTrue(tells_at_once("e1", "a1", ()))
+
+    def test_an_entry_that_the_others_have_not_heard_counts_itself(self):
+        without = [name for name in ENTRIES if name != "e3"]
+        told = {name for name in ENTRIES if tells_at_once(name, "a1", without)}
+        self.assertGreaterEqual(len(told), 2)
+
+
+class TestCovers(unittest.TestCase):
+    def test_up_to_the_revision_and_not_beyond(self):
+        self.assertTrue(covers({"config/": 7}, change(revision=7)))
+        self.assertFalse(covers({"config/": 7}, change(revision=8)))
+        self.assertFalse(covers({}, change()))
