Don't connect over and over to an engine that has crashed

Second attempts went out on kept connections that had died with the first, and used up max-attempts. Ruled out: counting attempts without a connection (nothing was sent; with another engine they are free by right). Change: an engine that couldn't be reached a moment ago isn't gone back to; a second attempt at the same backend server makes a new connection; an agent says when its engine doesn't answer, and such an engine is lost at once if calls can't reach it either; a stream that has begun waits for its model elsewhere until its caller would leave. `explain logs` names only processes in the story as unaligned. Before: the new tests fail (24 connections; 2 in place of 1). After: 247 tests of gateway and adapter pass.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
@@ -65,7 +65,7 @@
 
     ``tried`` are the backend servers that an attempt was made at; ``sends`` counts the
     attempts for which a connection was made and the call went out. ``last_event`` is
-    the number of the last whole event passed on.
+    the number of the last whole event passed on, ``passed_at`` when that was.
     """
 
     tried: list[str] = field(default_factory=list)
@@ -73,3 +73,4 @@
     may_have_run: bool = False
     passed_on: bool = False
     last_event: int | None = None
+    passed_at: float | None = None
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -65,7 +65,8 @@
     copies of weights from which a load is faster. ``in_use`` counts, for each model,
     the calls that entries have under way there; ``keep_values`` how much it matters to
     all entries together that each held model stays. In ``in_use``, MODEL/ADAPTER counts
-    those of an adapter."""
+    those of an adapter. ``silent``: the engine doesn't answer its agent, and the rest
+    is what it said last."""
 
     instance: str
     holdings: Mapping[str, frozenset[str]]
@@ -79,6 +80,7 @@
     orderable: bool = True
     keep_values: Mapping[str, float] = field(default_factory=dict)
     in_use: Mapping[str, int] = field(default_factory=dict)
+    silent: bool = False
 
 
 @dataclass(slots=True)
@@ -140,10 +142,11 @@
         there one after the other, and models that nobody else holds would count as
         held, so that nobody loads them. Silence of the agent alone doesn't tell: its
         process may have ended while the engine works on. Nor does silence of the
-        engine alone, which may be busy.
+        engine alone, which may be busy; but where its agent says so too, it does.
         """
-        had_agent = self.engine is not None and not self.agent_heard(now)
-        return had_agent and now - self.unreached_at < LOST_S
+        if self.engine is None or now - self.unreached_at >= LOST_S:
+            return False
+        return self.engine.silent or not self.agent_heard(now)
 
     def takes_orders(self, now: float) -> bool:
         """Whether a load can be ordered here."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/story.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/story.py
@@ -114,6 +114,7 @@
     begin -= max(line.get("held_ms", 0) for _, line in own) / 1000
     subject = _Subject(request, [line for _, line in own], serving)
     steps = []
+    unaligned = set()
     for run in runs:
         for line in run.lines:
             at = line["uptime_s"] + run.offset_s
@@ -121,9 +122,10 @@
             near = begin - BEFORE_S <= at <= end + AFTER_S
             if is_own or (near and subject.concerns(run, line)):
                 steps.append(Step(round(at - begin, 3), is_own, line))
+                if not run.aligned:
+                    unaligned.add(run.instance)
     steps.sort(key=lambda step: step.at_s)
-    unaligned = sorted({run.instance for run in runs if not run.aligned})
-    return Story(tuple(steps), tuple(unaligned))
+    return Story(tuple(steps), tuple(sorted(unaligned)))
 
 
 class _Subject:
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -204,11 +204,13 @@
             if self._silent_since is None:
                 self._silent_since = self._app.now()
                 self._events.emit(lines.DependencyLost("engine", report.detail))
+                self._said_anew()
             return QUIET_S
         self._reported_at = self._app.now()
         if self._silent_since is not None:
             away_ms = round((self._reported_at - self._silent_since) * 1000)
             self._silent_since = None
+            self._said_anew()
             self._events.emit(lines.DependencyRegained("engine", away_ms))
         instance = self._instance()
         if instance is None:
@@ -289,8 +291,11 @@
         told = self._told
         if told is None or _differs(told, state):
             self._told = state
-            self._saying = None
-            self._exchanger.poke()
+            self._said_anew()
+
+    def _said_anew(self) -> None:
+        self._saying = None
+        self._exchanger.poke()
 
     def _fill(self, update: Update, outgoing: Outgoing) -> None:
         now = self._app.now()
@@ -330,6 +335,7 @@
             return None
         saying = Update(engine=wire.engine_message(state))
         saying.engine.orderable = state.orderable and self._token is not None
+        saying.engine.silent = self._silent_since is not None
         if self._collected_for:
             saying.total_demand.extend(wire.demand_messages(self._book.wants()))
         self._saying, self._said_at = saying, now
--- a/packages/bambootiller/src/bambootiller/gateway/connections.py
+++ b/packages/bambootiller/src/bambootiller/gateway/connections.py
@@ -335,8 +335,13 @@
         self._idle: deque[BackendConnection] = deque()
         self.open = 0
 
-    async def acquire(self, now: float, timeout_s: float) -> BackendConnection:
-        """An idle connection or a new one; :class:`CannotConnect` if there is none."""
+    async def acquire(
+        self, now: float, timeout_s: float, fresh: bool = False
+    ) -> BackendConnection:
+        """An idle connection, unless it is to be ``fresh``, or a new one;
+        :class:`CannotConnect` if there is none."""
+        if fresh:
+            self.close()
         while self._idle:
             conn = self._idle.pop()
             if conn.fresh(now):
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -118,6 +118,7 @@
                 backend
                 for backend in self._in_service()
                 if backend.serves(now, ask.model)
+                and not self._health.avoided(now, backend.instance)
             ]
         if not holders:
             return self._await_model(now, untried)
@@ -156,7 +157,7 @@
         if planned is None:
             engines.replan()
             planned = engines.planned(call.service, ask.model)
-        due = min(call.first_event_due, call.deadline) - FIRST_EVENT_S
+        due = min(self._next_event_due(), call.deadline) - FIRST_EVENT_S
         if self._relays.stop_by is not None:
             due = min(due, self._relays.stop_by - STREAM_S)
         ready_in = planned.ready_in_s if planned is not None else None
@@ -171,6 +172,13 @@
         plan = self._plan_seen(now, planned)
         return Refusal(Reason.COLD, come_back, detail, plan)
 
+    def _next_event_due(self) -> float:
+        """When the caller leaves unless something more has come by then."""
+        passed_at, patience_s = self._progress.passed_at, self._call.route.patience_s
+        if passed_at is None or patience_s is None:
+            return self._call.first_event_due
+        return passed_at + patience_s
+
     def _plan_seen(self, now: float, planned: PlannedLoad | None) -> PlanSeen:
         call = self._call
         waiting = self._relays.engines.waiting(call.service, call.ask.model)
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -110,7 +110,9 @@
         pool = relays.pool(backend)
         now = relays.clock()
         try:
-            conn = await pool.acquire(now, self._call.deadline - now)
+            # What took the answer of the attempt before took the kept connections too.
+            again = backend.instance in progress.tried
+            conn = await pool.acquire(now, self._call.deadline - now, fresh=again)
         except CannotConnect as exc:
             backend.unreached(relays.clock())
             self._service.health.unreachable(relays.clock(), backend.instance)
@@ -292,6 +294,7 @@
                 progress.last_event = event.number
             data.append(event.data)
         self.report.part_passed_on()
+        progress.passed_at = self._relays.clock()
         if not progress.passed_on:
             await self._start(head)
             progress.passed_on = True
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -21,6 +21,7 @@
         queued=state.queued,
         memory_mb_used=state.memory_mb_used,
         orderable=state.orderable,
+        silent=state.silent,
         in_use=state.in_use,
         keep_values=state.keep_values,
     )
@@ -55,6 +56,7 @@
         queued=message.queued,
         memory_mb_used=message.memory_mb_used,
         orderable=message.orderable,
+        silent=message.silent,
         in_use=dict(message.in_use),
         keep_values=dict(message.keep_values),
     )
--- a/tests/adapter/failures/test_calls.py
+++ b/tests/adapter/failures/test_calls.py
@@ -349,6 +349,46 @@
         self.assertEqual(replica.runs[-1].headers["last-event-id"], "2")
 
 
+class TestCrash(Case):
+    async def test_a_crashed_engine_is_not_connected_to_over_and_over(self):
+        """Symptom: an entry makes thousands of connections in a second.
+
+        The only engine with a model crashes under a call that may be repeated. It
+        is sent there again, as nobody else holds the model; no connection is made, which
+        costs no attempt, and the next choice is the same.
+        """
+        replica = await self.llm()
+
+        def crash(req):
+            replica.server._server.close()
+            return replica.answer(req, length=False, cut=True)
+
+        replica.next_replies = [crash]
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        answer = await self.bench.call(path=b"/a/x", x_model=MODEL_NAME)
+        self.assertFalse(answer.status == 200 and answer.whole)
+        tries = len(self.bench.events.of("cannot_connect"))
+        self.assertLessEqual(tries, 2)
+        self.assertLess(loop.time() - began, 1.0)
+
+    async def test_a_second_attempt_there_uses_no_kept_connection(self):
+        """Symptom: a stream is cut though the engine was back in the same moment.
+
+        Its second attempt went out on a connection that had died with the first.
+        """
+        replica = await self.llm()
+        replica.gap_s = 0.0
+        await asyncio.gather(
+            *(self.bench.call(path=b"/a/x", x_model=MODEL_NAME) for _ in range(3))
+        )
+        made = replica.server.connections
+        replica.next_replies = [lambda req: replica.stream(req, cut=True)]
+        answer = await self.bench.call(path=b"/a/x", x_model=MODEL_NAME)
+        self.assertTrue(answer.whole)
+        self.assertEqual(replica.server.connections, made + 1)
+
+
 class TestSilence(Case):
     async def test_a_silent_replica_is_waited_for_if_there_is_no_other(self):
         """Symptom: calls end with an unknown outcome right after a model was loaded.
--- a/tests/gateway/cover/test_fleet.py
+++ b/tests/gateway/cover/test_fleet.py
@@ -105,6 +105,13 @@
         self.assertTrue(backend.lost(2.0))
         self.assertFalse(backend.lost(5.0), "somebody has to try again")
 
+    def test_an_engine_that_neither_entry_nor_agent_reaches_is_lost_at_once(self):
+        state = samples.engine_state("b1", ("tutor",), silent=True)
+        backend = samples.backend("b1", 0.0, state)
+        self.assertFalse(backend.lost(0.1), "no call has failed there")
+        backend.unreached(0.1)
+        self.assertTrue(backend.lost(0.1))
+
     def test_an_engine_whose_agent_alone_is_silent_is_not_lost(self):
         backend = samples.backend("b1", 0.0, samples.engine_state("b1", ("tutor",)))
         self.assertFalse(backend.lost(60.0))
