--- a/tests/soak/failures/test_soak.py
+++ b/tests/soak/failures/test_soak.py
@@ -6,6 +6,7 @@
 
 #: Seeds that failed, each with the cause that was found.
 ONCE_FAILED = {
+    104: "the check took a refused connection to a stopped entry for a lost answer",
     125: "a hang-up during a start ended the process before its handler stood",
 }
 SECONDS = 8.0
