Bound the heads of callers' requests, in size and time

Cause: the operator's limits on heads were decoded and never used. The HTTP server reads a head of any length and waits for its end for ever, as it does on a connection on which nothing comes; one caller could use up an entry's memory or descriptors. Ruled out: a limit in the balancer (not ours); the server's own settings (it has none for its fast parser). Change: the protocol of the HTTP server counts a head's bytes and time: 431 and 408 with a log line, then the connection is read for a second and closed, so that the answer arrives. Connections on which nothing comes are closed after the idle time; kept ones stay 1.1 times as long as callers may leave them idle.

--- a/packages/bambootiller/src/bambootiller/entry/httpserver.py
+++ b/packages/bambootiller/src/bambootiller/entry/httpserver.py
@@ -43,9 +43,15 @@
         await server.stop(5.0)
     """
 
-    def __init__(self, app: TrackedApplication, listen: Address) -> None:
+    def __init__(
+        self,
+        app: TrackedApplication,
+        listen: Address,
+        protocol: type[asyncio.Protocol] | str = "auto",
+    ) -> None:
         config = uvicorn.Config(
             app,
+            http=protocol,
             lifespan="off",
             ws="none",
             log_config=None,
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/bounded.py
@@ -0,0 +1,165 @@
+"""Bounds what a caller may send as the head of a request, and how long it may take.
+
+The HTTP server reads heads of any length, and waits for the rest of one for ever. A
+caller who sends a head without an end, or none at all on thousands of connections,
+would use up the memory and the descriptors of an instance that serves others.
+
+Example::
+
+    protocol = bounded_protocol(lambda: config.limits, log_refusal)
+    server = HttpServer(app, address, protocol)
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from bambootiller_core.gateway.config import CallLimits
+
+#: Each header costs its name, its value, a colon, a space and the line's end.
+HEADER_FRAMING = 4
+#: An idle connection is kept for so many times as long as callers may leave it idle.
+KEPT_LONGER = 1.1
+#: After a refusal, what still comes is read and dropped for so long. Seconds.
+LINGER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class HeadRefused:
+    """Why a head wasn't read to its end, and what its sender was answered."""
+
+    reason: str
+    status: int
+    phrase: str
+
+
+TOO_LARGE = HeadRefused("head_too_large", 431, "Request Header Fields Too Large")
+TOO_SLOW = HeadRefused("head_too_slow", 408, "Request Timeout")
+
+Refused = Callable[[HeadRefused], None]
+
+
+def bounded_protocol(
+    limits: Callable[[], CallLimits], refused: Refused
+) -> type[HttpToolsProtocol]:
+    """The server's protocol with the limits that are in force when a head comes;
+    ``refused`` is told of each head that is left."""
+
+    class BoundedProtocol(_BoundedProtocol):
+        get_limits = staticmethod(limits)
+        on_refused = staticmethod(refused)
+
+    return BoundedProtocol
+
+
+class _BoundedProtocol(HttpToolsProtocol):
+    """One connection of a caller."""
+
+    get_limits: Callable[[], CallLimits]
+    on_refused: Refused
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """A caller has connected, and is due to send something."""
+        super().connection_made(transport)
+        self._head_bytes = 0
+        self._reads_head = False
+        self._in_message = False
+        self._refused = False
+        self._due: asyncio.TimerHandle | None = None
+        self._expect(self.get_limits().idle_timeout_s)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is down."""
+        self._expect(None)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of a request have come."""
+        if self._refused:
+            return
+        # Behind the end of another request, how much of them is head isn't known.
+        counts = self._reads_head or not self._in_message
+        super().data_received(data)
+        if not self._reads_head or not counts:
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > self.get_limits().max_header_bytes:
+            self._refuse(TOO_LARGE)
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        self._reads_head = self._in_message = True
+        self._head_bytes = 0
+        self._expect(self.get_limits().header_timeout_s)
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        """A head is whole."""
+        self._reads_head = False
+        self._expect(None)
+        size = len(self.url) + sum(
+            len(name) + len(value) + HEADER_FRAMING for name, value in self.headers
+        )
+        if size > self.get_limits().max_header_bytes:
+            self._refuse(TOO_LARGE)
+        if not self._refused:
+            super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """A request is whole; the next may begin."""
+        self._in_message = False
+        if not self._refused:
+            super().on_message_complete()
+
+    def on_response_complete(self) -> None:
+        """An answer is whole. Callers may use a connection again for most of the time
+        that they were told it is kept; closed sooner, a call could cross the close."""
+        kept_s = self.get_limits().idle_timeout_s * KEPT_LONGER
+        self.timeout_keep_alive = max(self.timeout_keep_alive, kept_s)
+        super().on_response_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """A part of a body has come."""
+        if not self._refused:
+            super().on_body(body)
+
+    def _expect(self, seconds: float | None) -> None:
+        if self._due is not None:
+            self._due.cancel()
+            self._due = None
+        if seconds is not None:
+            self._due = self.loop.call_later(seconds, self._late)
+
+    def _late(self) -> None:
+        self._due = None
+        if self._in_message:
+            self._refuse(TOO_SLOW)
+        else:
+            self.transport.close()
+
+    def _refuse(self, why: HeadRefused) -> None:
+        """Answer with a status that promises that nothing has run, and close."""
+        if self._refused:
+            return
+        self._refused = True
+        self._expect(None)
+        self.on_refused(why)
+        if self.cycle is not None and not self.cycle.response_complete:
+            # An answer to an earlier request is on its way; another in its middle
+            # would spoil it.
+            self.transport.close()
+            return
+        head = (
+            f"HTTP/1.1 {why.status} {why.phrase}",
+            "content-length: 0",
+            "connection: close",
+        )
+        self.transport.write("\r\n".join(head).encode() + b"\r\n\r\n")
+        self.transport.write_eof()
+        # Closed at once, what the caller still sends would be answered by a reset,
+        # which takes the answer away before it is read.
+        self.loop.call_later(LINGER_S, self.transport.close)
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -9,6 +9,7 @@
 from bambootiller import logs
 from bambootiller.app import Application
 from bambootiller.entry.httpserver import HttpServer
+from bambootiller.gateway.bounded import HeadRefused, bounded_protocol
 from bambootiller.gateway.engines import Engines
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.exchange import (
@@ -26,6 +27,7 @@
 from bambootiller.settings import Address
 from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.budget import AttemptBudget
+from bambootiller_core.gateway.config import CallLimits
 
 #: A leaving entry takes new calls for this long: the balancer has to miss its readiness
 #: twice, a second apart, before it sends no new connections. Seconds.
@@ -104,8 +106,9 @@
         watcher = StoreWatcher(self._platform.kv, self.knowledge, self._events, app.now)
         for prefix in self._platform.directory.prefixes:
             app.spawn(f"watch {prefix}", watcher.follow(prefix))
+        protocol = bounded_protocol(self._limits, self._head_refused)
         for address in {self._places.callers, self._places.ready}:
-            server = HttpServer(self._front, address)
+            server = HttpServer(self._front, address, protocol)
             server.bind()
             self._servers.append(server)
             app.spawn(f"http {address}", server.serve())
@@ -117,6 +120,27 @@
             app.spawn(f"peer {peer}", stream)
         self._events.emit(lines.Started("entry", app.settings.zone))
 
+    def _limits(self) -> CallLimits:
+        config = self.knowledge.config
+        return config.limits if config is not None else CallLimits()
+
+    def _head_refused(self, why: HeadRefused) -> None:
+        config = self.knowledge.config
+        line = lines.Refused(
+            request=None,
+            route=None,
+            service=None,
+            kind=None,
+            model=None,
+            reason=why.reason,
+            status=why.status,
+            come_back_s=None,
+            held_ms=0,
+            detail="",
+            config_version=config.version if config is not None else None,
+        )
+        self._events.emit(line)
+
     def is_ready(self) -> bool:
         """Whether the balancer may send new connections here."""
         known = self.knowledge.config is not None
