--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,6 +10,9 @@
 SLACK_S = 1.0
 #: A replica that leaves may get work for so long: its word has to reach the entries.
 LEAVING_S = 3.0
+#: After the store was away for all, what it says may be known so much later: a watch
+#: that was swallowed shows after 3.5 s. The first users' platform allows 4. Seconds.
+CATCH_UP_S = 4.0
 #: Faults count for a call if they ended no longer before it: connections made while a
 #: path was injured may be lost later. Seconds.
 AFTERMATH_S = 3.0
@@ -23,7 +26,7 @@
     broken += _answers(attempts)
     broken += _waits(attempts, injuries)
     broken += _planned(attempts, injuries)
-    broken += _replicas(world)
+    broken += _replicas(world, injuries)
     broken += _configs(world)
     return broken
 
@@ -90,13 +93,25 @@
     )
 
 
-def _replicas(world):
+def _known_by(left_at, injuries):
+    """When every entry has to know that a replica leaves."""
+    known_by = left_at + LEAVING_S
+    for injury in sorted(injuries, key=lambda item: item.began):
+        if injury.name != "store" or injury.began > known_by:
+            continue
+        if injury.ended + CATCH_UP_S > left_at:
+            known_by = max(known_by, injury.ended + CATCH_UP_S)
+    return known_by
+
+
+def _replicas(world, injuries):
     for replica in world.all_replicas():
         for text in replica.overfull:
             yield f"{replica.instance}: memory overcommitted: {text}"
         if replica.left_at is None:
             continue
-        late = [at for at in replica.run_times if at > replica.left_at + LEAVING_S]
+        known_by = _known_by(replica.left_at, injuries)
+        late = [at for at in replica.run_times if at > known_by]
         if late:
             yield f"{replica.instance}: {len(late)} calls after it said it leaves"
 
--- a/tests/soak/failures/test_soak.py
+++ b/tests/soak/failures/test_soak.py
@@ -7,6 +7,8 @@
 #: Seeds that failed, each with the cause that was found.
 ONCE_FAILED = {
     104: "the check took a refused connection to a stopped entry for a lost answer",
+    108: "the store was away twice within 3 s of a replica's leave; the check expected "
+    "its word all the same",
     125: "a hang-up during a start ended the process before its handler stood",
 }
 SECONDS = 8.0
