The soak mends wrong answers that nobody has called for yet

Its trace: the fault "garble" on llm1 queued wrong answers and counted as mended at 3385.65 s; the two that were left cut both attempts of e0-0-129 some seconds later. Ruled out: the entry (attempts 1 and 2 both "broken off" by the replica's answer, most_attempts 2, so the cut was right).

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -188,6 +188,8 @@
     for _ in range(rng.randint(1, 6)):
         replica.next_replies.append(rng.choice(wrong))
         await asyncio.sleep(rng.uniform(0.0, 0.3))
+    # Left behind, they would spoil calls long after this fault counts as mended.
+    replica.next_replies.clear()
 
 
 @fault("late orders")
