--- /dev/null
+++ b/tests/soak/failures/seeds.py
@@ -0,0 +1,12 @@
+"""Seeds that once broke a promise, run again as they were."""
+
+from tests.soak.run import soak
+
+#: How long those runs were. Seconds.
+SECONDS = 12.0
+
+
+async def again(case, seed):
+    """Run a seed, and fail the test if a promise is broken."""
+    report = await soak(seed, SECONDS, "out/soak")
+    case.assertEqual(report.broken, [], report)
--- /dev/null
+++ b/tests/soak/failures/test_seeds_of_checks.py
@@ -0,0 +1,24 @@
+"""Seeds that brought out a fault of the checks."""
+
+import unittest
+
+from tests.soak.failures.seeds import again
+
+
+class TestSeeds(unittest.IsolatedAsyncioTestCase):
+    async def test_seed_104(self):
+        """The check took a refused connection to a stopped entry for a lost answer."""
+        await again(self, 104)
+
+    async def test_seed_108(self):
+        """The store was away twice within 3 s of a replica's leave."""
+        await again(self, 108)
+
+    async def test_seed_136(self):
+        """The same as seed 104."""
+        await again(self, 136)
+
+    async def test_seed_140(self):
+        """A replica left while the store was away, which came back for half a second
+        only before it was away again."""
+        await again(self, 140)
--- /dev/null
+++ b/tests/soak/failures/test_seeds_of_programs.py
@@ -0,0 +1,20 @@
+"""Seeds whose faults brought out a fault of the programs, or spoiled calls later."""
+
+import unittest
+
+from tests.soak.failures.seeds import again
+
+
+class TestSeeds(unittest.IsolatedAsyncioTestCase):
+    async def test_seed_125(self):
+        """A hang-up during a start ended the process before its handler stood."""
+        await again(self, 125)
+
+    async def test_seed_135(self):
+        """Wrong answers stayed behind when the fault that brought them was mended, and
+        cut a stream seconds later."""
+        await again(self, 135)
+
+    async def test_seed_146(self):
+        """The same, with a call whose outcome then wasn't known."""
+        await again(self, 146)
