Close each caller's connection with its answer during a planned stop

Cause: three things. The entry held its two ports in a set and closed whichever came first, so in half of the processes the callers' port stayed open to the end; a connection whose answer's head had gone out before the stop was kept until all were closed at once; the stop ended the moment no call was under way, while a caller who had just connected or been answered was sending. Change: two named servers; a connection is closed with the answer on it while leaving; the stop waits until no call has come for 0.3 s; the port is closed right after the loop has taken what had connected.

--- a/packages/bambootiller/src/bambootiller/entry/httpserver.py
+++ b/packages/bambootiller/src/bambootiller/entry/httpserver.py
@@ -39,7 +39,7 @@
         server.bind()        # server.port is known from here on
         task = asyncio.create_task(server.serve())
         ...
-        server.close_listener()
+        await server.close_listener()
         await server.stop(5.0)
     """
 
@@ -104,8 +104,14 @@
         """Release the port of a server that hasn't served."""
         self._socket.close()
 
-    def close_listener(self) -> None:
-        """Accept no new connections; those that are open go on."""
+    async def close_listener(self) -> None:
+        """Accept no new connections; those that are open go on.
+
+        Closing resets connections that the kernel has taken and the loop hasn't. The
+        loop looks for them once a turn, so the port is closed right after such a look.
+        """
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
         for server in getattr(self._server, "servers", ()):
             server.close()
 
--- a/packages/bambootiller/src/bambootiller/entry/role.py
+++ b/packages/bambootiller/src/bambootiller/entry/role.py
@@ -102,7 +102,7 @@
         log.info("leaving: new requests are taken for {} s more", round(lag, 1))
         await asyncio.sleep(lag)
         self._intake.close()
-        self._server.close_listener()
+        await self._server.close_listener()
         if not await self._intake.wait_empty(end - TELL_S - self._app.now()):
             log.warning("{} requests can't be finished", self._intake.under_way)
             self._intake.interrupt_all(Cut.LEAVING)
--- a/packages/bambootiller/src/bambootiller/gateway/bounded.py
+++ b/packages/bambootiller/src/bambootiller/gateway/bounded.py
@@ -6,7 +6,7 @@
 
 Example::
 
-    protocol = bounded_protocol(lambda: config.limits, log_refusal)
+    protocol = bounded_protocol(lambda: config.limits, log_refusal, lambda: leaving)
     server = HttpServer(app, address, protocol)
 """
 
@@ -44,14 +44,16 @@
 
 
 def bounded_protocol(
-    limits: Callable[[], CallLimits], refused: Refused
+    limits: Callable[[], CallLimits], refused: Refused, leaving: Callable[[], bool]
 ) -> type[HttpToolsProtocol]:
     """The server's protocol with the limits that are in force when a head comes;
-    ``refused`` is told of each head that is left."""
+    ``refused`` is told of each head that is left. While ``leaving`` holds, each
+    connection is closed with the answer on it."""
 
     class BoundedProtocol(_BoundedProtocol):
         get_limits = staticmethod(limits)
         on_refused = staticmethod(refused)
+        is_leaving = staticmethod(leaving)
 
     return BoundedProtocol
 
@@ -61,6 +63,7 @@
 
     get_limits: Callable[[], CallLimits]
     on_refused: Refused
+    is_leaving: Callable[[], bool]
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """A caller has connected, and is due to send something."""
@@ -121,6 +124,11 @@
         kept_s = self.get_limits().idle_timeout_s * KEPT_LONGER
         self.timeout_keep_alive = max(self.timeout_keep_alive, kept_s)
         super().on_response_complete()
+        if self.is_leaving():
+            # The head of a long answer may have gone out before the stop began, with no
+            # word that the connection ends. Left open, it would be closed while the
+            # caller's next call is on its way.
+            self.shutdown()
 
     def on_body(self, body: bytes) -> None:
         """A part of a body has come."""
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -34,6 +34,9 @@
 LAG_S = 2.6
 #: Kept at the end of a planned stop, for answers to reach their callers. Seconds.
 TELL_S = 0.4
+#: The stop goes on until no call has come for so long: a caller that just connected,
+#: or been answered, sends its next call within a round trip. Seconds.
+QUIET_S = 0.3
 SWEEP_S = 0.5
 
 log = logs.logger("gateway.entry")
@@ -91,7 +94,16 @@
         self._front = Front(
             self._relays, own_pages, self.is_ready, lambda: self._leaving
         )
-        self._servers: list[HttpServer] = []
+        protocol = bounded_protocol(
+            self._limits, self._head_refused, lambda: self._leaving
+        )
+        self._callers = HttpServer(self._front, places.callers, protocol)
+        #: One port may serve both.
+        self._balancer = (
+            HttpServer(self._front, places.ready, protocol)
+            if places.ready != places.callers
+            else self._callers
+        )
         self._leaving = False
         self._add_levels(meters)
         app.add_servicer(self._register)
@@ -106,13 +118,10 @@
         watcher = StoreWatcher(self._platform.kv, self.knowledge, self._events, app.now)
         for prefix in self._platform.directory.prefixes:
             app.spawn(f"watch {prefix}", watcher.follow(prefix))
-        protocol = bounded_protocol(self._limits, self._head_refused)
-        for address in {self._places.callers, self._places.ready}:
-            server = HttpServer(self._front, address, protocol)
+        for server in self._servers():
             server.bind()
-            self._servers.append(server)
-            app.spawn(f"http {address}", server.serve())
-        app.http_port = self._servers[0].port
+            app.spawn(f"http port {server.port}", server.serve())
+        app.http_port = self._callers.port
         self._engines.start()
         app.timers.every("gateway sweep", SWEEP_S, app.now(), self._relays.sweep)
         for peer in self._places.peers:
@@ -154,21 +163,39 @@
         self._relays.stop_by = end - TELL_S
         self._events.emit(lines.Stopping("entry", self._front.under_way))
         await asyncio.sleep(min(LAG_S, seconds / 2))
-        self._servers[0].close_listener()
-        left = end - TELL_S - app.now()
+        await self._callers.close_listener()
         try:
-            async with asyncio.timeout(max(0.0, left)):
-                await self._front.idle.wait()
+            async with asyncio.timeout_at(end - TELL_S):
+                await self._quiet()
         except TimeoutError:
-            self._events.emit(lines.CutAtStop(self._front.under_way))
+            if self._front.under_way:
+                self._events.emit(lines.CutAtStop(self._front.under_way))
+
+    async def _quiet(self) -> None:
+        """Wait until no call is under way and none has come for a moment.
+
+        A caller that connected just before the port closed, or whose answer was the
+        last to end, may be sending its next call: ending at once would lose it.
+        """
+        front = self._front
+        taken = None
+        while taken != front.taken:
+            await front.idle.wait()
+            taken = front.taken
+            await asyncio.sleep(QUIET_S)
 
     async def stop(self) -> None:
         """Close the connections and the ports."""
         self._engines.stop()
-        for server in self._servers:
+        for server in self._servers():
             await server.stop(TELL_S)
         self._events.emit(lines.Stopped("entry"))
 
+    def _servers(self) -> tuple[HttpServer, ...]:
+        if self._balancer is self._callers:
+            return (self._callers,)
+        return (self._callers, self._balancer)
+
     def _add_levels(self, meters: Meters) -> None:
         front, relays, engines = self._front, self._relays, self._engines
         meters.level("calls_under_way", "Calls taken in", lambda: front.under_way)
--- a/packages/bambootiller/src/bambootiller/gateway/front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/front.py
@@ -62,6 +62,8 @@
         self._is_ready = is_ready
         self._is_leaving = is_leaving
         self.under_way = 0
+        #: Calls taken in since the start.
+        self.taken = 0
         self.idle = asyncio.Event()
         self.idle.set()
 
@@ -75,6 +77,7 @@
             await self._pages(scope, receive, send)
             return
         self.under_way += 1
+        self.taken += 1
         self.idle.clear()
         try:
             await self._serve(scope, receive, send)
--- /dev/null
+++ b/tests/adapter/failures/test_planned_stops.py
@@ -0,0 +1,143 @@
+"""Callers of an entry that is asked to end, on connections old and new."""
+
+import asyncio
+import contextlib
+import unittest
+
+from tests.adapter.common.fleet import HOST, Fleet, until
+from tests.adapter.cover.test_documents import MODEL
+
+MODEL_NAME = MODEL["name"]
+#: Far above what a close takes that follows an answer, far below the rest of the stop.
+AT_ONCE_S = 0.5
+
+
+async def connect(entry):
+    """A connection to the entry's port for callers."""
+    host, _, port = entry.form["listen"]["front"].rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def ask(writer, attempt):
+    """Send a call on a connection."""
+    head = (
+        "POST /a/x HTTP/1.1",
+        f"host: {HOST}",
+        f"x-request-attempt: {attempt}",
+        "x-deadline-ms: 12000",
+        f"x-model: {MODEL_NAME}",
+        "content-length: 1",
+    )
+    writer.write("\r\n".join(head).encode() + b"\r\n\r\nb")
+    await writer.drain()
+
+
+async def begin(fleet, events=5):
+    """An entry before one engine whose streams have so many events."""
+    fleet.configure()
+    replica = await fleet.replica("127.0.0.2", "i-1", "llm", (MODEL_NAME,))
+    replica.events, replica.gap_s = events, 0.05
+    return replica
+
+
+async def running(replica, count):
+    """Wait until so many streams run."""
+
+    async def reached():
+        return len(replica.runs) >= count
+
+    await until(reached, f"{count} streams run")
+
+
+class TestPlannedStops(unittest.IsolatedAsyncioTestCase):
+    async def test_the_port_for_callers_closes_and_the_balancers_goes_on_saying_no(
+        self,
+    ):
+        """Symptom: some stopping entries take new connections until their very end,
+        and the calls on the last of them are lost; their readiness can't be asked.
+
+        The entry had its two ports in a set, and closed whichever came first.
+        """
+        async with Fleet() as fleet:
+            replica = await begin(fleet, events=90)
+            entries = [await fleet.entry(f"e{number}") for number in range(4)]
+            for entry in entries:
+                await fleet.wait_ready(entry)
+            calls = [
+                asyncio.ensure_future(fleet.call(entry, MODEL_NAME))
+                for entry in entries
+            ]
+            await running(replica, len(entries))
+            stops = [asyncio.ensure_future(entry.stop()) for entry in entries]
+            for entry in entries:
+
+                async def refuses(entry=entry):
+                    try:
+                        _, writer = await connect(entry)
+                    except ConnectionRefusedError:
+                        return True
+                    writer.close()
+                    return False
+
+                await until(refuses, "the entry takes no more connections")
+                url = f"http://{entry.form['listen']['ready']}/bambootiller/ready"
+                async with fleet.session.get(url) as response:
+                    self.assertEqual(response.status, 503)
+            for status, body in await asyncio.gather(*calls):
+                self.assertEqual(status, 200)
+                self.assertTrue(body.endswith(b"data: 90\n\n"))
+            self.assertEqual(await asyncio.gather(*stops), [0] * len(entries))
+
+    async def test_a_connection_is_closed_with_the_answer_that_was_under_way(self):
+        """Symptom: a call on a kept connection is lost as its entry ends.
+
+        A stream's head had gone out before the stop began, without a word that the
+        connection won't be kept. When the last stream ended the entry closed all
+        connections at once, while the caller was sending its next call.
+        """
+        async with Fleet() as fleet:
+            replica = await begin(fleet, events=30)
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+            reader, writer = await connect(entry)
+            await ask(writer, "r-1")
+            await running(replica, 1)
+            replica.events = 60
+            longer = asyncio.ensure_future(fleet.call(entry, MODEL_NAME, attempt="r-2"))
+            await running(replica, 2)
+            stop = asyncio.ensure_future(entry.stop())
+            await reader.readuntil(b"\r\n0\r\n\r\n")
+            async with asyncio.timeout(AT_ONCE_S):
+                self.assertEqual(await reader.read(), b"")
+            self.assertIsNone(entry.process.returncode)
+            writer.close()
+            status, _ = await longer
+            self.assertEqual(status, 200)
+            self.assertEqual(await stop, 0)
+
+    async def test_a_call_on_the_last_connection_that_was_taken_is_answered(self):
+        """Symptom: a new connection's first call is lost as its entry ends.
+
+        No call was under way when the port closed, so the entry ended at once, though
+        a caller had just connected and was sending.
+        """
+        async with Fleet() as fleet:
+            replica = await begin(fleet)
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+            stop = asyncio.ensure_future(entry.stop())
+            taken = []
+            with contextlib.suppress(ConnectionRefusedError):
+                while True:
+                    taken.append(await connect(entry))
+                    await asyncio.sleep(0.01)
+            reader, writer = taken[-1]
+            await ask(writer, "r-1")
+            head = await reader.readuntil(b"\r\n\r\n")
+            # Late in a stop, a refusal that promises that nothing has run.
+            self.assertIn(int(head.split()[1]), (200, 503), head)
+            self.assertEqual(len(replica.runs), int(head.split()[1] == b"200"))
+            self.assertIn(b"connection: close", head.lower())
+            for _, writer in taken:
+                writer.close()
+            self.assertEqual(await stop, 0)
