Learn the weight store's speed by the order in which loads begin

Cause: on the grown sites the store serves one load at full speed, and a load takes longer by how many are under way as it begins. Four prefetches of 13 s began at once, so the last kept its engine for 52 s; the first ended in its stated time beside three others, which was taken to show that four are served at full speed, for ever. A model much awaited then began as the fifth and took 66 s. Agents told 13 s for all of them. Ruled out: a store that slows all loads together (the first ended after 13.2 s with four under way, in the log of all machines). Change: the estimate goes by the place of a load among those under way as it began; it starts at what may be tried for 25 s (4 loads of 6 s, 1 of 13.2 s), tries one more until the store shows its limit; a load waits where beginning now ends no sooner; the plan foresees the end of loads that others hold up.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -15,7 +15,7 @@
 
 import enum
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from bambootiller_core import rendezvous
@@ -31,12 +31,12 @@
     copies_at,
     tier_seconds,
 )
+from bambootiller_core.gateway.store_queue import StoreQueue
 from bambootiller_core.gateway.want import Want
 
 #: A model that so many calls wait for needn't wait for a place at the store: demand has
-#: moved to it, and every second costs as many calls. That many loads more may begin.
+#: moved to it, and every second costs as many calls.
 MANY_WAITING = 4
-STORE_LOADS_URGENT = 2
 #: Loads longer than this stand in the way of others at the same engine. Seconds.
 LONG_LOAD_S = 1.5
 #: What it counts, in seconds, that a long load puts one model out of reach: asked for
@@ -83,13 +83,20 @@
 class Planner:
     """Plans the loads of one service of engines.
 
-    ``store_loads`` is how many loads the weight store serves at full speed; more at a
-    time come no sooner and slow down the first.
+    ``store_loads`` is how many loads the weight store serves at full speed; those that
+    begin beyond it take longer. ``left_s`` is when the load under way at an engine
+    ends.
     """
 
-    def __init__(self, engine: EngineSpec, store_loads: int) -> None:
+    def __init__(
+        self,
+        engine: EngineSpec,
+        store_loads: int,
+        left_s: Callable[[Backend], float] | None = None,
+    ) -> None:
         self._engine = engine
         self._store_loads = store_loads
+        self._left_s = left_s or _told_left_s
         self._only_here: dict[str, set[str]] = {}
 
     def plan(
@@ -121,8 +128,10 @@
             }
             for place in places
         }
-        plan = _under_way(known, self._store_loads)
-        store_loads = sum(1 for load in plan.values() if load.from_store)
+        plan = self._under_way(known)
+        under_way = [load.ready_in_s for load in plan.values() if load.from_store]
+        queue = StoreQueue(self._store_loads, under_way)
+        second_copies = 0
         for spec, rank in self._in_order(known, wants, plan):
             if spec.name in plan:
                 # It is being moved, to make room for one before it in the order.
@@ -130,16 +139,16 @@
             option = self._best(spec, places, wants, now)
             if option is None:
                 continue
-            most = self._store_loads
-            if rank is _Rank.SECOND_COPY:
-                most = min(most, SECOND_COPY_LOADS)
-            if wants.get(spec.name, Want()).waiting >= MANY_WAITING:
-                most += STORE_LOADS_URGENT
-            waits_for_store = option.from_store and store_loads >= most
-            ready = option.ready_in_s
-            if waits_for_store:
-                queued = store_loads - most + 1
-                ready += spec.load_s * queued / self._store_loads
+            if rank is _Rank.SECOND_COPY and option.from_store:
+                if under_way or second_copies >= SECOND_COPY_LOADS:
+                    continue
+                second_copies += 1
+            ready, waits_for_store = option.ready_in_s, False
+            if option.from_store:
+                many = wants.get(spec.name, Want()).waiting >= MANY_WAITING
+                begins, ends = queue.add(spec.load_s, crowding=many)
+                waits_for_store = begins > 0
+                ready += ends - spec.load_s
             if self._moves(spec, ready, places, wants, plan):
                 continue
             starts_now = option.place.is_free
@@ -150,10 +159,23 @@
                 ask_now=starts_now and not waits_for_store,
                 from_store=option.from_store,
             )
-            store_loads += option.from_store
             self._occupy(option, spec)
         return plan
 
+    def _under_way(self, known: list[Backend]) -> dict[str, PlannedLoad]:
+        found: dict[str, PlannedLoad] = {}
+        for backend in known:
+            loading = backend.engine.loading
+            if loading is not None:
+                found[loading.model] = PlannedLoad(
+                    loading.model,
+                    backend.instance,
+                    self._left_s(backend),
+                    ask_now=False,
+                    from_store=loading.from_store,
+                )
+        return found
+
     def _moves(
         self,
         spec: ModelSpec,
@@ -227,7 +249,7 @@
         state = backend.engine
         free_in = 0.0
         if state.loading is not None:
-            free_in = max(ORDER_S, state.loading.left_s)
+            free_in = max(ORDER_S, self._left_s(backend))
         elif state.busy:
             free_in = RUN_S
         return Place(backend, free_in)
@@ -327,21 +349,5 @@
     return None
 
 
-def _under_way(known: list[Backend], store_loads: int) -> dict[str, PlannedLoad]:
-    found: dict[str, PlannedLoad] = {}
-    loads = [backend.engine.loading for backend in known if backend.engine.loading]
-    from_store = sum(1 for loading in loads if loading.from_store)
-    # The store's speed is shared by all loads beyond those that it serves at full
-    # speed.
-    stretch = max(1.0, from_store / store_loads)
-    for backend in known:
-        loading = backend.engine.loading
-        if loading is not None:
-            found[loading.model] = PlannedLoad(
-                loading.model,
-                backend.instance,
-                loading.left_s * (stretch if loading.from_store else 1.0),
-                ask_now=False,
-                from_store=loading.from_store,
-            )
-    return found
+def _told_left_s(backend: Backend) -> float:
+    return backend.engine.loading.left_s
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
@@ -0,0 +1,52 @@
+"""When the weight store will have served the loads that a plan gives it.
+
+A load takes its stated time while the store serves no more than it can at full speed,
+and longer in proportion to how many are under way as it begins.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+#: A load that isn't sooner by this much if it begins now waits: it would keep its
+#: engine from other orders all the while. Seconds.
+WORTH_NOW_S = 1.0
+
+
+class StoreQueue:
+    """The loads of a plan, from those under way on.
+
+    Example::
+
+        queue = StoreQueue(4, ends_in_s=[2.0, 5.5])
+        starts_in_s, ready_in_s = queue.add(6.0)
+    """
+
+    def __init__(self, full: int, ends_in_s: Iterable[float]) -> None:
+        self._full = full
+        self._ends = sorted(ends_in_s)
+
+    def add(self, load_s: float, crowding: bool = False) -> tuple[float, float]:
+        """Plan one more load; returns when it begins and when it is over.
+
+        ``crowding`` lets it begin beyond what the store serves at full speed, if it is
+        over sooner that way.
+        """
+        begins = self._next_free()
+        ready = begins + load_s
+        if crowding and begins > 0:
+            stretch = max(1.0, (self._under_way(0.0) + 1) / self._full)
+            if load_s * stretch + WORTH_NOW_S <= ready:
+                begins, ready = 0.0, load_s * stretch
+        self._ends.append(ready)
+        self._ends.sort()
+        return begins, ready
+
+    def _next_free(self) -> float:
+        for at in [0.0, *self._ends]:
+            if self._under_way(at) < self._full:
+                return at
+        return self._ends[-1]
+
+    def _under_way(self, at: float) -> int:
+        return sum(1 for end in self._ends if end > at)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
@@ -1,14 +1,15 @@
 """How many loads the weight store serves at full speed, learnt from the loads.
 
-Nothing states it. Beyond that number all loads become slower in proportion, so a store
-that is asked for too many at a time delivers the first of them as late as the last; one
-that is asked for too few is idle while calls wait.
+Nothing states it. Beyond that number a load takes longer in proportion to how many are
+under way when it begins. A store that is asked for too many at a time keeps engines
+busy with loads that end no sooner; one that is asked for too few is idle while calls
+wait.
 
 Example::
 
-    speed = StoreSpeed()
+    speed = StoreSpeed(assumed_loads(engine))
     speed.observe(now, backends, engine)
-    most = speed.loads
+    most = speed.limit
 """
 
 from __future__ import annotations
@@ -19,10 +20,15 @@
 from dataclasses import dataclass
 
 from bambootiller_core.gateway.config import EngineSpec
-from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.fleet import Backend, Loading
 
 #: What is assumed at the start: stated by the first users for their sites.
 ASSUMED_LOADS = 4
+#: Fewer are assumed if so many loads, one after the other, would take longer than this.
+#: A store that serves one at a time keeps four engines from all other orders for four
+#: times a load's time: with loads of 13 s the models that they alone had copies of were
+#: out of reach for 52 s. Seconds.
+UNPROVEN_S = 25.0
 #: A load that takes this many times its stated time is slowed by others.
 SLOWED = 1.15
 #: One that takes no longer than this ran at full speed.
@@ -31,22 +37,53 @@
 ROUNDING = 0.25
 #: One slow load may be its engine's doing; so many at different engines aren't.
 AGREEING = 2
+#: Loads that are seen to begin within this time may have begun in any order. Seconds;
+#: agents speak at least so often.
+SAME_TIME_S = 0.5
+#: A load that has outlived its estimate is expected to last this part of it longer.
+OVERRUN_SHARE = 0.15
+
+
+def assumed_loads(engine: EngineSpec) -> int:
+    """How many loads the store is taken to serve before any has been seen."""
+    times = [spec.load_s for spec in engine.models.values()]
+    if not times:
+        return ASSUMED_LOADS
+    most = math.floor(UNPROVEN_S / max(0.1, statistics.median(times)))
+    return max(1, min(ASSUMED_LOADS, most))
+
+
+@dataclass(slots=True)
+class _Group:
+    """Loads that began at about the same time, in an order that isn't known.
+
+    ``before`` were under way already. ``at_full_speed`` of the group have ended in
+    their stated time, so these were the first.
+    """
+
+    began: float
+    before: int
+    size: int = 0
+    at_full_speed: int = 0
+
+    @property
+    def most_under_way(self) -> int:
+        """The loads under way when the slowest of the group began, itself included, as
+        few of them as what has ended allows."""
+        if self.at_full_speed:
+            return self.before + self.at_full_speed + 1
+        return self.before + self.size
 
 
 @dataclass(slots=True)
 class _Watched:
-    """A load under way: ``shared`` adds up the loads under way over its time."""
+    """A load under way; ``place`` is its own among those under way as it began."""
 
     stated_s: float
     began: float
     seen_at: float
-    shared: float = 0.0
-
-    @property
-    def mean_loads(self) -> float:
-        """The loads under way, on average over the time that it was watched."""
-        seconds = self.seen_at - self.began
-        return self.shared / seconds if seconds > 0 else 1.0
+    place: int
+    group: _Group
 
 
 class StoreSpeed:
@@ -54,22 +91,41 @@
 
     def __init__(self, loads: int = ASSUMED_LOADS) -> None:
         self.loads = loads
+        self._bounded = False
+        self._group: _Group | None = None
         self._watched: dict[tuple[str, str], _Watched] = {}
 
+    @property
+    def limit(self) -> int:
+        """How many loads to have under way: one more than the estimate while that is
+        low and nothing has shown that the store serves no more."""
+        if self._bounded or self.loads >= ASSUMED_LOADS:
+            return self.loads
+        return self.loads + 1
+
+    def left_s(self, now: float, instance: str, loading: Loading) -> float:
+        """When a load from the store ends. Its agent, which doesn't see the others,
+        tells what it would need alone."""
+        watched = self._watched.get((instance, loading.model))
+        if watched is None:
+            return loading.left_s
+        seconds = watched.stated_s * max(1.0, watched.place / self.loads)
+        left = watched.began + seconds - now
+        return max(left, OVERRUN_SHARE * seconds, loading.left_s)
+
     def observe(
         self, now: float, backends: Iterable[Backend], engine: EngineSpec
     ) -> None:
         """Take a look at the loads under way; to be called several times a second."""
         current = self._current(now, backends, engine)
         for key, watched in list(self._watched.items()):
-            watched.shared += len(self._watched) * (now - watched.seen_at)
             watched.seen_at = now
             if key not in current:
                 del self._watched[key]
                 self._ended(watched)
         for key, stated_s in current.items():
             if key not in self._watched:
-                self._watched[key] = _Watched(stated_s, now, now)
+                self._begun(now, key, stated_s)
         self._lower()
 
     def _current(
@@ -81,16 +137,30 @@
             if loading is None or not loading.from_store:
                 continue
             spec = engine.models.get(loading.model)
-            if spec is not None and backend.agent_heard(now):
+            if spec is None or not backend.agent_heard(now):
+                continue
+            # While an engine makes room, its load is told as one to come, with at
+            # least all of its time left.
+            if loading.left_s < spec.load_s:
                 found[(backend.instance, loading.model)] = spec.load_s
         return found
 
+    def _begun(self, now: float, key: tuple[str, str], stated_s: float) -> None:
+        group = self._group
+        if group is None or now - group.began > SAME_TIME_S:
+            group = self._group = _Group(now, len(self._watched))
+        group.size += 1
+        place = len(self._watched) + 1
+        self._watched[key] = _Watched(stated_s, now, now, place, group)
+
     def _ended(self, watched: _Watched) -> None:
         seconds = watched.seen_at - watched.began
         at_full_speed = seconds <= FULL_SPEED * watched.stated_s
         whole = seconds >= watched.stated_s / FULL_SPEED
         if whole and at_full_speed:
-            self.loads = max(self.loads, math.floor(watched.mean_loads + ROUNDING))
+            group = watched.group
+            group.at_full_speed += 1
+            self.loads = max(self.loads, group.before + group.at_full_speed)
 
     def _lower(self) -> None:
         """Take the estimate down as soon as loads are overdue: the longer they are, the
@@ -99,7 +169,11 @@
         for watched in self._watched.values():
             seconds = watched.seen_at - watched.began
             if seconds > SLOWED * watched.stated_s:
-                bounds.append(watched.mean_loads * watched.stated_s / seconds)
+                most = watched.group.most_under_way
+                bounds.append(most * watched.stated_s / seconds)
+        if not bounds:
+            return
+        self._bounded = True
         if len(bounds) < AGREEING:
             return
         bound = math.floor(statistics.median(bounds) + ROUNDING)
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bambootiller.app import Application
@@ -26,7 +27,7 @@
 from bambootiller_core.gateway.places import copies_at
 from bambootiller_core.gateway.relaying import tells_at_once
 from bambootiller_core.gateway.residency import PlannedLoad, Planner
-from bambootiller_core.gateway.store_speed import StoreSpeed
+from bambootiller_core.gateway.store_speed import StoreSpeed, assumed_loads
 from bambootiller_core.gateway.want import Want
 
 #: How often the plan of loads is made anew. Seconds.
@@ -251,9 +252,12 @@
             if service.engine is None:
                 continue
             backends = self._knowledge.fleet.of_service(service.name)
-            speed = self._speeds.setdefault(service.name, StoreSpeed())
+            speed = self._speeds.get(service.name)
+            if speed is None:
+                speed = StoreSpeed(assumed_loads(service.engine))
+                self._speeds[service.name] = speed
             speed.observe(now, backends, service.engine)
-            planner = Planner(service.engine, speed.loads)
+            planner = Planner(service.engine, speed.limit, _left_by(speed, now))
             wants = self._own[service.name] = self._wants(service.name)
             wants_of_all = self.wants_of_all(service.name, wants)
             plan = planner.plan(now, backends, wants_of_all)
@@ -290,3 +294,15 @@
         store gives would be wasted. A load from a copy is over before it matters.
         """
         return rendezvous.first(model, self.entries) == self._app.instance
+
+
+def _left_by(speed: StoreSpeed, now: float) -> Callable[[Backend], float]:
+    """When the load under way at an engine ends, the store's speed considered."""
+
+    def left_s(backend: Backend) -> float:
+        loading = backend.engine.loading
+        if not loading.from_store:
+            return loading.left_s
+        return speed.left_s(now, backend.instance, loading)
+
+    return left_s
--- /dev/null
+++ b/tests/gateway/cover/test_store_queue.py
@@ -0,0 +1,33 @@
+"""When the weight store will have served the loads of a plan."""
+
+import unittest
+
+from bambootiller_core.gateway.store_queue import StoreQueue
+
+LOAD_S = 6.0
+
+
+class TestStoreQueue(unittest.TestCase):
+    def test_loads_begin_at_once_up_to_what_the_store_serves(self):
+        queue = StoreQueue(2, [])
+        self.assertEqual(queue.add(LOAD_S), (0.0, LOAD_S))
+        self.assertEqual(queue.add(LOAD_S), (0.0, LOAD_S))
+        self.assertEqual(queue.add(LOAD_S), (LOAD_S, 2 * LOAD_S))
+
+    def test_a_load_waits_for_the_first_of_those_under_way(self):
+        queue = StoreQueue(2, [5.0, 1.5])
+        self.assertEqual(queue.add(LOAD_S), (1.5, 1.5 + LOAD_S))
+
+    def test_a_crowding_load_begins_beyond_that_if_it_is_sooner(self):
+        queue = StoreQueue(4, [6.0, 6.0, 6.0, 6.0])
+        self.assertEqual(queue.add(LOAD_S, crowding=True), (0.0, 7.5))
+
+    def test_a_crowding_load_waits_where_beginning_now_brings_nothing(self):
+        """Symptom: a much-awaited model takes five times its load time.
+
+        The store served one load at a time. Four were under way, and the fifth began
+        at once because many calls waited for it; each takes longer in proportion to
+        those under way as it begins.
+        """
+        queue = StoreQueue(1, [13.0])
+        self.assertEqual(queue.add(13.0, crowding=True), (13.0, 26.0))
--- a/tests/gateway/cover/test_store_speed.py
+++ b/tests/gateway/cover/test_store_speed.py
@@ -4,7 +4,11 @@
 
 from bambootiller_core.gateway.fleet import Loading
 from bambootiller_core.gateway.residency import Planner
-from bambootiller_core.gateway.store_speed import ASSUMED_LOADS, StoreSpeed
+from bambootiller_core.gateway.store_speed import (
+    ASSUMED_LOADS,
+    StoreSpeed,
+    assumed_loads,
+)
 from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
 
@@ -44,6 +48,82 @@
         self.speed.observe(self.now, backends, self.spec)
 
 
+class OrderlyStore:
+    """A store whose loads take longer by how many are under way as they begin."""
+
+    def __init__(self, full, loads, load_s=LOAD_S):
+        self.full = full
+        self.load_s = load_s
+        self.now = 0.0
+        self.speed = StoreSpeed(loads)
+        self.ends = {}
+        self.spec = samples.engine(samples.model("tutor", load_s=load_s))
+
+    def begin(self, name):
+        stretch = max(1.0, (len(self.ends) + 1) / self.full)
+        self.ends[name] = self.now + stretch * self.load_s
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            self.ends = {n: end for n, end in self.ends.items() if end > self.now}
+            self.speed.observe(self.now, self.backends(), self.spec)
+
+    def backends(self):
+        return [
+            samples.backend(name, self.now, state, service="llm")
+            for name, state in (
+                (name, samples.engine_state(name, loading=Loading("tutor", 1.0, True)))
+                for name in self.ends
+            )
+        ]
+
+
+class TestLoadsThatTakeLongerByTheirOrder(unittest.TestCase):
+    def test_the_first_of_four_says_nothing_of_the_others(self):
+        """Symptom: a store that serves one load is taken to serve four for ever.
+
+        Four begin together. The first ends in its stated time while the others are
+        under way, which was taken to show that four are served at full speed.
+        """
+        store = OrderlyStore(full=1, loads=4)
+        for number in range(4):
+            store.begin(f"b{number}")
+        store.run(1.4 * LOAD_S)
+        self.assertEqual(store.speed.loads, 1)
+        self.assertEqual(store.speed.limit, 1)
+
+    def test_all_of_four_at_full_speed_show_that_four_are_served(self):
+        store = OrderlyStore(full=4, loads=1)
+        for number in range(4):
+            store.begin(f"b{number}")
+        store.run(1.1 * LOAD_S)
+        self.assertEqual(store.speed.loads, 4)
+
+    def test_one_more_is_tried_until_the_store_is_seen_to_serve_no_more(self):
+        store = OrderlyStore(full=1, loads=1)
+        self.assertEqual(store.speed.limit, 2)
+        store.begin("b0")
+        store.begin("b1")
+        store.run(1.3 * LOAD_S)
+        self.assertEqual((store.speed.loads, store.speed.limit), (1, 1))
+
+    def test_the_end_of_a_load_is_foreseen(self):
+        store = OrderlyStore(full=1, loads=1)
+        store.begin("b0")
+        store.run(1.0)
+        store.begin("b1")
+        store.run(1.0)
+        left_s = store.speed.left_s(store.now, "b1", Loading("tutor", 5.0, True))
+        self.assertAlmostEqual(left_s, store.ends["b1"] - store.now, delta=0.2)
+
+    def test_long_loads_are_begun_with_care(self):
+        short = samples.engine(samples.model("tutor", load_s=6.0))
+        long = samples.engine(samples.model("tutor", load_s=13.2))
+        self.assertEqual(assumed_loads(short), ASSUMED_LOADS)
+        self.assertEqual(assumed_loads(long), 1)
+
+
 class TestStoreSpeed(unittest.TestCase):
     def test_at_full_speed_the_assumption_stays(self):
         store = Store(full=4)
