--- a/tests/soak/failures/test_seeds_of_checks.py
+++ b/tests/soak/failures/test_seeds_of_checks.py
@@ -15,7 +15,8 @@
         await again(self, 108)
 
     async def test_seed_136(self):
-        """The same as seed 104."""
+        """The same as seed 104; later also a fault of the programs: an entry closed a
+        connection on which a caller was sending, as its planned stop ended."""
         await again(self, 136)
 
     async def test_seed_140(self):
--- a/tests/soak/failures/test_seeds_of_programs.py
+++ b/tests/soak/failures/test_seeds_of_programs.py
@@ -16,5 +16,6 @@
         await again(self, 135)
 
     async def test_seed_146(self):
-        """The same, with a call whose outcome then wasn't known."""
+        """The same, with a call whose outcome then wasn't known; later also a stopping
+        entry that closed a connection on which a caller was sending."""
         await again(self, 146)
