Test on real processes that a log nobody reads costs no answer and no memory

Cause: the log's bounds were tested on its class alone, not on a process with its pipe full. Change: a test with 1,500 calls refused, each with a line; the harness gives a program another standard output. Ruled out: nothing.

--- a/tests/adapter/common/fleet.py
+++ b/tests/adapter/common/fleet.py
@@ -125,14 +125,14 @@
         self.store.put(f"servers/{instance}", replica.entry())
         return replica
 
-    async def entry(self, name, seeds=()):
+    async def entry(self, name, seeds=(), stdout=None):
         """Start an entry; its ``form`` holds its addresses."""
         host = "127.0.0.1"
         listen = {
             part: f"{host}:{free_port(host)}" for part in ("front", "ready", "control")
         }
         form = self._form(name, host, {"listen": listen, "seeds": list(seeds)})
-        return await self.start("entry", form)
+        return await self.start("entry", form, stdout=stdout)
 
     async def agent(self, name, replica):
         """Start the agent beside a replica."""
@@ -186,8 +186,9 @@
             **fields,
         }
 
-    async def start(self, role, form, metrics=None):
-        """Start a program; ``metrics`` is where it serves its metrics."""
+    async def start(self, role, form, metrics=None, stdout=None):
+        """Start a program; ``metrics`` is where it serves its metrics, ``stdout`` a
+        descriptor for its standard output instead of the log file."""
         folder = Path(self._folder.name)
         file = folder / f"{form['node-name']}-{len(self._programs)}.json"
         file.write_text(json.dumps(form))
@@ -200,8 +201,8 @@
                 sys.executable,
                 str(PLATFORM / "launch.py"),
                 role,
-                stdout=out,
-                stderr=asyncio.subprocess.STDOUT,
+                stdout=out if stdout is None else stdout,
+                stderr=out if stdout is None else stdout,
                 env={
                     **os.environ,
                     "BAMBOOTILLER_NODE_FILE": str(file),
--- /dev/null
+++ b/tests/adapter/failures/test_unread_logs.py
@@ -0,0 +1,80 @@
+"""Real programs whose standard output nobody reads."""
+
+import asyncio
+import os
+import signal
+import unittest
+from pathlib import Path
+
+from tests.adapter.common.fleet import Fleet, until
+from tests.adapter.cover.test_documents import MODEL
+
+MODEL_NAME = MODEL["name"]
+#: More lines than a pipe of 64 KiB and the waiting lines of the log take together.
+CALLS = 1_500
+AT_ONCE = 50
+#: What a storm of events may add to a process: the lines that wait are bounded by
+#: 256 KiB, and the rest is for connections and calls. Megabytes.
+MOST_GROWN_MB = 16.0
+
+
+def memory_mb(pid):
+    """The memory of a process that is its own."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1]) / 1024
+    raise AssertionError(f"process {pid} shows no memory")
+
+
+class TestUnreadLogs(unittest.IsolatedAsyncioTestCase):
+    async def test_a_log_that_nobody_reads_costs_no_answer_and_no_memory(self):
+        """Symptom: every call stops, or the process grows, when the log collector
+        hangs.
+
+        The pipe to the collector is full. A process that waits for room in it answers
+        nobody; one that keeps all lines for later grows without bounds.
+        """
+        async with Fleet() as fleet:
+            fleet.configure()
+            await fleet.replica("127.0.0.2", "i-1", "llm", (MODEL_NAME,))
+            reader, writer = os.pipe()
+            self.addCleanup(os.close, reader)
+            entry = await fleet.entry("e1", stdout=writer)
+            os.close(writer)
+            await fleet.wait_ready(entry)
+            await fleet.call(entry, MODEL_NAME)
+            before = memory_mb(entry.process.pid)
+            statuses = await self._storm(fleet, entry)
+            self.assertEqual(statuses, {404: CALLS})
+            status, body = await fleet.call(entry, MODEL_NAME, attempt="r-last")
+            self.assertEqual(status, 200)
+            self.assertTrue(body.endswith(b"data: 5\n\n"))
+            grown = memory_mb(entry.process.pid) - before
+            self.assertLess(grown, MOST_GROWN_MB)
+            found = await fleet.metrics(entry)
+            left_out = sum(
+                value
+                for name, value in found.items()
+                if name.startswith("bambootiller_log_lines_left_out")
+            )
+            self.assertGreater(left_out, 0)
+            entry.process.send_signal(signal.SIGHUP)
+
+            async def reloaded():
+                found = await fleet.metrics(entry)
+                return found.get("bambootiller_config_version") == 1
+
+            await until(reloaded, "the process goes on after a hang-up")
+            self.assertEqual(await entry.stop(), 0)
+
+    async def _storm(self, fleet, entry):
+        """Calls that are each refused with a line; returns the statuses and counts."""
+        statuses = {}
+        for first in range(0, CALLS, AT_ONCE):
+            calls = [
+                fleet.call(entry, None, path="/nowhere/", attempt=f"r-{number}")
+                for number in range(first, first + AT_ONCE)
+            ]
+            for status, _ in await asyncio.gather(*calls):
+                statuses[status] = statuses.get(status, 0) + 1
+        return statuses
