Entries and agents notice and tell when they stand still

Cause: none of the logs tells an entry that was starved of its processor from a backend server that was silent. Both show 'silent for 0.70 s', cannot_connect with a timeout and peer_silent; whether the process had looked at its sockets isn't said. Ruled out: adding up the lateness of single timers: a standstill that ends before the timer is due wouldn't show. No decision uses it yet. Before: nothing in logs or metrics. Conclusion: the hypotheses can be told apart from the log alone.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines.py
@@ -323,6 +323,16 @@
     away_ms: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class StoodStill(LogLine):
+    """This process didn't look at its sockets for ``seconds``: it was starved of its
+    processor, stopped, or held up by one piece of its own work."""
+
+    event: ClassVar[str] = "stood_still"
+
+    seconds: float
+
+
 # -- orders to engines
 
 
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -19,6 +19,7 @@
 from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
 from bambootiller.gateway.meters import Meters
 from bambootiller.gateway.ports import Engine, EngineSilent, Platform
+from bambootiller.gateway.standstills import Standstills
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.config import EngineSpec, GatewayConfig
@@ -72,6 +73,7 @@
         self._address = address
         self._service = service
         self._events = events
+        self._standstills = Standstills(app, events)
         self._knowledge = Knowledge(platform.directory, events, app.now)
         self._exchanger = Exchanger(app.instance, self._knowledge, events, app.channels)
         self._book: OrderBook | None = None
@@ -93,6 +95,7 @@
     async def start(self) -> None:
         """Follow the store, get a fencing token, and look after the engine."""
         app = self._app
+        self._standstills.start()
         self._knowledge.on_config(self._configured)
         watcher = StoreWatcher(
             self._platform.kv, self._knowledge, self._events, app.now
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -23,6 +23,7 @@
 from bambootiller.gateway.meters import Meters
 from bambootiller.gateway.ports import Platform
 from bambootiller.gateway.relays import Relays
+from bambootiller.gateway.standstills import Standstills
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller.settings import Address
 from bambootiller_core.gateway import log_lines as lines
@@ -75,6 +76,7 @@
         self._platform = platform
         self._places = places
         self._events = events
+        self._standstills = Standstills(app, events)
         self.knowledge = Knowledge(platform.directory, events, app.now)
         self._exchanger = Exchanger(app.instance, self.knowledge, events, app.channels)
         self._engines = Engines(
@@ -115,6 +117,7 @@
         """Bind the ports and serve; calls are refused until a configuration is
         known."""
         app = self._app
+        self._standstills.start()
         watcher = StoreWatcher(self._platform.kv, self.knowledge, self._events, app.now)
         for prefix in self._platform.directory.prefixes:
             app.spawn(f"watch {prefix}", watcher.follow(prefix))
--- a/packages/bambootiller/src/bambootiller/gateway/meters.py
+++ b/packages/bambootiller/src/bambootiller/gateway/meters.py
@@ -113,6 +113,9 @@
             "dependency",
             "change",
         )
+        self.standstills = self._histogram(
+            "standstill_seconds", "Times in which the process didn't see its sockets"
+        )
         self.orders = self._counter(
             "orders", "Orders to the engine", "order", "target", "answer"
         )
@@ -225,6 +228,11 @@
     meters.dependencies.labels(line.dependency, "regained").inc()
 
 
+@counts(lines.StoodStill)
+def _stood_still(meters: Meters, line: lines.StoodStill) -> None:
+    meters.standstills.observe(line.seconds)
+
+
 @counts(lines.Order)
 def _order(meters: Meters, line: lines.Order) -> None:
     target = "adapter" if line.adapter else "model"
