Silence is measured in running time, and a running attempt is left only for one that is ready

Cause: two faults of one class, a process that judges others by its own standstill. A timeout around each wait for an event ends in the turn of the loop that also brings the event, and wins; making a connection takes several turns and was timed as if all of them were the other side's. And a stream was given up before it was known whether an attempt, the budget, a place and a connection were left, so it was cut where one of them was missing. Ruled out: longer timeouts: they only move the load at which it happens, and notice dark backend servers later. Shielding the read from the timeout alone: the stream would still be cut when the budget is used up. Change: one watch a stream asks when something came last, in running time (silence); connections are made within running time; a second backend server is connected to first, and the first left only then (elsewhere); each silence that is borne is a line. The agents' silence and the latency that health is judged by are in running time as well. Conclusion: answers that are there are delivered, also late; a starved entry doesn't add load by sending its streams once more.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 #: An agent that hasn't been heard for so long takes no orders, as far as an entry
@@ -83,18 +83,30 @@
     silent: bool = False
 
 
+def _as_it_is(now: float) -> float:
+    return now
+
+
 @dataclass(slots=True)
 class Backend:
-    """One backend server as an entry sees it; ``in_flight`` counts its own calls."""
+    """One backend server as an entry sees it; ``in_flight`` counts its own calls.
+
+    ``ran`` turns a time into running time; see
+    :mod:`bambootiller_core.gateway.running`. The silence of the agent is measured in
+    it: after a standstill of this process all agents would count as silent, and every
+    call that came meanwhile would be refused for want of an engine that takes orders.
+    """
 
     registered: Registered
     engine: EngineState | None = None
+    #: The running time at which the agent was heard last.
     heard_at: float = float("-inf")
     in_flight: int = 0
     in_flight_by_model: dict[str, int] = field(default_factory=dict)
     missing_since: float | None = None
     unreached_at: float = float("-inf")
     denied: dict[str, float] = field(default_factory=dict)
+    ran: Callable[[float], float] = _as_it_is
 
     @property
     def instance(self) -> str:
@@ -129,7 +141,11 @@
 
     def agent_heard(self, now: float) -> bool:
         """Whether the agent has spoken lately."""
-        return self.engine is not None and now - self.heard_at < AGENT_SILENT_S
+        return self.engine is not None and self.unheard_s(now) < AGENT_SILENT_S
+
+    def unheard_s(self, now: float) -> float:
+        """For how long this process has heard nothing of the agent. Seconds."""
+        return self.ran(now) - self.heard_at
 
     def unreached(self, now: float) -> None:
         """No connection was made to it, or a call there met silence."""
@@ -156,7 +172,7 @@
 
     def occupied(self, now: float) -> int:
         """Calls running or queued here, as far as known."""
-        if self.engine is None or now - self.heard_at > FIGURES_LIFE_S:
+        if self.engine is None or self.unheard_s(now) > FIGURES_LIFE_S:
             return self.in_flight
         return max(self.in_flight, self.engine.running + self.engine.queued)
 
@@ -171,7 +187,8 @@
         for backend in fleet.of_service("tutor"): ...
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ran: Callable[[float], float] = _as_it_is) -> None:
+        self._ran = ran
         self._backends: dict[str, Backend] = {}
         #: The instance that was registered last at each address.
         self._at: dict[str, str] = {}
@@ -202,7 +219,7 @@
         """Take over an entry of the registry, unless a newer one is held."""
         held = self._backends.get(record.instance)
         if held is None:
-            self._backends[record.instance] = Backend(record)
+            self._backends[record.instance] = Backend(record, ran=self._ran)
             self._note_address(record)
             return
         held.missing_since = None
@@ -285,7 +302,7 @@
         if backend is None:
             return False
         backend.engine = state
-        backend.heard_at = now
+        backend.heard_at = self._ran(now)
         backend.denied.clear()
         return True
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines.py
@@ -175,6 +175,23 @@
     reused: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceBorne(LogLine):
+    """A backend server was silent, and the call stays there all the same.
+
+    ``why``: no attempt or no time left (``attempts``), the budget of second attempts
+    used up (``budget``), no other backend server with a place (``no_place``), no
+    connection to it (``no_connection``), or the silent one has spoken after all
+    (``spoke``)."""
+
+    event: ClassVar[str] = "silence_borne"
+
+    request: str | None
+    backend: str
+    detail: str
+    why: str
+
+
 @dataclass(frozen=True, slots=True)
 class CannotConnect(LogLine):
     """No connection to a backend server was made."""
--- a/packages/bambootiller/src/bambootiller/gateway/connections.py
+++ b/packages/bambootiller/src/bambootiller/gateway/connections.py
@@ -26,6 +26,7 @@
 import httptools
 
 from bambootiller.gateway.ports import AnswerHead
+from bambootiller.gateway.silence import Ran, Silent, patiently
 
 #: A connection is made or given up within this time. Seconds.
 CONNECT_S = 0.8
@@ -83,7 +84,11 @@
 class BackendConnection(asyncio.Protocol):
     """One connection, which carries one call at a time."""
 
-    def __init__(self) -> None:
+    def __init__(self, ran: Ran) -> None:
+        self._ran = ran
+        #: The running time at which bytes came last.
+        self.heard_at = 0.0
+        self._silence_s: float | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         #: The answers to the present call, strays first; the last is being parsed.
@@ -113,6 +118,8 @@
         if not self._active:
             self._spoiled = True
             return
+        self.heard_at = self._ran()
+        self._silence_s = None
         self._any_byte = True
         try:
             self._parser.feed_data(data)
@@ -181,6 +188,7 @@
         """Send a call. The connection must be idle."""
         self._active = True
         self._any_byte = False
+        self._silence_s = None
         self._answers.clear()
         self._held = 0
         if self._transport.is_closing():
@@ -188,6 +196,21 @@
             return
         self._transport.write(head + body)
 
+    @property
+    def awaited(self) -> bool:
+        """Whether the relay waits for something to come."""
+        return self._wake is not None
+
+    def has_news(self, since: float) -> bool:
+        """Whether something has come after the running time ``since``, an end
+        included."""
+        return self.heard_at > since or self._lost is not None or self._all_whole()
+
+    def note_silence(self, seconds: float) -> None:
+        """Have the relay, which waits, get :class:`Silent`."""
+        self._silence_s = seconds
+        self._notify()
+
     async def head(self, is_stray: Callable[[AnswerHead], bool]) -> AnswerHead:
         """The head of the answer; answers for which ``is_stray`` holds are skipped."""
         for _ in range(MOST_STRAYS):
@@ -265,6 +288,9 @@
     async def _more(self) -> None:
         if self._lost is not None:
             raise self._lost
+        if self._silence_s is not None:
+            seconds, self._silence_s = self._silence_s, None
+            raise Silent(seconds)
         self._wake = asyncio.get_running_loop().create_future()
         try:
             await self._wake
@@ -327,7 +353,8 @@
     server resets those beyond what it takes from all callers together.
     """
 
-    def __init__(self, address: str, most: int) -> None:
+    def __init__(self, address: str, most: int, ran: Ran) -> None:
+        self._ran = ran
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
@@ -363,6 +390,11 @@
         else:
             self.open -= 1
 
+    def unused(self, conn: BackendConnection, now: float) -> None:
+        """Give a connection back on which nothing was sent."""
+        conn.idle_since = now
+        self._idle.append(conn)
+
     def discard(self, conn: BackendConnection) -> None:
         """Close a connection in the middle of a call."""
         self._drop(conn)
@@ -385,11 +417,14 @@
 
     async def _connect(self, timeout_s: float) -> BackendConnection:
         loop = asyncio.get_running_loop()
+        conn = BackendConnection(self._ran)
+        connecting = loop.create_connection(lambda: conn, self._host, self._port)
         try:
-            async with asyncio.timeout(max(0.01, timeout_s)):
-                _, conn = await loop.create_connection(
-                    BackendConnection, self._host, self._port
-                )
+            await patiently(self._ran, max(0.01, timeout_s), connecting)
         except (OSError, TimeoutError) as exc:
             raise CannotConnect(f"{self._host}:{self._port}: {exc!r}") from exc
+        except BaseException:
+            # Made in the moment in which its caller left, it would stay open for ever.
+            conn.close()
+            raise
         return conn
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -77,7 +77,8 @@
         self._places = places
         self._events = events
         self._standstills = Standstills(app, events)
-        self.knowledge = Knowledge(platform.directory, events, app.now)
+        ran_at = self._standstills.ran_at
+        self.knowledge = Knowledge(platform.directory, events, app.now, ran_at)
         self._exchanger = Exchanger(app.instance, self.knowledge, events, app.channels)
         self._engines = Engines(
             app, self.knowledge, self._exchanger, events, places.agent_port
@@ -91,6 +92,7 @@
             app.rng,
             app.now,
             self._new_budget,
+            self._standstills.ran,
         )
         own_pages = pages(platform.dialect.ready_path, self.is_ready)
         self._front = Front(
--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -38,10 +38,14 @@
     """The configuration in force, and the backend servers."""
 
     def __init__(
-        self, directory: Directory, events: EventLog, clock: Callable[[], float]
+        self,
+        directory: Directory,
+        events: EventLog,
+        clock: Callable[[], float],
+        ran: Callable[[float], float] | None = None,
     ) -> None:
         self.config: GatewayConfig | None = None
-        self.fleet = Fleet()
+        self.fleet = Fleet(ran) if ran is not None else Fleet()
         self.changed = Changes()
         self._directory = directory
         self._events = events
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -58,13 +58,15 @@
             return self._plain_place()
         return await self._engine_place()
 
-    def has_alternative(self) -> bool:
-        """Whether another backend server could serve the call now."""
+    def another(self) -> Backend | None:
+        """A backend server that the call wasn't sent to and that can take it now."""
         ask, now = self._call.ask, self._relays.clock()
-        return any(
-            ask is None or backend.serves(now, ask.model, ask.adapter)
+        able = [
+            backend
             for backend in self.untried()
-        )
+            if ask is None or backend.serves(now, ask.model, ask.adapter)
+        ]
+        return self._choose(able)
 
     def untried(self) -> list[Backend]:
         """The backend servers of the service that the call hasn't been sent to."""
@@ -196,7 +198,7 @@
         if planned is None:
             return PlanSeen(waiting=waiting)
         backend = self._relays.knowledge.fleet.get(planned.instance)
-        age_s = None if backend is None else now - backend.heard_at
+        age_s = None if backend is None else backend.unheard_s(now)
         return PlanSeen(
             ready_in_s=round(planned.ready_in_s, 2),
             backend=planned.instance,
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -11,10 +11,12 @@
     CannotConnect,
     ConnectionLost,
 )
+from bambootiller.gateway.elsewhere import Elsewhere, Prepared, Stays
 from bambootiller.gateway.placing import Placing
 from bambootiller.gateway.ports import AnswerHead, Incoming, Verdict
 from bambootiller.gateway.relays import Relays
 from bambootiller.gateway.reporting import CallReport
+from bambootiller.gateway.silence import SilenceWatch, Silent
 from bambootiller_core.gateway import attempts
 from bambootiller_core.gateway.attempts import CutOff, Ended, Refusal, SendAgain
 from bambootiller_core.gateway.calls import Call, Progress
@@ -53,6 +55,12 @@
         self._service = relays.service(call.service)
         self._placing = Placing(relays, call, self._progress)
         self.report = CallReport(relays, call, self._progress)
+        self._elsewhere = Elsewhere(
+            relays, call, self._progress, self._placing, self.report
+        )
+        #: Where the call goes on, found while its attempt before was still running.
+        self._prepared: Prepared | None = None
+        self._watch: SilenceWatch | None = None
 
     async def run(self) -> Refusal | None:
         """Serve the call; returns the gateway's own final answer if there is to be one.
@@ -66,20 +74,24 @@
         except TimeoutError:
             decision = attempts.give_up(self._progress, timed_out=True)
             return self._finish(decision, "timed out")
+        finally:
+            if self._prepared is not None:
+                self._elsewhere.give_back(self._prepared)
 
     async def _run(self) -> Refusal | None:
         self._service.budget.called(self._relays.clock())
         if self._call.ask is not None:
             self._placing.ask()
         while True:
-            backend = await self._placing.place()
-            if isinstance(backend, Refusal):
+            prepared, self._prepared = self._prepared, None
+            found = prepared.backend if prepared else await self._placing.place()
+            if isinstance(found, Refusal):
                 if self._progress.passed_on or self._progress.may_have_run:
                     decision = attempts.give_up(self._progress)
-                    return self._finish(decision, backend.reason.value)
-                return backend
-            self.report.chosen(backend, self._placing.candidates)
-            ended = await self._attempt(backend)
+                    return self._finish(decision, found.reason.value)
+                return found
+            self.report.chosen(found, self._placing.candidates)
+            ended = await self._attempt(found, prepared)
             if ended is None:
                 return None
             decision = attempts.after(
@@ -87,12 +99,12 @@
             )
             if isinstance(decision, SendAgain) and not self._may_spend(decision):
                 decision = attempts.give_up(self._progress)
-            self.report.attempt_failed(backend, ended, decision)
+            self.report.attempt_failed(found, ended, decision)
             if not isinstance(decision, SendAgain):
                 return self._finish(decision, ended.value)
 
     def _may_spend(self, decision: SendAgain) -> bool:
-        if not decision.costs_budget:
+        if not decision.costs_budget or self._prepared is not None:
             return True
         return self._service.budget.take(self._relays.clock())
 
@@ -102,22 +114,15 @@
             raise AnswerCut
         return decision
 
-    async def _attempt(self, backend: Backend) -> Ended | None:
+    async def _attempt(
+        self, backend: Backend, prepared: Prepared | None
+    ) -> Ended | None:
         """Send the call to one backend server; None if the answer was passed on
         whole."""
         relays, progress = self._relays, self._progress
         pool = relays.pool(backend)
-        now = relays.clock()
-        try:
-            # What took the answer of the attempt before took the kept connections too.
-            again = backend.instance in progress.tried
-            conn = await pool.acquire(now, self._call.deadline - now, fresh=again)
-        except CannotConnect as exc:
-            backend.unreached(relays.clock())
-            self._service.health.unreachable(relays.clock(), backend.instance)
-            relays.review_health(self._call.service, backend.instance)
-            self.report.cannot_connect(backend, str(exc))
-            progress.tried.append(backend.instance)
+        conn = prepared.conn if prepared else await self._connect(backend)
+        if conn is None:
             return Ended.NOT_SENT
         ask = self._call.ask
         model = ask.model if ask is not None else ""
@@ -147,6 +152,20 @@
             else:
                 pool.discard(conn)
 
+    async def _connect(self, backend: Backend) -> BackendConnection | None:
+        relays, progress = self._relays, self._progress
+        now = relays.clock()
+        try:
+            # What took the answer of the attempt before took the kept connections too.
+            again = backend.instance in progress.tried
+            pool = relays.pool(backend)
+            return await pool.acquire(now, self._call.deadline - now, fresh=again)
+        except CannotConnect as exc:
+            relays.unreached(self._call.service, backend)
+            self.report.cannot_connect(backend, str(exc))
+            progress.tried.append(backend.instance)
+            return None
+
     async def _exchange(
         self, backend: Backend, conn: BackendConnection, ran_before: bool
     ) -> Ended | None:
@@ -158,8 +177,21 @@
         )
         headers.append(relays.dialect.time_left(call.deadline - began))
         conn.send(self._request_head(backend, headers), self._body)
-        patience = self._silence_s(began)
-        head = await self._within(backend, patience, lambda: conn.head(self._is_stray))
+        silence_s = self._silence_s(began)
+        if silence_s is None:
+            return await self._answer(backend, conn, ran_before)
+        self._watch = SilenceWatch(conn, silence_s, relays.ran)
+        try:
+            return await self._answer(backend, conn, ran_before)
+        finally:
+            self._watch.stop()
+
+    async def _answer(
+        self, backend: Backend, conn: BackendConnection, ran_before: bool
+    ) -> Ended | None:
+        relays, call = self._relays, self._call
+        began = relays.ran()
+        head = await self._next(backend, conn, lambda: conn.head(self._is_stray))
         verdict = relays.dialect.judge(call, head)
         health = self._service.health
         if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
@@ -168,7 +200,7 @@
                 backend.denies(relays.clock(), call.ask.model, call.ask.adapter)
             health.failed(relays.clock(), backend.instance)
             relays.review_health(call.service, backend.instance)
-            await self._within(backend, patience, lambda: _read_all(conn))
+            await self._next(backend, conn, lambda: _read_all(conn))
             return Ended.REFUSED
         if verdict is Verdict.USELESS:
             raise ConnectionLost(f"useless answer of status {head.status}", False, True)
@@ -192,29 +224,36 @@
             lines.append(b"content-length: %d" % len(self._body))
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
-    async def _within(
+    async def _next(
         self,
         backend: Backend,
-        seconds: float | None,
-        wait: Callable[[], Awaitable[Any]],
+        conn: BackendConnection,
+        read: Callable[[], Awaitable[Any]],
     ) -> Any:
-        """Await ``wait()``; silence of ``seconds`` counts as a lost answer, but only
-        while there is another backend server to turn to, or if this one is lost."""
-        if seconds is None:
-            return await wait()
+        """Await ``read()``; a silent backend server is left if the call can go on
+        elsewhere, or if it is lost."""
         while True:
             try:
-                # Not wait_for(): where the awaited thing ends at the moment at which
-                # the caller leaves, that returns its result and forgets the
-                # cancellation, and the backend server goes on working for nobody.
-                async with asyncio.timeout(seconds):
-                    return await wait()
-            except TimeoutError as exc:
-                now = self._relays.clock()
-                backend.unreached(now)
-                if self._placing.has_alternative() or backend.lost(now):
-                    detail = f"silent for {seconds:.2f} s"
-                    raise ConnectionLost(detail, False, False) from exc
+                return await read()
+            except Silent as exc:
+                if await self._stays(backend, conn, str(exc)):
+                    self._watch.again()
+                    continue
+                raise ConnectionLost(str(exc), False, False) from exc
+
+    async def _stays(
+        self, backend: Backend, conn: BackendConnection, detail: str
+    ) -> bool:
+        now = self._relays.clock()
+        backend.unreached(now)
+        if backend.lost(now):
+            return False
+        found = await self._elsewhere.prepare(conn)
+        if isinstance(found, Stays):
+            self.report.silence_borne(backend, detail, found.value)
+            return True
+        self._prepared = found
+        return False
 
     def _silence_s(self, now: float) -> float | None:
         """How long the backend server may be silent before the call goes elsewhere."""
@@ -238,9 +277,9 @@
         # Collected before the first byte goes out: an answer that breaks off on the way
         # can then still be replaced by one of another backend server.
         parts = []
-        while (data := await conn.chunk()) is not None:
+        while (data := await self._next(backend, conn, conn.chunk)) is not None:
             parts.append(data)
-        self._judge(backend, head, relays.clock() - began)
+        self._judge(backend, head, relays.ran() - began)
         self.report.part_passed_on()
         await self._start(head)
         await self._send({"type": "http.response.body", "body": b"".join(parts)})
@@ -258,10 +297,9 @@
     ) -> None:
         relays, progress = self._relays, self._progress
         splitter = EventSplitter()
-        silence = self._silence_s(began)
         first = True
         while True:
-            data = await self._within(backend, silence, conn.chunk)
+            data = await self._next(backend, conn, conn.chunk)
             if data is None:
                 break
             events = splitter.feed(data)
@@ -269,7 +307,7 @@
                 continue
             if first:
                 first = False
-                self._judge(backend, head, relays.clock() - began)
+                self._judge(backend, head, relays.ran() - began)
             await self._pass_whole(head, events)
         if splitter.rest:
             raise ConnectionLost(
--- a/packages/bambootiller/src/bambootiller/gateway/relays.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -11,6 +11,7 @@
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.knowledge import Knowledge
 from bambootiller.gateway.ports import Dialect
+from bambootiller.gateway.silence import Ran
 from bambootiller_core.gateway.budget import ASSUMED_ENTRIES, AttemptBudget
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.health import Health
@@ -47,6 +48,7 @@
         rng: random.Random,
         clock: Callable[[], float],
         new_budget: Callable[[], AttemptBudget],
+        ran: Ran,
     ) -> None:
         self.knowledge = knowledge
         self.engines = engines
@@ -55,6 +57,7 @@
         self.zone = zone
         self.rng = rng
         self.clock = clock
+        self.ran = ran
         self._new_budget = new_budget
         self.began = clock()
         #: When a planned stop cuts what still runs; None while none has begun.
@@ -75,6 +78,13 @@
         found.budget.entries = max(2, len(self.engines.entries) or ASSUMED_ENTRIES)
         return found
 
+    def unreached(self, service: str, backend: Backend) -> None:
+        """No connection to a backend server could be made."""
+        now = self.clock()
+        backend.unreached(now)
+        self.service(service).health.unreachable(now, backend.instance)
+        self.review_health(service, backend.instance)
+
     def review_health(self, service: str, instance: str) -> None:
         """Say so if a backend server is judged otherwise from now on."""
         judged = self.service(service).health.review(self.clock(), instance)
@@ -97,7 +107,7 @@
         found = self._pools.get(backend.instance)
         if found is None:
             most = self._most_connections(backend)
-            found = ConnectionPool(backend.registered.address, most)
+            found = ConnectionPool(backend.registered.address, most, self.ran)
             self._pools[backend.instance] = found
         return found
 
--- a/packages/bambootiller/src/bambootiller/gateway/reporting.py
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -42,7 +42,7 @@
             candidates=candidates,
             revision=backend.registered.revision,
             standing=health.standing(backend.instance).value,
-            agent_age_ms=_ms(now - backend.heard_at) if heard else None,
+            agent_age_ms=_ms(backend.unheard_s(now)) if heard else None,
         )
 
     def part_passed_on(self) -> None:
@@ -106,6 +106,11 @@
         request = self._call.request_id
         self._emit(lines.AnswerLost(request, backend.instance, detail, reused))
 
+    def silence_borne(self, backend: Backend, detail: str, why: str) -> None:
+        """The backend server is silent, and the call stays there."""
+        request = self._call.request_id
+        self._emit(lines.SilenceBorne(request, backend.instance, detail, why))
+
     def cannot_connect(self, backend: Backend, detail: str) -> None:
         """No connection was made."""
         request = self._call.request_id
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/silence.py
@@ -0,0 +1,109 @@
+"""Notices when a backend server is silent, by the time that this process has run."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol, TypeVar
+
+T = TypeVar("T")
+#: Reads the running time of the process, in seconds; see
+#: :mod:`bambootiller_core.gateway.running`.
+Ran = Callable[[], float]
+#: A timer is set no closer than this, so that a wait that is all but over doesn't turn
+#: the loop over and over. Seconds.
+LEAST_WAIT_S = 0.005
+
+
+class Silent(Exception):
+    """Nothing has come from a backend server for ``seconds`` of running time."""
+
+    def __init__(self, seconds: float) -> None:
+        super().__init__(f"silent for {seconds:.2f} s")
+        self.seconds = seconds
+
+
+class Watched(Protocol):
+    """A connection whose silence is watched."""
+
+    #: The running time at which something came last.
+    heard_at: float
+
+    @property
+    def awaited(self) -> bool:
+        """Whether somebody waits for something to come."""
+
+    def note_silence(self, seconds: float) -> None:
+        """Have whoever waits get :class:`Silent`."""
+
+
+class SilenceWatch:
+    """Looks at one connection as long as a call is on it.
+
+    One timer serves all events of a stream. It asks when something came last instead of
+    racing with what comes: a timeout around each wait ends in the same turn of the loop
+    in which a late process reads its sockets, and wins against the event.
+
+    Example::
+
+        watch = SilenceWatch(conn, 0.7, ran)
+        try: ...
+        finally: watch.stop()
+    """
+
+    def __init__(self, conn: Watched, seconds: float, ran: Ran) -> None:
+        self._conn = conn
+        self._seconds = seconds
+        self._ran = ran
+        self._timer: asyncio.TimerHandle | None = None
+        self._since = 0.0
+        self.again()
+
+    def again(self) -> None:
+        """Begin anew: what was silent so far has been told."""
+        self._since = self._ran()
+        self._arm(self._seconds)
+
+    def stop(self) -> None:
+        """Look no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _arm(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(max(seconds, LEAST_WAIT_S), self._look)
+
+    def _look(self) -> None:
+        self._timer = None
+        conn = self._conn
+        if not conn.awaited:
+            # The caller takes its time; what comes isn't asked for meanwhile.
+            self.again()
+            return
+        silent_s = self._ran() - max(self._since, conn.heard_at)
+        if silent_s < self._seconds:
+            self._arm(self._seconds - silent_s)
+            return
+        conn.note_silence(self._seconds)
+
+
+async def patiently(ran: Ran, seconds: float, work: Coroutine[Any, Any, T]) -> T:
+    """Await ``work`` for ``seconds`` of running time at most, else TimeoutError.
+
+    Making a connection takes several turns of the loop. In a process that is starved of
+    its processor those alone last longer than a timeout meant for the other side.
+    """
+    task = asyncio.ensure_future(work)
+    end = ran() + seconds
+    try:
+        while not task.done():
+            left_s = end - ran()
+            if left_s <= 0:
+                raise TimeoutError
+            await asyncio.wait((task,), timeout=max(left_s, LEAST_WAIT_S))
+        return task.result()
+    finally:
+        if not task.done():
+            task.cancel()
+            await asyncio.wait((task,))
--- a/packages/bambootiller/src/bambootiller/gateway/standstills.py
+++ b/packages/bambootiller/src/bambootiller/gateway/standstills.py
@@ -37,6 +37,10 @@
         """How long the process has run. Seconds; only differences mean something."""
         return self._running.ran(self._app.now())
 
+    def ran_at(self, now: float) -> float:
+        """The same at a given time, not before the last tick."""
+        return self._running.ran(now)
+
     def _tick(self, now: float) -> None:
         stood_still_s = self._running.tick(now)
         if stood_still_s >= TOLD_S:
--- a/tests/adapter/common/entry.py
+++ b/tests/adapter/common/entry.py
@@ -13,6 +13,7 @@
 from bambootiller.gateway.relays import Relays
 from bambootiller_core.gateway.budget import AttemptBudget
 from bambootiller_core.gateway.demand import Demand
+from bambootiller_core.gateway.running import TICK_S, RunningTime
 from bambootiller_core.ports import Changed, Record
 from bambootiller_platform.dialect import PlatformDialect
 from bambootiller_platform.documents import PlatformDirectory
@@ -85,6 +86,8 @@
         loop = asyncio.get_running_loop()
         self.knowledge = Knowledge(PlatformDirectory(), self.events, loop.time)
         self.engines = NoEngines()
+        self._running = RunningTime(loop.time())
+        self._ticking = loop.create_task(self._tick())
         self.relays = Relays(
             self.knowledge,
             self.engines,
@@ -94,6 +97,7 @@
             random.Random(7),
             loop.time,
             lambda: AttemptBudget(0.2, 54, 10.0),
+            self.ran,
         )
         # It has been running for a while: what it doesn't know, it won't learn soon.
         self.relays.began -= 60
@@ -102,6 +106,16 @@
         self.replicas = []
         self.revision = 0
 
+    def ran(self):
+        """The running time of the process."""
+        return self._running.ran(asyncio.get_running_loop().time())
+
+    async def _tick(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            self._running.tick(loop.time())
+            await asyncio.sleep(TICK_S)
+
     def configure(self, **route_fields):
         """Put a configuration into force."""
         fields = {
@@ -134,6 +148,7 @@
 
     async def close(self):
         """Stop all replicas."""
+        self._ticking.cancel()
         for replica in self.replicas:
             await replica.server.stop()
 
--- a/tests/gateway/cover/test_fleet.py
+++ b/tests/gateway/cover/test_fleet.py
@@ -3,6 +3,7 @@
 import unittest
 
 from bambootiller_core.gateway.fleet import LAPSE_GRACE_S, Fleet
+from bambootiller_core.gateway.running import TICK_S, RunningTime
 from tests.gateway.common import samples
 
 
@@ -171,6 +172,33 @@
         self.assertEqual(uses, {})
 
 
+class TestStandstill(unittest.TestCase):
+    def test_agents_are_not_silent_because_this_process_stood_still(self):
+        """Symptom: after a standstill of an entry all calls that came meanwhile are
+        refused for want of an engine that takes orders.
+
+        The agents spoke all the while. Their messages lie unread, and the age of the
+        last one that was read had grown by the standstill.
+        """
+        running = RunningTime(0.0)
+        fleet = Fleet(running.ran)
+        fleet.registry_changed(0.0, samples.registered("e1", "tutor"))
+        fleet.engine_told(0.0, samples.engine_state("e1", ("m1",)))
+        backend = fleet.get("e1")
+        self.assertTrue(backend.takes_orders(5.0))
+        running.tick(5.0)
+        self.assertTrue(backend.takes_orders(5.0))
+
+    def test_an_agent_that_falls_silent_while_this_process_runs_is_noticed(self):
+        running = RunningTime(0.0)
+        fleet = Fleet(running.ran)
+        fleet.registry_changed(0.0, samples.registered("e1", "tutor"))
+        fleet.engine_told(0.0, samples.engine_state("e1", ("m1",)))
+        for step in range(1, 20):
+            running.tick(step * TICK_S)
+        self.assertFalse(fleet.get("e1").takes_orders(19 * TICK_S))
+
+
 class TestDenials(unittest.TestCase):
     def test_what_was_denied_is_not_asked_for_again_at_once(self):
         """Symptom: after all processes lost power, calls are sent only to be refused.
