--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 AREAS ?=
 PARTS ?=
 
-.PHONY: help setup proto agreement overhead demo test lint format prove experiments capacity clean
+.PHONY: help setup proto agreement overhead rest demo test lint format prove experiments capacity clean
 
 help:
 	@echo "make demo         run the whole system once against stand-ins"
@@ -21,6 +21,7 @@
 	@echo "make experiments  run the experiments again and write their pages"
 	@echo "make agreement    run small scenarios on the models and on real processes"
 	@echo "make overhead     what entry and agent add to a call of the engine"
+	@echo "make rest         what entries and agents cost while nobody calls"
 	@echo "make proto        write the generated protocol code anew"
 	@echo "make capacity     measure the slopes behind docs/CAPACITY.md"
 
@@ -68,6 +69,9 @@
 overhead: $(READY)
 	$(RUN) -m bambootiller_standins.overhead
 
+rest: $(READY)
+	$(RUN) -m tests.rest
+
 capacity: $(READY)
 	$(RUN) -m bambootiller_standins.capacity
 
--- /dev/null
+++ b/tests/rest/__init__.py
@@ -0,0 +1,1 @@
+"""What entries and agents cost while nobody calls: ``python -m tests.rest``."""
