--- a/tests/gateway/failures/test_engines.py
+++ b/tests/gateway/failures/test_engines.py
@@ -1,13 +1,17 @@
 """An entry's view of several services of engines."""
 
 import unittest
+from unittest import mock
 
 from bambootiller.gateway import wire
-from bambootiller.gateway.engines import FRESH_S, IDLE_PLAN_S, PLAN_S, Engines
+from bambootiller.gateway.engines import FRESH_S, Engines
+from bambootiller.gateway.plan_clock import IDLE_PLAN_S, PLAN_S
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core import rendezvous
 from bambootiller_core.gateway.fleet import Fleet
+from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.want import Want
+from bambootiller_core.timers import TimerService
 from tests.gateway.common import samples
 from tests.gateway.common.samples import engine_state, registered
 
@@ -24,6 +28,8 @@
     """Knowledge without a store: two services, an engine each."""
 
     class changed:
+        count = 0
+
         @staticmethod
         def notify():
             pass
@@ -79,9 +85,18 @@
         self.known.config = samples.config(services=[service])
         self.engines = Engines(self.app, self.known, None, None, 7)
         self.plans = []
-        made = self.engines._plan_all
-        self.engines._plan_all = lambda now: (self.plans.append(now), made(now))
-        self.engines._plan(10.0)
+        made = Planner.plan
+
+        def plan(planner, now, backends, wants):
+            self.plans.append(now)
+            return made(planner, now, backends, wants)
+
+        patched = mock.patch.object(Planner, "plan", plan)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.engines._plan_all(10.0)
+        self.timers = TimerService()
+        self.engines._clock.start(self.timers, 10.0)
 
     def told(self, model, among):
         update = told("b1", {model: Want(rate=3.0, waiting=2)})
@@ -93,7 +108,7 @@
         before = len(self.plans)
         for _ in range(count):
             self.app.time += PLAN_S
-            self.engines._plan(self.app.time)
+            self.timers.advance(self.app.time)
         return len(self.plans) - before
 
     def others(self):
