Test: streams to all peers are given up after a standstill of one's own

Cause: the timeout around each read of a stream ends in the turn of the loop that brings what the peers said meanwhile. Ruled out: peers that are silent; the peer of the test speaks each 0.1 s from another thread.

--- /dev/null
+++ b/tests/gateway/failures/test_standstills.py
@@ -0,0 +1,129 @@
+"""A process that stood still, and the streams to its peers."""
+
+import asyncio
+import threading
+import time
+import unittest
+
+from bambootiller.gateway.exchange import Exchanger, Update
+from bambootiller.gateway.knowledge import Knowledge
+from bambootiller_core.gateway.running import TICK_S, RunningTime
+
+
+class Events:
+    def __init__(self):
+        self.lines = []
+
+    def emit(self, line):
+        self.lines.append(line)
+
+
+class Call:
+    """A stream whose peer goes on speaking from another thread."""
+
+    def __init__(self):
+        self._updates = asyncio.Queue()
+        self._loop = asyncio.get_running_loop()
+        self._reading = None
+        self.cancelled = False
+        self.speaks = threading.Event()
+        self.speaks.set()
+        self.ended = threading.Event()
+        self._thread = threading.Thread(target=self._speak, daemon=True)
+        self._thread.start()
+
+    def end(self):
+        """Have the peer speak no more."""
+        self.ended.set()
+        self._thread.join()
+
+    def _speak(self):
+        while not self.ended.wait(0.1):
+            if self.speaks.is_set():
+                update = Update(sender="agent-1")
+                self._loop.call_soon_threadsafe(self._updates.put_nowait, update)
+
+    async def read(self):
+        self._reading = asyncio.ensure_future(self._updates.get())
+        return await self._reading
+
+    def cancel(self):
+        self.cancelled = True
+        if self._reading is not None:
+            self._reading.cancel()
+
+
+class Channels:
+    """Opens :class:`Call` s."""
+
+    def __init__(self):
+        self.calls = []
+
+    def residency(self, address):
+        return self
+
+    def Exchange(self, updates):  # noqa: N802
+        self.calls.append(Call())
+        return self.calls[-1]
+
+    async def drop(self, address):
+        pass
+
+
+class Directory:
+    prefixes = ()
+
+
+class TestStreamsOfOneThatStoodStill(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        loop = asyncio.get_running_loop()
+        self.events, self.channels = Events(), Channels()
+        self.running = RunningTime(loop.time())
+        self.heard = []
+        knowledge = Knowledge(Directory(), self.events, loop.time)
+        exchanger = Exchanger(
+            "entry-1",
+            knowledge,
+            self.events,
+            self.channels,
+            lambda: self.running.ran(loop.time()),
+        )
+        stream = exchanger.keep_open(
+            "10.0.0.1:7", lambda *_: None, lambda *_: self.heard.append(loop.time())
+        )
+        self.tasks = [loop.create_task(stream), loop.create_task(self.tick())]
+
+    async def asyncTearDown(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for call in self.channels.calls:
+            call.end()
+
+    async def tick(self):
+        while True:
+            self.running.tick(asyncio.get_running_loop().time())
+            await asyncio.sleep(TICK_S)
+
+    async def test_they_are_kept_if_the_peers_went_on_speaking(self):
+        """An entry stood still for 2 s, and in the same second gave up its streams to
+        30 agents that had spoken all the while: 285 lines peer_silent in 12 s. Opening
+        them anew, with everything said once more, took the little time that it got.
+        """
+        await asyncio.sleep(0.55)
+        time.sleep(2.0)
+        await asyncio.sleep(0.5)
+        self.assertEqual(len(self.channels.calls), 1)
+        self.assertGreater(len(self.heard), 3)
+
+    async def test_one_whose_peer_is_silent_is_still_given_up(self):
+        await asyncio.sleep(0.3)
+        self.channels.calls[0].speaks.clear()
+        await asyncio.sleep(2.2)
+        self.assertTrue(self.channels.calls[0].cancelled)
+        self.assertEqual(len(self.channels.calls), 2)
+        self.assertIn("peer_silent", [line.event for line in self.events.lines])
+
+
+if __name__ == "__main__":
+    unittest.main()
