The silence of a peer's stream is measured in running time

Cause: as in the test before: 285 peer_silent in 12 s of starved entries, each followed by a new stream with everything said once more. Ruled out: a longer silence: a lost engine would be noticed later. Change: the watch that looks after calls looks after streams as well, in running time, and ends a silent stream at its call. Conclusion: a starved process keeps its streams.

--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -63,7 +63,10 @@
         self._events = events
         self._standstills = Standstills(app, events)
         self._knowledge = Knowledge(platform.directory, events, app.now)
-        self._exchanger = Exchanger(app.instance, self._knowledge, events, app.channels)
+        ran = self._standstills.ran
+        self._exchanger = Exchanger(
+            app.instance, self._knowledge, events, app.channels, ran
+        )
         self._words = AgentWords(self._exchanger, events, app.now, self._wished)
         self._book: OrderBook | None = None
         self._token: int | None = None
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -79,7 +79,10 @@
         self._standstills = Standstills(app, events)
         ran_at = self._standstills.ran_at
         self.knowledge = Knowledge(platform.directory, events, app.now, ran_at)
-        self._exchanger = Exchanger(app.instance, self.knowledge, events, app.channels)
+        ran = self._standstills.ran
+        self._exchanger = Exchanger(
+            app.instance, self.knowledge, events, app.channels, ran
+        )
         self._engines = Engines(
             app, self.knowledge, self._exchanger, events, places.agent_port
         )
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -16,6 +16,7 @@
 
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.knowledge import Knowledge
+from bambootiller.gateway.silence import Ran, SilenceWatch
 from bambootiller.rpc import bambootiller_pb2 as pb, bambootiller_pb2_grpc as api
 from bambootiller.rpc.channels import Channels
 from bambootiller_core.gateway.log_lines import PeerHeard, PeerSilent
@@ -175,13 +176,40 @@
         return update
 
 
+class _Peer:
+    """The other side of a stream, as its silence is watched.
+
+    Silence ends the stream at the call itself. A timeout around each read would be a
+    timer for each message, and would end in the turn of the loop that reads what came
+    while this process stood still.
+    """
+
+    awaited = True
+
+    def __init__(self, call: grpc.aio.StreamStreamCall, ran: Ran) -> None:
+        self._call = call
+        self.heard_at = ran()
+        self.silent = False
+
+    def note_silence(self, seconds: float) -> None:
+        """Give the stream up."""
+        self.silent = True
+        self._call.cancel()
+
+
 class Exchanger:
     """All streams of one process, in both directions."""
 
     def __init__(
-        self, name: str, knowledge: Knowledge, events: EventLog, channels: Channels
+        self,
+        name: str,
+        knowledge: Knowledge,
+        events: EventLog,
+        channels: Channels,
+        ran: Ran,
     ) -> None:
         self._name = name
+        self._ran = ran
         self._knowledge = knowledge
         self._events = events
         self._channels = channels
@@ -263,20 +291,27 @@
         self._outgoing.add(outgoing)
         self._kept[address] = outgoing
         call = self._channels.residency(address).Exchange(outgoing.updates())
+        peer = _Peer(call, self._ran)
+        watch = SilenceWatch(peer, SILENT_S, self._ran)
         heard = False
         try:
             while True:
-                async with asyncio.timeout(SILENT_S):
-                    update = await call.read()
+                update = await call.read()
                 if update is grpc.aio.EOF:
                     return heard
+                peer.heard_at = self._ran()
                 if not heard:
                     heard = True
                     self._events.emit(PeerHeard(address))
                 self._take(update, received, outgoing)
-        except (grpc.aio.AioRpcError, TimeoutError):
+        except grpc.aio.AioRpcError:
+            return heard
+        except asyncio.CancelledError:
+            if not peer.silent:
+                raise
             return heard
         finally:
+            watch.stop()
             self._outgoing.discard(outgoing)
             self._kept.pop(address, None)
             call.cancel()
