Test: a backend server that starts again under its name

Cause: all that is remembered of a backend server stands under its instance's name, taken to be new at each start. A start may have the name of the one before. Ruled out: the tests use no clock of the machine and no luck; they tell the fleet, the book of orders and the stream of two starts, in each order in which word can come. Change: tests for the registry, the agent, late word, calls, connections, health, the store's speed, orders and the stream; the stand-in replica tells its start and can restart. Calls are counted on the backend server itself, orders randomised over restarts under one name, with the fencing tokens that a restarted agent has. Conclusion: identity has to be the pair of name and start.

--- a/tests/adapter/cover/test_documents.py
+++ b/tests/adapter/cover/test_documents.py
@@ -5,6 +5,7 @@
 
 from bambootiller.gateway.ports import Unreadable
 from bambootiller_core.gateway.config import CallKind
+from bambootiller_core.gateway.incarnation import Incarnation
 from bambootiller_core.ports import Record
 from bambootiller_platform.documents import PlatformDirectory
 
@@ -118,6 +119,17 @@
         self.assertEqual(found.holdings, {"tutor": frozenset({"a1"})})
         self.assertFalse(found.leaving)
 
+    def test_its_start_is_a_whole_number_of_milliseconds(self):
+        form = {**SERVER, "born": 1700000000123}
+        found = self.directory.registered(record(form, "servers/i-1"))
+        self.assertEqual(found.incarnation, Incarnation("i-1", 1700000000123))
+        found = self.directory.registered(record(SERVER, "servers/i-1"))
+        self.assertIsNone(found.incarnation.started_ms)
+        for wrong in ("1700000000123", 17.5, True, []):
+            form = {**SERVER, "born": wrong}
+            found = self.directory.registered(record(form, "servers/i-1"))
+            self.assertIsInstance(found, Unreadable, wrong)
+
     def test_any_state_but_ready_means_leaving(self):
         for state in ("draining", "something-new"):
             form = {**SERVER, "state": state}
--- /dev/null
+++ b/tests/adapter/failures/test_restarts.py
@@ -0,0 +1,113 @@
+"""Replicas that start again under the id that they had."""
+
+import asyncio
+import unittest
+
+from bambootiller_platform_standins.replica import StandinReplica
+
+from bambootiller_platform.engine import PlatformEngine
+from tests.adapter.common.entry import MODEL_NAME, Bench
+from tests.adapter.common.fleet import Fleet, until
+
+
+class TestReport(unittest.IsolatedAsyncioTestCase):
+    async def test_the_report_tells_the_start(self):
+        replica = StandinReplica("i-1", "llm")
+        await replica.server.start()
+        engine = PlatformEngine(replica.server.address, "a1")
+        report = await engine.report()
+        self.assertEqual(report.started_ms, replica.born)
+        replica.born = None
+        self.assertIsNone((await engine.report()).started_ms)
+        await engine.close()
+        await replica.server.stop()
+
+
+class TestCalls(unittest.IsolatedAsyncioTestCase):
+    """Symptom: calls fail, or avoid a backend server, for what the start before did.
+
+    It crashes and is listed anew under its id within a heartbeat. Kept connections,
+    the judgement of its health and the calls that had tried it stood under that id.
+    """
+
+    async def asyncSetUp(self):
+        self.bench = Bench()
+        self.bench.configure(**{"max-attempts": 2})
+        self.replica = await self.bench.add(StandinReplica("i-1", "plain"))
+
+    async def asyncTearDown(self):
+        await self.bench.close()
+
+    def restart(self):
+        self.replica.restart()
+        self.bench.learn("servers/i-1", self.replica.entry())
+
+    def backend(self):
+        return self.bench.knowledge.fleet.get("i-1")
+
+    async def test_no_call_goes_out_on_a_connection_to_the_start_before(self):
+        self.assertEqual((await self.bench.call()).status, 200)
+        before = self.bench.relays.pool(self.backend())
+        self.bench.learn("servers/i-1", self.replica.entry())
+        self.assertIs(self.bench.relays.pool(self.backend()), before)
+        self.restart()
+        self.assertIsNot(self.bench.relays.pool(self.backend()), before)
+        self.bench.relays.sweep(asyncio.get_running_loop().time())
+        self.assertEqual(before.open, 0)
+
+    async def test_failures_of_the_start_before_do_not_count(self):
+        loop = asyncio.get_running_loop()
+        health = self.bench.relays.service("plain").health
+        health.unreachable(loop.time(), self.backend().incarnation)
+        self.restart()
+        self.assertFalse(health.avoided(loop.time(), self.backend().incarnation))
+
+    async def test_a_call_lost_by_the_start_before_may_go_to_the_next(self):
+        def crash(request):
+            self.restart()
+            return self.replica.answer(request, cut=True)
+
+        self.replica.next_replies = [crash]
+        answer = await self.bench.call()
+        self.assertEqual((answer.status, answer.body), (200, b"done"))
+
+    async def test_the_restart_is_logged(self):
+        before_ms = self.replica.born
+        self.restart()
+        (line,) = self.bench.events.of("backend_restarted")
+        self.assertEqual(
+            (line.backend, line.before_ms, line.started_ms, line.source),
+            ("i-1", before_ms, self.replica.born, "test"),
+        )
+
+
+class TestAnEngineBetweenTwoHeartbeats(unittest.IsolatedAsyncioTestCase):
+    async def test_its_models_are_loaded_again_before_the_registry_knows(self):
+        """Symptom: callers of a model are refused until the registry's next entry.
+
+        The engine crashes and is back at once, empty, under its id. The registry still
+        shows what it held. Only its report tells of the new start.
+        """
+        async with Fleet() as fleet:
+            fleet.configure()
+            replica = await fleet.replica("127.0.0.2", "i-1", "llm", (MODEL_NAME,))
+            replica.on_disk.add(MODEL_NAME)
+            replica.accepted = 3
+            agent = await fleet.agent("a1", replica)
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+
+            async def served():
+                status, _ = await fleet.call(entry, MODEL_NAME)
+                return status == 200
+
+            async def noticed():
+                return all(
+                    program.events("backend_restarted") for program in (agent, entry)
+                )
+
+            await until(served, "the model is served")
+            replica.restart()
+            await until(noticed, "both programs know of the restart")
+            await until(served, "the model is served again")
+            self.assertEqual([order["expected"] for order in replica.orders], [0])
--- a/tests/gateway/cover/test_fleet.py
+++ b/tests/gateway/cover/test_fleet.py
@@ -162,13 +162,15 @@
         self.assertIsNone(self.fleet.get("b9"))
 
     def test_calls_are_counted_by_model_and_adapter(self):
-        self.fleet.call_sent("b1", "tutor", "a3")
-        self.fleet.call_sent("b1", "tutor")
-        uses = self.fleet.get("b1").in_flight_by_model
+        backend = self.fleet.get("b1")
+        backend.call_sent("tutor", "a3")
+        backend.call_sent("tutor")
+        uses = backend.in_flight_by_model
         self.assertEqual(uses, {"tutor": 2, "tutor/a3": 1})
-        self.fleet.call_ended("b1", "tutor", "a3")
-        self.fleet.call_ended("b1", "tutor")
+        backend.call_ended("tutor", "a3")
+        backend.call_ended("tutor")
         self.assertEqual(uses, {})
+        self.assertEqual(backend.in_flight, 0)
 
 
 class TestDenials(unittest.TestCase):
--- a/tests/gateway/cover/test_store_speed.py
+++ b/tests/gateway/cover/test_store_speed.py
@@ -3,6 +3,7 @@
 import unittest
 
 from bambootiller_core.gateway.fleet import Loading
+from bambootiller_core.gateway.incarnation import Incarnation
 from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.store_speed import (
     ASSUMED_LOADS,
@@ -114,7 +115,9 @@
         store.run(1.0)
         store.begin("b1")
         store.run(1.0)
-        left_s = store.speed.left_s(store.now, "b1", Loading("tutor", 5.0, True))
+        left_s = store.speed.left_s(
+            store.now, Incarnation("b1"), Loading("tutor", 5.0, True)
+        )
         self.assertAlmostEqual(left_s, store.ends["b1"] - store.now, delta=0.2)
 
     def test_long_loads_are_begun_with_care(self):
--- a/tests/gateway/failures/test_orders.py
+++ b/tests/gateway/failures/test_orders.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from bambootiller_core.gateway.late_orders import LATE_ORDER_S
 from bambootiller_core.gateway.order_messages import (
     EngineReport,
     OrderAnswer,
@@ -116,6 +117,95 @@
         self.assertEqual(self.book.state(3.0).memory_mb_used, 0.0)
 
 
+class TestRestartsUnderOneName(Case):
+    """Symptom: an agent gives no order for as long as its engine lives, or orders a
+    model beyond the engine's memory.
+
+    The engine crashes and starts again under its name. It holds nothing, counts its
+    orders anew, and takes orders that name it, late ones to the start before as well.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.book.reported(0.0, report(accepted=4, started_ms=1, holdings=["clerk"]))
+
+    def restarted(self, now, accepted=0, **fields):
+        self.book.reported(now, report(accepted=accepted, started_ms=2, **fields))
+
+    def test_the_expected_number_starts_anew(self):
+        for accepted in (0, 4, 9):
+            self.setUp()
+            self.wish("tutor")
+            self.give(0.0, OrderAnswer.UNANSWERED)
+            self.restarted(0.1, accepted)
+            self.assertIsNone(self.book.unsettled)
+            self.wish("poet", now=0.1)
+            order = self.book.next_order(0.1)
+            self.assertEqual((order.model, order.expected), ("tutor", accepted))
+
+    def test_a_load_of_the_start_before_is_over(self):
+        self.wish("tutor")
+        self.give(0.0, OrderAnswer.ACCEPTED)
+        self.restarted(0.1, accepted=9)
+        self.assertIsNone(self.book.state(0.1).loading)
+        self.assertEqual(self.book.state(0.1).started_ms, 2)
+
+    def test_a_report_of_the_start_before_changes_nothing(self):
+        self.restarted(0.1)
+        self.wish("tutor", now=0.1)
+        self.give(0.1, OrderAnswer.ACCEPTED)
+        self.book.reported(0.2, report(accepted=7, started_ms=1, holdings=["poet"]))
+        self.assertEqual(self.book.report.started_ms, 2)
+        self.assertEqual(self.book.state(0.2).loading.model, "tutor")
+        self.assertIsNone(self.book.next_order(0.2))
+
+    def test_calls_on_the_start_before_hold_no_model(self):
+        self.book.entry_told(0.0, "e1", {}, {"clerk": 3})
+        self.restarted(0.1)
+        self.assertEqual(self.book.state(0.1).in_use, {})
+
+    def lost_load(self, accepted):
+        """An unanswered load of the tutor, to the start before, as its last order."""
+        self.book.reported(0.0, report(accepted=accepted, started_ms=1))
+        self.wish("tutor")
+        self.give(0.0, OrderAnswer.UNANSWERED)
+
+    def test_nothing_is_ordered_that_leaves_no_room_for_a_late_order(self):
+        """The late order takes effect once the number is the one that it names."""
+        self.lost_load(accepted=1)
+        self.restarted(1.0, holdings=["poet"])
+        self.wish("clerk", now=1.0)
+        self.wish("tutor", now=1.0, urgency=5)
+        # Poet and clerk leave 20 MB, of the 40 MB that the tutor takes.
+        order = self.book.next_order(1.0)
+        self.assertEqual((order.kind, order.model), (OrderKind.LOAD, "tutor"))
+
+    def test_a_late_order_is_waited_for_no_longer_than_it_can_take(self):
+        self.lost_load(accepted=1)
+        self.restarted(1.0, holdings=["poet"])
+        self.wish("clerk", now=1.0)
+        self.assertIsNone(self.book.next_order(1.0))
+        now = 1.0 + LATE_ORDER_S
+        self.wish("clerk", now=now)
+        self.assertEqual(self.book.next_order(now).model, "clerk")
+
+    def test_a_late_order_counts_though_a_copy_of_it_was_answered(self):
+        self.lost_load(accepted=1)
+        self.book.reported(0.05, report(accepted=1, started_ms=1))
+        self.give(0.05, OrderAnswer.ACCEPTED)
+        self.restarted(1.0, holdings=["poet"])
+        self.wish("clerk", now=1.0)
+        self.assertIsNone(self.book.next_order(1.0))
+
+    def test_a_late_order_whose_number_is_past_costs_no_room(self):
+        self.lost_load(accepted=1)
+        for accepted in (1, 2):
+            self.restarted(0.1 + accepted, accepted, holdings=["poet"])
+            self.wish("clerk", now=0.1 + accepted)
+            order = self.book.next_order(0.1 + accepted)
+            self.assertEqual(order.model, "clerk")
+
+
 class TestMemory(Case):
     def test_room_is_made_before_a_model_is_loaded(self):
         self.book.reported(0.0, report(holdings=["tutor", "poet"]))
--- /dev/null
+++ b/tests/gateway/failures/test_restarts.py
@@ -0,0 +1,201 @@
+"""A backend server that starts again under the name that it had."""
+
+import unittest
+
+from bambootiller.gateway import wire
+from bambootiller_core.gateway.fleet import LAPSE_GRACE_S, Fleet, Loading
+from bambootiller_core.gateway.store_speed import StoreSpeed
+from tests.gateway.common import samples
+
+FIRST_MS, SECOND_MS = 1_700_000_000_000, 1_700_000_009_000
+
+
+def registered(started_ms, **fields):
+    return samples.registered(service="llm", started_ms=started_ms, **fields)
+
+
+def told(started_ms, holdings=(), **fields):
+    return samples.engine_state("b1", holdings, started_ms=started_ms, **fields)
+
+
+class Case(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.fleet.registry_changed(0.0, registered(FIRST_MS))
+        self.fleet.engine_told(0.0, told(FIRST_MS, ["tutor"]))
+        self.first = self.fleet.get("b1")
+
+    def restart(self, now=1.0, **fields):
+        """The registry lists the second start."""
+        record = registered(SECOND_MS, revision=5, **fields)
+        self.fleet.registry_changed(now, record)
+        return self.fleet.get("b1")
+
+
+class TestWhatWasKnownOfTheStartBefore(Case):
+    """Symptom: calls for a model go to a backend server that doesn't hold it, and
+    nobody loads the model elsewhere.
+
+    The backend server crashes and starts again within a heartbeat, under its name. It
+    holds nothing. All that was known stood under its name, and went on to count.
+    """
+
+    def test_its_holdings_and_figures_are_forgotten(self):
+        second = self.restart()
+        self.assertEqual(second.holdings, {})
+        self.assertFalse(second.agent_heard(1.0))
+
+    def test_marks_against_it_are_forgotten(self):
+        self.first.denies(1.0, "poet", "")
+        self.first.unreached(1.0)
+        second = self.restart(holdings={"poet": frozenset()})
+        self.assertTrue(second.serves(1.0, "poet"))
+        self.fleet.engine_told(1.0, told(SECOND_MS, silent=True))
+        self.assertFalse(second.lost(1.0))
+
+    def test_that_it_was_leaving_does_not_hold_for_the_second_start(self):
+        leaving = registered(FIRST_MS, leaving=True, revision=2)
+        self.fleet.registry_changed(0.5, leaving)
+        self.assertEqual(self.fleet.of_service("llm"), [])
+        second = self.restart()
+        self.assertEqual(self.fleet.of_service("llm"), [second])
+
+    def test_a_start_that_is_not_known_says_nothing(self):
+        self.fleet.registry_changed(1.0, registered(None, revision=5))
+        self.assertIs(self.fleet.get("b1"), self.first)
+        self.assertEqual(self.first.incarnation.started_ms, FIRST_MS)
+
+
+class TestCallsOnTheStartBefore(Case):
+    """Symptom: a backend server gets more calls at a time than it takes.
+
+    Calls ran there as it crashed. They end when their connections are found broken,
+    after the second start has been given calls; each then took one off the count of
+    the second start.
+    """
+
+    def test_their_ends_free_no_place_at_the_second(self):
+        self.first.call_sent("tutor")
+        second = self.restart()
+        second.call_sent("tutor")
+        self.first.call_ended("tutor")
+        self.assertEqual(second.in_flight, 1)
+        self.assertEqual(second.in_flight_by_model, {"tutor": 1})
+
+    def test_whoever_waits_there_learns_that_it_is_lost(self):
+        self.assertFalse(self.first.lost(0.5))
+        self.restart()
+        self.assertTrue(self.first.lost(0.5))
+
+
+class TestTheAgentKnowsFirst(Case):
+    """Symptom: for seconds after a crash, entries plan on copies that are gone.
+
+    The agent reads the new start from the engine itself, while the registry still
+    shows the entry of the start before.
+    """
+
+    def setUp(self):
+        super().setUp()
+        leaving = registered(FIRST_MS, leaving=True, revision=2)
+        self.fleet.registry_changed(0.5, leaving)
+        self.fleet.engine_told(1.0, told(SECOND_MS, ["poet"]))
+        self.second = self.fleet.get("b1")
+
+    def test_its_word_begins_the_second_start(self):
+        self.assertIsNot(self.second, self.first)
+        self.assertEqual(set(self.second.holdings), {"poet"})
+        self.assertEqual(self.fleet.of_service("llm"), [self.second])
+
+    def test_the_registry_lists_the_same_start_later(self):
+        self.assertIs(self.restart(2.0), self.second)
+
+    def test_the_end_of_the_entry_before_leaves_it_time_to_be_listed(self):
+        self.fleet.registry_removed(2.0, "b1")
+        self.assertEqual(self.fleet.sweep(2.0), [])
+        self.assertIs(self.fleet.get("b1"), self.second)
+        self.assertEqual(self.fleet.sweep(2.0 + LAPSE_GRACE_S), ["b1"])
+
+
+class TestLateWordOfTheStartBefore(Case):
+    """Symptom: what a backend server held before its crash counts as held again.
+
+    A slow watch, a stale read or a peer tells of the start before after the second one
+    is known; a write of the start before may even have the higher revision.
+    """
+
+    def test_of_the_registry(self):
+        second = self.restart()
+        late = registered(
+            FIRST_MS, leaving=True, revision=9, holdings={"tutor": frozenset()}
+        )
+        self.fleet.registry_changed(2.0, late)
+        self.assertIs(self.fleet.get("b1"), second)
+        self.assertEqual(second.registered.revision, 5)
+        self.assertEqual(self.fleet.of_service("llm"), [second])
+
+    def test_of_its_agent(self):
+        second = self.restart()
+        self.assertFalse(self.fleet.engine_told(2.0, told(FIRST_MS, ["tutor"])))
+        self.assertEqual(second.holdings, {})
+        self.assertFalse(second.agent_heard(2.0))
+
+
+class TestAddresses(Case):
+    """Symptom: a backend server gets no calls as long as another one lives.
+
+    The second start has another address than the first, whose address somebody else
+    gets. As the second start's name stood at the old address too, the other one counted
+    as outdated by it.
+    """
+
+    def test_the_address_of_the_start_before_is_free(self):
+        self.restart(address="127.0.0.1:2")
+        other = samples.registered("b2", service="llm", revision=3)
+        self.fleet.registry_changed(1.0, other)
+        names = [backend.instance for backend in self.fleet.of_service("llm")]
+        self.assertEqual(sorted(names), ["b1", "b2"])
+
+
+class TestStoreSpeed(Case):
+    """Symptom: the weight store is taken to serve more loads than it does.
+
+    A load from the store counted as ended when its engine crashed and was listed anew.
+    Cut off at the right moment, it looked like one that ran at full speed.
+    """
+
+    def test_a_load_that_its_engine_did_not_survive_has_not_ended(self):
+        spec = samples.engine(samples.model("tutor", load_s=6.0))
+        speed = StoreSpeed(1)
+        self.fleet.registry_changed(0.0, samples.registered("b2", service="llm"))
+        loading = Loading("tutor", 5.0, True)
+        for step in range(140):
+            now = step * 0.05
+            other = samples.engine_state("b2", loading=loading)
+            self.fleet.engine_told(now, other)
+            # Begun a second later, it ends by the crash after its stated time.
+            own = loading if step >= 20 else None
+            self.fleet.engine_told(now, told(FIRST_MS, loading=own))
+            speed.observe(now, list(self.fleet), spec)
+        second = self.restart(now=7.0)
+        speed.observe(7.0, list(self.fleet), spec)
+        self.assertEqual(speed.loads, 1)
+        self.assertEqual(speed.left_s(7.0, second.incarnation, loading), 5.0)
+
+
+class TestTheStream(unittest.TestCase):
+    def test_the_start_travels_with_the_figures(self):
+        for started_ms in (FIRST_MS, None):
+            message = wire.engine_message(told(started_ms))
+            self.assertEqual(wire.engine_state(message).started_ms, started_ms)
+
+    def test_copies_of_the_start_before_are_not_carried_over(self):
+        """Symptom: a load from memory is planned at an engine that has just started.
+
+        A message leaves out the copies if they are as the one before told them. The
+        one before may have told of the start before.
+        """
+        before = told(FIRST_MS, in_memory=frozenset({"tutor"}))
+        message = wire.engine_message(told(SECOND_MS))
+        message.same_copies = True
+        self.assertEqual(wire.engine_state(message, before).in_memory, frozenset())
--- a/tests/gateway/randomised/test_orders.py
+++ b/tests/gateway/randomised/test_orders.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from bambootiller_core.gateway.order_messages import (
     EngineReport,
@@ -35,6 +36,9 @@
         self.accepted = 0
         self.doing = None
 
+    def new_agent(self):
+        pass
+
     @property
     def instance(self):
         return f"b{self.start}"
@@ -90,14 +94,48 @@
         return OrderAnswer.ACCEPTED
 
 
-def play(seed, steps):
+class RenewedEngine(FakeEngine):
+    """Starts again under its name, so that late orders to the start before reach it.
+
+    It knows the highest fencing token since its start, as each new agent has a higher
+    one: ``token`` is the present agent's.
+    """
+
+    instance = "b1"
+
+    def __init__(self, rng):
+        self.token = 1
+        super().__init__(rng)
+
+    def restart(self):
+        super().restart()
+        self.fence = 0
+
+    def report(self, now):
+        return replace(super().report(now), started_ms=self.start)
+
+    def order(self, now, instance, order):
+        return super().order(now, self.token, order)
+
+    def carry_out(self, now, instance, order):
+        token = instance
+        if token < self.fence:
+            return OrderAnswer.FENCED
+        self.fence = token
+        return super().carry_out(now, self.instance, order)
+
+    def new_agent(self):
+        self.token += 1
+
+
+def play(seed, steps, kind=FakeEngine):
     rng = random.Random(seed)
     models = [
         samples.model(name, size, adapters=4, adapter_mb=ADAPTER_MB)
         for name, size in MODELS.items()
     ]
     spec = samples.engine(*models, memory_mb=MEMORY_MB, adapter_slots=ADAPTER_SLOTS)
-    book, engine, now, loads = OrderBook(spec), FakeEngine(rng), 0.0, 0
+    book, engine, now, loads = OrderBook(spec), kind(rng), 0.0, 0
     for _ in range(steps):
         now += rng.uniform(0.0, 0.3)
         model = rng.choice(list(MODELS))
@@ -108,6 +146,7 @@
         if rng.random() < 0.01:
             # A new agent process: it knows nothing of orders on their way.
             book = OrderBook(spec)
+            engine.new_agent()
         instance = engine.instance
         book.reported(now, engine.report(now))
         order = book.next_order(now)
@@ -131,3 +170,10 @@
                 loads = play(seed, 300)
                 counting.add("gateway orders", 300)
                 self.assertGreater(loads, 5)
+
+    def test_nor_where_it_starts_again_under_its_name(self):
+        for seed in range(profiles.scale(60, 4000)):
+            with self.subTest(seed=seed):
+                loads = play(seed, 300, RenewedEngine)
+                counting.add("gateway orders", 300)
+                self.assertGreater(loads, 5)
