Give what agents tell of their engines a module of its own

Ruled out: moving Registered as well; the platform's adapter imports it from there, and the registry's entry belongs with the fleet. Change: EngineState and Loading are in engine_state.py; nothing else is different. Before: 321 passed, 0 failed in the areas gateway and adapter. After: the same.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
@@ -18,7 +18,8 @@
 from collections.abc import Iterable, Mapping
 
 from bambootiller_core import rendezvous
-from bambootiller_core.gateway.fleet import AGENT_SILENT_S, EngineState
+from bambootiller_core.gateway.engine_state import EngineState
+from bambootiller_core.gateway.fleet import AGENT_SILENT_S
 from bambootiller_core.gateway.want import Want
 
 #: One would do; the second is there when the first is lost.
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 
+from bambootiller_core.gateway.engine_state import EngineState
 from bambootiller_core.gateway.incarnation import Incarnation
 
 #: An agent that hasn't been heard for so long takes no orders, as far as an entry
@@ -62,47 +63,6 @@
         return self.address.rsplit(":", 1)[0]
 
 
-@dataclass(frozen=True, slots=True)
-class Loading:
-    """A model on its way in; ``left_s`` is the estimate of the time still needed."""
-
-    model: str
-    left_s: float
-    from_store: bool
-
-
-@dataclass(frozen=True, slots=True)
-class EngineState:
-    """What an agent says of the engine beside it.
-
-    ``holdings`` maps each held model to its adapters. ``in_memory`` and ``on_disk`` are
-    copies of weights from which a load is faster. ``in_use`` counts, for each model,
-    the calls that entries have under way there; ``keep_values`` how much it matters to
-    all entries together that each held model stays. In ``in_use``, MODEL/ADAPTER counts
-    those of an adapter. ``silent``: the engine doesn't answer its agent, and the rest
-    is what it said last."""
-
-    instance: str
-    holdings: Mapping[str, frozenset[str]]
-    loading: Loading | None = None
-    busy: bool = False
-    in_memory: frozenset[str] = frozenset()
-    on_disk: frozenset[str] = frozenset()
-    running: int = 0
-    queued: int = 0
-    memory_mb_used: float = 0.0
-    orderable: bool = True
-    keep_values: Mapping[str, float] = field(default_factory=dict)
-    in_use: Mapping[str, int] = field(default_factory=dict)
-    silent: bool = False
-    started_ms: int | None = None
-
-    @property
-    def incarnation(self) -> Incarnation:
-        """The start of the engine that this is said of."""
-        return Incarnation(self.instance, self.started_ms)
-
-
 @dataclass(slots=True)
 class Backend:
     """One start of a backend server as an entry sees it.
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -23,7 +23,7 @@
 
 from bambootiller_core.gateway.collecting import greater
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
-from bambootiller_core.gateway.fleet import EngineState, Loading
+from bambootiller_core.gateway.engine_state import EngineState, Loading
 from bambootiller_core.gateway.late_orders import LateOrders
 from bambootiller_core.gateway.order_demand import EntriesSay
 from bambootiller_core.gateway.order_memory import leaves_room, memory_used
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
@@ -20,7 +20,8 @@
 from dataclasses import dataclass
 
 from bambootiller_core.gateway.config import EngineSpec
-from bambootiller_core.gateway.fleet import Backend, Loading
+from bambootiller_core.gateway.engine_state import Loading
+from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.incarnation import Incarnation
 
 #: What is assumed at the start: stated by the first users for their sites.
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -21,7 +21,7 @@
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.config import EngineSpec, GatewayConfig
-from bambootiller_core.gateway.fleet import EngineState
+from bambootiller_core.gateway.engine_state import EngineState
 from bambootiller_core.gateway.order_messages import (
     EngineOrder,
     EngineReport,
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from bambootiller.rpc import bambootiller_pb2 as pb
-from bambootiller_core.gateway.fleet import EngineState, Loading
+from bambootiller_core.gateway.engine_state import EngineState, Loading
 from bambootiller_core.gateway.order_messages import Wish
 from bambootiller_core.gateway.want import Want
 
--- a/tests/gateway/common/samples.py
+++ b/tests/gateway/common/samples.py
@@ -11,7 +11,8 @@
     ServiceShare,
     ServiceSpec,
 )
-from bambootiller_core.gateway.fleet import Backend, EngineState, Registered
+from bambootiller_core.gateway.engine_state import EngineState
+from bambootiller_core.gateway.fleet import Backend, Registered
 
 HOST = "classes.example"
 
--- a/tests/gateway/cover/test_collecting.py
+++ b/tests/gateway/cover/test_collecting.py
@@ -6,7 +6,7 @@
 from bambootiller.gateway.engines import Engines
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core.gateway.collecting import Totals, collectors, concerning
-from bambootiller_core.gateway.fleet import Loading
+from bambootiller_core.gateway.engine_state import Loading
 from bambootiller_core.gateway.order_demand import EntriesSay
 from bambootiller_core.gateway.order_messages import Wish
 from bambootiller_core.gateway.want import Want
--- a/tests/gateway/cover/test_store_speed.py
+++ b/tests/gateway/cover/test_store_speed.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bambootiller_core.gateway.fleet import Loading
+from bambootiller_core.gateway.engine_state import Loading
 from bambootiller_core.gateway.incarnation import Incarnation
 from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.store_speed import (
--- a/tests/gateway/failures/test_restarts.py
+++ b/tests/gateway/failures/test_restarts.py
@@ -3,7 +3,8 @@
 import unittest
 
 from bambootiller.gateway import wire
-from bambootiller_core.gateway.fleet import LAPSE_GRACE_S, Fleet, Loading
+from bambootiller_core.gateway.engine_state import Loading
+from bambootiller_core.gateway.fleet import LAPSE_GRACE_S, Fleet
 from bambootiller_core.gateway.incarnation import Incarnation
 from bambootiller_core.gateway.order_messages import EngineReport
 from bambootiller_core.gateway.report_naming import listed_at, named
