Test: a backend server whose clock was set back between two starts

Cause: starts are put in order by the time that they tell. If the clock goes back, the next start tells an earlier time, and its words are dropped as late ones for good. Ruled out: going by the store's revision alone; a write of the start before that was held up has the higher one. Conclusion: word of an earlier start has to count at last if nobody tells of the later.

--- a/tests/gateway/failures/test_orders.py
+++ b/tests/gateway/failures/test_orders.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from bambootiller_core.gateway.incarnation import SILENT_S
 from bambootiller_core.gateway.late_orders import LATE_ORDER_S
 from bambootiller_core.gateway.order_messages import (
     EngineReport,
@@ -159,6 +160,14 @@
         self.assertEqual(self.book.state(0.2).loading.model, "tutor")
         self.assertIsNone(self.book.next_order(0.2))
 
+    def test_an_earlier_start_that_is_told_for_long_is_the_next_one(self):
+        """The clock was set back between the two starts."""
+        self.restarted(0.1)
+        self.book.reported(1.0, report(started_ms=1))
+        self.assertEqual(self.book.report.started_ms, 2)
+        self.book.reported(0.1 + SILENT_S, report(started_ms=1))
+        self.assertEqual(self.book.report.started_ms, 1)
+
     def test_calls_on_the_start_before_hold_no_model(self):
         self.book.entry_told(0.0, "e1", {}, {"clerk": 3})
         self.restarted(0.1)
