Take an earlier start for the next one once the later is silent

Cause: starts are put in order by the time that they tell. If an instance's clock is set back between two starts, the second one tells an earlier time, and every word of it was dropped as late: no calls and no orders for as long as it lives. Ruled out: the revision as the order; a held-up write of the start before has the higher one. No order at all: such a write would bring back what a crash has ended. Change: word of an earlier start is late for 10 s after the last word of the later one; after that it is of the next start. An agent settles no order by a report that its book hasn't taken over.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -68,7 +68,8 @@
     """One start of a backend server as an entry sees it.
 
     ``in_flight`` counts the entry's own calls. ``listed`` is False as long as only the
-    agent has told of this start, ``ended`` True once another has taken its place."""
+    agent has told of this start, ``ended`` True once another has taken its place.
+    ``told_at`` is when the registry or the agent told of it last."""
 
     registered: Registered
     engine: EngineState | None = None
@@ -80,6 +81,7 @@
     denied: dict[str, float] = field(default_factory=dict)
     listed: bool = True
     ended: bool = False
+    told_at: float = float("-inf")
 
     @property
     def instance(self) -> str:
@@ -91,6 +93,10 @@
         """Which start of the backend server this is."""
         return self.registered.incarnation
 
+    def is_followed(self, now: float, incarnation: Incarnation) -> bool:
+        """Whether word of ``incarnation`` means that this start is over."""
+        return incarnation.follows(self.incarnation, now - self.told_at)
+
     @property
     def holdings(self) -> Mapping[str, frozenset[str]]:
         """The models held, with their adapters, from the fresher source."""
@@ -224,11 +230,12 @@
         on its way to the store has a revision above the first of the next start.
         """
         held = self._backends.get(record.instance)
-        if held is None or held.incarnation.precedes(record.incarnation):
-            self._begin(record)
+        if held is None or held.is_followed(now, record.incarnation):
+            self._begin(now, record)
             return True
         if record.incarnation.precedes(held.incarnation):
             return False
+        held.told_at = now
         held.missing_since = None
         held.listed = True
         if record.revision < held.registered.revision:
@@ -242,14 +249,16 @@
         self._note_address(record)
         return True
 
-    def _begin(self, record: Registered, listed: bool = True) -> Backend:
+    def _begin(self, now: float, record: Registered, listed: bool = True) -> Backend:
         """A start begins. What was remembered under its name is of the one before, and
         would show as models that nobody holds counting as held."""
         before = self._backends.get(record.instance)
         if before is not None:
             before.ended = True
             self._drop(record.instance)
-        backend = self._backends[record.instance] = Backend(record, listed=listed)
+        backend = self._backends[record.instance] = Backend(
+            record, listed=listed, told_at=now
+        )
         self._note_address(record)
         return backend
 
@@ -332,18 +341,20 @@
         The agent may know of a start before the registry lists it.
         """
         backend = self._backends.get(state.instance)
-        if backend is None or state.incarnation.precedes(backend.incarnation):
+        if backend is None:
             return False
-        if backend.incarnation.precedes(state.incarnation):
+        if backend.is_followed(now, state.incarnation):
             # The same place, and no word yet of its own on leaving.
             fields = {"started_ms": state.started_ms, "leaving": False, "holdings": {}}
             found = replace(backend.registered, **fields)
-            backend = self._begin(found, listed=False)
+            backend = self._begin(now, found, listed=False)
+        elif state.incarnation.precedes(backend.incarnation):
+            return False
         elif backend.registered.started_ms is None:
             known = replace(backend.registered, started_ms=state.started_ms)
             backend.registered = known
         backend.engine = state
-        backend.heard_at = now
+        backend.heard_at = backend.told_at = now
         backend.denied.clear()
         return True
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/incarnation.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/incarnation.py
@@ -4,6 +4,11 @@
 
 from dataclasses import dataclass
 
+#: For how long word of an earlier start counts as late. Writes and messages are held up
+#: for seconds at most; a registration lapses within three heartbeats, and an agent
+#: speaks twice a second. Seconds.
+SILENT_S = 10.0
+
 
 @dataclass(frozen=True, slots=True)
 class Incarnation:
@@ -36,3 +41,19 @@
         if self.started_ms is None or other.started_ms is None:
             return False
         return self.started_ms < other.started_ms
+
+    def is_other_start(self, other: Incarnation) -> bool:
+        """Whether both are known to be different starts of one backend server."""
+        return self.precedes(other) or other.precedes(self)
+
+    def follows(self, other: Incarnation, silent_s: float) -> bool:
+        """Whether this start takes the place of the ``other`` one, of which nothing was
+        heard for ``silent_s`` seconds.
+
+        A start that tells an earlier time does so only after a while. If the clock is
+        set back between two starts, all words of the second look late; dropped for
+        good, they would leave a healthy backend server without work.
+        """
+        if other.precedes(self):
+            return True
+        return self.precedes(other) and silent_s >= SILENT_S
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -78,6 +78,7 @@
     def __init__(self, engine: EngineSpec) -> None:
         self._engine = engine
         self._report: EngineReport | None = None
+        self._reported_at = float("-inf")
         self._unsettled: EngineOrder | None = None
         self._needs_report = True
         self._load: _Load | None = None
@@ -118,12 +119,11 @@
     def reported(self, now: float, report: EngineReport) -> LoadEnded | None:
         """Take over a report that was asked for after the last order was answered;
         returns the load that it shows as ended, if any."""
-        if self._report is not None:
-            if report.incarnation.precedes(self._report.incarnation):
-                return None
-            if self._is_restart(report):
-                self._restarted()
-        self._report = report
+        if self._is_restart(now, report):
+            self._restarted()
+        elif self._is_late(report):
+            return None
+        self._report, self._reported_at = report, now
         self._needs_report = False
         unsettled = self._unsettled
         if unsettled is not None and report.accepted > unsettled.expected:
@@ -131,9 +131,17 @@
             self._begun(now, unsettled)
         return self._settle_progress(now, report)
 
-    def _is_restart(self, report: EngineReport) -> bool:
-        known = self._report.incarnation
-        return report.instance != known.instance or known.precedes(report.incarnation)
+    def _is_restart(self, now: float, report: EngineReport) -> bool:
+        if self._report is None:
+            return False
+        known, silent_s = self._report.incarnation, now - self._reported_at
+        renewed = report.incarnation.follows(known, silent_s)
+        return renewed or report.instance != known.instance
+
+    def _is_late(self, report: EngineReport) -> bool:
+        if self._report is None:
+            return False
+        return report.incarnation.precedes(self._report.incarnation)
 
     def _restarted(self) -> None:
         """A new start holds nothing and knows no orders.
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -227,7 +227,7 @@
         order = book.next_order(self._app.now())
         if order is None:
             return BUSY_S if report.busy else QUIET_S
-        await self._give(order, report.instance)
+        await self._give(order, book.report.instance)
         return AFTER_ORDER_S
 
     def _named(self, report: EngineReport) -> EngineReport | None:
@@ -236,12 +236,16 @@
 
     def _take(self, report: EngineReport) -> None:
         before = self._book.report
-        if before is not None and before.incarnation.precedes(report.incarnation):
-            line = lines.BackendRestarted(
-                report.instance, report.started_ms, before.started_ms, "report"
-            )
-            self._events.emit(line)
         self._note_load(self._book.reported(self._app.now(), report))
+        now_there = self._book.report
+        if before is None:
+            return
+        if not now_there.incarnation.is_other_start(before.incarnation):
+            return
+        line = lines.BackendRestarted(
+            report.instance, now_there.started_ms, before.started_ms, "report"
+        )
+        self._events.emit(line)
 
     def _note_load(self, ended: LoadEnded | None) -> None:
         if ended is None:
@@ -281,7 +285,8 @@
         if report is None:
             return
         self._take(report)
-        if report.accepted <= order.expected:
+        # A late report of the start before isn't taken over, and settles nothing.
+        if self._book.report is report and report.accepted <= order.expected:
             self._book.conflict_seen(order)
 
     def _tell(self) -> None:
