Soak: a replica restarts under its id within a heartbeat

Cause: the soak replaced replicas only by ones with a new id. Ruled out: a new replica object for each restart; orders that are late would then reach the one that has ended, which is the case that matters. Change: the fault `restart`; late orders to the start before reach the next one. Seeds that once failed draw from the faults that they had, so they run as they were. Before: 13 kinds of faults.

--- a/tests/soak/failures/seeds.py
+++ b/tests/soak/failures/seeds.py
@@ -1,5 +1,6 @@
 """Seeds that once broke a promise, run again as they were."""
 
+from tests.soak.faults import FIRST_FAULTS
 from tests.soak.run import soak
 
 #: How long those runs were. Seconds.
@@ -8,5 +9,5 @@
 
 async def again(case, seed):
     """Run a seed, and fail the test if a promise is broken."""
-    report = await soak(seed, SECONDS, "out/soak")
+    report = await soak(seed, SECONDS, "out/soak", FIRST_FAULTS)
     case.assertEqual(report.broken, [], report)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,23 @@
 from tests.soak.proxy import Mode
 
 FAULTS = {}
+#: The faults of which the first seeds drew. A seed draws others if there are more to
+#: draw from, so seeds that once failed go on with those that they had.
+FIRST_FAULTS = (
+    "config",
+    "crash",
+    "garble",
+    "history",
+    "kill",
+    "late orders",
+    "path",
+    "pause",
+    "release",
+    "reload",
+    "reset",
+    "stop",
+    "store",
+)
 
 
 def fault(name, planned=False):
@@ -41,8 +58,9 @@
     the machine.
     """
 
-    def __init__(self, world, seed):
+    def __init__(self, world, seed, faults=None):
         self._world = world
+        self._names = sorted(faults or FAULTS)
         self._rng = random.Random(seed)
         self._busy = set()
         self._tasks = []
@@ -54,7 +72,7 @@
         end = loop.time() + seconds
         while loop.time() < end:
             await asyncio.sleep(self._rng.uniform(0.1, 1.0))
-            name = self._rng.choice(sorted(FAULTS))
+            name = self._rng.choice(self._names)
             draw = random.Random(self._rng.random())
             self._tasks.append(asyncio.create_task(self._injure(name, draw)))
         await asyncio.gather(*self._tasks)
@@ -165,6 +183,13 @@
     await world.crash(target)
 
 
+@fault("restart")
+@on(_replica)
+async def restart(world, target, rng):
+    """A replica starts again, empty, under its id, within a heartbeat."""
+    await world.restart_replica(target, rng.uniform(0.0, 0.3), rng.uniform(0.0, 0.6))
+
+
 @fault("release", planned=True)
 @on(_replica)
 async def release(world, target, rng):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,8 +34,9 @@
         return "\n  ".join([head, *self.broken[:20]])
 
 
-async def soak(seed, seconds, keep=None, **sizes):
-    """Run with one seed; ``keep`` is where logs go if a promise was broken."""
+async def soak(seed, seconds, keep=None, faults=None, **sizes):
+    """Run with one seed; ``keep`` is where logs go if a promise was broken, ``faults``
+    the names of those to draw from, all if None."""
     report = Report(seed)
     async with World() as world:
         await world.begin(**sizes)
@@ -47,7 +48,7 @@
         ]
         stop = asyncio.Event()
         calling = [asyncio.create_task(client.run(stop)) for client in clients]
-        surgeon = Surgeon(world, seed)
+        surgeon = Surgeon(world, seed, faults)
         await surgeon.run(seconds)
         report.broken += await _not_recovered(world, rng)
         stop.set()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -185,6 +185,17 @@
         await held.server.stop()
         await self._renew(name)
 
+    async def restart_replica(self, name, down_s, unlisted_s):
+        """A replica is down for a moment, and listed a while after it is back. Its id
+        stays, and late orders to the start before reach the next one."""
+        held = self.replicas[name]
+        await held.server.stop()
+        held.restart()
+        await asyncio.sleep(down_s)
+        await held.server.start("127.0.0.1", held.server.port)
+        await asyncio.sleep(unlisted_s)
+        self.store.put(f"servers/{held.instance}", self._entry_of(name))
+
     async def release(self, name):
         """A replica says that it leaves, goes on for a while, and is replaced."""
         held = self.replicas[name]
