--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -5,12 +5,20 @@
 the engine holds and how busy it is, fresher than the registry by a second or more. What
 an agent said stays true for holdings after the agent falls silent, because nobody else
 orders its engine to unload; its load figures don't.
+
+All that is known is known of one start of a backend server (:class:`Incarnation`). When
+another start appears under the same name, from either source, a new :class:`Backend`
+takes the place of the old one; what refers to the old one, such as a call that ran
+there, keeps it and changes nothing of the new.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+
+from bambootiller_core.gateway.engine_state import EngineState
+from bambootiller_core.gateway.incarnation import Incarnation
 
 #: An agent that hasn't been heard for so long takes no orders, as far as an entry
 #: knows. Agents speak at least every half second. Seconds.
@@ -31,7 +39,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Registered:
-    """A backend server as the registry lists it; ``instance`` is new at each start."""
+    """A backend server as the registry lists it; ``started_ms`` tells its starts under
+    one name apart."""
 
     instance: str
     service: str
@@ -41,6 +50,12 @@
     leaving: bool
     revision: int
     holdings: Mapping[str, frozenset[str]] = field(default_factory=dict)
+    started_ms: int | None = None
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The start that the entry is of."""
+        return Incarnation(self.instance, self.started_ms)
 
     @property
     def host(self) -> str:
@@ -48,48 +63,17 @@
         return self.address.rsplit(":", 1)[0]
 
 
-@dataclass(frozen=True, slots=True)
-class Loading:
-    """A model on its way in; ``left_s`` is the estimate of the time still needed."""
-
-    model: str
-    left_s: float
-    from_store: bool
-
-
-@dataclass(frozen=True, slots=True)
-class EngineState:
-    """What an agent says of the engine beside it.
-
-    ``holdings`` maps each held model to its adapters. ``in_memory`` and ``on_disk`` are
-    copies of weights from which a load is faster. ``in_use`` counts, for each model,
-    the calls that entries have under way there; ``keep_values`` how much it matters to
-    all entries together that each held model stays. In ``in_use``, MODEL/ADAPTER counts
-    those of an adapter. ``silent``: the engine doesn't answer its agent, and the rest
-    is what it said last."""
-
-    instance: str
-    holdings: Mapping[str, frozenset[str]]
-    loading: Loading | None = None
-    busy: bool = False
-    in_memory: frozenset[str] = frozenset()
-    on_disk: frozenset[str] = frozenset()
-    running: int = 0
-    queued: int = 0
-    memory_mb_used: float = 0.0
-    orderable: bool = True
-    keep_values: Mapping[str, float] = field(default_factory=dict)
-    in_use: Mapping[str, int] = field(default_factory=dict)
-    silent: bool = False
-
-
 def _as_it_is(now: float) -> float:
     return now
 
 
 @dataclass(slots=True)
 class Backend:
-    """One backend server as an entry sees it; ``in_flight`` counts its own calls.
+    """One start of a backend server as an entry sees it.
+
+    ``in_flight`` counts the entry's own calls. ``listed`` is False as long as only the
+    agent has told of this start, ``ended`` True once another has taken its place.
+    ``told_at`` is when the registry or the agent told of it last.
 
     ``ran`` turns a time into running time; see
     :mod:`bambootiller_core.gateway.running`. The silence of the agent is measured in
@@ -106,13 +90,25 @@
     missing_since: float | None = None
     unreached_at: float = float("-inf")
     denied: dict[str, float] = field(default_factory=dict)
+    listed: bool = True
+    ended: bool = False
+    told_at: float = float("-inf")
     ran: Callable[[float], float] = _as_it_is
 
     @property
     def instance(self) -> str:
-        """The name of this start of the backend server."""
+        """The name of the backend server, which its next start may have too."""
         return self.registered.instance
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Which start of the backend server this is."""
+        return self.registered.incarnation
+
+    def is_followed(self, now: float, incarnation: Incarnation) -> bool:
+        """Whether word of ``incarnation`` means that this start is over."""
+        return incarnation.follows(self.incarnation, now - self.told_at)
+
     @property
     def holdings(self) -> Mapping[str, frozenset[str]]:
         """The models held, with their adapters, from the fresher source."""
@@ -158,8 +154,11 @@
         there one after the other, and models that nobody else holds would count as
         held, so that nobody loads them. Silence of the agent alone doesn't tell: its
         process may have ended while the engine works on. Nor does silence of the
-        engine alone, which may be busy; but where its agent says so too, it does.
+        engine alone, which may be busy; but where its agent says so too, it does. A
+        start that another has followed is over whatever anybody says.
         """
+        if self.ended:
+            return True
         if self.engine is None or now - self.unreached_at >= LOST_S:
             return False
         return self.engine.silent or not self.agent_heard(now)
@@ -176,6 +175,27 @@
             return self.in_flight
         return max(self.in_flight, self.engine.running + self.engine.queued)
 
+    def call_sent(self, model: str, adapter: str = "") -> None:
+        """One of this entry's calls goes there."""
+        self.in_flight += 1
+        uses = self.in_flight_by_model
+        for name in used_names(model, adapter):
+            uses[name] = uses.get(name, 0) + 1
+
+    def call_ended(self, model: str, adapter: str = "") -> None:
+        """That call has ended.
+
+        It is counted here and not by name: a call that was under way as the backend
+        server started anew would take one off the count of the new start, which would
+        then be given more calls than it takes.
+        """
+        self.in_flight = max(0, self.in_flight - 1)
+        uses = self.in_flight_by_model
+        for name in used_names(model, adapter):
+            left = uses.pop(name, 0) - 1
+            if left > 0:
+                uses[name] = left
+
 
 class Fleet:
     """The backend servers by instance, from the registry and the agents.
@@ -200,9 +220,14 @@
                 yield backend
 
     def get(self, instance: str) -> Backend | None:
-        """The backend server, if it is known."""
+        """The latest start of the backend server, if it is known."""
         return self._backends.get(instance)
 
+    def lives(self, incarnation: Incarnation) -> bool:
+        """Whether this start is known, and no later one."""
+        found = self._backends.get(incarnation.instance)
+        return found is not None and found.incarnation == incarnation
+
     def of_service(self, service: str) -> list[Backend]:
         """Those that may be given work of the service: listed, and not leaving."""
         return [
@@ -215,32 +240,57 @@
         """The store answers again after it was away; entries may be missing for now."""
         self._returned_at = now
 
-    def registry_changed(self, now: float, record: Registered) -> None:
-        """Take over an entry of the registry, unless a newer one is held."""
+    def registry_changed(self, now: float, record: Registered) -> bool:
+        """Take over an entry of the registry; False if a newer one is held.
+
+        The start goes before the revision: a write of the start before that was held up
+        on its way to the store has a revision above the first of the next start.
+        """
         held = self._backends.get(record.instance)
-        if held is None:
-            self._backends[record.instance] = Backend(record, ran=self._ran)
-            self._note_address(record)
-            return
+        if held is None or held.is_followed(now, record.incarnation):
+            self._begin(now, record)
+            return True
+        if record.incarnation.precedes(held.incarnation):
+            return False
+        held.told_at = now
         held.missing_since = None
+        held.listed = True
         if record.revision < held.registered.revision:
-            return
+            return False
         if held.registered.leaving and not record.leaving:
             # A start that leaves doesn't come back; a late write would undo the drain.
-            return
+            return False
+        if record.started_ms is None:
+            record = replace(record, started_ms=held.registered.started_ms)
         held.registered = record
         self._note_address(record)
+        return True
+
+    def _begin(self, now: float, record: Registered, listed: bool = True) -> Backend:
+        """A start begins. What was remembered under its name is of the one before, and
+        would show as models that nobody holds counting as held."""
+        before = self._backends.get(record.instance)
+        if before is not None:
+            before.ended = True
+            self._drop(record.instance)
+        backend = self._backends[record.instance] = Backend(
+            record, listed=listed, told_at=now, ran=self._ran
+        )
+        self._note_address(record)
+        return backend
 
     def registry_removed(self, now: float, instance: str) -> None:
         """The registry lists the instance no more.
 
         Shortly after the store's return that says little: the entry may have lapsed
-        while the store couldn't hear the backend server.
+        while the store couldn't hear the backend server. Nor does it say much of a
+        start that the registry hasn't listed yet: the entry was of the one before.
         """
         held = self._backends.get(instance)
         if held is None:
             return
-        if now - self._returned_at < LAPSE_GRACE_S and not held.registered.leaving:
+        lapsed = now - self._returned_at < LAPSE_GRACE_S and not held.registered.leaving
+        if lapsed or not held.listed:
             if held.missing_since is None:
                 held.missing_since = now
             return
@@ -262,13 +312,18 @@
         gone = [
             backend.instance
             for backend in self._backends.values()
-            if backend.missing_since is not None
-            and now - self._returned_at >= LAPSE_GRACE_S
+            if backend.missing_since is not None and self._stays_missing(now, backend)
         ]
         for instance in gone:
             self._drop(instance)
         return gone
 
+    def _stays_missing(self, now: float, backend: Backend) -> bool:
+        since = self._returned_at
+        if not backend.listed:
+            since = max(since, backend.missing_since)
+        return now - since >= LAPSE_GRACE_S
+
     def _note_address(self, record: Registered) -> None:
         last = self._backends.get(self._at.get(record.address, ""))
         if last is None or last.registered.revision < record.revision:
@@ -297,37 +352,30 @@
                 self._note_address(backend.registered)
 
     def engine_told(self, now: float, state: EngineState) -> bool:
-        """Take over what an agent said; False if the instance isn't listed (yet)."""
+        """Take over what an agent said; False if the instance isn't listed (yet), or
+        has started anew since.
+
+        The agent may know of a start before the registry lists it.
+        """
         backend = self._backends.get(state.instance)
         if backend is None:
             return False
+        if backend.is_followed(now, state.incarnation):
+            # The same place, and no word yet of its own on leaving.
+            fields = {"started_ms": state.started_ms, "leaving": False, "holdings": {}}
+            found = replace(backend.registered, **fields)
+            backend = self._begin(now, found, listed=False)
+        elif state.incarnation.precedes(backend.incarnation):
+            return False
+        elif backend.registered.started_ms is None:
+            known = replace(backend.registered, started_ms=state.started_ms)
+            backend.registered = known
         backend.engine = state
         backend.heard_at = self._ran(now)
+        backend.told_at = now
         backend.denied.clear()
         return True
 
-    def call_sent(self, instance: str, model: str, adapter: str = "") -> None:
-        """One of this entry's calls goes to the instance."""
-        backend = self._backends.get(instance)
-        if backend is None:
-            return
-        backend.in_flight += 1
-        uses = backend.in_flight_by_model
-        for name in used_names(model, adapter):
-            uses[name] = uses.get(name, 0) + 1
-
-    def call_ended(self, instance: str, model: str, adapter: str = "") -> None:
-        """That call has ended."""
-        backend = self._backends.get(instance)
-        if backend is None:
-            return
-        backend.in_flight = max(0, backend.in_flight - 1)
-        uses = backend.in_flight_by_model
-        for name in used_names(model, adapter):
-            left = uses.pop(name, 0) - 1
-            if left > 0:
-                uses[name] = left
-
 
 def used_names(model: str, adapter: str) -> tuple[str, ...]:
     """The names under which a call's use of its model and adapter is counted."""
--- a/packages/bambootiller/src/bambootiller/gateway/agent_words.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent_words.py
@@ -12,7 +12,7 @@
 from bambootiller.gateway import wire
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.exchange import TELL_S, Exchanger, Outgoing, Update
-from bambootiller_core.gateway.fleet import EngineState
+from bambootiller_core.gateway.engine_state import EngineState
 from bambootiller_core.gateway.log_lines import EntryHeard
 from bambootiller_core.gateway.orders import OrderBook
 from bambootiller_core.gateway.want import Want
@@ -212,7 +212,9 @@
 def _leave_out_copies(update: Update, outgoing: Outgoing) -> None:
     """Which copies an engine has changes once in seconds, and with many models is most
     of the message."""
-    copies = (tuple(update.engine.in_memory), tuple(update.engine.on_disk))
+    engine = update.engine
+    start = (engine.instance, engine.started_ms)
+    copies = (start, tuple(engine.in_memory), tuple(engine.on_disk))
     if outgoing.told.get("copies") == copies:
         update.engine.same_copies = True
         del update.engine.in_memory[:]
@@ -224,7 +226,7 @@
 def _differs(told: EngineState, state: EngineState) -> bool:
     """Whether entries would decide otherwise; load figures can wait."""
     return (
-        told.instance != state.instance
+        told.incarnation != state.incarnation
         or told.holdings != state.holdings
         or told.busy != state.busy
         or told.orderable != state.orderable
--- a/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
+++ b/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
@@ -97,7 +97,7 @@
         if service.budget.left(now) < 1.0:
             return Stays.BUDGET
         backend = self._placing.another()
-        if backend is None or service.health.avoided(now, backend.instance):
+        if backend is None or service.health.avoided(now, backend.incarnation):
             return Stays.NO_PLACE
         return backend
 
--- a/packages/bambootiller/src/bambootiller/gateway/engine_words.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_words.py
@@ -12,7 +12,9 @@
 from bambootiller.gateway import wire
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core.gateway.collecting import concerning, moved
-from bambootiller_core.gateway.fleet import Backend, EngineState
+from bambootiller_core.gateway.engine_state import EngineState
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.incarnation import Incarnation
 from bambootiller_core.gateway.want import Want
 
 
@@ -45,6 +47,9 @@
             return True
         if self.wants is wants and self.engine is backend.engine:
             return False
+        if _start(self.engine) != _start(backend.engine):
+            # An agent whose engine starts anew forgets the calls that it was told of.
+            return True
         if moved(self.part, _part(wants, backend.engine, collect)):
             return True
         self.wants, self.engine = wants, backend.engine
@@ -76,6 +81,10 @@
         return words
 
 
+def _start(engine: EngineState | None) -> Incarnation | None:
+    return engine.incarnation if engine is not None else None
+
+
 def _part(
     wants: Mapping[str, Want], engine: EngineState | None, collect: bool
 ) -> dict[str, Want]:
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -191,7 +191,7 @@
             if backend is None or backend.engine is words.state:
                 continue
             if now - outgoing.heard_at < AGENT_SILENT_S:
-                self._take_over(outgoing.heard_at, words)
+                self._take_over(outgoing.heard_at, words, outgoing.peer, False)
 
     def _choose_collectors(self, now: float, wanted: dict[str, Backend]) -> None:
         heard: dict[str, list[str]] = {}
@@ -268,9 +268,13 @@
             outgoing.said = words
         if update.collected:
             self._clock.changed(self._app.now())
-        self._take_over(self._app.now(), words)
+        source = outgoing.peer if outgoing is not None else update.sender
+        is_new = update.HasField("engine")
+        self._take_over(self._app.now(), words, source, is_new)
 
-    def _take_over(self, now: float, words: AgentWords) -> None:
+    def _take_over(
+        self, now: float, words: AgentWords, source: str, is_new: bool
+    ) -> None:
         if words.entries:
             self.entries = words.entries
         if words.state is None:
@@ -280,8 +284,15 @@
         if backend is not None and words.totals is not None:
             service, host = backend.registered.service, backend.registered.host
             self._totals.told(now, service, host, words.totals)
-        is_news = backend is not None and backend.engine is not words.state
+        if backend is None:
+            return
+        if not is_new and words.state.incarnation.precedes(backend.incarnation):
+            # A beat says nothing anew of a start that has ended.
+            return
+        is_news = backend.engine is not words.state
         if fleet.engine_told(now, words.state) and is_news:
+            if backend.ended:
+                self._knowledge.note_restart(backend, source)
             self._clock.changed(now)
             self._knowledge.changed.notify()
 
@@ -415,6 +426,6 @@
         loading = backend.engine.loading
         if not loading.from_store:
             return loading.left_s
-        return speed.left_s(now, backend.instance, loading)
+        return speed.left_s(now, backend.incarnation, loading)
 
     return left_s
--- a/tests/gateway/common/fleets.py
+++ b/tests/gateway/common/fleets.py
@@ -3,10 +3,9 @@
 import random
 
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
+from bambootiller_core.gateway.engine_state import EngineState, Loading
 from bambootiller_core.gateway.fleet import (
     Backend,
-    EngineState,
-    Loading,
     Registered,
 )
 from bambootiller_core.gateway.places import keep_values
--- a/tests/gateway/failures/test_silence.py
+++ b/tests/gateway/failures/test_silence.py
@@ -229,9 +229,9 @@
 
     def test_a_call_a_waiting_call_and_a_holder_are_told(self):
         self.news()
-        self.known.fleet.call_sent("b1", "poet")
+        self.known.fleet.get("b1").call_sent("poet")
         self.assertTrue(self.news())
-        self.known.fleet.call_ended("b1", "poet")
+        self.known.fleet.get("b1").call_ended("poet")
         self.assertTrue(self.news())
         self.engines._own[SERVICE] = {"poet": Want(1.0, 1, 1, 0.1)}
         self.assertTrue(self.news())
