Split a stream's events with one search each, and number them by their first line

Cause: for each event three separators were searched in all that was held, all its lines were split to find its number, and it was copied twice.

Ruled out: leaving the separators with a carriage return out; they are part of the form.

Change: they are searched only once a carriage return has come; what was searched before isn't searched again; an event that comes whole, as most do, is cut out of the read at once; its number is read from its first line where that begins with it. A Hypothesis test compares it with a search by hand.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/events.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/events.py
@@ -7,15 +7,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
-_SEPARATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+import re
+from typing import NamedTuple
+
+#: The separators with a carriage return; most streams have none.
+_CR_SEPARATORS = (b"\r\n\r\n", b"\r\r")
+#: So much of what has been looked through may be the beginning of a separator. Bytes.
+_OVERLAP = 3
+#: The first line that is named "id"; blanks around the name don't count.
+_ID_LINE = re.compile(rb"(?:\A|[\r\n])[ \t\v\f]*id[ \t\v\f]*:([^\r\n]*)")
 #: An event larger than this is passed on in parts, so that memory stays bounded.
 LARGEST_EVENT_BYTES = 1 << 20
 
 
-@dataclass(frozen=True, slots=True)
-class Event:
+class Event(NamedTuple):
     """The bytes of one whole event with its separator, and its number if it has one."""
 
     data: bytes
@@ -34,6 +39,7 @@
 
     def __init__(self) -> None:
         self._held = bytearray()
+        self._has_cr = False
 
     @property
     def rest(self) -> bytes:
@@ -42,32 +48,58 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """The events that ``data`` completes."""
+        if b"\r" in data:
+            self._has_cr = True
         held = self._held
-        held += data
-        found = []
-        while (end := _event_end(held)) is not None:
-            whole = bytes(held[:end])
+        if not held:
+            # Most events come whole: no need to look through them twice, nor to copy
+            # them.
+            found, end = _split(data, 0, self._has_cr)
+            if end < len(data):
+                held += data[end:]
+        else:
+            at = max(0, len(held) - _OVERLAP)
+            held += data
+            found, end = _split(held, at, self._has_cr)
             del held[:end]
-            found.append(Event(whole, _number(whole)))
         if len(held) > LARGEST_EVENT_BYTES:
             found.append(Event(bytes(held), None))
             held.clear()
         return found
 
 
-def _event_end(held: bytearray) -> int | None:
-    ends = [
-        at + len(separator)
-        for separator in _SEPARATORS
-        if (at := held.find(separator)) >= 0
-    ]
-    return min(ends, default=None)
+def _split(data: bytes | bytearray, at: int, has_cr: bool) -> tuple[list[Event], int]:
+    """The whole events, the first of which doesn't end before ``at``, and where the
+    last of them ends."""
+    found = []
+    begin = 0
+    while (end := _event_end(data, at, has_cr)) > 0:
+        event = bytes(data[begin:end])
+        found.append(Event(event, _number(event)))
+        begin = at = end
+    return found, begin
+
+
+def _event_end(data: bytes | bytearray, at: int, has_cr: bool) -> int:
+    """Where the event ends whose separator isn't before ``at``; 0 if it doesn't."""
+    end = data.find(b"\n\n", at) + 2
+    if end == 1:
+        end = 0
+    if not has_cr:
+        return end
+    for separator in _CR_SEPARATORS:
+        other = data.find(separator, at)
+        if other >= 0 and (not end or other + len(separator) < end):
+            end = other + len(separator)
+    return end
 
 
 def _number(event: bytes) -> int | None:
-    for line in event.splitlines():
-        name, colon, value = line.partition(b":")
-        if colon and name.strip() == b"id":
-            text = value.strip()
-            return int(text) if text.isdigit() else None
-    return None
+    if event.startswith(b"id:") and b"\r" not in event:
+        # As nearly all events begin.
+        text = event[3 : event.find(b"\n")].strip()
+    elif (line := _ID_LINE.search(event)) is not None:
+        text = line[1].strip()
+    else:
+        return None
+    return int(text) if text.isdigit() else None
--- a/tests/gateway/cover/test_events.py
+++ b/tests/gateway/cover/test_events.py
@@ -9,6 +9,36 @@
 STREAM = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n"
 
 
+PIECES = (
+    *(b"\n", b"\r", b"\r\n", b"\n\n", b"\t", b"\v", b" ", b"\x85"),
+    *(b"id", b":", b"id: 7", b"id:8", b"id : 3", b"data: x", b"12", b"x"),
+)
+SEPARATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+
+
+def plainly_split(stream):
+    """The events with their numbers, and the rest, looked for as one would by hand."""
+    found = []
+    while True:
+        ends = [
+            stream.find(separator) + len(separator)
+            for separator in SEPARATORS
+            if separator in stream
+        ]
+        if not ends:
+            return found, stream
+        event, stream = stream[: min(ends)], stream[min(ends) :]
+        found.append((event, plainly_numbered(event)))
+
+
+def plainly_numbered(event):
+    for line in event.splitlines():
+        name, colon, value = line.partition(b":")
+        if colon and name.strip() == b"id":
+            return int(value) if value.strip().isdigit() else None
+    return None
+
+
 class TestEventSplitter(unittest.TestCase):
     @given(st.lists(st.integers(0, len(STREAM)), max_size=8))
     def test_portions_make_no_difference(self, cuts):
@@ -21,6 +51,21 @@
         self.assertEqual(b"".join(event.data for event in events), STREAM)
         self.assertEqual(splitter.rest, b"")
 
+    @given(st.lists(st.lists(st.sampled_from(PIECES), max_size=6), max_size=6))
+    def test_any_lines_in_any_portions_are_split_as_by_hand(self, portions):
+        splitter = EventSplitter()
+        events = []
+        for portion in portions:
+            events += splitter.feed(b"".join(portion))
+        whole = b"".join(piece for portion in portions for piece in portion)
+        expected, rest = [], b""
+        for portion in portions:
+            more, rest = plainly_split(rest + b"".join(portion))
+            expected += more
+        self.assertEqual([(event.data, event.number) for event in events], expected)
+        self.assertEqual(splitter.rest, rest)
+        self.assertEqual(b"".join(event.data for event in events) + rest, whole)
+
     def test_half_an_event_is_held_back(self):
         splitter = EventSplitter()
         self.assertEqual(splitter.feed(b"id: 1\ndata: o"), [])
