Ask again for events that came before one out of order

Cause: where a read brings several events, each was noted as the caller's last before the next was looked at. If a later one was out of order none of them was passed on, but the second run was asked to go on behind those. The caller's stream lacked them and looked whole.

Ruled out: passing on those before the one out of order. An answer that repeats itself is wrong somewhere, and the second run brings them again.

Change: the last number is noted once all events of a read have been looked at, together with the time, which is read once and not twice.

Before: tests/adapter/failures/test_calls.py, the new test of TestStreams: the answer lacks event 3. After: it is whole, and the second run was asked for what is behind event 2.

Conclusion: no event is lost.

--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -20,7 +20,7 @@
 from bambootiller_core.gateway import attempts
 from bambootiller_core.gateway.attempts import CutOff, Ended, Refusal, SendAgain
 from bambootiller_core.gateway.calls import Call, Progress
-from bambootiller_core.gateway.events import EventSplitter
+from bambootiller_core.gateway.events import Event, EventSplitter
 from bambootiller_core.gateway.fleet import Backend
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -280,7 +280,7 @@
         while (data := await self._next(backend, conn, conn.chunk)) is not None:
             parts.append(data)
         self._judge(backend, head, relays.ran() - began)
-        self.report.part_passed_on()
+        self.report.part_passed_on(relays.clock())
         await self._start(head)
         await self._send({"type": "http.response.body", "body": b"".join(parts)})
 
@@ -317,26 +317,28 @@
             await self._start(head)
         await self._send({"type": "http.response.body", "body": b""})
 
-    async def _pass_whole(self, head: AnswerHead, events: list) -> None:
+    async def _pass_whole(self, head: AnswerHead, events: list[Event]) -> None:
         progress = self._progress
-        data = []
+        last, newest = self._resume_after(), progress.last_event
         for event in events:
-            last = self._resume_after()
-            if event.number is not None and last is not None:
-                if event.number <= last:
-                    raise ConnectionLost(
-                        f"event {event.number} came after {last}", False, True
-                    )
-            if event.number is not None:
-                progress.last_event = event.number
-            data.append(event.data)
-        self.report.part_passed_on()
-        progress.passed_at = self._relays.clock()
+            if event.number is None:
+                continue
+            if last is not None and event.number <= last:
+                raise ConnectionLost(
+                    f"event {event.number} came after {last}", False, True
+                )
+            last = newest = event.number
+        # Noted only now: where one of them is out of order none is passed on, and the
+        # caller still needs those before it.
+        progress.last_event = newest
+        progress.passed_at = now = self._relays.clock()
+        self.report.part_passed_on(now)
         if not progress.passed_on:
             await self._start(head)
             progress.passed_on = True
+        data = b"".join([event.data for event in events])
         await self._send(
-            {"type": "http.response.body", "body": b"".join(data), "more_body": True}
+            {"type": "http.response.body", "body": data, "more_body": True}
         )
 
     async def _start(self, head: AnswerHead) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/reporting.py
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -16,7 +16,7 @@
 
         report = CallReport(relays, call, progress)
         report.chosen(backend, candidates=3)
-        report.part_passed_on()
+        report.part_passed_on(now)
         report.answered(backend, 200)
     """
 
@@ -45,13 +45,12 @@
             agent_age_ms=_ms(backend.unheard_s(now)) if heard else None,
         )
 
-    def part_passed_on(self) -> None:
+    def part_passed_on(self, now: float) -> None:
         """A part of the answer goes to the caller now."""
-        now = self._relays.clock()
         if self._first_at is None:
             self._first_at = now
-        else:
-            self._longest_gap_s = max(self._longest_gap_s, now - self._last_at)
+        elif now - self._last_at > self._longest_gap_s:
+            self._longest_gap_s = now - self._last_at
         self._last_at = now
 
     def answered(self, backend: Backend, status: int) -> None:
--- a/tests/adapter/failures/test_calls.py
+++ b/tests/adapter/failures/test_calls.py
@@ -315,6 +315,35 @@
         answer = await self.call()
         self.assertEqual((answer.body, answer.whole), (self.whole(), True))
 
+    async def test_an_event_out_of_order_takes_none_before_it_with_it(self):
+        """Symptom: a caller's text lacks an event, and its stream looks whole.
+
+        A read brings event 3 and then event 2 again. Neither was passed on, but event 3
+        was noted as passed on before the other was found to be out of order. The second
+        run went on behind it.
+        """
+        replicas = [await self.llm("i-1"), await self.llm("i-2")]
+        broken = []
+
+        def reply_of(replica):
+            def reply(req):
+                found = replica.stream(req)
+                if not broken:
+                    broken.append(replica)
+                    one, two, three, *_ = found.pieces
+                    found.pieces = (one, two, three + two)
+                return found
+
+            return reply
+
+        for replica in replicas:
+            replica.next_replies = [reply_of(replica)]
+        answer = await self.call()
+        self.assertEqual(answer.body, self.whole())
+        self.assertTrue(answer.whole)
+        resumed = [r.runs[-1] for r in replicas if r is not broken[0]]
+        self.assertEqual(resumed[0].headers["last-event-id"], "2")
+
     async def test_a_stream_that_may_not_be_resumed_is_cut_where_it_broke(self):
         self.bench.learn("op/config", self.not_resumable())
         replicas = [await self.llm("i-1"), await self.llm("i-2")]
