--- a/packages/bambootiller-core/src/bambootiller_core/_gossip_types.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_gossip_types.py
@@ -71,6 +71,10 @@
         """The same, asking for everything."""
         return replace(self, full=True)
 
+    def with_statements(self, statements: tuple[Statement, ...]) -> Message:
+        """The same with more statements."""
+        return replace(self, statements=self.statements + statements)
+
     def with_heads(self, heads: tuple[Head, ...]) -> Message:
         """The same with more heads."""
         return replace(self, heads=self.heads + heads)
--- a/packages/bambootiller-core/src/bambootiller_core/_messages.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_messages.py
@@ -102,7 +102,7 @@
     """The same with one more statement, if there is one."""
     if statement is None:
         return message
-    return replace(message, statements=message.statements + (statement,))
+    return message.with_statements((statement,))
 
 
 def _subjects(message: Message) -> frozenset[Subject]:
