Test that starved members are told of a suspicion, and refute each one

Cause: not mended yet; a probe from before a refutation suspects the member anew, a second accusation right after a refutation is dropped, and a suspect that runs only for a moment isn't told in that moment. Ruled out: loss of messages, by the trace of a run on virtual time. Conclusion: each step of the mechanism has its own check.

--- a/tests/membership/failures/test_starved_process.py
+++ b/tests/membership/failures/test_starved_process.py
@@ -107,20 +107,62 @@
         judge = Membership(member("me"), random.Random(1), CFG)
         judge.tick(0.0)
         judge.merge(0.0, [said(name) for name in "abcdef"])
-        (probe,) = judge.tick(1.0)
-        (through,) = judge.probe_failed(1.5, probe.number)
-        judge.tick(1.6)
-        judge.indirect_failed(1.9, through.number, 3)
+        probe = _first_probe(judge)
+        (through,) = judge.probe_failed(1.25, probe.number)
+        judge.tick(1.5)
+        judge.indirect_failed(1.75, through.number, 3)
         self.assertIs(judge.status_of(probe.member.instance), Status.SUSPECT)
-        (told,) = judge.tick(2.0)
+        told = judge.tick(1.8)[0]
         self.assertEqual(told.member, probe.member)
 
+    def test_a_suspect_that_speaks_is_told_although_the_next_period_is_far(self):
+        """It runs right now, and may not when the period is over."""
+        judge = membership("a", "b", "c")
+        judge.merge(0.1, [said("a", Status.SUSPECT)])
+        self.assertEqual(judge.tick(0.2), [])
+        judge.heard_from(0.25, "a")
+        self.assertEqual([one.member.instance for one in judge.tick(0.3)], ["a"])
+
+    def test_a_probe_from_before_a_refutation_is_no_evidence_after_it(self):
+        """Sequence: two members probe one that doesn't run just then; the first one's
+        suspicion reaches it as it goes on, and it refutes; then the second one's probe
+        ends, sent before that, and suspects it anew. Cause: a failure is taken as
+        evidence about an incarnation that began after the probe.
+        """
+        judge = membership("a", "b", "c")
+        probe = _first_probe(judge)
+        target = probe.member.instance
+        (through,) = judge.probe_failed(1.25, probe.number)
+        judge.merge(1.3, [said(target, Status.ALIVE, 2)])
+        judge.indirect_failed(1.4, through.number, 2)
+        self.assertIs(judge.status_of(target), Status.ALIVE)
+
+    def test_a_second_accusation_right_after_a_refutation_is_refuted_later(self):
+        """Cause: the least time between two refutations dropped the second one, and who
+        had accused again didn't repeat it to the accused before it held it dead."""
+        accused = membership("a", "b")
+        accused.merge(0.1, [said("me", Status.SUSPECT, 1)])
+        accused.merge(0.2, [said("me", Status.SUSPECT, 2)])
+        self.assertEqual(accused.me.incarnation, 2)
+        accused.tick(0.4)
+        self.assertEqual(accused.me.incarnation, 2)
+        accused.tick(0.65)
+        self.assertEqual(accused.me.incarnation, 3)
+
 
 def said_of(me, status):
     """The statement that a member, as it knows itself, has a status."""
     return said(me.instance, status, me.incarnation)
 
 
+def _first_probe(judge: Membership):
+    """The probe that a lone process begins after its first period."""
+    for quarter in (0.25, 0.5, 0.75):
+        judge.tick(quarter)
+    (probe,) = judge.tick(1.0)
+    return probe
+
+
 def _network(seed: int) -> Network:
     network = Network(seed=seed, membership=FAST)
     network.grow(3)
