Let members that run in slices refute in time, and judges count their own time

Cause: the refutation was missing from the answer to the message that told of the suspicion; its push waited as many times longer as the process judged itself unwell; a second accusation within half a period was dropped; a probe sent before a refutation counted as evidence after it; a suspect heard of its suspicion with the next period only, when it may not run; and pauses below two periods used up a suspect's time. Ruled out: real pauses above two periods; they were noticed. Longer suspicions for all: deaths would be found later everywhere. Change: the reply carries this process's own latest word, which is pushed at once; accusations that come too soon are put off; a raised incarnation voids probes under way; a suspect is told right away and after each word of it, and its words renew its time up to three suspicions; gaps beyond half a period are absence, by which suspicions last longer, and void the probes that had no other time. Choosing partners and targets moved into modules of their own. Pauses of 300 to 500 ms are longer than a suspicion, and still count as death.

--- a/packages/bambootiller-core/src/bambootiller_core/_health.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_health.py
@@ -9,19 +9,31 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 MAX_SCORE = 6
 
 
+@dataclass(frozen=True, slots=True)
+class Absence:
+    """How long the process didn't run before a tick, and if that counts as a pause."""
+
+    seconds: float
+    paused: bool
+
+
 class LocalHealth:
     """A score from 0 (well) up; timeouts are multiplied by ``factor``.
 
-    ``pause_s`` is the gap between ticks above which the process has not been running.
-    ``silence_s`` is the time without a word from anybody after which it counts itself
-    as cut off.
+    ``late_s`` is the longest gap between ticks of a process that gets its processor
+    time; what goes beyond it is absence. After a gap above ``pause_s`` nothing counts
+    that was begun before. ``silence_s`` is the time without a word from anybody after
+    which it counts itself as cut off.
     """
 
-    def __init__(self, pause_s: float, silence_s: float) -> None:
+    def __init__(self, late_s: float, pause_s: float, silence_s: float) -> None:
         self.score = 0
+        self._late_s = late_s
         self._pause_s = pause_s
         self._silence_s = silence_s
         self._ticked: float | None = None
@@ -32,14 +44,19 @@
         """What timeouts are multiplied by: 1 in a process that is well."""
         return 1 + self.score
 
-    def ticked(self, now: float) -> bool:
-        """Note a sign of own life; True if the process was paused until now."""
-        paused = self._ticked is not None and now - self._ticked > self._pause_s
+    def ticked(self, now: float) -> Absence | None:
+        """Note a sign of own life; returns the absence that it ends, if any."""
+        gap = now - self._ticked if self._ticked is not None else 0.0
         self._ticked = now
-        if paused:
+        if gap <= self._late_s:
+            return None
+        absence = Absence(gap - self._late_s, gap > self._pause_s)
+        self.worse()
+        if absence.paused:
             self._heard = now
-            self.worse()
-        return paused
+        elif self._heard is not None:
+            self._heard += absence.seconds
+        return absence
 
     def heard(self, now: float) -> None:
         """Note a word from another process."""
--- a/packages/bambootiller-core/src/bambootiller_core/_member_table.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_member_table.py
@@ -79,6 +79,21 @@
         """The entries that are suspected, leaving or dead; few in a healthy fleet."""
         return [self._entries[name] for name in sorted(self._not_alive)]
 
+    def unmet(self, listed: Member) -> bool:
+        """Whether a listed process is unknown, or dead and now at another address."""
+        me = self.own.member
+        if listed.instance == me.instance or listed.address == me.address:
+            return False
+        entry = self.get(listed.instance)
+        if entry is None:
+            here = (one for one in self if one.status is not Status.DEAD)
+            return all(one.member.address != listed.address for one in here)
+        return entry.status is Status.DEAD and entry.member.address != listed.address
+
+    def suspected(self) -> list[Entry]:
+        """The entries that die unless they are heard of in time."""
+        return [entry for entry in self.not_alive() if entry.dies_at < math.inf]
+
     def views(self, role: Role | None) -> tuple[MemberView, ...]:
         """All members of a role, this process included, by instance."""
         views = self._views.get(role)
--- a/packages/bambootiller-core/src/bambootiller_core/_messages.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_messages.py
@@ -88,6 +88,12 @@
             heads=message.heads + heads,
         )
 
+    def with_own(self, message: Message) -> Message:
+        """The same with this process's statement about itself as it is now."""
+        me = self.membership.me.instance
+        others = (one for one in message.statements if one.instance != me)
+        return replace(message, statements=(self.membership.own, *others))
+
     def correction(self, message: Message) -> Statement | None:
         """What is held of a sender, if that supersedes its own statement."""
         held = self.membership.statement_of(message.sender)
--- a/packages/bambootiller-core/src/bambootiller_core/_probing.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_probing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -42,6 +43,15 @@
         self._rng = rng
         self._left: list[str] = []
         self._urgent: dict[str, None] = {}
+        self._accused: dict[str, None] = {}
+
+    def tell(self, instance: str) -> None:
+        """Probe ``instance`` beside the round, so that it hears it is suspected."""
+        self._accused[instance] = None
+
+    def next_accused(self) -> str | None:
+        """The next instance that is to hear of its suspicion."""
+        return _pop_first(self._accused)
 
     def hurry(self, instance: str) -> None:
         """Probe ``instance`` before the round goes on."""
@@ -49,11 +59,7 @@
 
     def next_urgent(self) -> str | None:
         """The next urgent instance, which is then urgent no more."""
-        if not self._urgent:
-            return None
-        name = next(iter(self._urgent))
-        del self._urgent[name]
-        return name
+        return _pop_first(self._urgent)
 
     def next(self, peers: Iterable[str]) -> str | None:
         """The next peer of the round, of those that are peers now."""
@@ -66,22 +72,46 @@
 
 
 class ProbesUnderWay:
-    """Numbers of the probes whose result is still open."""
+    """Numbers of the probes whose result is still open, with their timeouts."""
 
     def __init__(self) -> None:
-        self._open: dict[int, str] = {}
+        self._open: dict[int, tuple[str, float]] = {}
         self._number = 0
 
-    def start(self, instance: str) -> int:
+    def start(self, instance: str, timeout: float) -> int:
         """The number of a new probe of ``instance``."""
         self._number += 1
-        self._open[self._number] = instance
+        self._open[self._number] = (instance, timeout)
         return self._number
 
     def finish(self, number: int) -> str | None:
         """The instance of a probe, or None if its result counts no more."""
-        return self._open.pop(number, None)
-
-    def disregard_all(self) -> None:
-        """Let no result of a probe under way count."""
-        self._open.clear()
+        return self._open.pop(number, (None, 0.0))[0]
+
+    def disregard_of(self, instance: str) -> None:
+        """Let no probe of ``instance`` count that is under way.
+
+        It was sent before the member's latest word, so it is no evidence of silence
+        after it.
+        """
+        for number, (name, _) in tuple(self._open.items()):
+            if name == instance:
+                del self._open[number]
+
+    def disregard(self, absent: float = math.inf) -> list[str]:
+        """Let no probe count whose timeout is up to ``absent`` seconds; returns whose.
+
+        A longer one had time left in which its process ran. So a process that never
+        runs for long still finds out who has ended: it is unwell by then, and its
+        timeouts are longer than its pauses.
+        """
+        void = [n for n, (_, timeout) in self._open.items() if timeout <= absent]
+        return [self._open.pop(number)[0] for number in void]
+
+
+def _pop_first(names: dict[str, None]) -> str | None:
+    if not names:
+        return None
+    name = next(iter(names))
+    del names[name]
+    return name
--- a/packages/bambootiller-core/src/bambootiller_core/gossip.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gossip.py
@@ -41,6 +41,7 @@
 )
 from bambootiller_core._messages import Composer, telling
 from bambootiller_core._outbox import Outbox
+from bambootiller_core._partners import Partners
 from bambootiller_core._tickets import (
     Compared,
     Fetched,
@@ -50,7 +51,7 @@
     Pushed,
     Tickets,
 )
-from bambootiller_core.documents import Document, Documents, Head, watchers
+from bambootiller_core.documents import Document, Documents, Head
 from bambootiller_core.membership import (
     Membership,
     Probe,
@@ -83,12 +84,13 @@
         self._tickets = Tickets()
         self._fetching = Fetching(documents, self.cfg)
         self._pushed_at = -math.inf
-        self._targets: list[str] = []
+        self._partners = Partners(membership, rng, self.cfg)
         self._compare_due = 0.0
         self._join_due = 0.0
         self._join_gap = self.cfg.join_interval
         self._recheck: tuple[float, Member] | None = None
         self._joining = False
+        self._own_word = False
         membership.on_news = self._note_statement
         documents.subscribe("", self._note_document)
 
@@ -121,13 +123,16 @@
         """Answer another process's message.
 
         The reply's changes are chosen before those of the request are taken over, and
-        without what the request tells, else it would carry the sender's news back. A
-        message without a sender is an operator's question, and no sign of the fleet.
+        without what the request tells, else it would carry the sender's news back. Only
+        what this process says of itself is put in afterwards: if the request told that
+        it is suspected, the reply refutes it. A message without a sender is an
+        operator's question, and no sign of the fleet.
         """
         if not message.sender:
             return Handled(self._composer.with_everything(self._composer.bare()), [])
         reply = self._composer.riding(message)
         effects = self._take_over(now, message)
+        reply = self._composer.with_own(reply)
         reply = telling(reply, self._composer.correction(message))
         if message.full:
             reply = self._composer.with_everything(reply)
@@ -209,6 +214,8 @@
         on, a process that joins thousands of others would send for minutes what they
         all know; one sees it by its traffic after each start.
         """
+        if statement.instance == self.membership.me.instance:
+            self._own_word = True
         if not self._joining:
             self._outbox.add(statement)
 
@@ -219,6 +226,7 @@
 
     def _take_over(self, now: float, message: Message) -> list[Effect]:
         self.membership.merge(now, message.statements)
+        self.membership.heard_from(now, message.sender)
         for document in message.documents:
             self.documents.offer(document)
         teller = self.membership.view(message.sender)
@@ -306,17 +314,22 @@
         What goes wrong on an overloaded machine: calls time out, members are suspected
         and refute it, and all of that is news to push, which adds to the load. One sees
         tens of messages a second where there are two at rest. A process that notices
-        its own trouble therefore pushes as many times more slowly as it probes.
+        its own trouble therefore pushes as many times more slowly as it probes. What
+        it says of itself alone goes at once: a refutation that waits arrives when the
+        suspicion's time is over, and the process is held dead while it runs. The least
+        time between two refutations bounds these.
         """
         if not len(self._outbox):
             return []
         gap = self.cfg.fresh_gap if self._outbox.fresh else self.cfg.push_interval
         gap *= self.membership.health.factor
         peers = self.membership.peers()
-        if not peers or now < self._pushed_at + gap:
+        waits = not self._own_word and now < self._pushed_at + gap
+        if not peers or waits:
             return []
         self._pushed_at = now
-        targets = self._next_targets(peers)
+        self._own_word = False
+        targets = self._partners.to_push(peers)
         most = self.cfg.changes_per_push
         message = self._composer.passing_on(most, copies=len(targets))
         timeout = self.cfg.push_timeout
@@ -325,22 +338,6 @@
             for target in targets
         ]
 
-    def _next_targets(self, peers: Sequence[Member]) -> list[Member]:
-        """The next few peers, in shuffled rounds.
-
-        Drawn anew each time, some peers would be sent a change twice and others never;
-        in rounds its sends go to as many different peers as there are.
-        """
-        known = {peer.instance: peer for peer in peers}
-        count = min(self.cfg.fanout, len(known))
-        self._targets = [name for name in self._targets if name in known]
-        if len(self._targets) < count:
-            rest = sorted(set(known) - set(self._targets))
-            self._rng.shuffle(rest)
-            self._targets += rest
-        chosen, self._targets = self._targets[:count], self._targets[count:]
-        return [known[name] for name in chosen]
-
     def _join(self, now: float) -> list[Effect]:
         """While documents aren't complete, or nobody is known, ask for all."""
         if now < self._join_due:
@@ -351,20 +348,13 @@
             return []
         self._join_due = now + self._join_gap * self._rng.uniform(0.8, 1.2)
         self._join_gap = min(2 * self._join_gap, self.cfg.join_interval_most)
-        asked = self._likely_complete() or peers or self.membership.candidates()
+        asked = (
+            self._partners.likely_complete() or peers or self.membership.candidates()
+        )
         if not asked:
             return []
         return [self._ask_for_all(self._rng.choice(asked))]
 
-    def _likely_complete(self) -> list[Member]:
-        """Half of the time the watchers of the own zone, which know first."""
-        if self._rng.random() < 0.5:
-            return []
-        zone = self.membership.me.zone
-        members = {m.instance: m for m in self.membership.others() if m.zone == zone}
-        chosen = watchers(zone, members, self.cfg.watchers_per_zone)
-        return [members[name] for name in chosen]
-
     def _ask_for_all(self, member: Member) -> Effect:
         self.full_exchanges += 1
         message = self._composer.with_everything(self._composer.bare())
@@ -382,7 +372,7 @@
         self._compare_due = now + self.cfg.compare_interval * self._rng.uniform(
             0.8, 1.2
         )
-        member = self._somebody()
+        member = self._partners.to_compare()
         return [self._comparison(member, again=False)] if member is not None else []
 
     def _comparison(self, member: Member, again: bool) -> Effect:
@@ -403,11 +393,3 @@
             return [self._ask_for_all(member)]
         self._recheck = (now + self.cfg.recheck_after, member)
         return []
-
-    def _somebody(self) -> Member | None:
-        others = self.membership.others()
-        region = self.membership.me.region
-        near = [member for member in others if member.region == region]
-        stay = near and self._rng.random() < self.cfg.compare_near
-        pool = near if stay else others
-        return self._rng.choice(pool) if pool else None
--- a/packages/bambootiller-core/src/bambootiller_core/membership.py
+++ b/packages/bambootiller-core/src/bambootiller_core/membership.py
@@ -35,6 +35,7 @@
     ProbesUnderWay,
     ProbeThrough,
 )
+from bambootiller_core._refutations import Refutations
 from bambootiller_core._statements import (
     Statement,
     Status,
@@ -42,6 +43,7 @@
     supersedes,
     with_status,
 )
+from bambootiller_core._targets import Targets
 from bambootiller_core.types import Member, Role
 
 __all__ = [
@@ -57,8 +59,10 @@
     "supersedes",
 ]
 
-LEAST_PERIODS_BETWEEN_REFUTATIONS = 0.5
 EXPIRIES_PER_INTERVAL = 5
+#: How many times the time of a suspicion the suspect's own words may stretch it to. Two
+#: further probes fall into it even in a process whose health doubles its intervals.
+SUSPICIONS_FOR_WORDS = 3
 
 
 class Membership:
@@ -80,6 +84,7 @@
     ) -> None:
         self.cfg = cfg or MembershipConfig()
         self.health = LocalHealth(
+            self.cfg.late_periods * self.cfg.probe_interval,
             self.cfg.pause_periods * self.cfg.probe_interval,
             self.cfg.silence_periods * self.cfg.probe_interval,
         )
@@ -88,11 +93,12 @@
         self._table = MemberTable(Statement(me, Status.ALIVE), self.cfg.sizes)
         self._candidates = Candidates(rng)
         self._round = ProbeRound(rng)
+        self._targets = Targets(self._table, self._round, rng, self.cfg.helpers)
         self._under_way = ProbesUnderWay()
         self._probe_due = 0.0
         self._dead_due = 0.0
         self._expiry_due = 0.0
-        self._refuted_at = -math.inf
+        self._refutations = Refutations(self.cfg.probe_interval)
 
     @property
     def me(self) -> Member:
@@ -159,6 +165,21 @@
         self._hear(now)
         return [statement for statement in statements if self._merge(now, statement)]
 
+    def heard_from(self, now: float, instance: str) -> None:
+        """A message of ``instance`` itself came: if it is suspected, it isn't dead.
+
+        What goes wrong: a member runs in slices, and its own words arrive while the
+        suspicion of it hasn't reached it yet; it would die here with the next pause.
+        Each word gives it time anew, up to a bound, since one that can send but not
+        hear is of no use either.
+        """
+        entry = self._table.get(instance)
+        if entry is None or entry.dies_at == math.inf:
+            return
+        self._round.tell(instance)
+        latest = entry.since + SUSPICIONS_FOR_WORDS * self._suspicion()
+        entry.dies_at = max(entry.dies_at, min(latest, now + self._suspicion()))
+
     def locate(self, address: str) -> None:
         """Set this process's own address, before anything has been said to others."""
         self._table.state_own(
@@ -179,7 +200,9 @@
         probed, and becomes a member by its own answer, because the list also shows
         processes that don't run yet or no longer.
         """
-        self._candidates.replace(member for member in members if self._unmet(member))
+        self._candidates.replace(
+            member for member in members if self._table.unmet(member)
+        )
         self._table.set_listed_leaving(leaving)
 
     def probe_soon(self, instance: str) -> None:
@@ -190,17 +213,20 @@
     def tick(self, now: float) -> list[ProbeEffect]:
         """Advance the time; call it several times in each probe interval."""
         self._note_pause(now)
+        accusation = self._refutations.due(now)
+        if accusation is not None:
+            self._refute(now, accusation)
         if now >= self._expiry_due:
             self._expiry_due = now + self.cfg.probe_interval / EXPIRIES_PER_INTERVAL
             self._expire(now)
-        effects: list[ProbeEffect] = []
+        effects = self._direct_all(self._targets.accused())
         if now >= self._probe_due:
             self._probe_due = now + self.cfg.probe_interval * self.health.factor
             effects += self._probes()
         if now >= self._dead_due:
             jitter = self._rng.uniform(0.75, 1.25)
             self._dead_due = now + self.cfg.retry_dead * jitter
-            effects += self._probe_a_dead_one()
+            effects += self._direct_all(self._targets.dead_one())
         return effects
 
     def probe_answered(self, now: float, number: int) -> None:
@@ -221,10 +247,11 @@
         target = self._failed_target(now, number)
         if target is None or target.status is Status.DEAD:
             return []
-        helpers = self._helpers(target.member.instance)
+        helpers = self._targets.helpers(target.member.instance)
         if helpers:
-            probe = self._under_way.start(target.member.instance)
-            return [ProbeThrough(probe, target.member, helpers, self._timeout(2))]
+            timeout = self._timeout(2)
+            probe = self._under_way.start(target.member.instance, timeout)
+            return [ProbeThrough(probe, target.member, helpers, timeout)]
         self._suspect(now, target)
         return []
 
@@ -237,16 +264,6 @@
             self.health.worse()
         self._suspect(now, target)
 
-    def _unmet(self, listed: Member) -> bool:
-        """Whether a listed process is unknown, or dead and now at another address."""
-        if listed.instance == self.me.instance or listed.address == self.me.address:
-            return False
-        entry = self._table.get(listed.instance)
-        if entry is None:
-            met = (member.address for member in self.others())
-            return listed.address not in met
-        return entry.status is Status.DEAD and entry.member.address != listed.address
-
     def _merge(self, now: float, new: Statement) -> bool:
         if new.instance == self.me.instance:
             self._refute(now, new)
@@ -261,6 +278,9 @@
         return True
 
     def _hold(self, now: float, new: Statement, quiet: bool = False) -> None:
+        held = self._table.get(new.instance)
+        if held is None or new.incarnation > held.statement.incarnation:
+            self._under_way.disregard_of(new.instance)
         entry = self._table.hold(now, new, quiet)
         self._candidates.met(new.member)
         if new.status is Status.SUSPECT:
@@ -276,17 +296,15 @@
         """Raise the own incarnation above a statement that isn't this process's own.
 
         That is a suspicion or a death, or the trace of an earlier process of the same
-        instance. Two processes started under one name by mistake would outbid each
-        other without end; the least time between two raises keeps that visible but
-        harmless.
+        instance.
         """
         same_place = new.member.address == self.me.address
         if same_place and not supersedes(new, self.own):
             return
-        gap = LEAST_PERIODS_BETWEEN_REFUTATIONS * self.cfg.probe_interval
-        if new.incarnation < self.me.incarnation or now - self._refuted_at < gap:
+        if new.incarnation < self.me.incarnation:
+            return
+        if not self._refutations.passes(now, new):
             return
-        self._refuted_at = now
         if new.status in (Status.SUSPECT, Status.DEAD):
             self.health.worse()
         member = raised(self.me, new.incarnation + 1)
@@ -300,15 +318,25 @@
         call the fleet dead although only it was absent. It notices by the gap between
         its ticks. Probes of before don't count, and suspicions start anew, so that each
         member gets a fresh probe first.
+
+        The like happens in small when it is short of processor time and runs in slices.
+        There probes count that had time while it ran, and suspicions last as much
+        longer as it was absent; starting them anew each time, it would hold nobody for
+        dead as long as it is starved.
         """
-        if not self.health.ticked(now):
+        absence = self.health.ticked(now)
+        if absence is None:
             return
-        self._under_way.disregard_all()
-        self._probe_due = now
-        for entry in self._table.not_alive():
-            if entry.dies_at < math.inf:
+        void_s = math.inf if absence.paused else absence.seconds
+        for name in self._under_way.disregard(void_s):
+            self._probe_due = now
+            self._round.hurry(name)
+        for entry in self._table.suspected():
+            if absence.paused:
                 entry.dies_at = now + self._suspicion()
                 self._round.hurry(entry.member.instance)
+            else:
+                entry.dies_at += absence.seconds
 
     def _hear(self, now: float) -> None:
         """Note that somebody is there; take back what was decided in solitude."""
@@ -339,6 +367,7 @@
             return
         if entry.status is Status.ALIVE:
             self._hold(now, with_status(entry.statement, Status.SUSPECT))
+            self._round.tell(entry.member.instance)
         # A leaving member keeps that status, for routers, until it is dead.
         entry.dies_at = now + self._suspicion() * self.health.factor
 
@@ -356,43 +385,13 @@
         return self._table.get(instance) if instance is not None else None
 
     def _direct(self, member: Member) -> Probe:
-        number = self._under_way.start(member.instance)
-        return Probe(number, member, self._timeout(1))
+        timeout = self._timeout(1)
+        number = self._under_way.start(member.instance, timeout)
+        return Probe(number, member, timeout)
 
     def _probes(self) -> list[ProbeEffect]:
         """One member of the round, and one candidate that hasn't been met."""
-        probes: list[ProbeEffect] = []
-        target = self._next_target()
-        if target is not None:
-            probes.append(self._direct(target))
-        candidate = self._candidates.draw()
-        if candidate is not None:
-            probes.append(self._direct(candidate))
-        return probes
-
-    def _next_target(self) -> Member | None:
-        while (name := self._round.next_urgent()) is not None:
-            entry = self._table.get(name)
-            if entry is not None:
-                return entry.member
-        name = self._round.next(member.instance for member in self.peers())
-        entry = self._table.get(name) if name is not None else None
-        return entry.member if entry is not None else None
-
-    def _probe_a_dead_one(self) -> list[ProbeEffect]:
-        """Probe one dead member, because after a partition nobody else would.
+        return self._direct_all(self._targets.of_round(), self._candidates.draw())
 
-        The probe tells it that it is taken for dead, and it refutes.
-        """
-        held = self._table.not_alive()
-        dead = [entry.member for entry in held if entry.status is Status.DEAD]
-        return [self._direct(self._rng.choice(dead))] if dead else []
-
-    def _helpers(self, target: str) -> tuple[Member, ...]:
-        able = [
-            member
-            for member in self.peers()
-            if member.instance != target
-            and self._table.get(member.instance).status is Status.ALIVE
-        ]
-        return tuple(self._rng.sample(able, min(self.cfg.helpers, len(able))))
+    def _direct_all(self, *targets: Member | None) -> list[ProbeEffect]:
+        return [self._direct(target) for target in targets if target is not None]
