Test that registry entries of other writers name no backend server

Cause: not mended yet; an entry that turns unreadable leaves the old knowledge in force, types are converted, and states, addresses, slots and keys aren't checked. Ruled out: the configuration, where what was in force is to stay; two checks hold that. Change: entries with each field removed or made unusable, arbitrary bytes and keys, and a real entry process. A state that isn't known was taken for leaving; the check of that is replaced by one that asks for no entry at all, which is as strict about calls.

--- a/tests/adapter/cover/test_documents.py
+++ b/tests/adapter/cover/test_documents.py
@@ -118,11 +118,13 @@
         self.assertEqual(found.holdings, {"tutor": frozenset({"a1"})})
         self.assertFalse(found.leaving)
 
-    def test_any_state_but_ready_means_leaving(self):
-        for state in ("draining", "something-new"):
+    def test_draining_means_leaving_and_another_state_is_no_entry(self):
+        form = {**SERVER, "state": "draining"}
+        self.assertTrue(self.directory.registered(record(form, "servers/i-1")).leaving)
+        for state in ("something-new", "", "READY"):
             form = {**SERVER, "state": state}
             found = self.directory.registered(record(form, "servers/i-1"))
-            self.assertTrue(found.leaving, state)
+            self.assertIsInstance(found, Unreadable, state)
 
     def test_a_broken_entry_is_said(self):
         found = self.directory.registered(record(b"{}", "servers/i-1"))
--- /dev/null
+++ b/tests/adapter/failures/test_foreign_entries.py
@@ -0,0 +1,266 @@
+"""Entries of the registry that another writer has made, or has made unreadable.
+
+Symptom: calls go on to a backend server whose entry says nothing any more, or to an
+address that can't be one; or an entry or an agent stops following the store. Sequence:
+somebody else writes under the registry's prefix. Cause: what was known before an entry
+became unreadable stayed in force, other types were converted, and states and addresses
+weren't checked.
+"""
+
+import json
+import unittest
+
+from hypothesis import given, strategies as st
+
+from bambootiller.gateway.knowledge import Knowledge
+from bambootiller.gateway.meters import Meters
+from bambootiller_core.ports import Changed, Found, Record
+from bambootiller_platform.documents import PlatformDirectory
+from tests.adapter.common.entry import Events
+from tests.adapter.common.fleet import Fleet, until
+from tests.adapter.cover.test_documents import CONFIG, ROUTE, SERVER, SERVICE
+from tests.adapter.failures.test_explained import PLAIN_ROUTE
+
+NEEDED = ("service", "address", "zone", "slots", "state", "models")
+#: Nested deeper than any reader's stack should go.
+DEEP = b"[" * 100_000
+OTHER = {**SERVER, "address": "10.1.0.10:8080"}
+BAD_FIELDS = {
+    "service": (None, 7, ["llm"], {}, True),
+    "address": (
+        *(None, 7, [], {}, "", "10.1.0.9", "10.1.0.9:", ":8080", "10.1.0.9:http"),
+        *("10.1.0.9:0", "10.1.0.9:65536", "10.1.0.9:-1", "10.1.0.9:٣", "a b:80"),
+        *("10.1.0.9:" + "9" * 5000, "h" * 300 + ":80", "10.1.0.9: 80", "\0:80"),
+    ),
+    "zone": (None, 7, []),
+    "slots": (None, "8", 0, -1, 10**9, 10**400, True, 1.5, float("nan"), []),
+    "state": (None, "", "READY", "starting", 1, ["ready"]),
+    "models": (None, {}, "tutor", ["tutor"], [{}], [{"name": 1}], [None]),
+}
+HELD = {"name": "tutor", "adapters": "a1"}
+
+
+def encoded(form):
+    return form if isinstance(form, bytes) else json.dumps(form).encode()
+
+
+def bad_forms():
+    """Good entries with one field removed or made unusable, and what is no entry."""
+    for name in NEEDED:
+        yield {key: value for key, value in SERVER.items() if key != name}
+        for value in BAD_FIELDS[name]:
+            yield {**SERVER, name: value}
+    yield {**SERVER, "models": [HELD]}
+    yield from (b"", b"null", b"[]", b"7", b"{", b"\xff\xfe", b'"\xed\xa0\x80"', DEEP)
+    yield b'{"service": "\\ud800"}'
+
+
+#: Values of any type, for fields of entries that are good otherwise.
+ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+class Registry:
+    """What a process knows, and a counter of revisions."""
+
+    def __init__(self):
+        self.events = Events()
+        self.now = 100.0
+        self.knowledge = Knowledge(PlatformDirectory(), self.events, lambda: self.now)
+        self.revision = 0
+
+    def write(self, key, form):
+        self.revision += 1
+        record = Record(key, encoded(form), self.revision)
+        self.knowledge.learnt(Changed(record), "store")
+
+    def remove(self, key):
+        self.revision += 1
+        change = Changed(Record(key, b"", self.revision), deleted=True)
+        self.knowledge.learnt(change, "store")
+
+    def used(self):
+        """The backend servers that calls, loads and orders may go to."""
+        of_service = self.knowledge.fleet.of_service("llm")
+        iterated = [one for one in self.knowledge.fleet if not one.registered.leaving]
+        names = sorted(one.instance for one in of_service)
+        assert names == sorted(one.instance for one in iterated)
+        return names
+
+    def said(self):
+        return [line.detail for line in self.events.of("backend_unreadable")]
+
+
+class TestUnreadable(unittest.TestCase):
+    def setUp(self):
+        self.registry = Registry()
+        self.registry.write("servers/i-2", OTHER)
+
+    def test_what_is_no_entry_names_no_backend_server(self):
+        for number, form in enumerate(bad_forms()):
+            with self.subTest(form=str(form)[:80]):
+                self.registry.write(f"servers/new-{number}", form)
+                self.assertEqual(self.registry.used(), ["i-2"])
+
+    def test_a_good_entry_that_becomes_unreadable_is_used_no_more(self):
+        for form in bad_forms():
+            with self.subTest(form=str(form)[:80]):
+                self.registry.write("servers/i-1", SERVER)
+                self.assertEqual(self.registry.used(), ["i-1", "i-2"])
+                self.registry.write("servers/i-1", form)
+                self.registry.write("servers/i-1", form)
+                self.assertEqual(self.registry.used(), ["i-2"])
+
+    def test_calls_under_way_go_on_and_count_when_the_entry_is_back(self):
+        self.registry.write("servers/i-1", SERVER)
+        fleet = self.registry.knowledge.fleet
+        fleet.call_sent("i-1", "tutor")
+        self.registry.write("servers/i-1", b"x")
+        self.assertEqual(fleet.get("i-1").in_flight, 1)
+        self.registry.write("servers/i-1", SERVER)
+        self.assertEqual(self.registry.used(), ["i-1", "i-2"])
+        self.assertEqual(fleet.get("i-1").in_flight, 1)
+
+    def test_a_start_that_leaves_does_not_come_back_by_way_of_unreadable_bytes(self):
+        for form in (SERVER, {**SERVER, "state": "draining"}, b"x", SERVER):
+            self.registry.write("servers/i-1", form)
+        self.assertEqual(self.registry.used(), ["i-2"])
+
+    def test_an_unreadable_entry_can_be_removed(self):
+        self.registry.write("servers/i-1", SERVER)
+        self.registry.write("servers/i-1", b"x")
+        self.registry.remove("servers/i-1")
+        self.assertIsNone(self.registry.knowledge.fleet.get("i-1"))
+
+    def test_a_service_that_is_not_configured_is_no_fault(self):
+        self.registry.write("servers/i-1", {**SERVER, "service": "foreign"})
+        self.assertEqual(self.registry.said(), [])
+        names = [one.instance for one in self.registry.knowledge.fleet.of_service("x")]
+        self.assertEqual(names, [])
+
+    def test_the_configuration_that_was_in_force_stays(self):
+        self.registry.write("op/config", CONFIG)
+        self.registry.write("op/config", b"x")
+        self.registry.write("op/config", DEEP)
+        self.assertEqual(self.registry.knowledge.config.version, 7)
+
+
+class TestKeys(unittest.TestCase):
+    def test_a_key_that_names_no_backend_server_is_said(self):
+        for key in ("servers/", "servers/a/b", "servers//", "servers/\ud800"):
+            with self.subTest(key=ascii(key)):
+                registry = Registry()
+                registry.write(key, SERVER)
+                self.assertEqual(registry.used(), [])
+                self.assertEqual(len(registry.said()), 1)
+                registry.remove(key)
+
+    def test_a_key_that_no_message_can_carry_is_not_passed_on(self):
+        """Passed on, it would end the stream to each peer, again and again."""
+        registry = Registry()
+        registry.write("servers/\ud800", SERVER)
+        self.assertEqual(registry.knowledge.documents(), [])
+
+
+class TestSaid(unittest.TestCase):
+    def setUp(self):
+        self.registry = Registry()
+
+    def test_a_reason_is_said_once_and_a_new_one_anew(self):
+        for number in range(20):
+            self.registry.write("servers/i-1", b"x" * number)
+        for number in range(20):
+            self.registry.write("servers/i-1", {**SERVER, "slots": -number})
+        self.assertEqual(len(self.registry.said()), 2)
+        (slots,) = [detail for detail in self.registry.said() if "slots" in detail]
+        self.assertLess(len(slots), 300)
+
+    def test_it_is_said_again_after_the_entry_was_good(self):
+        for form in (b"x", SERVER, b"x", b"x"):
+            self.registry.write("servers/i-1", form)
+        self.assertEqual(len(self.registry.said()), 2)
+        self.assertEqual(len(self.registry.events.of("backend_listed")), 1)
+
+    def test_that_an_entry_is_back_is_said(self):
+        for form in (SERVER, b"x", SERVER):
+            self.registry.write("servers/i-1", form)
+        self.assertEqual(len(self.registry.events.of("backend_listed")), 2)
+
+    def test_it_counts(self):
+        meters = Meters()
+        self.registry.write("servers/i-1", b"x")
+        self.registry.write("op/config", b"x")
+        for line in self.registry.events.lines:
+            meters.count(line)
+        for document in ("registry", "configuration"):
+            found = meters.registry.get_sample_value(
+                "bambootiller_unreadable_documents_total", {"document": document}
+            )
+            self.assertEqual(found, 1, document)
+
+
+class TestAnyBytes(unittest.TestCase):
+    @given(st.binary(), st.text(st.characters()))
+    def test_no_bytes_and_no_key_end_the_watch_or_touch_the_others(self, value, name):
+        registry = Registry()
+        registry.write("servers/i-2", OTHER)
+        registry.write("servers/i-1", SERVER)
+        registry.write("servers/i-1", value)
+        registry.write(f"servers/{name}", value)
+        records = (Record("servers/i-2", encoded(OTHER), 1),)
+        self.assertIn("i-2", registry.used())
+        registry.knowledge.listed("servers/", Found(records, 9), "store")
+        self.assertEqual(registry.used(), ["i-2"])
+
+    @given(st.sampled_from(NEEDED), ANYTHING)
+    def test_a_field_of_any_type_names_a_usable_address_or_nothing(self, name, value):
+        registry = Registry()
+        registry.write("servers/i-1", {**SERVER, name: value})
+        for backend in registry.knowledge.fleet:
+            host, _, port = backend.registered.address.rpartition(":")
+            self.assertTrue(host)
+            self.assertIn(int(port), range(1, 65536))
+            self.assertIn(backend.registered.slots, range(1, 2**16))
+            self.assertEqual(type(backend.registered.zone), str)
+
+    @given(st.sampled_from(NEEDED), ANYTHING)
+    def test_an_entry_is_back_whatever_stood_there_before(self, name, value):
+        registry = Registry()
+        for form in (SERVER, {**SERVER, name: value}, b"x"):
+            registry.write("servers/i-1", form)
+        if not registry.knowledge.fleet.get("i-1").registered.leaving:
+            registry.write("servers/i-1", {**SERVER, "slots": 3})
+            self.assertEqual(registry.used(), ["i-1"])
+
+
+class TestRealEntry(unittest.IsolatedAsyncioTestCase):
+    async def test_a_process_follows_the_registry_past_foreign_entries(self):
+        async with Fleet() as fleet:
+            fleet.configure(
+                routes=[ROUTE, PLAIN_ROUTE], services=[SERVICE, {"name": "plain"}]
+            )
+            replica = await fleet.replica("127.0.0.2", "i-1", "plain")
+            for number, form in enumerate(bad_forms()):
+                fleet.store.put(f"servers/foreign-{number}", encoded(form))
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+
+            async def is_answered(attempt):
+                status, _ = await fleet.call(entry, None, "/p/x", attempt)
+                return status == 200
+
+            await until(lambda: is_answered("r-1"), "an answer")
+            fleet.store.put("servers/i-1", b"x")
+
+            async def is_refused():
+                return not await is_answered("r-2")
+
+            await until(is_refused, "the unreadable entry isn't used")
+            fleet.store.put("servers/i-1", replica.entry())
+            await until(lambda: is_answered("r-3"), "an answer again")
+            self.assertIsNone(entry.process.returncode)
+            said = entry.events("backend_unreadable")
+            self.assertIn("servers/i-1", [line["key"] for line in said])
