Use no backend server whose registry entry can't be read

Cause: an unreadable entry left the earlier knowledge in force; strings were taken for numbers, any state for leaving, any text for an address; slots of some hundred digits can't be multiplied with a share; a key that isn't text ended the streams to peers. And a leave was never logged as listed, as its state of before was read after the change. Ruled out: dropping the backend server, which would close connections with calls under way and forget how many there are. The configuration keeps what was in force. Conclusion: what others write is no reason to send calls anywhere.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -95,6 +95,13 @@
     missing_since: float | None = None
     unreached_at: float = float("-inf")
     denied: dict[str, float] = field(default_factory=dict)
+    #: The latest revision of its entry that couldn't be read.
+    unreadable_at: int = 0
+
+    @property
+    def readable(self) -> bool:
+        """Whether its entry could be read when it was last written."""
+        return self.unreadable_at < self.registered.revision
 
     @property
     def instance(self) -> str:
@@ -179,7 +186,7 @@
 
     def __iter__(self) -> Iterator[Backend]:
         for backend in self._backends.values():
-            if not self._superseded(backend):
+            if backend.readable and not self._superseded(backend):
                 yield backend
 
     def get(self, instance: str) -> Backend | None:
@@ -214,6 +221,16 @@
         held.registered = record
         self._note_address(record)
 
+    def registry_unreadable(self, instance: str, revision: int) -> None:
+        """The entry can't be read any more: the backend server is used no longer.
+
+        It isn't dropped, because calls under way there go on, and are still counted
+        when a later entry can be read.
+        """
+        held = self._backends.get(instance)
+        if held is not None:
+            held.unreadable_at = max(held.unreadable_at, revision)
+
     def registry_removed(self, now: float, instance: str) -> None:
         """The registry lists the instance no more.
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines.py
@@ -220,7 +220,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DocumentUnreadable(LogLine):
-    """A document of the store can't be read; what was known before stays."""
+    """The configuration can't be read; what was in force before stays."""
 
     event: ClassVar[str] = "document_unreadable"
 
@@ -229,6 +229,22 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class BackendUnreadable(LogLine):
+    """An entry of the registry can't be read, so it names no backend server to use.
+
+    Said once for each reason until the entry is good again. ``was_used`` tells a
+    backend server that is lost for calls from an entry that never was good."""
+
+    event: ClassVar[str] = "backend_unreadable"
+
+    key: str
+    revision: int
+    detail: str
+    was_used: bool
+    source: str
+
+
 @dataclass(frozen=True, slots=True)
 class BackendListed(LogLine):
     """A backend server is registered, or its registration says something new."""
--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -12,6 +12,7 @@
 
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.ports import Directory, Unreadable
+from bambootiller.gateway.registry_faults import MOST_DETAIL, RegistryFaults
 from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.config import GatewayConfig, newer
 from bambootiller_core.gateway.fleet import Fleet, Registered
@@ -49,6 +50,7 @@
         #: Up to which revision everything is known, by the prefix of keys.
         self.complete: dict[str, int] = {}
         self._records: dict[str, Changed] = {}
+        self._registry = RegistryFaults(self.fleet, events)
         self._listeners: list[Listener] = []
         self._config_listeners: list[Callable[[GatewayConfig], None]] = []
 
@@ -69,6 +71,8 @@
     def learnt(self, change: Changed, source: str) -> bool:
         """Take over a document, unless it is older than what is held."""
         record = change.record
+        if not self._registry.can_pass_on(record, source):
+            return False
         held = self._records.get(record.key)
         if held is not None and held.record.mod_revision >= record.mod_revision:
             return False
@@ -99,6 +103,7 @@
             self.complete[prefix] = max(revision, self.complete.get(prefix, 0))
 
     def _removed(self, record: Record, source: str) -> None:
+        self._registry.good(record.key)
         instance = self._directory.instance_of(record.key)
         if instance is None:
             return
@@ -118,15 +123,22 @@
             return
         registered = self._directory.registered(record)
         if isinstance(registered, Unreadable):
-            self._unreadable(record, registered)
+            instance = self._directory.instance_of(record.key)
+            self._registry.unreadable(record, instance, registered, source)
+            self.changed.notify()
         elif registered is not None:
+            self._registry.good(record.key)
             self._registered(registered, source)
 
     def _configured(
         self, config: GatewayConfig | Unreadable, record: Record, source: str
     ) -> None:
         if isinstance(config, Unreadable):
-            self._unreadable(record, config)
+            # What was in force stays: without a configuration no call is served.
+            line = lines.DocumentUnreadable(
+                record.key, record.mod_revision, config.detail[:MOST_DETAIL]
+            )
+            self._events.emit(line)
             return
         if not newer(self.config, config):
             return
@@ -140,9 +152,9 @@
         self.changed.notify()
 
     def _registered(self, registered: Registered, source: str) -> None:
-        held = self.fleet.get(registered.instance)
+        before = self._standing(registered.instance)
         self.fleet.registry_changed(self._clock(), registered)
-        if held is None or held.registered.leaving != registered.leaving:
+        if self._standing(registered.instance) != before:
             line = lines.BackendListed(
                 registered.instance,
                 registered.service,
@@ -154,10 +166,10 @@
             self._events.emit(line)
         self.changed.notify()
 
-    def _unreadable(self, record: Record, why: Unreadable) -> None:
-        # What was known before stays in force.
-        line = lines.DocumentUnreadable(record.key, record.mod_revision, why.detail)
-        self._events.emit(line)
+    def _standing(self, instance: str) -> tuple[bool, bool] | None:
+        """Whether a backend server is used and whether it leaves, if it is known."""
+        held = self.fleet.get(instance)
+        return (held.readable, held.registered.leaving) if held is not None else None
 
 
 class Changes:
--- a/packages/bambootiller/src/bambootiller/gateway/meters.py
+++ b/packages/bambootiller/src/bambootiller/gateway/meters.py
@@ -107,6 +107,9 @@
         self.registrations = self._counter(
             "backend_registrations", "Changes of the registry", "change"
         )
+        self.unreadable = self._counter(
+            "unreadable_documents", "Documents that can't be read", "document"
+        )
         self.dependencies = self._counter(
             "dependency_changes",
             "Dependencies lost and regained",
@@ -205,6 +208,16 @@
     meters.registrations.labels(change).inc()
 
 
+@counts(lines.DocumentUnreadable)
+def _document_unreadable(meters: Meters, line: lines.DocumentUnreadable) -> None:
+    meters.unreadable.labels("configuration").inc()
+
+
+@counts(lines.BackendUnreadable)
+def _backend_unreadable(meters: Meters, line: lines.BackendUnreadable) -> None:
+    meters.unreadable.labels("registry").inc()
+
+
 @counts(lines.BackendRemoved)
 def _backend_removed(meters: Meters, line: lines.BackendRemoved) -> None:
     meters.registrations.labels(line.reason).inc()
--- a/tests/adapter/failures/test_foreign_entries.py
+++ b/tests/adapter/failures/test_foreign_entries.py
@@ -189,6 +189,17 @@
             self.registry.write("servers/i-1", form)
         self.assertEqual(len(self.registry.events.of("backend_listed")), 2)
 
+    def test_that_a_backend_server_begins_to_leave_is_said(self):
+        """Symptom: the log says of a planned leave only that the entry went. Cause: the
+        state of before was read after the new one had been taken over."""
+        for form in (SERVER, SERVER, {**SERVER, "state": "draining"}):
+            self.registry.write("servers/i-1", form)
+        said = [line.leaving for line in self.registry.events.of("backend_listed")]
+        self.assertEqual(said, [False, True])
+        for form in (SERVER, b"x", SERVER, {**SERVER, "slots": 2}):
+            self.registry.write("servers/i-1", form)
+        self.assertEqual(len(self.registry.events.of("backend_listed")), 2)
+
     def test_it_counts(self):
         meters = Meters()
         self.registry.write("servers/i-1", b"x")
