Give test programs ports that nobody else gets, and show why one isn't ready

Cause: a port was taken from the kernel's range for outgoing connections and given back before the program bound it, so a connection could get it as its near end, and two test processes or two calls could choose the same one. Exit codes weren't looked at, and logs went with the fleet's folder. Change: one place for such ports, outside the range that the kernel tells, each claimed by a lock that ends with its test process; a wait for an entry ends at once when the program has ended, asks with a time limit, and shows exit codes and last lines of all programs; a node process that doesn't start shows its own. Before: a connection takes such a port, and an entry started on it ended while its test waited 40 s and told nothing. Conclusion: should an entry fail to get ready again, the failure names the cause.

--- a/packages/bambootiller-standins/src/bambootiller_standins/harness/__init__.py
+++ b/packages/bambootiller-standins/src/bambootiller_standins/harness/__init__.py
@@ -13,6 +13,7 @@
     WEIGHT_STORE,
     PlatformOptions,
 )
+from bambootiller_standins.harness._ports import quiet_port
 from bambootiller_standins.harness._process import (
     ChildProcess,
     ProcessFailed,
@@ -35,4 +36,5 @@
     "Role",
     "Setting",
     "ToolResult",
+    "quiet_port",
 ]
--- a/tests/adapter/common/fleet.py
+++ b/tests/adapter/common/fleet.py
@@ -9,7 +9,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 from dataclasses import dataclass
@@ -19,27 +18,29 @@
 from bambootiller_platform_standins.replica import StandinReplica
 from bambootiller_platform_standins.store import StandinStore
 
+from bambootiller_standins.harness import quiet_port
 from tests.adapter import PLATFORM
 from tests.adapter.cover.test_documents import CONFIG, ROUTE, SERVICE
 
 #: Waiting for a condition is bounded generously: a busy machine proves nothing.
 WAIT_S = 40.0
+#: One question whether an entry is ready; a stopped one never answers.
+ASK_LIMIT = aiohttp.ClientTimeout(total=2.0)
+#: Lines of a program's output that a failure shows.
+TAIL_LINES = 30
 HOST = "classes.example"
 
 
-def free_port(host):
-    """A port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+class NotReady(AssertionError):
+    """A program didn't get ready; the text tells how all programs fare."""
 
 
-async def until(condition, what, pause_s=0.05):
+async def until(condition, what, pause_s=0.05, seconds=WAIT_S):
     """Wait until ``await condition()`` is true."""
-    end = asyncio.get_running_loop().time() + WAIT_S
+    end = asyncio.get_running_loop().time() + seconds
     while not await condition():
         if asyncio.get_running_loop().time() > end:
-            raise AssertionError(f"{what}: not within {WAIT_S} s")
+            raise AssertionError(f"{what}: not within {seconds} s")
         await asyncio.sleep(pause_s)
 
 
@@ -64,6 +65,13 @@
         """Its events of one kind."""
         return [line for line in self.lines() if line.get("event") == kind]
 
+    def account(self):
+        """How it fares, and the last lines of its output."""
+        code = self.process.returncode
+        standing = "running" if code is None else f"exit code {code}"
+        output = self.log.read_text(errors="replace").splitlines()[-TAIL_LINES:]
+        return "\n".join((f"{self.form['node-name']}: {standing}", *output))
+
     async def stop(self, signum=signal.SIGTERM):
         """Signal it, and return its exit code."""
         if self.process.returncode is None:
@@ -87,7 +95,7 @@
         self.replicas = {}
         self._programs = []
         self._folder = tempfile.TemporaryDirectory()
-        self._ports = (free_port("127.0.0.1"), 0)
+        self._ports = (quiet_port(), 0)
         self.session = None
 
     async def __aenter__(self):
@@ -125,12 +133,15 @@
         self.store.put(f"servers/{instance}", replica.entry())
         return replica
 
-    async def entry(self, name, seeds=(), stdout=None):
+    async def entry(self, name, seeds=(), stdout=None, front_port=None):
         """Start an entry; its ``form`` holds its addresses."""
         host = "127.0.0.1"
-        listen = {
-            part: f"{host}:{free_port(host)}" for part in ("front", "ready", "control")
+        ports = {
+            "front": front_port or quiet_port(),
+            "ready": quiet_port(),
+            "control": quiet_port(),
         }
+        listen = {part: f"{host}:{port}" for part, port in ports.items()}
         form = self._form(name, host, {"listen": listen, "seeds": list(seeds)})
         return await self.start("entry", form, stdout=stdout)
 
@@ -144,14 +155,28 @@
         """Whether the entry says that it is ready."""
         url = f"http://{entry.form['listen']['ready']}/bambootiller/ready"
         try:
-            async with self.session.get(url) as response:
+            async with self.session.get(url, timeout=ASK_LIMIT) as response:
                 return response.status == 200
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, TimeoutError):
             return False
 
-    async def wait_ready(self, entry):
-        """Wait until the entry is ready."""
-        await until(lambda: self.is_ready(entry), f"{entry.form['node-name']} ready")
+    async def wait_ready(self, entry, seconds=WAIT_S):
+        """Wait until the entry is ready; tells of all programs if it doesn't get so.
+
+        The logs are removed with the fleet, so without that nobody would know why.
+        """
+        what = f"{entry.form['node-name']} ready"
+
+        async def is_ready():
+            if entry.process.returncode is not None:
+                raise AssertionError(f"{what}: the program has ended")
+            return await self.is_ready(entry)
+
+        try:
+            await until(is_ready, what, seconds=seconds)
+        except AssertionError as exc:
+            accounts = [program.account() for program in self._programs]
+            raise NotReady("\n--- ".join((str(exc), *accounts))) from exc
 
     async def call(self, entry, model, path="/a/x", attempt="r-1"):
         """Call as a client; returns the status and the body."""
@@ -195,7 +220,7 @@
         log = file.with_suffix(".log")
         if metrics is None:
             host = form.get("ip", "127.0.0.1")
-            metrics = f"{host}:{free_port(host)}"
+            metrics = f"{host}:{quiet_port(host)}"
         with log.open("wb") as out:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/tests/agent/failures/test_guard.py
+++ b/tests/agent/failures/test_guard.py
@@ -4,12 +4,7 @@
 import unittest
 
 from bambootiller.agent import guard
-
-
-def free_port():
-    with socket.socket() as sock:
-        sock.bind((guard.LOOPBACK, 0))
-        return sock.getsockname()[1]
+from bambootiller_standins.harness import quiet_port
 
 
 class TestGuard(unittest.TestCase):
@@ -19,7 +14,7 @@
         Sequence: an agent is paused, the platform starts another one beside the same
         engine, and the first wakes. Cause: both give orders by their own ledgers.
         """
-        port = free_port()
+        port = quiet_port()
         first = guard.hold(port)
         self.assertIsInstance(first, guard.Guard)
         second = guard.hold(port)
@@ -34,7 +29,7 @@
         """Symptom: as above. Sequence: something binds the port with port reuse, as
         gRPC's listener does. Cause: the kernel shares a port if both sides allow it.
         """
-        port = free_port()
+        port = quiet_port()
         held = guard.hold(port)
         self.addCleanup(held.release)
         with socket.socket() as other:
--- a/tests/fleet/common/smallfleet.py
+++ b/tests/fleet/common/smallfleet.py
@@ -6,13 +6,11 @@
 
 import asyncio
 import contextlib
-import random
-import socket
 import time
 from dataclasses import dataclass
 
 from bambootiller_standins.engine import EngineConfig
-from bambootiller_standins.harness import Fleet, LinkMode, PlatformOptions
+from bambootiller_standins.harness import Fleet, LinkMode, PlatformOptions, quiet_port
 from tests.fleet.common.faults import AGENTS, ENTRIES, PLAIN
 
 GIB = 1024**3
@@ -29,9 +27,6 @@
 }
 LISTED = "list"
 KILLED = -9
-#: Below the ports that the kernel gives out, so that no connection takes one of them
-#: between the end of a process and its start anew.
-QUIET_PORTS = range(20_000, 32_000)
 
 
 @dataclass(slots=True)
@@ -51,14 +46,13 @@
     them.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self) -> None:
         options = PlatformOptions(weight_store=True, list_lag_ms=300)
         self.fleet = Fleet(options)
         self.downs: list[Down] = []
         self.notes: list[str] = []
         self.violations: list[str] = []
         self.operators = None
-        self._rng = random.Random(f"fleet {seed}")
         self._began = time.monotonic()
         self._names: dict[str, str] = {}
         self._engines = 0
@@ -113,7 +107,7 @@
             self._names[place],
             zone=ZONES[AGENTS.index(place)],
             engine=engine,
-            env=ENV | {"BAMBOOTILLER_GUARD_PORT": str(self._port())},
+            env=ENV | {"BAMBOOTILLER_GUARD_PORT": str(quiet_port())},
             links=("kv", "rpc", "engine"),
             seconds=START_SECONDS,
         )
@@ -123,14 +117,14 @@
             self._names[place],
             zone=ZONES[PLAIN.index(place)],
             services=(SERVICE,),
-            env=ENV | {"BAMBOOTILLER_GUARD_PORT": str(self._port())},
+            env=ENV | {"BAMBOOTILLER_GUARD_PORT": str(quiet_port())},
             links=("kv", "rpc"),
             seconds=START_SECONDS,
         )
 
     async def _start_entry(self, place: str) -> None:
         # Callers keep an entry's address when it is started anew.
-        listen = f"127.0.0.1:{self._port()}"
+        listen = f"127.0.0.1:{quiet_port()}"
         await self.fleet.start_entry(
             self._names[place],
             zone=ZONES[ENTRIES.index(place)],
@@ -139,16 +133,6 @@
             seconds=START_SECONDS,
         )
 
-    def _port(self) -> int:
-        while True:
-            port = self._rng.choice(QUIET_PORTS)
-            with socket.socket() as sock:
-                try:
-                    sock.bind(("127.0.0.1", port))
-                except OSError:
-                    continue
-            return port
-
     # Places
 
     def child(self, place: str):
--- a/tests/fleet/randomised/run.py
+++ b/tests/fleet/randomised/run.py
@@ -53,7 +53,7 @@
 
 async def run(seed: int, steps: int) -> RunResult:
     """Make one run and judge it."""
-    fleet = SmallFleet(seed)
+    fleet = SmallFleet()
     summary = ""
     try:
         summary = await _Run(fleet, seed, steps).make()
--- a/tests/membership/common/process.py
+++ b/tests/membership/common/process.py
@@ -9,10 +9,14 @@
 import asyncio
 import signal
 import sys
+import tempfile
 from pathlib import Path
+from typing import BinaryIO
 
 from tests.membership.common.nodes import node, settings
 
+#: Lines of a process's errors that a failed start shows.
+TAIL_LINES = 30
 ROOT = Path(__file__).resolve().parents[3]
 
 
@@ -25,19 +29,28 @@
 
     @classmethod
     async def start(cls, name: str, zone: str, kv_url: str, *peer: str) -> NodeProcess:
+        with tempfile.TemporaryFile() as errors:
+            return await cls._start(errors, name, zone, kv_url, *peer)
+
+    @classmethod
+    async def _start(cls, errors: BinaryIO, name: str, *args: str) -> NodeProcess:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             __name__,
             name,
-            zone,
-            kv_url,
-            *peer,
+            *args,
             stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.DEVNULL,
+            stderr=errors,
             cwd=ROOT,
         )
         address = (await process.stdout.readline()).decode().strip()
+        if not address:
+            code = await process.wait()
+            errors.seek(0)
+            last = errors.read().decode(errors="replace").splitlines()[-TAIL_LINES:]
+            told = "\n".join((f"{name}: exit code {code}", *last))
+            raise AssertionError(told)
         return cls(process, address)
 
     def freeze(self) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,7 +7,8 @@
 import aiohttp
 from bambootiller_platform_standins.replica import StandinReplica
 
-from tests.adapter.common.fleet import Fleet, free_port, until
+from bambootiller_standins.harness import quiet_port
+from tests.adapter.common.fleet import Fleet, until
 from tests.adapter.cover.test_documents import MODEL, ROUTE, SERVICE
 from tests.soak.proxy import Proxy
 
@@ -90,7 +91,7 @@
         self.in_force = 0
         self.ended = []
         self._starts = 0
-        self._ports = (free_port("127.0.0.1"), free_port("127.0.0.1"))
+        self._ports = (quiet_port(), quiet_port())
 
     async def begin(self, entries=2, engines=2, plain=2):
         """Start all of it."""
@@ -138,7 +139,7 @@
             self.entries[name] = await self.start("entry", known.form)
             return
         parts = ("front", "ready", "control")
-        listen = {part: f"127.0.0.1:{free_port('127.0.0.1')}" for part in parts}
+        listen = {part: f"127.0.0.1:{quiet_port()}" for part in parts}
         seeds = [entry.form["listen"]["control"] for entry in self.entries.values()]
         fields = {"listen": listen, "seeds": seeds}
         form = self._form(name, "127.0.0.1", fields)
