Test: seed 7075, late loads to two starts that reach a third in a row

Cause: two loads without an answer, meant for different starts of an engine, come one after the other to a third before a new agent's first order. Ruled out: the agent that gave them: it was started anew in between. Change: the seed as a test of its own. Before: fails.

--- a/tests/gateway/randomised/test_orders.py
+++ b/tests/gateway/randomised/test_orders.py
@@ -175,6 +175,14 @@
                 counting.add("gateway orders", 300)
                 self.assertGreater(loads, 5)
 
+    def test_seed_7075_of_starts_under_one_name(self):
+        """An engine is ordered beyond its memory. Two loads that got no answer were
+        meant for two starts of it; both come late to a third, one after the other,
+        before an agent that was started anew meanwhile has given its first order. Each
+        names the count that the third start has at that moment, and nobody who knows
+        of both is left."""
+        play(7075, 300, RenewedEngine, restarts=0.05)
+
     def test_nor_where_it_starts_again_under_its_name(self):
         for seed in range(profiles.scale(100, 4000)):
             with self.subTest(seed=seed):
