Give no load that wouldn't fit together with late ones that can come before it

Cause: each late load is decided on what its own start held. A start that nobody orders yet takes those whose numbers follow one another from 0. Ruled out: no order for 10 s after an agent's start: each restart would cost its engine's loads. Putting off each load beside any late one: most have a number missing before them and can't take effect in a row. Change: a load waits if the late orders before its number are complete and all of them together don't fit (late_orders.row_before); 10 s at most.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/late_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/late_orders.py
@@ -69,3 +69,19 @@
         for order in orders:
             if order.kind is OrderKind.LOAD and order.expected >= accepted:
                 yield order
+
+    def row_before(self, now: float, number: int) -> list[EngineOrder]:
+        """The late orders that a start which nobody orders yet may carry out one after
+        the other, until it has accepted ``number`` of them; none if one is missing.
+
+        They were meant for different starts, so none of those held them all. If the
+        agent that knows of them ends together with the engine, nobody shuts them out.
+        """
+        orders = {
+            item.order
+            for item in (*self._to_earlier, *self._to_present)
+            if now - item.sent_at < LATE_ORDER_S and item.order.expected < number
+        }
+        if {order.expected for order in orders} != set(range(number)):
+            return []
+        return list(orders)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -377,6 +377,10 @@
         late = list(self._late.loads_after(now, order.expected + 1))
         if late and not leaves_room(self._engine, report, order, late):
             return None
+        row = self._late.row_before(now, order.expected)
+        empty = replace(report, holdings={}, adapters_coming=frozenset())
+        if row and not leaves_room(self._engine, empty, order, row):
+            return None
         return order
 
     def _memory_used(self) -> float:
