Keep the speeds of the store by service in a module of their own

Ruled out: moving the asking for loads out, which needs the plans, the links and the demand.

Change: the estimates of the store's speed by service, and when a load ends by them, are in store_speeds; the services that have engines are found in one place.

--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_speeds.py
@@ -0,0 +1,51 @@
+"""The speed of the weight store, learnt for each service of engines by itself.
+
+Example::
+
+    speed = speeds.observe(now, service, backends)
+    planner = Planner(service.engine, speed.limit, left_by(speed, now))
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+from bambootiller_core.gateway.config import ServiceSpec
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.store_speed import StoreSpeed, assumed_loads
+
+
+class StoreSpeeds:
+    """The estimates by service."""
+
+    def __init__(self) -> None:
+        self._speeds: dict[str, StoreSpeed] = {}
+
+    @property
+    def least_loads(self) -> float:
+        """The loads that the store is taken to serve at full speed, by the slowest of
+        the services; 0 if there are none."""
+        return min((speed.loads for speed in self._speeds.values()), default=0)
+
+    def observe(
+        self, now: float, service: ServiceSpec, backends: Collection[Backend]
+    ) -> StoreSpeed:
+        """Take a look at the loads under way; to be called several times a second."""
+        speed = self._speeds.get(service.name)
+        if speed is None:
+            speed = StoreSpeed(assumed_loads(service.engine))
+            self._speeds[service.name] = speed
+        speed.observe(now, backends, service.engine)
+        return speed
+
+
+def left_by(speed: StoreSpeed, now: float) -> Callable[[Backend], float]:
+    """When the load under way at an engine ends, the store's speed considered."""
+
+    def left_s(backend: Backend) -> float:
+        loading = backend.engine.loading
+        if not loading.from_store:
+            return loading.left_s
+        return speed.left_s(now, backend.incarnation, loading)
+
+    return left_s
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import lru_cache
 
@@ -17,11 +16,8 @@
 from bambootiller.gateway.plan_clock import PLAN_S, PlanClock
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core import rendezvous
-from bambootiller_core.gateway.collecting import (
-    Totals,
-    collectors,
-    greater,
-)
+from bambootiller_core.gateway.collecting import Totals, collectors, greater
+from bambootiller_core.gateway.config import ServiceSpec
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.gateway.fleet import AGENT_SILENT_S, Backend
 from bambootiller_core.gateway.log_lines import BackendRemoved
@@ -29,7 +25,7 @@
 from bambootiller_core.gateway.places import copies_at
 from bambootiller_core.gateway.relaying import tells_at_once
 from bambootiller_core.gateway.residency import PlannedLoad, Planner
-from bambootiller_core.gateway.store_speed import StoreSpeed, assumed_loads
+from bambootiller_core.gateway.store_speeds import StoreSpeeds, left_by
 from bambootiller_core.gateway.wakes import wakes_calls
 from bambootiller_core.gateway.want import Want
 
@@ -58,7 +54,7 @@
 class Engines:
     """Keeps streams to all agents, and asks them for loads.
 
-    Calls that need a model ask :meth:`ready_in` when it can be used, and say while they
+    Calls that need a model ask :meth:`plan_for` when it can be used, and say while they
     wait, so that the plan counts them.
     """
 
@@ -83,7 +79,7 @@
         self._collectors: dict[str, list[str]] = {}
         self._planned_for: dict[str, dict[str, Want]] = {}
         self._own: dict[str, dict[str, Want]] = {}
-        self._speeds: dict[str, StoreSpeed] = {}
+        self._speeds = StoreSpeeds()
         self._clock = PlanClock(
             self._plan_all,
             self._plan_awaited,
@@ -141,7 +137,7 @@
     def store_loads(self) -> float:
         """The loads that the weight store is taken to serve at full speed, by the
         slowest of the services."""
-        return min((speed.loads for speed in self._speeds.values()), default=0)
+        return self._speeds.least_loads
 
     def stream_count(self) -> int:
         """How many streams to agents are kept."""
@@ -340,13 +336,14 @@
         return any(self._sees_to(model) for model in waited_for)
 
     def _observe(self, now: float) -> None:
+        for service in self._engine_services():
+            backends = self._knowledge.fleet.of_service(service.name)
+            self._speeds.observe(now, service, backends)
+
+    def _engine_services(self) -> list[ServiceSpec]:
         config = self._knowledge.config
-        services = config.services if config is not None else {}
-        for name, speed in self._speeds.items():
-            service = services.get(name)
-            if service is not None and service.engine is not None:
-                backends = self._knowledge.fleet.of_service(name)
-                speed.observe(now, backends, service.engine)
+        services = config.services.values() if config is not None else ()
+        return [service for service in services if service.engine is not None]
 
     def _any_waits(self) -> bool:
         if any(demand.anyone_waits for demand in self._demand.values()):
@@ -359,19 +356,10 @@
 
     def _plan_all(self, now: float) -> None:
         self._clock.making(now)
-        config = self._knowledge.config
-        if config is None:
-            return
-        for service in config.services.values():
-            if service.engine is None:
-                continue
+        for service in self._engine_services():
             backends = self._knowledge.fleet.of_service(service.name)
-            speed = self._speeds.get(service.name)
-            if speed is None:
-                speed = StoreSpeed(assumed_loads(service.engine))
-                self._speeds[service.name] = speed
-            speed.observe(now, backends, service.engine)
-            planner = Planner(service.engine, speed.limit, _left_by(speed, now))
+            speed = self._speeds.observe(now, service, backends)
+            planner = Planner(service.engine, speed.limit, left_by(speed, now))
             wants = self._wants(service.name)
             if wants == self._own.get(service.name):
                 wants = self._own[service.name]
@@ -420,15 +408,3 @@
     # Hashed anew for each load of each plan, the names of 32 entries took a tenth of
     # an entry's time for a plan.
     return rendezvous.first(model, entries)
-
-
-def _left_by(speed: StoreSpeed, now: float) -> Callable[[Backend], float]:
-    """When the load under way at an engine ends, the store's speed considered."""
-
-    def left_s(backend: Backend) -> float:
-        loading = backend.engine.loading
-        if not loading.from_store:
-            return loading.left_s
-        return speed.left_s(now, backend.incarnation, loading)
-
-    return left_s
