Count one more call for a model that the plan left out at once

Cause: since calls look at a plan of their moment, one that had left a model out held for every further call for it as well, as long as any caller was waiting or due back. Two calls together may be worth a load that one isn't; the second was refused on a plan that didn't count it.

Ruled out: making the plan for each such call again at each of its looks, which is what cost a starting entry its time.

Change: the plan is made anew for a call whose model it left out if more of this entry's calls for that model wait now than it counted (Demand.waiting).

Before: the new test of tests/gateway/failures/test_engines.py finds no plan made for a second call. After: one for each call more, none for a further look of the same.

Conclusion: as when each call had its own plan, without the plans of repeated looks.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -71,6 +71,13 @@
         due = self._refused.setdefault(model, deque())
         due.append((now + due_in_s, weight))
 
+    def waiting(self, now: float, model: str) -> int:
+        """The calls that wait for the model, by their weights; those that were refused
+        and are due back count too."""
+        counted = sum(weight for _, weight in self._waiting.get(model, ()))
+        counted += self._due_back(now, model)
+        return max(1, round(counted)) if counted else 0
+
     def wants(
         self, now: float, holders: Mapping[str, int], copies: Mapping[str, int]
     ) -> dict[str, Want]:
@@ -80,8 +87,7 @@
         for model in list(self._rates):
             rate = self._rate(now, model)
             here = self._waiting.get(model, [])
-            counted = sum(weight for _, weight in here) + self._due_back(now, model)
-            waiting = max(1, round(counted)) if counted else 0
+            waiting = self.waiting(now, model)
             oldest_s = now - min(here)[0] if here else 0.0
             if rate < LEAST_RATE and not waiting:
                 del self._rates[model]
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -27,7 +27,7 @@
 from bambootiller_core.gateway.residency import PlannedLoad, Planner
 from bambootiller_core.gateway.store_speeds import StoreSpeeds, left_by
 from bambootiller_core.gateway.wakes import wakes_calls
-from bambootiller_core.gateway.want import Want
+from bambootiller_core.gateway.want import NO_WANT, Want
 
 #: A plan no older than this is of this moment: two beats, or a call that looks at it
 #: would be quicker than the beat. Seconds.
@@ -106,20 +106,21 @@
 
     def waiting(self, service: str, model: str) -> int:
         """The calls of all entries that waited for the model at the last plan."""
-        return self._planned_for.get(service, {}).get(model, Want()).waiting
+        return self._planned_for.get(service, {}).get(model, NO_WANT).waiting
 
     def plan_for(self, service: str, model: str) -> PlannedLoad | None:
         """The load of the model for a call that waits now: the plan is made anew unless
         it is of this moment.
 
-        A model that can't be loaded anywhere isn't in the plan at all, so a plan that
-        counted calls for it and left it out is an answer too. Made anew for each look
-        of each such call, plans would leave a starting entry time for nothing else.
+        A model that can't be loaded anywhere isn't in the plan at all. A plan that left
+        it out is an answer too, for the calls that it counted; made anew for each look
+        of each of them, plans would leave a starting entry time for nothing else.
         """
         now = self._app.now()
         planned = self.planned(service, model)
-        unknown = planned is None and not self.waiting(service, model)
-        if unknown or now - self._clock.made_at > FRESH_S:
+        counted = self._own.get(service, {}).get(model, NO_WANT).waiting
+        more = self.demand(service).waiting(now, model) > counted
+        if (planned is None and more) or now - self._clock.made_at > FRESH_S:
             self._plan_all(now)
             self._clock.hurry(now)
             planned = self.planned(service, model)
@@ -135,8 +136,7 @@
         return True
 
     def store_loads(self) -> float:
-        """The loads that the weight store is taken to serve at full speed, by the
-        slowest of the services."""
+        """How many loads the weight store is taken to serve at full speed."""
         return self._speeds.least_loads
 
     def stream_count(self) -> int:
@@ -384,8 +384,8 @@
             backend = self._knowledge.fleet.get(load.instance)
             if backend is None:
                 continue
-            waiting = wants.get(load.model, Want()).waiting
-            want = wants_of_all.get(load.model, Want())
+            waiting = wants.get(load.model, NO_WANT).waiting
+            want = wants_of_all.get(load.model, NO_WANT)
             alone = waiting and not load.from_store
             if not alone and not self._sees_to(load.model):
                 continue
--- a/tests/gateway/failures/test_engines.py
+++ b/tests/gateway/failures/test_engines.py
@@ -169,3 +169,21 @@
         for _ in range(5):
             self.assertIsNone(self.engines.plan_for("tutor", "unheard"))
         self.assertEqual(len(self.plans) - before, 1)
+
+    def test_one_more_call_for_a_model_that_was_left_out_is_counted_at_once(self):
+        """Symptom: calls are refused one after the other, though together they are
+        worth a load.
+
+        A plan that had left a model out while one refused caller was due back held for
+        all further calls, and such a plan was at hand nearly always.
+        """
+        demand = self.engines.demand("tutor")
+        demand.asked(self.app.time, "unheard")
+        demand.refused(self.app.time, "unheard", 3.0)
+        self.engines._plan_all(self.app.time)
+        before = len(self.plans)
+        for number in (1, 2):
+            demand.begin_waiting(self.app.time, "unheard")
+            for _ in range(3):
+                self.engines.plan_for("tutor", "unheard")
+            self.assertEqual(len(self.plans) - before, number)
