Join what two collectors tell without a new object where they agree

Cause: for each plan an entry built a new demand for each model three times: from each of two collectors, which mostly tell the same, and from its own.

Ruled out: believing one collector alone; where they differ, the one that knows of more counts.

Change: where only one side knows of a model, or both say the same, that is taken as it is.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
@@ -119,7 +119,11 @@
     """For each model the greater demand of the two."""
     merged = dict(first)
     for model, want in second.items():
-        held = merged.get(model, want)
+        held = merged.get(model)
+        if held is None or held == want:
+            # Two collectors mostly tell the same; a third of the time for their sum.
+            merged[model] = want
+            continue
         merged[model] = Want(
             max(want.rate, held.rate),
             max(want.waiting, held.waiting),
