--- a/tests/adapter/common/outside.py
+++ b/tests/adapter/common/outside.py
@@ -4,6 +4,7 @@
 import threading
 
 from bambootiller_platform_standins.replica import StandinReplica
+from bambootiller_platform_standins.store import StandinStore
 
 #: A thread that is asked to end does so within this time. Seconds.
 END_S = 5.0
@@ -34,6 +35,21 @@
         self._replicas.append(replica)
         return replica
 
+    def start_store(self):
+        """A store that listens and answers on the other loop."""
+        store = StandinStore()
+        self._run(store.server.start())
+        self._replicas.append(store)
+        return store
+
+    def call(self, function, *args):
+        """Call a function on the other loop."""
+
+        async def calling():
+            return function(*args)
+
+        return self._run(calling())
+
     def stop_replica(self, replica):
         """Close the replica's port and connections."""
         self._replicas.remove(replica)
--- a/tests/adapter/failures/test_restarts.py
+++ b/tests/adapter/failures/test_restarts.py
@@ -101,13 +101,12 @@
                 status, _ = await fleet.call(entry, MODEL_NAME)
                 return status == 200
 
-            async def noticed():
-                return all(
-                    program.events("backend_restarted") for program in (agent, entry)
-                )
+            async def noticed_by(program):
+                return bool(program.events("backend_restarted"))
 
             await until(served, "the model is served")
             replica.restart()
-            await until(noticed, "both programs know of the restart")
+            await until(lambda: noticed_by(agent), "the agent knows of the restart")
+            await until(lambda: noticed_by(entry), "the entry knows of the restart")
             await until(served, "the model is served again")
             self.assertEqual([order["expected"] for order in replica.orders], [0])
--- a/tests/adapter/failures/test_standstills.py
+++ b/tests/adapter/failures/test_standstills.py
@@ -9,12 +9,24 @@
 """
 
 import asyncio
+import contextlib
+import json
+import socket
 import time
 import unittest
+from unittest import mock
 
+from bambootiller_platform_standins.httpd import Reply
+
+from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
 from bambootiller_core.gateway.budget import AttemptBudget
-from tests.adapter.common.entry import MODEL_NAME, Bench
+from bambootiller_core.gateway.running import TICK_S, RunningTime
+from bambootiller_platform import store as store_module
+from bambootiller_platform.documents import PlatformDirectory
+from tests.adapter.common.entry import MODEL_NAME, Bench, Events
 from tests.adapter.common.outside import OutsideLoop
+from tests.adapter.cover.test_documents import SERVER
+from tests.gateway.common import samples
 
 
 class Case(unittest.IsolatedAsyncioTestCase):
@@ -137,6 +149,125 @@
         self.assertEqual(len(running.runs), 1)
 
 
+class TestBelievedLost(Case):
+    """The backend servers were well and paused for 1 s in their streams. Their agents
+    weren't: that alone had the running streams cut, without a look at whether there was
+    anywhere else to go.
+    """
+
+    def told(self, silent):
+        loop = asyncio.get_running_loop()
+        for name in ("i-1", "i-2"):
+            state = samples.engine_state(name, (MODEL_NAME,), silent=silent)
+            self.bench.knowledge.fleet.engine_told(loop.time(), state)
+
+    async def answer(self, speaks):
+        for replica in self.holders():
+            replica.events, replica.gap_s = 3, 1.0
+        self.told(silent=False)
+        self.spend_budget()
+        calling = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.3)
+        while speaks and not calling.done():
+            self.told(silent=True)
+            await asyncio.sleep(0.2)
+        return await calling
+
+    async def test_a_running_stream_is_kept_though_its_agent_says_silent(self):
+        self.assertTrue((await self.answer(speaks=True)).whole)
+
+    async def test_a_running_stream_is_kept_though_its_agent_has_ended(self):
+        self.assertTrue((await self.answer(speaks=False)).whole)
+
+
+class TestSeveralToChooseFrom(Case):
+    async def test_a_call_to_a_dead_one_goes_on_past_another_dead_one(self):
+        """The first backend server hung and the second took no connection; the third
+        was well. After the second the entry waited a whole silence again, half of the
+        call's time, and then there was none left."""
+        self.bench.configure(**{"max-attempts": 3})
+        first, second, _ = (self.add(f"i-{n}", "plain") for n in (1, 2, 3))
+        self.bench.knowledge.fleet.get("i-2").in_flight = 1
+        self.bench.knowledge.fleet.get("i-3").in_flight = 2
+        first.next_replies.append(lambda request: Reply(silent=True))
+        self.outside.stop_replica(second)
+        answer = await self.bench.call(path=b"/plain/x")
+        self.assertEqual(len(first.runs), 1)
+        self.assertEqual(answer.status, 200)
+
+    async def test_an_event_does_not_wait_for_a_connection_elsewhere(self):
+        """The backend server paused for 0.8 s. At 0.7 s the entry began to connect to
+        another one, which swallowed the connection, and passed on what the first said
+        at 0.8 s only once that had failed, at 1.5 s."""
+        replicas = self.holders()
+        for replica in replicas:
+            replica.events, replica.gap_s = 2, 0.8
+        calling = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.3)
+        (other,) = [replica for replica in replicas if not replica.runs]
+        backend = self.bench.knowledge.fleet.get(other.instance)
+        with swallowing_port() as port:
+            self.bench.relays.pool(backend)._port = port
+            answer = await calling
+        self.assertLess(answer.arrivals[1] - answer.arrivals[0], 1.1)
+
+
+class TestStoreOfAnEntryThatStoodStill(unittest.IsolatedAsyncioTestCase):
+    async def test_a_backend_server_removed_after_that_is_used_no_longer(self):
+        """An entry stood still for longer than it waits for the store, and took that
+        for the store's absence. Entries that vanish right after an absence count as
+        lapsed for 2.3 s: calls went on to a backend server that had left."""
+        outside = OutsideLoop()
+        self.addCleanup(outside.close)
+        store = outside.start_store()
+        store.put("servers/i-1", json.dumps(SERVER).encode())
+        shorter = mock.patch.multiple(store_module, WATCH_MS=250, WATCH_GRACE_S=0.1)
+        shorter.start()
+        self.addCleanup(shorter.stop)
+        kv = store_module.PlatformKeyValue(f"http://{store.server.address}")
+        self.addAsyncCleanup(kv.close)
+        loop, events = asyncio.get_running_loop(), Events()
+        running = RunningTime(loop.time())
+        knowledge = Knowledge(PlatformDirectory(), events, loop.time, running.ran)
+        watcher = StoreWatcher(kv, knowledge, events, loop.time, running.ran)
+        tasks = [
+            asyncio.ensure_future(watcher.follow("servers/")),
+            asyncio.ensure_future(tick(running)),
+        ]
+        await asyncio.sleep(0.4)
+        self.assertIsNotNone(knowledge.fleet.get("i-1"))
+        time.sleep(0.8)
+        await asyncio.sleep(0.5)
+        outside.call(store.remove, "servers/i-1")
+        await asyncio.sleep(0.8)
+        held = knowledge.fleet.get("i-1")
+        for task in tasks:
+            task.cancel()
+        self.assertIsNone(held)
+        self.assertEqual(events.of("dependency_lost"), [])
+
+
+async def tick(running):
+    """Keep the running time of the process under test."""
+    while True:
+        running.tick(asyncio.get_running_loop().time())
+        await asyncio.sleep(TICK_S)
+
+
+@contextlib.contextmanager
+def swallowing_port():
+    """A port that takes no further connection and refuses none."""
+    with contextlib.ExitStack() as held:
+        listening = held.enter_context(socket.socket())
+        listening.bind(("127.0.0.1", 0))
+        listening.listen(0)
+        for _ in range(4):
+            sock = held.enter_context(socket.socket())
+            sock.setblocking(False)
+            sock.connect_ex(listening.getsockname())
+        yield listening.getsockname()[1]
+
+
 async def starve(seconds, turn_s):
     """Keep the loop busy: each of its turns takes ``turn_s`` at least."""
     loop = asyncio.get_running_loop()
--- a/tests/gateway/failures/test_standstills.py
+++ b/tests/gateway/failures/test_standstills.py
@@ -116,6 +116,24 @@
         self.assertEqual(len(self.channels.calls), 1)
         self.assertGreater(len(self.heard), 3)
 
+    async def test_one_cancelled_as_its_peer_falls_silent_ends(self):
+        """The engine of a silent agent left the registry in the same turn of the loop
+        in which the silence was noticed. The cancellation of the stream was taken for
+        that of its call: the stream was opened anew, and again, and nobody held it."""
+        await asyncio.sleep(0.3)
+        call, stream = self.channels.calls[0], self.tasks[0]
+        ending = call.cancel
+
+        def cancel():
+            call.cancel = ending
+            ending()
+            stream.cancel()
+
+        call.cancel = cancel
+        call.speaks.clear()
+        await asyncio.sleep(2.5)
+        self.assertTrue(stream.done())
+
     async def test_one_whose_peer_is_silent_is_still_given_up(self):
         await asyncio.sleep(0.3)
         self.channels.calls[0].speaks.clear()
