A running answer is given up for nothing less than a place that is ready

A backend server believed lost had its running streams cut without a look at what else there was; an agent that had ended or stood still was enough for that. Ruled out: leaving 'lost' out altogether: a call to which nothing has come from an engine that is gone with its agent is answered at once, as before. Change: all silent calls go through the preparation; an answer that has begun stays unless that succeeds. What the silent one says ends the connecting elsewhere. Arrivals are counted, as running time can't tell them apart in a standstill. A stream's own cancellation ends it. A call of the store or the engine that met silence while its process stood still is asked again before that is believed. Conclusion: the agent's memory of entries after a standstill of 3 s stays in clock time; it is listed as open.

--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -90,7 +90,11 @@
         self._standstills.start()
         self._knowledge.on_config(self._configured)
         watcher = StoreWatcher(
-            self._platform.kv, self._knowledge, self._events, app.now
+            self._platform.kv,
+            self._knowledge,
+            self._events,
+            app.now,
+            self._standstills.ran_at,
         )
         for prefix in self._platform.directory.prefixes:
             follow = watcher.follow(prefix, self._no_entry_heard)
@@ -202,8 +206,13 @@
         """Read the report, send one order if there is one; returns the pause."""
         if self._book is None:
             return QUIET_S
+        began = self._standstills.own_time.now()
         report = await self._engine.report()
         if isinstance(report, EngineSilent):
+            if self._standstills.own_time.is_doubtful(began):
+                # Told to entries, one own standstill and one pause of a stream would
+                # have them take the engine for lost.
+                return BUSY_S
             if self._silent_since is None:
                 self._silent_since = self._app.now()
                 self._events.emit(lines.DependencyLost("engine", report.detail))
--- a/packages/bambootiller/src/bambootiller/gateway/connections.py
+++ b/packages/bambootiller/src/bambootiller/gateway/connections.py
@@ -86,8 +86,9 @@
 
     def __init__(self, ran: Ran) -> None:
         self._ran = ran
-        #: The running time at which bytes came last.
+        #: The running time at which bytes came last, and how often some have come.
         self.heard_at = 0.0
+        self.arrivals = 0
         self._silence_s: float | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -119,6 +120,7 @@
             self._spoiled = True
             return
         self.heard_at = self._ran()
+        self.arrivals += 1
         self._silence_s = None
         self._any_byte = True
         try:
@@ -201,10 +203,10 @@
         """Whether the relay waits for something to come."""
         return self._wake is not None
 
-    def has_news(self, since: float) -> bool:
-        """Whether something has come after the running time ``since``, an end
-        included."""
-        return self.heard_at > since or self._lost is not None or self._all_whole()
+    def has_news(self, heard: int) -> bool:
+        """Whether something has come since :attr:`arrivals` was ``heard``, an end
+        included. Counted, because running time stands still with the process."""
+        return self.arrivals > heard or self._lost is not None or self._all_whole()
 
     def note_silence(self, seconds: float) -> None:
         """Have the relay, which waits, get :class:`Silent`."""
@@ -391,8 +393,10 @@
             self.open -= 1
 
     def unused(self, conn: BackendConnection, now: float) -> None:
-        """Give a connection back on which nothing was sent."""
-        conn.idle_since = now
+        """Give a connection back on which nothing was sent; a kept one is no younger
+        for that."""
+        if not conn.reused:
+            conn.idle_since = now
         self._idle.append(conn)
 
     def discard(self, conn: BackendConnection) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
+++ b/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 from dataclasses import dataclass
 
@@ -14,6 +15,10 @@
 from bambootiller_core.gateway.calls import Call, Progress
 from bambootiller_core.gateway.fleet import Backend
 
+#: While a connection is being made, the silent one is looked at this often. Seconds;
+#: what it says meanwhile is passed on so much later at most.
+NEWS_S = 0.02
+
 
 @dataclass(frozen=True, slots=True)
 class Prepared:
@@ -65,15 +70,11 @@
 
     async def prepare(self, silent: BackendConnection) -> Prepared | Stays:
         """Where the call goes next, or why it stays on the ``silent`` connection."""
-        silent_at = self._relays.ran()
-        backend = self._backend()
-        if isinstance(backend, Stays):
-            return backend
-        conn = await self._connect(backend)
-        if conn is None:
-            return Stays.NO_CONNECTION
-        prepared = Prepared(backend, conn)
-        if silent.has_news(silent_at):
+        heard = silent.arrivals
+        prepared = await self._connected(silent, heard)
+        if isinstance(prepared, Stays):
+            return prepared
+        if silent.has_news(heard):
             self.give_back(prepared)
             return Stays.SPOKE
         budget = self._relays.service(self._call.service).budget
@@ -82,6 +83,37 @@
             return Stays.BUDGET
         return prepared
 
+    async def _connected(
+        self, silent: BackendConnection, heard: int
+    ) -> Prepared | Stays:
+        """A connection to the first of the others that takes one."""
+        failed = False
+        while True:
+            backend = self._backend()
+            if isinstance(backend, Stays):
+                return Stays.NO_CONNECTION if failed else backend
+            conn = await self._connect_unless_news(backend, silent, heard)
+            if conn is not None:
+                return Prepared(backend, conn)
+            if silent.has_news(heard):
+                return Stays.SPOKE
+            failed = True
+
+    async def _connect_unless_news(
+        self, backend: Backend, silent: BackendConnection, heard: int
+    ) -> BackendConnection | None:
+        """A connection, unless the silent one speaks first: what it says would wait
+        for as long as a connection may take."""
+        connecting = asyncio.ensure_future(self._connect(backend))
+        try:
+            while not connecting.done() and not silent.has_news(heard):
+                await asyncio.wait((connecting,), timeout=NEWS_S)
+            return connecting.result() if connecting.done() else None
+        finally:
+            if not connecting.done():
+                connecting.cancel()
+                await asyncio.wait((connecting,))
+
     def give_back(self, prepared: Prepared) -> None:
         """The call doesn't go there; nothing was sent."""
         pool = self._relays.pool(prepared.backend)
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -123,7 +123,13 @@
         known."""
         app = self._app
         self._standstills.start()
-        watcher = StoreWatcher(self._platform.kv, self.knowledge, self._events, app.now)
+        watcher = StoreWatcher(
+            self._platform.kv,
+            self.knowledge,
+            self._events,
+            app.now,
+            self._standstills.ran_at,
+        )
         for prefix in self._platform.directory.prefixes:
             app.spawn(f"watch {prefix}", watcher.follow(prefix))
         for server in self._servers():
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -307,7 +307,8 @@
         except grpc.aio.AioRpcError:
             return heard
         except asyncio.CancelledError:
-            if not peer.silent:
+            # Of the two that may have cancelled the read: the stream's own end goes on.
+            if not peer.silent or asyncio.current_task().cancelling():
                 raise
             return heard
         finally:
--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -14,6 +14,7 @@
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.ports import Directory, Unreadable
 from bambootiller.gateway.registry_faults import MOST_DETAIL, RegistryFaults
+from bambootiller.gateway.standstills import OwnTime
 from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.config import GatewayConfig, newer
 from bambootiller_core.gateway.fleet import Backend, Fleet, Registered
@@ -255,11 +256,13 @@
         knowledge: Knowledge,
         events: EventLog,
         clock: Callable[[], float],
+        ran: Callable[[float], float] = lambda now: now,
     ) -> None:
         self._kv = kv
         self._knowledge = knowledge
         self._events = events
         self._clock = clock
+        self._own = OwnTime(clock, ran)
         self._away: dict[str, float] = {}
 
     async def follow(
@@ -272,8 +275,11 @@
             if not wanted():
                 await asyncio.sleep(IDLE_S)
                 continue
+            began = self._own.now()
             found = await self._kv.get_prefix(prefix)
             if isinstance(found, Unavailable):
+                if self._own.is_doubtful(began):
+                    continue
                 self._lost(prefix, found.detail)
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, RETRY_MAX_S)
@@ -287,9 +293,14 @@
     async def _watch(
         self, prefix: str, revision: int, wanted: Callable[[], bool]
     ) -> None:
+        began = self._own.now()
         async for batch in self._kv.watch(prefix, revision):
             if isinstance(batch, Unavailable):
-                self._lost(prefix, batch.detail)
+                # After an absence, entries that vanish count as lapsed for a while. A
+                # standstill of this process isn't one: backend servers that left
+                # would be given calls all that time.
+                if not self._own.is_doubtful(began):
+                    self._lost(prefix, batch.detail)
                 return
             for change in batch:
                 self._knowledge.learnt(change, "store")
@@ -297,6 +308,7 @@
             if not wanted():
                 return
             await asyncio.sleep(GATHER_S)
+            began = self._own.now()
 
     def _lost(self, prefix: str, detail: str) -> None:
         if prefix not in self._away:
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -12,7 +12,7 @@
     ConnectionLost,
 )
 from bambootiller.gateway.elsewhere import Elsewhere, Prepared, Stays
-from bambootiller.gateway.placing import Placing
+from bambootiller.gateway.placing import LOOK_AGAIN_S, Placing
 from bambootiller.gateway.ports import AnswerHead, Incoming, Verdict
 from bambootiller.gateway.relays import Relays
 from bambootiller.gateway.reporting import CallReport
@@ -61,6 +61,7 @@
         #: Where the call goes on, found while its attempt before was still running.
         self._prepared: Prepared | None = None
         self._watch: SilenceWatch | None = None
+        self._stayed: Stays | None = None
 
     async def run(self) -> Refusal | None:
         """Serve the call; returns the gateway's own final answer if there is to be one.
@@ -236,24 +237,35 @@
             try:
                 return await read()
             except Silent as exc:
-                if await self._stays(backend, conn, str(exc)):
-                    self._watch.again()
-                    continue
-                raise ConnectionLost(str(exc), False, False) from exc
+                if not await self._stays(backend, conn, str(exc)):
+                    raise ConnectionLost(str(exc), False, False) from exc
 
     async def _stays(
         self, backend: Backend, conn: BackendConnection, detail: str
     ) -> bool:
+        """Whether the call stays with its silent backend server for now."""
         now = self._relays.clock()
         backend.unreached(now)
-        if backend.lost(now):
-            return False
         found = await self._elsewhere.prepare(conn)
-        if isinstance(found, Stays):
+        if isinstance(found, Prepared):
+            self._prepared = found
+            return False
+        if found is not Stays.SPOKE and self._is_given_up(backend):
+            return False
+        if found is not self._stayed:
+            self._stayed = found
             self.report.silence_borne(backend, detail, found.value)
-            return True
-        self._prepared = found
-        return False
+        if found in (Stays.SPOKE, Stays.ATTEMPTS):
+            self._watch.again()
+        else:
+            # A place, a connection or the budget may be there in a moment.
+            self._watch.look_again(LOOK_AGAIN_S)
+        return True
+
+    def _is_given_up(self, backend: Backend) -> bool:
+        """Whether nothing will come of waiting. An answer that has begun isn't given
+        up for a belief: an agent that has ended says nothing of its engine."""
+        return not self._progress.passed_on and backend.lost(self._relays.clock())
 
     def _silence_s(self, now: float) -> float | None:
         """How long the backend server may be silent before the call goes elsewhere."""
--- a/packages/bambootiller/src/bambootiller/gateway/silence.py
+++ b/packages/bambootiller/src/bambootiller/gateway/silence.py
@@ -64,6 +64,11 @@
         self._since = self._ran()
         self._arm(self._seconds)
 
+    def look_again(self, seconds: float) -> None:
+        """Tell the silence once more, if it lasts, in ``seconds``."""
+        self._since = self._ran() - max(0.0, self._seconds - seconds)
+        self._arm(seconds)
+
     def stop(self) -> None:
         """Look no more."""
         if self._timer is not None:
--- a/packages/bambootiller/src/bambootiller/gateway/standstills.py
+++ b/packages/bambootiller/src/bambootiller/gateway/standstills.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import dataclass
+
 from bambootiller.app import Application
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller_core.gateway.log_lines import StoodStill
@@ -12,6 +15,47 @@
 TOLD_S = 0.1
 
 
+#: A call that met silence while this process stood still for so long is asked again
+#: before the silence is believed. Seconds; half of the shortest time for one.
+DOUBT_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Moment:
+    """A time, and how long the process had run by then."""
+
+    at: float
+    ran: float
+
+
+class OwnTime:
+    """Tells whether a silence may be the process's own.
+
+    Example::
+
+        began = own.now()
+        if await ask() is None and not own.is_doubtful(began):
+            lost()
+    """
+
+    def __init__(
+        self, clock: Callable[[], float], ran_at: Callable[[float], float]
+    ) -> None:
+        self._clock = clock
+        self._ran_at = ran_at
+
+    def now(self) -> Moment:
+        """The present moment."""
+        at = self._clock()
+        return Moment(at, self._ran_at(at))
+
+    def is_doubtful(self, since: Moment) -> bool:
+        """Whether the process stood still for a good part of the time ``since``."""
+        now = self.now()
+        stood_still_s = (now.at - since.at) - (now.ran - since.ran)
+        return stood_still_s >= DOUBT_S
+
+
 class Standstills:
     """Ticks the running time of the process.
 
@@ -26,6 +70,7 @@
         self._app = app
         self._events = events
         self._running = RunningTime(app.now())
+        self.own_time = OwnTime(app.now, self._running.ran)
 
     def start(self) -> None:
         """Begin to tick."""
