--- /dev/null
+++ b/tests/adapter/cover/test_days.py
@@ -0,0 +1,113 @@
+"""The days in deploy/days fit every deployment and say what they bring about."""
+
+import re
+import tomllib
+import unittest
+
+from tests.adapter import ROOT
+
+FOLDER = ROOT / "deploy" / "days"
+
+#: Fields that name a part of a deployment, and the placeholder for such a part.
+PLACEHOLDERS = {
+    "zone": re.compile(r"@z\d+"),
+    "to_zone": re.compile(r"@z\d+"),
+    "service": re.compile(r"@s\d+"),
+    "class": re.compile(r"@c\d+"),
+}
+#: Fields that mean the same on every deployment; `region`, for one, has no placeholder.
+PLAIN = {"at", "kind", "for_s", "gap_s", "share", "count", "x", "how", "on"}
+DAY = {"name", "slot", "seed", "closing", "plan", "faults"}
+CLOSING = {"kind", "down_s", "how"}
+MACHINES = {"front", "side", "core"}
+
+
+def opening(text):
+    """Return the comment that stands above all else in a file, in one line."""
+    lines = []
+    for line in text.splitlines():
+        if not line.startswith("# "):
+            break
+        lines.append(line.removeprefix("# "))
+    return " ".join(lines)
+
+
+def strangers(entry):
+    """Return the fields of a disruption that tie it to one deployment."""
+    return [
+        f"{field} = {value!r}"
+        for field, value in entry.items()
+        if not (
+            isinstance(value, str) and PLACEHOLDERS[field].fullmatch(value)
+            if field in PLACEHOLDERS
+            else field in PLAIN
+        )
+        or (field == "on" and value not in MACHINES)
+    ]
+
+
+class TestDays(unittest.TestCase):
+    def setUp(self):
+        self.texts = {path: path.read_text() for path in sorted(FOLDER.glob("*.toml"))}
+        self.files = {path: tomllib.loads(text) for path, text in self.texts.items()}
+
+    def test_there_are_days_and_nothing_else(self):
+        self.assertTrue(self.texts)
+        self.assertEqual(sorted(FOLDER.iterdir()), list(self.texts))
+
+    def test_the_days_stand_in_one_place(self):
+        elsewhere = [
+            path
+            for path in (ROOT / "tests").rglob("*.toml")
+            if "day" in tomllib.loads(path.read_text())
+        ]
+        self.assertEqual(elsewhere, [])
+
+    def test_each_file_opens_with_a_sentence_on_what_it_brings_about(self):
+        for path, text in self.texts.items():
+            with self.subTest(path.name):
+                self.assertRegex(opening(text), r"^[A-Z].{20,}\.$")
+                self.assertNotIn("@", opening(text))
+
+    def test_each_file_holds_one_day_of_its_own_name_and_seed(self):
+        for path, data in self.files.items():
+            with self.subTest(path.name):
+                self.assertEqual(list(data), ["day"])
+                self.assertEqual([day["name"] for day in data["day"]], [path.stem])
+        seeds = [day["seed"] for data in self.files.values() for day in data["day"]]
+        self.assertEqual(len(set(seeds)), len(seeds))
+
+    def test_each_day_holds_disruptions_alone(self):
+        for path, data in self.files.items():
+            for day in data["day"]:
+                with self.subTest(path.name):
+                    self.assertLessEqual(set(day), DAY)
+                    self.assertLessEqual(set(day.get("closing", {})), CLOSING)
+                    self.assertTrue(day.get("plan", []) + day.get("faults", []))
+
+    def test_parts_of_a_deployment_are_placeholders(self):
+        for path, data in self.files.items():
+            for day in data["day"]:
+                for entry in day.get("plan", []) + day.get("faults", []):
+                    with self.subTest(path.name, kind=entry["kind"], at=entry["at"]):
+                        self.assertEqual(strangers(entry), [])
+
+
+class TestStrangers(unittest.TestCase):
+    def test_names_of_a_deployment_are_found(self):
+        for entry in (
+            {"zone": "north"},
+            {"to_zone": "@s0"},
+            {"service": "@s0 or another"},
+            {"class": 1},
+            {"region": "@z0"},
+            {"on": "north-1"},
+        ):
+            with self.subTest(entry):
+                self.assertEqual(
+                    len(strangers({"at": 1.0, "kind": "burst"} | entry)), 1
+                )
+
+    def test_placeholders_are_taken(self):
+        entry = {"zone": "@z0", "to_zone": "@z12", "service": "@s1", "class": "@c0"}
+        self.assertEqual(strangers(entry | {"on": "core", "x": 2.0}), [])
