Log lines by what they speak of, and the pools of connections, in modules of their own

Ruled out: other names outside: log_lines is imported as before. Change: a package with private modules, and pools. A test of a restart waits until the agent has read its first report, as it knows of no start to end before that: twice it was restarted earlier ('the agent knows of the restart: not within 40 s'). Conclusion: no change of logic.

--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
@@ -0,0 +1,92 @@
+"""What the gateway's processes write to their logs: one type for each kind of line.
+
+Each line says what was decided, or what is believed from now on, what decided it, and
+how old or of which version that was. Metrics count the same lines, so both tell the
+same story. docs/OPERATIONS.md explains the events and their fields under these names.
+
+Example::
+
+    events.emit(ConfigInForce(config_version=7, revision=91, routes=12, source="store"))
+"""
+
+from bambootiller_core.gateway.log_lines._base import (
+    LogLine,
+)
+from bambootiller_core.gateway.log_lines._beliefs import (
+    BackendJudged,
+    BackendListed,
+    BackendRemoved,
+    BackendRestarted,
+    BackendUnreadable,
+    ConfigInForce,
+    DependencyLost,
+    DependencyRegained,
+    DocumentUnreadable,
+    EntryHeard,
+    PeerHeard,
+    PeerSilent,
+    StoodStill,
+)
+from bambootiller_core.gateway.log_lines._orders import (
+    FencingToken,
+    LoadEnded,
+    Order,
+)
+from bambootiller_core.gateway.log_lines._process import (
+    CutAtStop,
+    LinesLeftOut,
+    Reloaded,
+    ReloadRejected,
+    Started,
+    Stopped,
+    Stopping,
+)
+from bambootiller_core.gateway.log_lines._requests import (
+    Answered,
+    AnswerLost,
+    AttemptFailed,
+    CallerGone,
+    CannotConnect,
+    ChosenOn,
+    Cut,
+    PlanSeen,
+    Refused,
+    SilenceBorne,
+)
+
+__all__ = [
+    "AnswerLost",
+    "Answered",
+    "AttemptFailed",
+    "BackendJudged",
+    "BackendListed",
+    "BackendRemoved",
+    "BackendRestarted",
+    "BackendUnreadable",
+    "CallerGone",
+    "CannotConnect",
+    "ChosenOn",
+    "ConfigInForce",
+    "Cut",
+    "CutAtStop",
+    "DependencyLost",
+    "DependencyRegained",
+    "DocumentUnreadable",
+    "EntryHeard",
+    "FencingToken",
+    "LinesLeftOut",
+    "LoadEnded",
+    "LogLine",
+    "Order",
+    "PeerHeard",
+    "PeerSilent",
+    "PlanSeen",
+    "Refused",
+    "ReloadRejected",
+    "Reloaded",
+    "SilenceBorne",
+    "Started",
+    "StoodStill",
+    "Stopped",
+    "Stopping",
+]
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_base.py
@@ -0,0 +1,36 @@
+"""The common part of all lines."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields
+from typing import Any, ClassVar
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """The common part. ``failure`` lines go before others where room is short."""
+
+    event: ClassVar[str] = ""
+    failure: ClassVar[bool] = True
+
+    def to_json(self) -> dict[str, Any]:
+        """The fields by name, those of nested values as mappings.
+
+        >>> PeerHeard("10.0.0.1:7").to_json()
+        {'peer': '10.0.0.1:7'}
+        """
+        return {
+            item.name: _plain(getattr(self, item.name))
+            for item in fields(self)
+            if getattr(self, item.name) is not None
+        }
+
+
+def _plain(value: Any) -> Any:
+    if hasattr(value, "__dataclass_fields__"):
+        return {
+            item.name: _plain(getattr(value, item.name))
+            for item in fields(value)
+            if getattr(value, item.name) is not None
+        }
+    return value
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
@@ -0,0 +1,51 @@
+"""Lines of the orders to engines."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from bambootiller_core.gateway.log_lines._base import LogLine
+
+
+@dataclass(frozen=True, slots=True)
+class FencingToken(LogLine):
+    """This agent may give orders from now on; ``token`` is above all before it."""
+
+    event: ClassVar[str] = "fencing_token"
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Order(LogLine):
+    """An order and the engine's answer.
+
+    ``wanted_for`` is the model that others are unloaded for; ``rate`` and ``waiting``
+    are the demand of all entries for it, ``report_age_ms`` the age of the report."""
+
+    event: ClassVar[str] = "order"
+
+    order: str
+    model: str
+    adapter: str
+    expected: int
+    token: int | None
+    answer: str
+    wanted_for: str
+    rate: float
+    waiting: int
+    report_age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoadEnded(LogLine):
+    """A load has ended; ``held`` tells whether the model is there."""
+
+    event: ClassVar[str] = "load_ended"
+    failure: ClassVar[bool] = False
+
+    model: str
+    held: bool
+    seconds: float
+    from_store: bool
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -0,0 +1,179 @@
+"""Lines of one request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from bambootiller_core.gateway.log_lines._base import LogLine
+
+
+@dataclass(frozen=True, slots=True)
+class ChosenOn:
+    """What was known of a backend server when a call was sent there.
+
+    ``occupied`` are calls running or queued, ``candidates`` the backend servers that
+    could have been chosen, ``revision`` the version of its registration, ``standing``
+    how it is judged, ``agent_age_ms`` the age of its agent's word, None without one."""
+
+    zone: str
+    occupied: int
+    candidates: int
+    revision: int
+    standing: str
+    agent_age_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PlanSeen:
+    """The plan on which a call waited for its model, or was refused.
+
+    ``ready_in_s`` None: no engine can load it. ``backend`` is the engine of the planned
+    load; ``agent_age_ms`` the age of its agent's word, ``waiting`` the calls of all
+    entries that wait for the model."""
+
+    ready_in_s: float | None = None
+    backend: str | None = None
+    from_store: bool | None = None
+    asked: bool | None = None
+    agent_age_ms: int | None = None
+    waiting: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Answered(LogLine):
+    """A backend server's answer was passed on whole."""
+
+    event: ClassVar[str] = "answered"
+    failure: ClassVar[bool] = False
+
+    request: str
+    route: str
+    service: str
+    kind: str
+    model: str | None
+    backend: str
+    status: int
+    attempts: int
+    waited_ms: int
+    first_ms: int
+    total_ms: int
+    longest_gap_ms: int
+    config_version: int
+    chosen_on: ChosenOn
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailed(LogLine):
+    """An attempt ended without a whole answer; ``next`` says what was done then."""
+
+    event: ClassVar[str] = "attempt_failed"
+
+    request: str
+    route: str
+    service: str
+    kind: str
+    resumable: bool
+    backend: str
+    ended: str
+    attempts: int
+    most_attempts: int
+    may_have_run: bool
+    last_event: int | None
+    next: str
+    budget_left: float
+    left_ms: int
+    chosen_on: ChosenOn
+
+
+@dataclass(frozen=True, slots=True)
+class Refused(LogLine):
+    """The gateway gave its own final answer."""
+
+    event: ClassVar[str] = "refused"
+
+    request: str | None
+    route: str | None
+    service: str | None
+    kind: str | None
+    model: str | None
+    reason: str
+    status: int
+    come_back_s: float | None
+    held_ms: int
+    detail: str
+    config_version: int | None
+    plan: PlanSeen | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Cut(LogLine):
+    """An answer that had begun couldn't be finished, so its connection was cut."""
+
+    event: ClassVar[str] = "cut"
+
+    request: str
+    route: str
+    service: str
+    kind: str
+    model: str | None
+    last_event: int | None
+    held_ms: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerLost(LogLine):
+    """The connection that a call was sent on broke or brought nothing usable."""
+
+    event: ClassVar[str] = "answer_lost"
+
+    request: str
+    backend: str
+    detail: str
+    reused: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SilenceBorne(LogLine):
+    """A backend server was silent, and the call stays there all the same.
+
+    ``why``: no attempt or no time left (``attempts``), the budget of second attempts
+    used up (``budget``), no other backend server with a place (``no_place``), no
+    connection to it (``no_connection``), or the silent one has spoken after all
+    (``spoke``)."""
+
+    event: ClassVar[str] = "silence_borne"
+
+    request: str | None
+    backend: str
+    detail: str
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class CannotConnect(LogLine):
+    """No connection to a backend server was made."""
+
+    event: ClassVar[str] = "cannot_connect"
+
+    request: str
+    backend: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone(LogLine):
+    """The caller closed before its answer was whole."""
+
+    event: ClassVar[str] = "caller_gone"
+
+    request: str
+    route: str
+    service: str
+    kind: str
+    model: str | None
+    backend: str | None
+    held_ms: int
+    attempts: int
+    last_event: int | None
--- a/packages/bambootiller/src/bambootiller/gateway/connections.py
+++ b/packages/bambootiller/src/bambootiller/gateway/connections.py
@@ -26,10 +26,8 @@
 import httptools
 
 from bambootiller.gateway.ports import AnswerHead
-from bambootiller.gateway.silence import Ran, Silent, patiently
+from bambootiller.gateway.silence import Ran, Silent
 
-#: A connection is made or given up within this time. Seconds.
-CONNECT_S = 0.8
 #: A kept connection is used again only within this part of the time for which the
 #: backend server says it keeps it. Closer to the end, a call could cross its close, and
 #: nobody could tell whether it ran.
@@ -65,10 +63,6 @@
         self.any_byte = any_byte
 
 
-class CannotConnect(Exception):
-    """No connection was made, so nothing was sent."""
-
-
 @dataclass(slots=True)
 class _Answer:
     """An answer being read; ``data`` are the parts of its body not taken yet."""
@@ -346,89 +340,3 @@
         if name == b"transfer-encoding" and b"chunked" in value.lower():
             return False
     return True
-
-
-class ConnectionPool:
-    """The kept connections to one backend server.
-
-    ``most`` bounds this process's connections, idle ones included, because a backend
-    server resets those beyond what it takes from all callers together.
-    """
-
-    def __init__(self, address: str, most: int, ran: Ran) -> None:
-        self._ran = ran
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
-        self._most = most
-        self._idle: deque[BackendConnection] = deque()
-        self.open = 0
-
-    async def acquire(
-        self, now: float, timeout_s: float, fresh: bool = False
-    ) -> BackendConnection:
-        """An idle connection, unless it is to be ``fresh``, or a new one;
-        :class:`CannotConnect` if there is none."""
-        if fresh:
-            self.close()
-        while self._idle:
-            conn = self._idle.pop()
-            if conn.fresh(now):
-                return conn
-            self._drop(conn)
-        if self.open >= self._most:
-            raise CannotConnect(f"{self.open} connections are open, the most allowed")
-        self.open += 1
-        try:
-            return await self._connect(min(CONNECT_S, timeout_s))
-        except BaseException:
-            self.open -= 1
-            raise
-
-    def release(self, conn: BackendConnection, now: float) -> None:
-        """Give a connection back after a call, whole or not."""
-        if conn.finish(now):
-            self._idle.append(conn)
-        else:
-            self.open -= 1
-
-    def unused(self, conn: BackendConnection, now: float) -> None:
-        """Give a connection back on which nothing was sent; a kept one is no younger
-        for that."""
-        if not conn.reused:
-            conn.idle_since = now
-        self._idle.append(conn)
-
-    def discard(self, conn: BackendConnection) -> None:
-        """Close a connection in the middle of a call."""
-        self._drop(conn)
-
-    def sweep(self, now: float) -> None:
-        """Close idle connections that can't be used again."""
-        for conn in list(self._idle):
-            if not conn.fresh(now):
-                self._idle.remove(conn)
-                self._drop(conn)
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        while self._idle:
-            self._drop(self._idle.pop())
-
-    def _drop(self, conn: BackendConnection) -> None:
-        conn.close()
-        self.open -= 1
-
-    async def _connect(self, timeout_s: float) -> BackendConnection:
-        loop = asyncio.get_running_loop()
-        conn = BackendConnection(self._ran)
-        connecting = loop.create_connection(lambda: conn, self._host, self._port)
-        try:
-            await patiently(self._ran, max(0.01, timeout_s), connecting)
-        except (OSError, TimeoutError) as exc:
-            raise CannotConnect(f"{self._host}:{self._port}: {exc!r}") from exc
-        except BaseException:
-            # Made in the moment in which its caller left, it would stay open for ever.
-            conn.close()
-            raise
-        return conn
--- a/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
+++ b/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
@@ -6,8 +6,9 @@
 import enum
 from dataclasses import dataclass
 
-from bambootiller.gateway.connections import BackendConnection, CannotConnect
+from bambootiller.gateway.connections import BackendConnection
 from bambootiller.gateway.placing import Placing
+from bambootiller.gateway.pools import CannotConnect
 from bambootiller.gateway.relays import Relays
 from bambootiller.gateway.reporting import CallReport
 from bambootiller_core.gateway import attempts
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -6,13 +6,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from bambootiller.gateway.connections import (
-    BackendConnection,
-    CannotConnect,
-    ConnectionLost,
-)
+from bambootiller.gateway.connections import BackendConnection, ConnectionLost
 from bambootiller.gateway.elsewhere import Elsewhere, Prepared, Stays
 from bambootiller.gateway.placing import LOOK_AGAIN_S, Placing
+from bambootiller.gateway.pools import CannotConnect
 from bambootiller.gateway.ports import AnswerHead, Incoming, Verdict
 from bambootiller.gateway.relays import Relays
 from bambootiller.gateway.reporting import CallReport
--- a/packages/bambootiller/src/bambootiller/gateway/relays.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from bambootiller.gateway.connections import ConnectionPool
 from bambootiller.gateway.engines import Engines
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.knowledge import Knowledge
+from bambootiller.gateway.pools import ConnectionPool
 from bambootiller.gateway.ports import Dialect
 from bambootiller.gateway.silence import Ran
 from bambootiller_core.gateway.budget import ASSUMED_ENTRIES, AttemptBudget
--- a/tests/adapter/failures/test_restarts.py
+++ b/tests/adapter/failures/test_restarts.py
@@ -104,7 +104,14 @@
             async def noticed_by(program):
                 return bool(program.events("backend_restarted"))
 
-            await until(served, "the model is served")
+            async def served_on_a_report():
+                # Before its first report the agent knows of no start that could end.
+                if not await served():
+                    return False
+                *_, last = entry.events("answered")
+                return "agent_age_ms" in last["chosen_on"]
+
+            await until(served_on_a_report, "the model is served")
             replica.restart()
             await until(lambda: noticed_by(agent), "the agent knows of the restart")
             await until(lambda: noticed_by(entry), "the entry knows of the restart")
--- a/tests/gateway/failures/test_connections.py
+++ b/tests/gateway/failures/test_connections.py
@@ -4,11 +4,8 @@
 import socket
 import unittest
 
-from bambootiller.gateway.connections import (
-    CannotConnect,
-    ConnectionLost,
-    ConnectionPool,
-)
+from bambootiller.gateway.connections import ConnectionLost
+from bambootiller.gateway.pools import CannotConnect, ConnectionPool
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
