Test: an order refused by another start is repeated in a loop

Cause: an order answered by another instance is forgotten and decided again at the next report, a few milliseconds later; the name comes from the registry, which lists the new start up to seconds later. Ruled out: a new start under the old name; there the start time tells. Change: three tests, against a constant to come. Before: fails (the constant is missing; the order is decided again).

--- a/tests/gateway/failures/test_orders.py
+++ b/tests/gateway/failures/test_orders.py
@@ -10,7 +10,7 @@
     OrderKind,
     Wish,
 )
-from bambootiller_core.gateway.orders import OrderBook
+from bambootiller_core.gateway.orders import MISNAMED_S, OrderBook
 from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
 
@@ -42,6 +42,36 @@
         return order
 
 
+class TestAnotherAtTheAddress(Case):
+    def test_an_order_refused_by_another_start_is_not_repeated_at_once(self):
+        """An engine had crashed, and its next start answered at the same address under
+        a name that the registry didn't list yet. The agent went on naming the one
+        before: it was refused, decided the same again and sent it, 140 times a second
+        for up to 3.5 s while the store was away, 1,981 of 2,504 orders of a day."""
+        self.book.reported(0.0, report())
+        self.wish("tutor")
+        self.assertIsNotNone(self.give(0.0, OrderAnswer.OTHER_INSTANCE))
+        self.book.reported(0.01, report())
+        self.assertIsNone(self.book.next_order(0.01))
+        self.assertFalse(self.book.state(0.01).orderable)
+
+    def test_it_is_sent_once_the_name_is_known(self):
+        self.book.reported(0.0, report())
+        self.wish("tutor")
+        self.give(0.0, OrderAnswer.OTHER_INSTANCE)
+        self.book.reported(0.1, report(instance="b2"))
+        self.wish("tutor", now=0.1)
+        self.assertEqual(self.book.next_order(0.1).model, "tutor")
+
+    def test_it_is_tried_again_after_a_while(self):
+        self.book.reported(0.0, report())
+        self.wish("tutor")
+        self.give(0.0, OrderAnswer.OTHER_INSTANCE)
+        self.book.reported(MISNAMED_S, report())
+        self.wish("tutor", now=MISNAMED_S)
+        self.assertIsNotNone(self.book.next_order(MISNAMED_S))
+
+
 class TestLostAnswers(Case):
     def test_an_unanswered_order_is_sent_again_with_the_same_number(self):
         """Symptom: an engine loads two models and crashes for want of memory.
