An order refused by another instance is put off until the name is known

Change: no order for 1 s after such a refusal, or until a report has another name; entries are told meanwhile that the engine takes none.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -44,6 +44,10 @@
 #: A load shows in reports within this time. An engine that isn't busy later than this,
 #: and doesn't hold the model, has given the load up. Seconds.
 LOAD_SHOWS_S = 0.4
+#: An engine that refused an order because it is another instance isn't ordered for so
+#: long, unless its name is known sooner. Seconds; about a heartbeat, within which a new
+#: start is listed. Without it 79 of 100 orders of a day were such.
+MISNAMED_S = 1.0
 #: A load that has outlived its estimate is expected to last this part of it longer.
 OVERRUN_SHARE = 0.15
 
@@ -86,6 +90,7 @@
         self._preparing: _Preparing | None = None
         self._say = EntriesSay()
         self._late = LateOrders()
+        self._misnamed_until = float("-inf")
         self.fenced = False
 
     @property
@@ -156,12 +161,15 @@
         self._load = self._unloading = self._unsettled = self._preparing = None
         self._say.engine_restarted()
         self._late.engine_restarted()
+        self._misnamed_until = float("-inf")
 
     def next_order(self, now: float) -> EngineOrder | None:
         """The order to send now, if any."""
         report = self._report
         if report is None or self._needs_report or self.fenced:
             return None
+        if now < self._misnamed_until:
+            return None
         if self._unsettled is not None:
             return self._unsettled
         self._say.forget(now)
@@ -207,6 +215,8 @@
             return
         if answer is OrderAnswer.FENCED:
             self.fenced = True
+        if answer is OrderAnswer.OTHER_INSTANCE:
+            self._misnamed_until = now + MISNAMED_S
         if self._unloading == order.model:
             self._unloading = None
 
@@ -238,7 +248,7 @@
             running=report.running,
             queued=report.queued,
             memory_mb_used=self._memory_used(),
-            orderable=not self.fenced,
+            orderable=not self.fenced and now >= self._misnamed_until,
             keep_values=keep_values(holdings, self.wants()),
             in_use=self._say.in_use(),
             started_ms=report.started_ms,
