--- a/tests/adapter/failures/test_standstills.py
+++ b/tests/adapter/failures/test_standstills.py
@@ -119,13 +119,7 @@
         of the model had as many calls as it takes. The running stream was given up,
         nothing was found instead, and the caller's answer was cut.
         """
-        replicas = self.holders()
-        for replica in replicas:
-            replica.events, replica.gap_s = 3, 1.0
-        calling = asyncio.ensure_future(self.call())
-        await asyncio.sleep(0.3)
-        (running,) = [replica for replica in replicas if replica.runs]
-        (other,) = [replica for replica in replicas if not replica.runs]
+        calling, running, other = await self.paused_stream()
         self.bench.knowledge.fleet.get(other.instance).in_flight = 1_000
         answer = await calling
         self.assertTrue(answer.whole)
@@ -136,6 +130,15 @@
         listed but took no connection. The running stream was given up before that was
         known, and had to be begun again.
         """
+        calling, running, other = await self.paused_stream()
+        self.outside.stop_replica(other)
+        answer = await calling
+        self.assertTrue(answer.whole)
+        self.assertEqual(len(running.runs), 1)
+
+    async def paused_stream(self):
+        """A call under way, the replica that runs it with pauses of 1 s, and another
+        that holds its model."""
         replicas = self.holders()
         for replica in replicas:
             replica.events, replica.gap_s = 3, 1.0
@@ -143,10 +146,7 @@
         await asyncio.sleep(0.3)
         (running,) = [replica for replica in replicas if replica.runs]
         (other,) = [replica for replica in replicas if not replica.runs]
-        self.outside.stop_replica(other)
-        answer = await calling
-        self.assertTrue(answer.whole)
-        self.assertEqual(len(running.runs), 1)
+        return calling, running, other
 
 
 class TestBelievedLost(Case):
