--- a/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from functools import lru_cache
 
 from bambootiller_core import rendezvous
 from bambootiller_core.gateway.engine_state import EngineState
@@ -25,6 +26,9 @@
 #: A rate that has moved by less than this part of it isn't told again: it fades by as
 #: much in half a second, and moving by less changes no decision.
 MOVED_SHARE = 0.1
+#: For how many models, times the lists of entries that agents tell, it is kept which
+#: entry sees to them.
+KEPT_FIRST = 4096
 #: One would do; the second is there when the first is lost.
 COLLECTORS = 2
 
@@ -132,3 +136,11 @@
             want.copies,
         )
     return merged
+
+
+@lru_cache(KEPT_FIRST)
+def seen_to_by(model: str, entries: tuple[str, ...]) -> str | None:
+    """The one of the entries that sees to loads of the model."""
+    # Hashed anew for each load of each plan, the names of 32 entries took a tenth of
+    # an entry's time for a plan.
+    return rendezvous.first(model, entries)
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections import Counter
 from dataclasses import dataclass, field
-from functools import lru_cache
 
 from bambootiller.app import Application
 from bambootiller.gateway import wire
@@ -15,8 +14,12 @@
 from bambootiller.gateway.knowledge import Knowledge
 from bambootiller.gateway.plan_clock import PLAN_S, PlanClock
 from bambootiller.rpc import bambootiller_pb2 as pb
-from bambootiller_core import rendezvous
-from bambootiller_core.gateway.collecting import Totals, collectors, greater
+from bambootiller_core.gateway.collecting import (
+    Totals,
+    collectors,
+    greater,
+    seen_to_by,
+)
 from bambootiller_core.gateway.config import ServiceSpec
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.gateway.fleet import AGENT_SILENT_S, Backend
@@ -35,9 +38,6 @@
 #: How often streams to agents are opened for new engines, and closed for gone ones.
 #: Seconds.
 REVIEW_S = 0.25
-#: For how many models, times the lists of entries that agents tell, it is kept which
-#: entry sees to them.
-KEPT_FIRST = 4096
 #: The urgency of what is asked for ahead of demand.
 AHEAD = 5
 
@@ -332,8 +332,7 @@
             return True
         if any(want.waiting for own in self._own.values() for want in own.values()):
             return True
-        waited_for = self._totals.waited_for(now)
-        return any(self._sees_to(model) for model in waited_for)
+        return any(map(self._sees_to, self._totals.waited_for(now)))
 
     def _observe(self, now: float) -> None:
         for service in self._engine_services():
@@ -348,11 +347,8 @@
     def _any_waits(self) -> bool:
         if any(demand.anyone_waits for demand in self._demand.values()):
             return True
-        return any(
-            want.waiting
-            for wants in self._planned_for.values()
-            for want in wants.values()
-        )
+        counted = self._planned_for.values()
+        return any(want.waiting for wants in counted for want in wants.values())
 
     def _plan_all(self, now: float) -> None:
         self._clock.making(now)
@@ -400,11 +396,4 @@
         agents would load a model at more engines than it needs, and half of what the
         store gives would be wasted. A load from a copy is over before it matters.
         """
-        return _first(model, self.entries) == self._app.instance
-
-
-@lru_cache(KEPT_FIRST)
-def _first(model: str, entries: tuple[str, ...]) -> str | None:
-    # Hashed anew for each load of each plan, the names of 32 entries took a tenth of
-    # an entry's time for a plan.
-    return rendezvous.first(model, entries)
+        return seen_to_by(model, self.entries) == self._app.instance
