--- a/tests/adapter/failures/test_foreign_entries.py
+++ b/tests/adapter/failures/test_foreign_entries.py
@@ -7,6 +7,7 @@
 weren't checked.
 """
 
+import asyncio
 import json
 import unittest
 
@@ -272,6 +273,9 @@
                 return status == 200
 
             await until(lambda: is_answered("r-1"), "an answer")
+            # A line for each foreign entry: the log has room for 50 of a kind a second,
+            # and is to have some again for the one that is looked for below.
+            await asyncio.sleep(2.0)
             fleet.store.put("servers/i-1", b"x")
 
             async def is_refused():
