Test that repeated pauses don't put a death off for ever

Cause: not mended yet; each pause above two periods voids all probes and lets suspicions begin anew, so a process that is paused again and again never holds anybody dead. Change: one check on virtual time. Conclusion: the opposite fault of a wrong death has its check, too.

--- a/tests/membership/failures/test_starved_process.py
+++ b/tests/membership/failures/test_starved_process.py
@@ -24,6 +24,8 @@
 #: periods that count as a pause, and together they are two thirds of the time or more.
 SLICE = 0.05
 PAUSES = (0.1, 0.19)
+#: Most of these do count as a pause.
+LONG_PAUSES = (0.25, 0.4)
 SECONDS = 20.0
 SEEDS = range(8)
 
@@ -91,6 +93,21 @@
         self.assertIn(("n-0", Status.DEAD), died)
         self.assertNotIn(("n-1", Status.DEAD), died)
 
+    def test_pauses_that_follow_each_other_do_not_put_a_death_off_for_ever(self):
+        """Symptom: a process that is always short of processor time sends requests to a
+        member that ended long ago. Sequence: it has a pause of more than two periods,
+        again and again. Cause: each pause voided all probes and let each suspicion
+        begin anew, so none was ever over.
+        """
+        for seed in SEEDS:
+            network = _network(seed)
+            network.kill("n-0")
+            _starve(network, ["n-1", "n-2"], seed, LONG_PAUSES)
+            for judge in ("n-1", "n-2"):
+                with self.subTest(judge=judge, seed=seed):
+                    held = network.nodes[judge].membership.status_of("n-0")
+                    self.assertIs(held, Status.DEAD)
+
 
 class TestWordOfASuspect(unittest.TestCase):
     def test_a_word_from_the_suspect_itself_gives_it_time_to_refute(self):
@@ -170,13 +187,13 @@
     return network
 
 
-def _starve(network: Network, instances: list[str], seed: int) -> None:
+def _starve(network: Network, instances: list[str], seed: int, pauses=PAUSES) -> None:
     rng = random.Random(seed)
     end = network.now + SECONDS
     while network.now < end:
         for instance in instances:
             network.pause(instance)
-        network.run(rng.uniform(*PAUSES))
+        network.run(rng.uniform(*pauses))
         for instance in instances:
             network.resume(instance)
         network.run(SLICE)
