Let a suspicion begin anew once, then last by the judge's own time

Cause: each pause above two periods voided all probes under way and let every suspicion begin anew. A process that is paused again and again never found out who had ended, and since shorter gaps count as absence as well, it took two to three times as long. Ruled out: a longer time in which the test waits; the death was never found. Change: a pause voids the probes that had no other time, as a short gap does, and a suspicion begins anew once and then lasts as much longer as the process was absent. Conclusion: a starved process judges later, but it does judge.

--- a/packages/bambootiller-core/src/bambootiller_core/_member_table.py
+++ b/packages/bambootiller-core/src/bambootiller_core/_member_table.py
@@ -28,13 +28,14 @@
 
     ``dies_at`` is when a suspicion becomes a death, or infinity. ``quiet`` marks a
     death that was decided while this process heard from nobody; it isn't told to
-    others.
+    others. ``renewed`` marks a suspicion that began anew after a pause of this process.
     """
 
     statement: Statement
     since: float
     dies_at: float = math.inf
     quiet: bool = False
+    renewed: bool = False
 
     @property
     def member(self) -> Member:
@@ -143,6 +144,7 @@
         self._dead += new.status is Status.DEAD
         entry.statement, entry.since = new, now
         entry.dies_at = math.inf
+        entry.renewed = False
         self._peers = None
         self._views.clear()
         self._mark(self._not_alive, entry, new.status is not Status.ALIVE)
--- a/packages/bambootiller-core/src/bambootiller_core/membership.py
+++ b/packages/bambootiller-core/src/bambootiller_core/membership.py
@@ -320,19 +320,19 @@
         member gets a fresh probe first.
 
         The like happens in small when it is short of processor time and runs in slices.
-        There probes count that had time while it ran, and suspicions last as much
-        longer as it was absent; starting them anew each time, it would hold nobody for
-        dead as long as it is starved.
+        Probes count that had time while it ran. A suspicion begins anew once, then it
+        lasts as much longer as the process was absent; beginning anew each time, it
+        would never be over as long as the process is starved.
         """
         absence = self.health.ticked(now)
         if absence is None:
             return
-        void_s = math.inf if absence.paused else absence.seconds
-        for name in self._under_way.disregard(void_s):
+        for name in self._under_way.disregard(absence.seconds):
             self._probe_due = now
             self._round.hurry(name)
         for entry in self._table.suspected():
-            if absence.paused:
+            if absence.paused and not entry.renewed:
+                entry.renewed = True
                 entry.dies_at = now + self._suspicion()
                 self._round.hurry(entry.member.instance)
             else:
