Two classes of one name: what an agent has said is AgentSaid

Cause: agent_words and engine_words each had an AgentWords, one that fills messages and one that keeps what came. Change: the latter has its own name. Ruled out: merging them; they are at two ends. Conclusion: no change of logic.

--- a/packages/bambootiller/src/bambootiller/gateway/engine_words.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_words.py
@@ -61,7 +61,7 @@
 
 
 @dataclass(slots=True)
-class AgentWords:
+class AgentSaid:
     """What an agent has said on its stream, until it says otherwise there."""
 
     state: EngineState | None = None
@@ -69,9 +69,9 @@
     entries: tuple[str, ...] = ()
 
     @classmethod
-    def after(cls, update: pb.ResidencyUpdate, before: object) -> AgentWords:
+    def after(cls, update: pb.ResidencyUpdate, before: object) -> AgentSaid:
         """What holds after a message, ``before`` being what held until then."""
-        begins = update.begins or not isinstance(before, AgentWords)
+        begins = update.begins or not isinstance(before, AgentSaid)
         words = cls() if begins else before
         if update.HasField("engine"):
             words.state = wire.engine_state(update.engine, words.state)
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -8,7 +8,7 @@
 
 from bambootiller.app import Application
 from bambootiller.gateway import wire
-from bambootiller.gateway.engine_words import AgentWords, Told
+from bambootiller.gateway.engine_words import AgentSaid, Told
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.exchange import TELL_S, Exchanger, Outgoing, Update
 from bambootiller.gateway.knowledge import Knowledge
@@ -182,7 +182,7 @@
         repeat what it said."""
         for outgoing in self._exchanger.streams():
             words = outgoing.said
-            if not isinstance(words, AgentWords) or words.state is None:
+            if not isinstance(words, AgentSaid) or words.state is None:
                 continue
             backend = self._knowledge.fleet.get(words.state.instance)
             if backend is None or backend.engine is words.state:
@@ -260,7 +260,7 @@
     def received(self, update: Update, outgoing: Outgoing | None = None) -> None:
         """Take over what the agent beside an engine says; what it said before on the
         same stream holds on unless this replaces it."""
-        words = AgentWords.after(update, outgoing.said if outgoing else None)
+        words = AgentSaid.after(update, outgoing.said if outgoing else None)
         if outgoing is not None:
             outgoing.said = words
         if update.collected:
@@ -270,7 +270,7 @@
         self._take_over(self._app.now(), words, source, is_new)
 
     def _take_over(
-        self, now: float, words: AgentWords, source: str, is_new: bool
+        self, now: float, words: AgentSaid, source: str, is_new: bool
     ) -> None:
         if words.entries:
             self.entries = words.entries
