Take the connections that wait in the kernel right before a port closes

Ruled out: more turns before the close: each has a last one. Leaving the port open through the stop: the balancer would go on sending. Change: close_listener accepts what waits, by hand, and closes in the same breath.

--- a/packages/bambootiller/src/bambootiller/entry/httpserver.py
+++ b/packages/bambootiller/src/bambootiller/entry/httpserver.py
@@ -66,6 +66,8 @@
         self._listen = listen
         self._socket: socket.socket | None = None
         self._ended = asyncio.Event()
+        #: Connections taken by hand, until their protocols have them.
+        self._taking: set[asyncio.Task] = set()
 
     @property
     def port(self) -> int:
@@ -108,13 +110,40 @@
         """Accept no new connections; those that are open go on.
 
         Closing resets connections that the kernel has taken and the loop hasn't. The
-        loop looks for them once a turn, so the port is closed right after such a look.
+        loop looks for them once a turn, and a turn of a busy process is long enough for
+        some to come; so what is there is taken right before the port is closed.
         """
         await asyncio.sleep(0)
         await asyncio.sleep(0)
+        self._take_waiting()
         for server in getattr(self._server, "servers", ()):
             server.close()
 
+    def _take_waiting(self) -> None:
+        """Serve the connections that wait in the kernel."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                conn, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as exc:
+                log.warning("connections that wait can't be taken: {}", exc)
+                return
+            conn.setblocking(False)
+            serving = loop.connect_accepted_socket(self._protocol, conn)
+            task = loop.create_task(serving)
+            self._taking.add(task)
+            task.add_done_callback(self._taking.discard)
+
+    def _protocol(self) -> asyncio.Protocol:
+        server = self._server
+        return server.config.http_protocol_class(
+            config=server.config,
+            server_state=server.server_state,
+            app_state=server.lifespan.state,
+        )
+
     async def stop(self, seconds: float) -> None:
         """Close everything, within about ``seconds``."""
         self._server.should_exit = True
