Test: the gateway's processes load the product's own roles at each start

Cause: the entry's HTTP server lies in the package of the entry role, whose first lines load the role; the application object loads the models of templates for everybody. Ruled out: the libraries alone; of 1.05 s to load an entry's modules they take a half. Before: fails for both programs (bambootiller.catalogue, .templates, .entry.role).

--- /dev/null
+++ b/tests/adapter/cover/test_start.py
@@ -0,0 +1,47 @@
+"""What the platform's programs load before they serve.
+
+Each module is read again by each process at each start, also after a loss of power with
+hundreds of others, on a part of a core.
+"""
+
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[3]
+#: Parts of the product's own roles, which the gateway doesn't use.
+NEEDLESS = (
+    "bambootiller.catalogue",
+    "bambootiller.entry.role",
+    "bambootiller.templates",
+    "bambootiller_core.slots",
+)
+SCRIPT = """
+import sys
+sys.path.insert(0, {folder!r})
+import launch
+import bambootiller.gateway.{role}
+print("\\n".join(name for name in sys.modules))
+"""
+
+
+def loaded_by(role):
+    """The names of the modules that a program of the platform has loaded."""
+    script = SCRIPT.format(folder=str(ROOT / "platform"), role=role)
+    done = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, check=True
+    )
+    return set(done.stdout.split())
+
+
+class TestLoadedModules(unittest.TestCase):
+    def check(self, role):
+        found = loaded_by(role).intersection(NEEDLESS)
+        self.assertEqual(found, set(), f"{role} loads what it doesn't use")
+
+    def test_an_entry_loads_nothing_of_the_roles_that_it_is_not(self):
+        self.check("entry")
+
+    def test_an_agent_loads_nothing_of_the_roles_that_it_is_not(self):
+        self.check("agent")
