--- a/packages/bambootiller/src/bambootiller/app.py
+++ b/packages/bambootiller/src/bambootiller/app.py
@@ -23,10 +23,10 @@
 import sys
 import traceback
 from collections.abc import Callable, Coroutine
-from typing import Any, Protocol
+from functools import cached_property
+from typing import TYPE_CHECKING, Any, Protocol
 
 from bambootiller import early_signals, logs
-from bambootiller.catalogue import Catalogue
 from bambootiller.exits import ProcessExit
 from bambootiller.metrics import Metrics
 from bambootiller.rpc.channels import Channels
@@ -38,6 +38,9 @@
 from bambootiller_core.timers import TimerService
 from bambootiller_core.types import Role
 
+if TYPE_CHECKING:
+    from bambootiller.catalogue import Catalogue
+
 #: How long the RPC server goes on with open calls after all components have stopped.
 RPC_GRACE_SECONDS = 0.5
 
@@ -75,7 +78,6 @@
         self.metrics = _metrics(settings)
         self.channels = Channels(settings)
         self.documents = Documents()
-        self.catalogue = Catalogue(self.documents)
         self.rpc = RpcServer(settings)
         #: Set by the components that own them.
         self.kv: Any = None
@@ -94,6 +96,17 @@
         """Seconds on this process's monotonic clock."""
         return asyncio.get_running_loop().time()
 
+    @cached_property
+    def catalogue(self) -> Catalogue:
+        """The templates and slot tables among the documents.
+
+        Loaded when first asked for. The validated models of templates take a fifth of
+        a process's start, and the gateway has none.
+        """
+        from bambootiller.catalogue import Catalogue
+
+        return Catalogue(self.documents)
+
     @property
     def advertised(self) -> str:
         """The address under which peers reach this process's RPC server."""
--- a/packages/bambootiller/src/bambootiller/daemon.py
+++ b/packages/bambootiller/src/bambootiller/daemon.py
@@ -64,7 +64,7 @@
     app.kv = open_key_value(access)
     app.add(PeerNode(app))
     if role is Role.ENTRY:
-        from bambootiller.entry import EntryRole
+        from bambootiller.entry.role import EntryRole
         from bambootiller.slotkeeping import SlotKeeper
 
         app.add(SlotKeeper(app))
--- a/tests/entry/common/bench.py
+++ b/tests/entry/common/bench.py
@@ -10,7 +10,7 @@
 import aiohttp
 import yarl
 
-from bambootiller.entry import EntryRole
+from bambootiller.entry.role import EntryRole
 from bambootiller.metrics import Metrics
 from bambootiller.rpc.channels import Channels
 from bambootiller.settings import Address, Settings
