Tests: plans that nobody acts on, and rates that are told as they fade

Cause: each entry sees to a few models, so each makes the plan of all of them; and a rate that fades by a tenth is told again, which is twice a second for each model asked for. Ruled out: calls and events (by the project's own figures under one core of fifteen).

--- a/tests/gateway/cover/test_collecting.py
+++ b/tests/gateway/cover/test_collecting.py
@@ -1,11 +1,17 @@
 """How the demand of all entries becomes known to each."""
 
+import math
 import unittest
 
 from bambootiller.gateway import wire
 from bambootiller.gateway.engines import Engines
 from bambootiller.rpc import bambootiller_pb2 as pb
-from bambootiller_core.gateway.collecting import Totals, collectors, concerning
+from bambootiller_core.gateway.collecting import (
+    Totals,
+    collectors,
+    concerning,
+    moved,
+)
 from bambootiller_core.gateway.engine_state import Loading
 from bambootiller_core.gateway.order_demand import EntriesSay
 from bambootiller_core.gateway.order_messages import Wish
@@ -28,6 +34,25 @@
         self.assertEqual(collectors("tutor", left)[0], second)
 
 
+class TestMoved(unittest.TestCase):
+    def test_a_rate_that_fades_is_not_told_again_and_again(self):
+        """Symptom: nobody calls, and each stream carries two messages a second.
+
+        A rate fades by a tenth in half a second, and was told again each time, for a
+        quarter of a minute after each call, to each engine that holds the model.
+        """
+        told = {"poet": Want(rate=1.0)}
+        messages = 0
+        for step in range(1, 11):
+            wants = {"poet": Want(rate=math.exp(-step * 0.5 / 5.0))}
+            if moved(told, wants):
+                told, messages = wants, messages + 1
+        self.assertLessEqual(messages, 2)
+
+    def test_a_rate_that_rises_is_told(self):
+        self.assertTrue(moved({"poet": Want(rate=1.0)}, {"poet": Want(rate=1.3)}))
+
+
 class TestTotals(unittest.TestCase):
     def test_the_collector_that_knows_of_more_counts(self):
         totals = Totals()
--- a/tests/gateway/failures/test_engines.py
+++ b/tests/gateway/failures/test_engines.py
@@ -128,6 +128,36 @@
         self.app.time += IDLE_PLAN_S
         self.assertEqual(self.beats(1), 1)
 
+    def many(self):
+        """Entries of which this one sees to no model."""
+        for first in range(99):
+            others = tuple(f"other-{number}" for number in range(first, first + 20))
+            names = ("entry-1", *others)
+            if "entry-1" not in rendezvous.ranked("planner", names)[:4]:
+                return names
+        raise AssertionError("no entries among which this one isn't a planner")
+
+    def test_one_of_many_that_sees_to_nothing_makes_none_at_all(self):
+        """Symptom: the more entries, the more plans that nobody acts on.
+
+        Each of 68 entries saw to a few models, and so all of them made the plan of all
+        models four times a second, also without a call of their own that waited: more
+        than the calls and their events took.
+        """
+        self.told("poet", self.many())
+        before = len(self.plans)
+        for _ in range(4):
+            self.app.time += IDLE_PLAN_S
+            self.timers.advance(self.app.time)
+        self.assertEqual(len(self.plans) - before, 0)
+
+    def test_one_that_makes_no_plan_still_tells_its_demand(self):
+        self.told("poet", self.many())
+        self.engines.demand("tutor").asked(self.app.time, "critic")
+        self.app.time += IDLE_PLAN_S
+        self.timers.advance(self.app.time)
+        self.assertIn("critic", self.engines._own_wants("tutor"))
+
     def test_the_one_that_sees_to_the_model_makes_one_each_beat(self):
         self.told("poet", ("entry-1",))
         self.engines._plan_all(self.app.time)
