Tests: writes that say nothing new are passed on, revisions and load figures told too often

Cause: each registry write goes to each peer's queue, each read of the registry to each stream, each load figure to each entry twice a second. Ruled out: documents sent needlessly (peers are asked first); it is the asking that costs.

--- a/tests/gateway/failures/test_silence.py
+++ b/tests/gateway/failures/test_silence.py
@@ -8,6 +8,7 @@
 from bambootiller.gateway.engines import Engines
 from bambootiller.gateway.exchange import Outgoing, Update
 from bambootiller.gateway.knowledge import Changes, Knowledge
+from bambootiller.gateway.ports import Unreadable
 from bambootiller_core.gateway.collecting import moved
 from bambootiller_core.gateway.fleet import AGENT_SILENT_S, FIGURES_LIFE_S, Fleet
 from bambootiller_core.gateway.order_messages import EngineReport
@@ -344,6 +345,24 @@
         self.report(holdings={"tutor": frozenset(), "poet": frozenset()})
         self.assertEqual(len(self.fill().engine.holdings), 2)
 
+    def test_to_many_entries_load_figures_are_said_less_often(self):
+        """Symptom: an agent spends a quarter of a core on telling how busy it is.
+
+        Each change of a load figure went out twice a second to each of 68 entries.
+        """
+        self.begin()
+        for number in range(60):
+            stream = Stream(f"e{number}")
+            stream.heard_at = self.clock.at
+            self.words.received(self.entry_says(in_use=0), stream)
+        self.fill()
+        self.clock.at += 0.5
+        self.report(running=1)
+        self.assertEqual(self.fill().ByteSize(), 0)
+        self.clock.at += 0.25
+        self.report(running=1)
+        self.assertEqual(self.fill().engine.running, 1)
+
     def test_a_lost_engine_and_a_fencing_token_are_said_at_once(self):
         self.begin()
         self.assertFalse(self.fill().engine.orderable)
@@ -429,6 +448,34 @@
         self.outgoing.document(Changed(Record("servers/b1", b"", 8)))
         self.assertTrue(self.outgoing._documents.is_empty)
 
+    async def test_a_heartbeat_of_a_backend_server_is_not_passed_on(self):
+        """Symptom: a fleet at rest spends most of its processor time on telling.
+
+        Each backend server writes its entry about once a second. Each of those writes
+        was queued at each process for each of its peers, a thousand streams with 32
+        entries, and each read of the registry was followed by a message on all of them.
+        """
+        passed_on = []
+        self.knowledge.on_document(passed_on.append)
+        for revision in (3, 4, 5):
+            record = Record("servers/b1", b"", revision)
+            self.knowledge.learnt(Changed(record), "store")
+        self.assertEqual(len(passed_on), 1)
+
+    async def test_a_peer_hears_of_a_higher_revision_with_the_next_message(self):
+        told = []
+        self.knowledge.on_complete(lambda: told.append(1))
+        self.knowledge.has_all({"servers/": 8})
+        self.assertEqual(told, [])
+
+    async def test_a_peer_hears_soon_that_a_configuration_has_come(self):
+        told = []
+        self.knowledge.on_complete(lambda: told.append(1))
+        self.knowledge._directory.config = lambda record: Unreadable("none")
+        self.knowledge.learnt(Changed(Record("op/config", b"", 9)), "store")
+        self.knowledge.has_all({"op/": 9})
+        self.assertEqual(told, [1])
+
     async def test_a_write_that_says_nothing_new_wakes_nobody(self):
         for revision in (3, 4, 5):
             record = Record("servers/b1", b"", revision)
