Pass on only what says something new; revisions ride along, load figures wait for the beat

Ruled out: documents sent needlessly (they wait for the peer's revision). Change: a heartbeat of a backend server stays with who read it; up to where a process has everything is told with what it says next, soon only for a configuration and between entries; a peer is given 1.5 s instead of 0.7 s to read an entry of the registry itself; an agent beside many entries tells load figures 0.7 s apart, and beats after 0.8 s. Before: three tests fail. After: 440 tests of gateway and adapter pass.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/relaying.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/relaying.py
@@ -14,9 +14,12 @@
 from bambootiller_core import rendezvous
 from bambootiller_core.ports import Changed
 
-#: How long a peer is given to learn of a document by itself. Watches gather changes for
-#: a third of a second, and a peer that hangs has to be told well within two. Seconds.
+#: How long a peer is given to learn of a configuration by itself. A peer that hangs has
+#: to be told well within two seconds. Seconds.
 OWN_TIME_S = 0.7
+#: The same of an entry of the registry. Watchers read it 0.6 s apart, and an agent says
+#: with its next message, at most 0.8 s later, up to where it has everything. Seconds.
+REGISTRY_OWN_TIME_S = 1.5
 #: How many entries tell an agent at once; one would do.
 TELLERS = 2
 
@@ -61,12 +64,18 @@
         self._queued: dict[str, tuple[Changed, float]] = {}
         self._peer: Complete | None = None
 
-    def add(self, now: float, change: Changed, at_once: bool) -> None:
+    def add(
+        self,
+        now: float,
+        change: Changed,
+        at_once: bool,
+        own_time_s: float = OWN_TIME_S,
+    ) -> None:
         """A document has become known here."""
         if self._peer is not None and covers(self._peer, change):
             # The peer said so before, and doesn't say it again.
             return
-        due_at = now if at_once else now + OWN_TIME_S
+        due_at = now if at_once else now + own_time_s
         self._queued[change.record.key] = (change, due_at)
 
     def peer_has(self, complete: Complete) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/agent_words.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent_words.py
@@ -19,6 +19,12 @@
 
 #: Entries heard within this time count. Seconds.
 ENTRY_HEARD_S = 3.0
+#: Load figures go out no more often than makes so many messages a second to all entries
+#: together: telling 68 entries twice a second would take a tenth of a core.
+FIGURES_PER_S = 80
+#: But no less often than this: a beat is due then anyway (``exchange.SERVED_BEAT_S``).
+#: Seconds.
+FIGURES_MAX_S = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,7 +98,7 @@
 
     def tell(self) -> None:
         """Tell entries at once when what they decide on has changed, and of other
-        figures that have moved in :data:`TELL_S`."""
+        figures that have moved after a while."""
         if self._book is None:
             return
         now = self._clock()
@@ -101,7 +107,8 @@
         if state is None:
             return
         decisive = self._told is None or _differs(self._told, state)
-        if decisive or (now - self._said_at >= TELL_S and self._moved(state)):
+        due = now - self._said_at >= self._figures_s()
+        if decisive or (due and self._moved(state)):
             self._told, self._told_wants = state, self._book.wants()
             self._say_anew()
 
@@ -134,6 +141,10 @@
             self._book.wished(self._clock(), wire.wish_of(message))
         self._wished()
 
+    def _figures_s(self) -> float:
+        """How long load figures wait for the next."""
+        return min(FIGURES_MAX_S, max(TELL_S, len(self._entries) / FIGURES_PER_S))
+
     def _moved(self, state: EngineState) -> bool:
         if state != self._told:
             return True
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -139,7 +139,9 @@
         self._engines.start()
         app.timers.every("gateway sweep", SWEEP_S, app.now(), self._relays.sweep)
         for peer in self._places.peers:
-            stream = self._exchanger.keep_open(str(peer), _nothing, _ignore)
+            stream = self._exchanger.keep_open(
+                str(peer), _nothing, _ignore, to_entry=True
+            )
             app.spawn(f"peer {peer}", stream)
         self._events.emit(lines.Started("entry", app.settings.zone))
 
@@ -230,7 +232,9 @@
         meters.level("engine_streams", "Streams to agents", engines.stream_count)
 
     def _register(self, server: object) -> None:
-        servicer = ResidencyServicer(self._exchanger, _nothing, _ignore)
+        servicer = ResidencyServicer(
+            self._exchanger, _nothing, _ignore, to_entry=True
+        )
         api.add_ResidencyServicer_to_server(servicer, server)
 
     def _new_budget(self) -> AttemptBudget:
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -20,18 +20,23 @@
 from bambootiller.rpc import bambootiller_pb2 as pb, bambootiller_pb2_grpc as api
 from bambootiller.rpc.channels import Channels
 from bambootiller_core.gateway.log_lines import PeerHeard, PeerSilent
-from bambootiller_core.gateway.relaying import ForPeer
+from bambootiller_core.gateway.relaying import (
+    OWN_TIME_S,
+    REGISTRY_OWN_TIME_S,
+    ForPeer,
+)
 from bambootiller_core.ports import Changed, Record
 
 #: The longest silence of a side that is well and whose stream is given up when it is
-#: silent: two beats may be late by a fifth of a second each before load figures are
-#: taken for old (``fleet.FIGURES_LIFE_S``). Seconds.
-SERVED_BEAT_S = 0.6
+#: silent: a beat may be late by a fifth of a second before load figures are taken for old
+#: (``fleet.FIGURES_LIFE_S``), and by 0.7 s before an agent counts as silent
+#: (``fleet.AGENT_SILENT_S``). Seconds.
+SERVED_BEAT_S = 0.8
 #: The same of the side that opened the stream. An agent forgets an entry only after 3 s
 #: (``agent.ENTRY_HEARD_S``). Seconds.
 OPENED_BEAT_S = 1.2
 #: What can wait, as load figures and revisions, travels no more often than this; long
-#: enough to gather, short enough that a peer isn't sent a document that it has
+#: enough to gather, short enough that a peer isn't sent a configuration that it has
 #: (``relaying.OWN_TIME_S``). Seconds.
 TELL_S = 0.4
 #: A stream that has been silent for so long is given up. Seconds.
@@ -55,7 +60,9 @@
     ``peer`` is the other side's name, empty as long as it hasn't spoken, and
     ``heard_at`` when it spoke last. ``told`` is for :data:`Fill`, to remember what
     needn't be said again, and ``said`` for :data:`Received`, to keep what the other
-    side won't repeat; both end with the stream.
+    side won't repeat; both end with the stream. ``to_entry`` is whether an entry tells
+    another one; these say soon up to where they have everything, as neither beats often
+    enough for the other to know in time what it needn't pass on.
     """
 
     def __init__(
@@ -65,8 +72,10 @@
         fill: Fill,
         at_once: Callable[[], bool],
         beat_s: float,
+        to_entry: bool = False,
     ) -> None:
         self._sender = sender
+        self.to_entry = to_entry
         self._knowledge = knowledge
         self._documents = ForPeer()
         self._fill = fill
@@ -91,7 +100,9 @@
     def document(self, change: Changed) -> None:
         """The other side may lack a document."""
         at_once = self._at_once()
-        self._documents.add(self._loop.time(), change, at_once)
+        is_config = self._knowledge.is_configuration(change.record.key)
+        own_time_s = OWN_TIME_S if is_config else REGISTRY_OWN_TIME_S
+        self._documents.add(self._loop.time(), change, at_once, own_time_s)
         if at_once:
             self.poke()
         else:
@@ -217,6 +228,7 @@
         self._kept: dict[str, Outgoing] = {}
         knowledge.on_document(self._document)
         knowledge.on_complete(self.soon)
+        knowledge.on_revision(self._revision)
 
     def poke(self) -> None:
         """Figures have changed; tell all peers soon."""
@@ -248,13 +260,15 @@
         fill: Fill,
         received: Received,
         at_once: Callable[[], bool] = lambda: False,
+        to_entry: bool = False,
     ) -> None:
         """Keep a stream to ``address`` open until cancelled; ``at_once`` tells whether
-        the peer is told of documents without giving it time to learn by itself."""
+        the peer is told of documents without giving it time to learn by itself,
+        ``to_entry`` whether both sides are entries."""
         pause = REOPEN_S
         try:
             while True:
-                lived = await self._once(address, fill, received, at_once)
+                lived = await self._once(address, fill, received, at_once, to_entry)
                 if lived:
                     self._events.emit(PeerSilent(address))
                 pause = REOPEN_S if lived else min(pause * 2, REOPEN_MAX_S)
@@ -263,11 +277,15 @@
             await self._channels.drop(address)
 
     async def serve(
-        self, requests: AsyncIterator[Update], fill: Fill, received: Received
+        self,
+        requests: AsyncIterator[Update],
+        fill: Fill,
+        received: Received,
+        to_entry: bool,
     ) -> AsyncIterator[Update]:
         """The answers to a stream that a peer has opened."""
         outgoing = Outgoing(
-            self._name, self._knowledge, fill, lambda: False, SERVED_BEAT_S
+            self._name, self._knowledge, fill, lambda: False, SERVED_BEAT_S, to_entry
         )
         self._outgoing.add(outgoing)
         reader = asyncio.create_task(self._read(requests, received, outgoing))
@@ -286,8 +304,11 @@
         fill: Fill,
         received: Received,
         at_once: Callable[[], bool],
+        to_entry: bool,
     ) -> bool:
-        outgoing = Outgoing(self._name, self._knowledge, fill, at_once, OPENED_BEAT_S)
+        outgoing = Outgoing(
+            self._name, self._knowledge, fill, at_once, OPENED_BEAT_S, to_entry
+        )
         self._outgoing.add(outgoing)
         self._kept[address] = outgoing
         call = self._channels.residency(address).Exchange(outgoing.updates())
@@ -343,18 +364,31 @@
         for outgoing in self._outgoing:
             outgoing.document(change)
 
+    def _revision(self) -> None:
+        for outgoing in self._outgoing:
+            if outgoing.to_entry:
+                outgoing.soon()
+
 
 class ResidencyServicer(api.ResidencyServicer):
-    """Serves the streams that peers open to this process."""
+    """Serves the streams that entries open to this process; ``to_entry`` is whether it
+    is one itself."""
 
-    def __init__(self, exchanger: Exchanger, fill: Fill, received: Received) -> None:
+    def __init__(
+        self,
+        exchanger: Exchanger,
+        fill: Fill,
+        received: Received,
+        to_entry: bool = False,
+    ) -> None:
         self._exchanger = exchanger
         self._fill = fill
         self._received = received
+        self._to_entry = to_entry
 
     async def Exchange(self, request_iterator, context):
         """One stream."""
         async for update in self._exchanger.serve(
-            request_iterator, self._fill, self._received
+            request_iterator, self._fill, self._received, self._to_entry
         ):
             yield update
--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -60,17 +60,34 @@
         self._records: dict[str, Changed] = {}
         self._registry = RegistryFaults(self.fleet, events)
         self._listeners: list[Listener] = []
+        self._config_keys: set[str] = set()
+        #: A configuration has come since the listeners heard of a revision.
+        self._config_came = False
         self._config_listeners: list[Callable[[GatewayConfig], None]] = []
         self._complete_listeners: list[Callable[[], None]] = []
+        self._revision_listeners: list[Callable[[], None]] = []
 
     def on_document(self, listener: Listener) -> None:
-        """Call ``listener`` for each document newly learnt."""
+        """Call ``listener`` for each document that says something new.
+
+        Each backend server writes its entry about once a second; passed on by all to
+        all, those writes would be most of what a fleet at rest does.
+        """
         self._listeners.append(listener)
 
     def on_complete(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` when everything is known up to a higher revision."""
+        """Call ``listener`` when everything is known up to a configuration that has
+        come; other revisions are told with whatever is said next."""
         self._complete_listeners.append(listener)
 
+    def on_revision(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when everything is known up to any higher revision."""
+        self._revision_listeners.append(listener)
+
+    def is_configuration(self, key: str) -> bool:
+        """Whether the document under the key has been a configuration."""
+        return key in self._config_keys
+
     def on_config(self, listener: Callable[[GatewayConfig], None]) -> None:
         """Call ``listener`` for each configuration that comes into force."""
         self._config_listeners.append(listener)
@@ -92,10 +109,12 @@
         self._records[record.key] = change
         if change.deleted:
             self._removed(record, source)
+            is_news = True
         else:
-            self._written(record, source)
-        for listener in self._listeners:
-            listener(change)
+            is_news = self._written(record, source)
+        if is_news:
+            for listener in self._listeners:
+                listener(change)
         return True
 
     def listed(self, prefix: str, found: Found, source: str) -> None:
@@ -121,6 +140,11 @@
             return
         self.complete.update(news)
         self.known_version += 1
+        for listener in self._revision_listeners:
+            listener()
+        if not self._config_came:
+            return
+        self._config_came = False
         for listener in self._complete_listeners:
             listener()
 
@@ -138,19 +162,24 @@
         self._events.emit(line)
         self.changed.notify()
 
-    def _written(self, record: Record, source: str) -> None:
+    def _written(self, record: Record, source: str) -> bool:
+        """Take over what a document says; returns whether peers have to hear it."""
         config = self._directory.config(record)
         if config is not None:
+            self._config_keys.add(record.key)
+            self._config_came = True
             self._configured(config, record, source)
-            return
+            return True
         registered = self._directory.registered(record)
         if isinstance(registered, Unreadable):
             instance = self._directory.instance_of(record.key)
             self._registry.unreadable(record, instance, registered, source)
             self.changed.notify()
-        elif registered is not None:
-            self._registry.good(record.key)
-            self._registered(registered, source)
+            return True
+        if registered is None:
+            return True
+        self._registry.good(record.key)
+        return self._registered(registered, source)
 
     def _configured(
         self, config: GatewayConfig | Unreadable, record: Record, source: str
@@ -173,7 +202,8 @@
             listener(config)
         self.changed.notify()
 
-    def _registered(self, registered: Registered, source: str) -> None:
+    def _registered(self, registered: Registered, source: str) -> bool:
+        """Take over an entry of the registry; returns whether it says anything new."""
         held = self.fleet.get(registered.instance)
         before = held.registered if held is not None else None
         stood = self._standing(registered.instance)
@@ -181,7 +211,7 @@
         if held is not None and held.ended:
             self.note_restart(held, source)
         if not taken:
-            return
+            return True
         stands = self._standing(registered.instance)
         if stands != stood:
             line = lines.BackendListed(
@@ -193,14 +223,12 @@
                 source,
             )
             self._events.emit(line)
-        if (
-            before is None
-            or stands != stood
-            or replace(before, revision=registered.revision) != registered
-        ):
+        is_news = before is None or stands != stood or _differs(before, registered)
+        if is_news:
             # Each backend server writes its entry about once a second. A write that
             # says nothing new wakes nobody, and no plan is made for it.
             self.changed.notify()
+        return is_news
 
     def note_restart(self, before: Backend, source: str) -> None:
         """Say that another start has followed ``before``, known a moment ago."""
@@ -219,6 +247,11 @@
         return (held.readable, held.registered.leaving) if held is not None else None
 
 
+def _differs(before: Registered, now_there: Registered) -> bool:
+    """Whether two entries of the registry differ in more than when they were written."""
+    return replace(before, revision=now_there.revision) != now_there
+
+
 class Changes:
     """Wakes those who wait for the fleet or the configuration to change."""
 
