--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -322,8 +322,8 @@
         """Make the plan if this entry acts on it; if not, only what comes of it for
         others: its own demand, which agents are told, and the store's speed.
 
-        Of 68 entries that all made the plan four times a second, with 39 engines and 186
-        models, four asked for loads; the others spent 2.4 % of a core on it.
+        Of 68 entries that all made the plan four times a second, with 39 engines and
+        186 models, four asked for loads; the others spent 2.4 % of a core on it.
         """
         if self._is_planner() or self._awaits_own():
             self._plan_all(now)
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -232,9 +232,7 @@
         meters.level("engine_streams", "Streams to agents", engines.stream_count)
 
     def _register(self, server: object) -> None:
-        servicer = ResidencyServicer(
-            self._exchanger, _nothing, _ignore, to_entry=True
-        )
+        servicer = ResidencyServicer(self._exchanger, _nothing, _ignore, to_entry=True)
         api.add_ResidencyServicer_to_server(servicer, server)
 
     def _new_budget(self) -> AttemptBudget:
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -28,8 +28,8 @@
 from bambootiller_core.ports import Changed, Record
 
 #: The longest silence of a side that is well and whose stream is given up when it is
-#: silent: a beat may be late by a fifth of a second before load figures are taken for old
-#: (``fleet.FIGURES_LIFE_S``), and by 0.7 s before an agent counts as silent
+#: silent: a beat may be late by a fifth of a second before load figures are taken for
+#: old (``fleet.FIGURES_LIFE_S``), and by 0.7 s before an agent counts as silent
 #: (``fleet.AGENT_SILENT_S``). Seconds.
 SERVED_BEAT_S = 0.8
 #: The same of the side that opened the stream. An agent forgets an entry only after 3 s
--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -248,7 +248,7 @@
 
 
 def _differs(before: Registered, now_there: Registered) -> bool:
-    """Whether two entries of the registry differ in more than when they were written."""
+    """Whether two registry entries differ in more than when they were written."""
     return replace(before, revision=now_there.revision) != now_there
 
 
