--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -25,11 +25,11 @@
 RETRY_S = 0.2
 RETRY_MAX_S = 0.8
 
-#: The pause between two answers of a watch that had something to tell, as a part of the
-#: time within which a backend server that leaves has to get no more work: news of it are
-#: so much later at most. Backend servers write to the registry about once a second each,
-#: and without a pause every write is a call of the store by every watcher; with 2 s and
-#: this, less than 2 calls a second remain.
+#: The pause between two answers of a watch that had something to tell, as a part of
+#: the time within which a backend server that leaves has to get no more work: news of
+#: it are so much later at most. Backend servers write to the registry about once a
+#: second each, and without a pause every write is a call of the store by every watcher;
+#: with 2 s and this, less than 2 calls a second remain.
 GATHER_SHARE = 0.3
 #: How often a watcher that isn't wanted looks whether it is. Seconds.
 IDLE_S = 0.5
