--- a/packages/bambootiller/src/bambootiller/agent/engine.py
+++ b/packages/bambootiller/src/bambootiller/agent/engine.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from bambootiller.agent.engine_forms import Unreadable, read_state
+from bambootiller.http_session import HttpSession, unlimited
 from bambootiller_core.backend_effects import (
     OrderLost,
     OrderOutcome,
@@ -63,18 +64,13 @@
     def __init__(self, url: str, settle_seconds: float) -> None:
         self.url = url.rstrip("/")
         self._order_seconds = order_seconds(settle_seconds)
-        self._opened: aiohttp.ClientSession | None = None
+        self._http = HttpSession(unlimited)
 
     @property
     def session(self) -> aiohttp.ClientSession:
         """The session of all calls to the engine; it doesn't limit connections, since
         the core decides how many calls run."""
-        if self._opened is None:
-            self._opened = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0),
-                cookie_jar=aiohttp.DummyCookieJar(),
-            )
-        return self._opened
+        return self._http.get()
 
     async def state(self, after: int, wait_ms: int) -> EngineState | EngineSilent:
         """Read the state, waiting up to ``wait_ms`` for a version above ``after``."""
@@ -112,9 +108,7 @@
 
     async def close(self) -> None:
         """Close all connections, which cancels what still runs on them."""
-        if self._opened is not None:
-            await self._opened.close()
-            self._opened = None
+        await self._http.close()
 
 
 def _order_form(order: SendOrder) -> dict[str, str | int]:
--- a/packages/bambootiller/src/bambootiller/agent/service_run.py
+++ b/packages/bambootiller/src/bambootiller/agent/service_run.py
@@ -14,6 +14,7 @@
 from bambootiller.agent.engine import CONNECT_SECONDS
 from bambootiller.agent.pieces import AnswerHead, Completed, Data, Final
 from bambootiller.agent.refusals import backend_failed, malformed
+from bambootiller.http_session import HttpSession
 from bambootiller_core.outcomes import Executed
 
 #: They concern one connection, or are set anew here.
@@ -71,7 +72,7 @@
 
     def __init__(self, urls: dict[str, str]) -> None:
         self._urls = {name: url.rstrip("/") for name, url in urls.items()}
-        self._opened: aiohttp.ClientSession | None = None
+        self._http = HttpSession(_forwarding)
 
     def __contains__(self, service: str) -> bool:
         return service in self._urls
@@ -83,20 +84,20 @@
     @property
     def session(self) -> aiohttp.ClientSession:
         """The session of all calls; the core decides how many run."""
-        if self._opened is None:
-            self._opened = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, force_close=True),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                auto_decompress=False,
-                middlewares=(send_once,),
-            )
-        return self._opened
+        return self._http.get()
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._opened is not None:
-            await self._opened.close()
-            self._opened = None
+        await self._http.close()
+
+
+def _forwarding() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        middlewares=(send_once,),
+    )
 
 
 async def run_service(client: ServiceClient, call: Call) -> Final:
--- a/packages/bambootiller/src/bambootiller/kv/etcd.py
+++ b/packages/bambootiller/src/bambootiller/kv/etcd.py
@@ -20,6 +20,7 @@
 
 import aiohttp
 
+from bambootiller.http_session import HttpSession, SessionClosed
 from bambootiller.kv import _codec as codec
 from bambootiller_core.ports import (
     Changed,
@@ -71,6 +72,12 @@
     """The call certainly took no effect."""
 
 
+#: What proves that a call never left.
+_NOT_SENT = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    SessionClosed,
+)
 _WATCH_ENDS = (
     _NoEffect,
     _Unanswered,
@@ -101,7 +108,9 @@
         self._password = password
         self._token: str | None = None
         self._first = 0
-        self._opened: aiohttp.ClientSession | None = None
+        self._http = HttpSession(
+            lambda: aiohttp.ClientSession(read_bufsize=WATCH_LINE_BYTES)
+        )
 
     async def get(self, key: str) -> ReadOutcome:
         """Read one key; ``Found`` with no records if it is absent."""
@@ -148,9 +157,7 @@
 
     async def close(self) -> None:
         """Release the connections."""
-        if self._opened is not None:
-            await self._opened.close()
-            self._opened = None
+        await self._http.close()
 
     async def _range(self, body: Form) -> ReadOutcome:
         try:
@@ -183,12 +190,12 @@
         limit = aiohttp.ClientTimeout(total=seconds, sock_connect=CONNECT_SECONDS)
         url = self._urls[self._first] + path
         try:
-            async with self._session.post(
+            async with self._http.get().post(
                 url, json=body, headers=headers, timeout=limit
             ) as response:
                 await self._check(response)
                 return _form(await response.json(content_type=None))
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        except _NOT_SENT as exc:
             raise _NoEffect(_describe(exc)) from exc
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
             raise _Unanswered(_describe(exc)) from exc
@@ -219,7 +226,7 @@
         )
         url = self._urls[self._first] + "/v3/watch"
         body = codec.watch_form(prefix, start)
-        async with self._session.post(
+        async with self._http.get().post(
             url, json=body, headers=headers, timeout=limit
         ) as response:
             await self._check(response)
@@ -242,7 +249,7 @@
         limit = aiohttp.ClientTimeout(total=READ_SECONDS, sock_connect=CONNECT_SECONDS)
         url = self._urls[self._first] + "/v3/auth/authenticate"
         try:
-            async with self._session.post(url, json=body, timeout=limit) as response:
+            async with self._http.get().post(url, json=body, timeout=limit) as response:
                 if response.status != HTTPStatus.OK:
                     raise _NoEffect(f"login refused with status {response.status}")
                 form = await response.json(content_type=None)
@@ -256,13 +263,6 @@
         ) as exc:
             raise _NoEffect(f"login failed: {_describe(exc)}") from exc
 
-    @property
-    def _session(self) -> aiohttp.ClientSession:
-        """The client session, made on first use because it belongs to the loop."""
-        if self._opened is None or self._opened.closed:
-            self._opened = aiohttp.ClientSession(read_bufsize=WATCH_LINE_BYTES)
-        return self._opened
-
     def _turn(self) -> None:
         """Begin with the next endpoint from now on."""
         self._first = (self._first + 1) % len(self._urls)
