--- a/tests/adapter/failures/test_standstills.py
+++ b/tests/adapter/failures/test_standstills.py
@@ -19,6 +19,7 @@
 from bambootiller_platform_standins.httpd import Reply
 
 from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
+from bambootiller.gateway.ports import Bounds
 from bambootiller_core.gateway.budget import AttemptBudget
 from bambootiller_core.gateway.running import TICK_S, RunningTime
 from bambootiller_platform import store as store_module
@@ -247,6 +248,39 @@
         self.assertEqual(events.of("dependency_lost"), [])
 
 
+class TestStoreThatReturned(unittest.IsolatedAsyncioTestCase):
+    """Symptom: after each outage of the store, live backend servers get no calls for a
+    second.
+
+    An entry of the registry that is missing 2.3 s after the store's return is taken for
+    gone. Backend servers are back in the registry within two seconds, but where a
+    leaving one may take 4 s to get no more work it is read only each 1.2 s: what came
+    back in time was read too late.
+    """
+
+    async def test_what_comes_back_is_read_in_time(self):
+        outside = OutsideLoop()
+        self.addCleanup(outside.close)
+        store = outside.start_store()
+        kv = store_module.PlatformKeyValue(f"http://{store.server.address}")
+        self.addAsyncCleanup(kv.close)
+        loop, events = asyncio.get_running_loop(), Events()
+        knowledge = Knowledge(PlatformDirectory(), events, loop.time)
+        watcher = StoreWatcher(
+            kv, knowledge, events, loop.time, bounds=lambda: Bounds(leaving_s=20.0)
+        )
+        watcher._away["servers/"] = loop.time()
+        watching = asyncio.ensure_future(watcher.follow("servers/"))
+        self.addCleanup(watching.cancel)
+        await asyncio.sleep(0.2)
+        for number in (1, 2):
+            server = {**SERVER, "address": f"127.0.0.1:{number}"}
+            body = json.dumps(server).encode()
+            outside.call(store.put, f"servers/i-{number}", body)
+            await asyncio.sleep(0.5)
+        self.assertIsNotNone(knowledge.fleet.get("i-2"))
+
+
 async def tick(running):
     """Keep the running time of the process under test."""
     while True:
