--- a/tests/gateway/failures/test_silence.py
+++ b/tests/gateway/failures/test_silence.py
@@ -463,6 +463,26 @@
             self.knowledge.learnt(Changed(record), "store")
         self.assertEqual(len(passed_on), 1)
 
+    async def test_a_late_write_of_an_earlier_start_is_not_passed_on(self):
+        """Symptom: an agent takes its engine for an earlier start of it.
+
+        A write was held up until after the engine's restart. Who reads the registry has
+        just heard of the later start and leaves it aside; an agent, which hears of
+        heartbeats no more, would take a start that it hasn't heard of for 10 s for over.
+        """
+        passed_on = []
+        self.knowledge.on_document(passed_on.append)
+        starts = {3: 2000, 4: 1000}
+        self.knowledge._directory.registered = lambda record: registered(
+            "b1",
+            revision=record.mod_revision,
+            started_ms=starts[record.mod_revision],
+        )
+        for revision in starts:
+            record = Record("servers/b1", b"", revision)
+            self.knowledge.learnt(Changed(record), "store")
+        self.assertEqual([one.record.mod_revision for one in passed_on], [3])
+
     async def test_a_peer_that_reads_the_registry_seldom_is_not_told_what_it_reads(
         self,
     ):
