Don't pass on a registry entry that was left aside

Cause: see the test before. Change: what isn't taken over isn't passed on. Ruled out: passing on all heartbeats again (a thousand streams). Before: the test fails. After: tests of streams, restarts and foreign entries pass. Conclusion: new streams are still told all that is held, as before.

--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -221,7 +221,9 @@
         if held is not None and held.ended:
             self.note_restart(held, source)
         if not taken:
-            return True
+            # Of an earlier start, or overtaken: a peer that hears of this entry less
+            # often than the store's readers would take it for the latest.
+            return False
         stands = self._standing(registered.instance)
         if stands != stood:
             line = lines.BackendListed(
