A line of a test's story, shortened

Ruled out: nothing. Change: words of a comment. Before and after: no behaviour changes. Conclusion: none.

--- a/tests/gateway/failures/test_silence.py
+++ b/tests/gateway/failures/test_silence.py
@@ -468,7 +468,7 @@
 
         A write was held up until after the engine's restart. Who reads the registry has
         just heard of the later start and leaves it aside; an agent, which hears of
-        heartbeats no more, would take a start that it hasn't heard of for 10 s for over.
+        heartbeats no more, would take a start that nobody told of for 10 s for over.
         """
         passed_on = []
         self.knowledge.on_document(passed_on.append)
