Before anybody calls, models that several engines hold make no way

Cause: without demand the model held most often counted as the one to spare; the platform places on many engines what is called most, so the busiest ones went first. Change: a short load that nobody asked for takes only the place of a model that one engine holds.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/places.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/places.py
@@ -8,7 +8,7 @@
 
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
 from bambootiller_core.gateway.fleet import Backend
-from bambootiller_core.gateway.want import LEAST_KEEP, NO_WANT, Want
+from bambootiller_core.gateway.want import COPIED_KEEP, LEAST_KEEP, NO_WANT, Want
 
 #: An order takes this long besides the load itself. Seconds.
 ORDER_S = 0.05
@@ -28,13 +28,14 @@
 #: What the demand for a model that nobody has asked for yet is taken for, in calls a
 #: second: about that of a rarely used model.
 LEAST_VALUE = 0.1
-#: What is fetched before anybody asks may take the place of a model that few engines
-#: hold only if its load is this short: until it ends, that model can't be had there.
-#: Seconds. With loads of 13 s and longer, a busy model whose only copy was at such an
-#: engine had 644 of 871 refusals.
+#: What is fetched before anybody asks may take the place of a model that one engine
+#: holds only if its load is this short: until it ends, that model can't be had there.
+#: Seconds.
 SHORT_LOAD_S = 8.0
 #: What keeping a model is worth at most, without demand, if three engines hold it.
 SPARE_KEEP = LEAST_KEEP / 3**2
+#: What it is worth at least, without demand, if one engine holds it.
+HELD_ONCE_KEEP = COPIED_KEEP * LEAST_KEEP
 #: A model with calls under way makes way only if it is wanted no more than this: the
 #: calls a second of a rarely used model, or of one that other engines hold as well.
 MOST_CUT_SHORT = 1.0
@@ -196,11 +197,11 @@
         calls go: it takes no new ones from then on, so rarely used models share an
         engine by turns.
         """
-        most = KEEP_FACTOR * max(incoming.value, LEAST_VALUE)
-        if not incoming.value and load_s > SHORT_LOAD_S:
-            most = SPARE_KEEP
+        least, most = _keep_values_that_yield(incoming, load_s)
         chosen: list[_Leaver] = []
         for leaver in self._idle:
+            if leaver.keep_value < least:
+                continue
             if leaver.keep_value > most:
                 break
             chosen.append(leaver)
@@ -217,6 +218,21 @@
         return None
 
 
+def _keep_values_that_yield(incoming: Want, load_s: float) -> tuple[float, float]:
+    """The least and the most that an idle model may be worth to make way.
+
+    Before anybody calls, the models that several engines hold are those that the
+    platform expects to be called most. Unloaded for one that nobody asks for, they are
+    missed by the first callers; one that a single engine holds is called rarely, and
+    its copy stays.
+    """
+    if incoming.value:
+        return 0.0, KEEP_FACTOR * max(incoming.value, LEAST_VALUE)
+    if load_s > SHORT_LOAD_S:
+        return 0.0, SPARE_KEEP
+    return HELD_ONCE_KEEP, KEEP_FACTOR * LEAST_VALUE
+
+
 def _victims(leavers: list[_Leaver]) -> Victims:
     names = tuple([leaver.name for leaver in leavers])
     return Victims(names, sum([leaver.runs_end_s for leaver in leavers]))
