Test: calls of a model wait for prompts at its first holder while the next is idle

Cause: calls gather at a model's first holder until it has a quarter of a batch more calls than the next; nothing counts prompts that are still to be read. Change: test only; it fails. Conclusion: none yet.

--- /dev/null
+++ b/tests/gateway/cover/test_selection.py
@@ -0,0 +1,77 @@
+"""Which backend server a call goes to."""
+
+import random
+import unittest
+from collections import Counter
+
+from bambootiller_core import rendezvous
+from bambootiller_core.gateway import selection
+from bambootiller_core.gateway.health import Health
+from tests.gateway.common import samples
+
+NOW = 5.0
+
+
+def holder(instance, **fields):
+    state = samples.engine_state(instance, ["tutor"], **fields)
+    return samples.backend(instance, NOW, state, service="llm", slots=64)
+
+
+class TestUnreadPrompts(unittest.TestCase):
+    """Symptom: calls of the busiest model get their first event seconds after they were
+    sent, while another engine that holds it reads nothing.
+
+    All calls of a model went to the first of its holders until that had sixteen more
+    calls under way than the next. An engine reads prompts one after the other, and a
+    dozen of them take a second.
+    """
+
+    def setUp(self):
+        names = rendezvous.ranked("tutor", ["b1", "b2"])
+        self.first, self.next = map(holder, names)
+
+    def choose(self):
+        return selection.choose(
+            NOW,
+            samples.call(ask=samples.ask("tutor")),
+            [self.first, self.next],
+            Health(),
+            "z1",
+            random.Random(3),
+        )
+
+    def test_calls_gather_at_the_first_holder(self):
+        self.assertIs(self.choose(), self.first)
+
+    def test_one_more_goes_elsewhere_while_prompts_are_still_unread_there(self):
+        for _ in range(4):
+            self.first.prompt_sent()
+        self.assertIs(self.choose(), self.next)
+
+    def test_it_comes_back_once_they_are_read(self):
+        for _ in range(4):
+            self.first.prompt_sent()
+        for _ in range(4):
+            self.first.prompt_read()
+        self.assertIs(self.choose(), self.first)
+
+    def test_prompts_that_other_entries_sent_count_too(self):
+        self.first.engine = samples.engine_state(
+            self.first.instance, ["tutor"], queued=4
+        )
+        self.assertIs(self.choose(), self.next)
+
+    def test_old_figures_of_an_engine_do_not(self):
+        self.first.engine = samples.engine_state(
+            self.first.instance, ["tutor"], queued=4
+        )
+        self.first.heard_at = NOW - 1.2
+        self.assertIs(self.choose(), self.first)
+
+    def test_a_burst_is_spread_over_all_holders(self):
+        chosen = Counter()
+        for _ in range(20):
+            backend = self.choose()
+            backend.prompt_sent()
+            chosen[backend.instance] += 1
+        self.assertLess(max(chosen.values()), 13, chosen)
