Tests: busy models held once, copies beside a load from the store, engines kept for copies

Cause: a second engine comes behind each model that one caller waits for; a model on its way from the store isn't loaded from a copy; four of six engines may be in loads from the store. Conclusion: none yet.

--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -322,3 +322,104 @@
 
     def test_they_make_way_for_one_that_is_waited_for(self):
         self.assertIn("poet", self.plan(2, poet=Want(0.1, 1)))
+
+
+class TestBusyModelsHeldOnce(unittest.TestCase):
+    """Symptom: a quarter of the calls of the busiest model get their first event late,
+    and all of them fail when its engine crashes.
+
+    One engine held it, though others had copies. A second engine came behind every
+    model that a single caller waited for, and there was always one.
+    """
+
+    def setUp(self):
+        self.spec = samples.engine(
+            samples.model("tutor"), samples.model("poet"), samples.model("clerk")
+        )
+        self.wants = {
+            "tutor": Want(9.0, 0, holders=1, copies=2),
+            "poet": Want(0.2, 1, copies=1, oldest_s=0.5),
+        }
+
+    def plan(self, **fields):
+        backends = [
+            engine_backend("b1", ["tutor"], loading=Loading("clerk", 9.0, True)),
+            engine_backend("b2", on_disk=frozenset({"poet", "tutor"}), **fields),
+        ]
+        return Planner(self.spec, STORE_LOADS).plan(NOW, backends, self.wants)
+
+    def test_a_second_engine_goes_before_a_single_waiting_call(self):
+        plan = self.plan()
+        self.assertEqual((plan["tutor"].instance, plan["tutor"].ask_now), ("b2", True))
+        self.assertFalse(plan["poet"].ask_now)
+
+    def test_it_does_not_go_before_a_model_that_many_wait_for(self):
+        self.wants["poet"] = Want(0.2, 6, copies=1, oldest_s=0.5)
+        plan = self.plan()
+        self.assertTrue(plan["poet"].ask_now)
+
+    def test_it_does_not_come_from_the_store_while_others_wait(self):
+        backends = [
+            engine_backend("b1", ["tutor"]),
+            engine_backend("b2", on_disk=frozenset({"poet"})),
+        ]
+        plan = Planner(self.spec, STORE_LOADS).plan(NOW, backends, self.wants)
+        self.assertEqual((plan["poet"].instance, plan["poet"].ask_now), ("b2", True))
+
+
+class TestCopiesBesideTheStore(unittest.TestCase):
+    """Symptom: a model with twenty callers waiting comes after seven seconds, though an
+    engine with a copy of it takes orders after the first.
+
+    Its only holder crashed, and a load from the store was begun elsewhere. The engine
+    came back with its disk; but the model counted as on its way.
+    """
+
+    def plan(self, left_s, waiting=6, **fields):
+        spec = samples.engine(samples.model("tutor"), samples.model("poet"))
+        backends = [
+            engine_backend("b1", loading=Loading("tutor", left_s, True)),
+            engine_backend("b2", **fields),
+        ]
+        wants = {"tutor": Want(5.0, waiting, copies=2, oldest_s=1.0)}
+        return Planner(spec, STORE_LOADS).plan(NOW, backends, wants)["tutor"]
+
+    def test_a_copy_that_is_much_sooner_is_loaded_as_well(self):
+        load = self.plan(5.5, on_disk=frozenset({"tutor"}))
+        self.assertEqual((load.instance, load.ask_now), ("b2", True))
+
+    def test_one_that_is_hardly_sooner_is_not(self):
+        self.assertEqual(self.plan(2.0, on_disk=frozenset({"tutor"})).instance, "b1")
+
+    def test_nor_is_a_second_load_from_the_store(self):
+        self.assertEqual(self.plan(30.0).instance, "b1")
+
+    def test_nor_one_for_few_calls(self):
+        load = self.plan(5.5, waiting=1, on_disk=frozenset({"tutor"}))
+        self.assertEqual(load.instance, "b1")
+
+
+class TestEnginesKeptForCopies(unittest.TestCase):
+    """Symptom: calls that a load from a copy would serve in time wait six seconds.
+
+    Four of six engines were in loads from the store, for calls that could only be late,
+    and each had the only copies of a dozen models.
+    """
+
+    def plan(self, engines, **wants):
+        names = [f"m{number}" for number in range(8)]
+        spec = samples.engine(*map(samples.model, names))
+        backends = [engine_backend(f"b{number}") for number in range(engines)]
+        plan = Planner(spec, STORE_LOADS).plan(NOW, backends, wants)
+        return sum(load.ask_now for load in plan.values())
+
+    def test_while_calls_come_half_of_the_engines_load_from_the_store(self):
+        wants = {f"m{number}": Want(0.1, 1) for number in range(8)}
+        self.assertEqual(self.plan(6, **wants), 3)
+        self.assertEqual(self.plan(12, **wants), STORE_LOADS)
+
+    def test_a_lone_engine_loads_too(self):
+        self.assertEqual(self.plan(1, m0=Want(0.1, 1)), 1)
+
+    def test_before_any_call_all_may(self):
+        self.assertEqual(self.plan(6), STORE_LOADS)
