Much awaited models first, then a second engine for busy ones held once, from a copy

Ruled out: a second engine from the store ahead of waiting calls (kept as before: only while nothing else is loaded from there).

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from functools import lru_cache
+from typing import Protocol
 
 from bambootiller_core import rendezvous
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.want import NO_WANT, Want
 
-#: A model that so many calls wait for needn't wait for a place at the store: demand has
-#: moved to it, and every second costs as many calls.
+#: A model that so many calls wait for goes first, and needn't wait for a place at the
+#: store: demand has moved to it, and every second costs as many calls.
 MANY_WAITING = 4
 #: A model that takes at least this part of all demand gets a second engine, so that the
 #: loss of one doesn't stop it.
@@ -25,12 +26,26 @@
 
 
 class Rank(enum.IntEnum):
-    """Which loads go before which."""
+    """Which loads go before which.
+
+    A model that is ``HELD_ONCE`` is much asked for, and a single engine holds it: its
+    calls queue there, and nobody is served if that engine is lost.
+    """
+
+    MUCH_WAITED_FOR = 0
+    HELD_ONCE = 1
+    WAITED_FOR = 2
+    ASKED_FOR = 3
+    SECOND_COPY = 4
+    UNASKED = 5
 
-    WAITED_FOR = 0
-    ASKED_FOR = 1
-    SECOND_COPY = 2
-    UNASKED = 3
+
+class Coming(Protocol):
+    """A load under way."""
+
+    @property
+    def from_store(self) -> bool:
+        """Whether it draws on the weight store."""
 
 
 def in_order(
@@ -39,12 +54,13 @@
     known: Iterable[Backend],
     copied: Mapping[str, int],
     wants: Mapping[str, Want],
-    under_way: Mapping[str, object],
+    under_way: Mapping[str, Coming],
 ) -> list[tuple[ModelSpec, Rank]]:
     """The models to load, the first to be served first.
 
-    ``copied`` are those of which engines have copies, held ones included; those under
-    way are left out.
+    ``copied`` are those of which engines have copies, held ones included. A model that
+    is under way appears only if it may be worth a second load from a copy, and one that
+    is ``HELD_ONCE`` appears once more as a ``SECOND_COPY``.
     """
     holders: dict[str, list[Backend]] = {}
     for backend in known:
@@ -59,48 +75,61 @@
                 # Nobody asks for it: most models are like that at any time.
                 continue
             want = NO_WANT
-        if name in under_way:
-            continue
-        rank = _rank(now, want, holders.get(name, ()), name in copied, total)
-        if rank is not None:
-            # First come, first served, but for models that many calls wait for:
-            # ordered by demand alone, later calls would overtake those that were told
-            # to wait, until these have waited for nothing.
-            many = want.waiting >= MANY_WAITING
-            key = (rank, not many, -round(want.oldest_s, 1), -want.value, _tie(name))
-            ranked.append((key, spec, rank))
+        coming = under_way.get(name)
+        if coming is not None:
+            ranks = _ranks_while_coming(want, coming)
+        else:
+            ranks = _ranks(now, want, holders.get(name, ()), name in copied, total)
+        ranked += [(_key(rank, spec, want), spec, rank) for rank in ranks]
     ranked.sort(key=lambda item: item[0])
     return [(spec, rank) for _, spec, rank in ranked]
 
 
+def _key(rank: Rank, spec: ModelSpec, want: Want) -> tuple[float, ...]:
+    """What puts the models of one rank in order.
+
+    First come, first served: ordered by demand alone, later calls would overtake those
+    that were told to wait, until these have waited for nothing.
+    """
+    return rank, -round(want.oldest_s, 1), -want.value, _tie(spec.name)
+
+
 @lru_cache(KEPT_WEIGHTS)
 def _tie(name: str) -> int:
     """Entries agree on the order of equals, and so seldom ask for the same."""
     return rendezvous.weight("fetch", name)
 
 
-def _rank(
+def _ranks_while_coming(want: Want, coming: Coming) -> tuple[Rank, ...]:
+    """A model on its way from the store is loaded from a copy as well if many calls
+    wait: the only engine with a copy may have come back since."""
+    if coming.from_store and want.waiting >= MANY_WAITING:
+        return (Rank.MUCH_WAITED_FOR,)
+    return ()
+
+
+def _ranks(
     now: float,
     want: Want,
-    holders: Iterable[Backend],
+    holders: Sequence[Backend],
     copied: bool,
     total_rate: float,
-) -> Rank | None:
-    """How soon a model is to be loaded; None if it isn't to be."""
+) -> tuple[Rank, ...]:
+    """How soon a model is to be loaded; empty if it isn't to be."""
     if not holders and want.waiting:
-        return Rank.WAITED_FOR
+        many = want.waiting >= MANY_WAITING
+        return (Rank.MUCH_WAITED_FOR if many else Rank.WAITED_FOR,)
     if not holders and not copied:
         if want.rate > 0:
-            return Rank.ASKED_FOR
+            return (Rank.ASKED_FOR,)
         # While calls come, an engine that fetches a model nobody asks for is kept from
         # those that they ask for.
-        return Rank.UNASKED if total_rate == 0 else None
+        return (Rank.UNASKED,) if total_rate == 0 else ()
     if not want.rate:
-        return None
-    much = len(holders) == 1 and want.rate >= SECOND_COPY_SHARE * total_rate
-    if much or _crowded(holders, now):
-        return Rank.SECOND_COPY
-    return None
+        return ()
+    if len(holders) == 1 and want.rate >= SECOND_COPY_SHARE * total_rate:
+        return (Rank.HELD_ONCE, Rank.SECOND_COPY)
+    return (Rank.SECOND_COPY,) if _crowded(holders, now) else ()
 
 
 def _crowded(holders: Iterable[Backend], now: float) -> bool:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -121,14 +121,15 @@
         queue = StoreQueue(self._store_loads, store_ends)
         second_copies = 0
         for spec, rank in in_order(self._engine, now, known, copies, wants, plan):
-            if spec.name in plan:
+            coming = plan.get(spec.name)
+            if coming is not None and rank is not Rank.MUCH_WAITED_FOR:
                 # It is being moved, to make room for one before it in the order.
                 continue
             want = wants.get(spec.name, NO_WANT)
             if rank is Rank.SECOND_COPY and want.holders > 1:
                 want = _worth_one_more(want)
             option = self._best(spec, want)
-            if option is None:
+            if option is None or not _is_worth(option, rank, coming):
                 continue
             if rank is Rank.SECOND_COPY and option.from_store:
                 if store_ends or second_copies >= SECOND_COPY_LOADS:
@@ -286,6 +287,16 @@
         option.place.planned += 1
 
 
+def _is_worth(option: _Option, rank: Rank, coming: PlannedLoad | None) -> bool:
+    """Whether a load is worth its engine's time, given its rank and one of the same
+    model that is under way."""
+    if option.from_store:
+        # What waits would wait longer for a second engine from the store than the calls
+        # of the first; it comes later, as a second copy.
+        return coming is None and rank is not Rank.HELD_ONCE
+    return coming is None or option.ready_in_s + WORTH_S <= coming.ready_in_s
+
+
 @lru_cache(KEPT_WEIGHTS)
 def _weight(model: str, instance: str) -> int:
     return rendezvous.weight(model, instance)
