While calls come, half of the engines stay out of loads from the store

Change: at most half of the engines that take orders, and one at least, are in loads from the store while anybody calls.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -42,6 +42,8 @@
 #: Loads that are over within so long of each other are equally good; then rendezvous
 #: hashing decides. Decimals of a second.
 EQUAL_DECIMALS = 1
+#: While calls come, one in so many engines may be in a load from the weight store.
+LONG_LOADS_PART = 2
 #: What is later than the best by more than this can't be equally good. Seconds; half
 #: of the last decimal and a little for rounding.
 SURELY_LATER_S = 0.06
@@ -118,7 +120,7 @@
         copies = self._survey(now, known, wants)
         plan = self._under_way(known)
         store_ends = [load.ready_in_s for load in plan.values() if load.from_store]
-        queue = StoreQueue(self._store_loads, store_ends)
+        queue = StoreQueue(self._most_store_loads(wants), store_ends)
         second_copies = 0
         for spec, rank in in_order(self._engine, now, known, copies, wants, plan):
             coming = plan.get(spec.name)
@@ -155,6 +157,14 @@
                 self._occupy(option)
         return plan
 
+    def _most_store_loads(self, wants: Mapping[str, Want]) -> int:
+        """How many loads from the store may be under way. While calls come, other
+        engines are kept for loads from copies: these serve a call in time, and one in a
+        long load offers none of its copies until it ends."""
+        if not any([want.rate for want in wants.values()]):
+            return self._store_loads
+        return min(self._store_loads, max(1, len(self._places) // LONG_LOADS_PART))
+
     def _survey(
         self, now: float, known: list[Backend], wants: Mapping[str, Want]
     ) -> Counter[str]:
