Tests: calls that can still be in time wait behind late ones

Cause: models get their loads in the order in which their callers came, whether a load can still serve these in time or not. Change: tests only; they fail, as nobody tells how long a waiting call is in time. Conclusion: none yet.

--- a/tests/gateway/cover/test_collecting.py
+++ b/tests/gateway/cover/test_collecting.py
@@ -10,6 +10,7 @@
     Totals,
     collectors,
     concerning,
+    greater,
     moved,
 )
 from bambootiller_core.gateway.demand import MEMORY_S
@@ -78,6 +79,26 @@
         self.assertEqual(list(totals.of(4.0, "tutor")), ["critic"])
 
 
+class TestTimeLeft(unittest.TestCase):
+    """How long the next waiting call is in time, as several tell it."""
+
+    def test_it_travels_with_the_demand(self):
+        wants = {"tutor": Want(0.5, 1, 0, 0.25, 2, 1.75)}
+        self.assertEqual(wire.wants_of(wire.demand_messages(wants)), wants)
+
+    def test_the_entry_with_the_least_time_left_counts(self):
+        say = EntriesSay()
+        say.told(1.0, "e1", {"tutor": Want(0.5, 1, in_time_s=2.0)}, {})
+        say.told(1.0, "e2", {"tutor": Want(0.5, 1, in_time_s=0.5)}, {})
+        self.assertEqual(say.wants()["tutor"].in_time_s, 0.5)
+
+    def test_one_without_such_a_call_does_not(self):
+        early, late = Want(0.5, 1, in_time_s=2.0), Want(0.5, 3)
+        for first, second in ((early, late), (late, early)):
+            merged = greater({"tutor": first}, {"tutor": second})
+            self.assertEqual(merged["tutor"].in_time_s, 2.0)
+
+
 class TestConcerning(unittest.TestCase):
     def test_an_agent_hears_of_what_its_engine_holds_or_loads(self):
         loading = Loading("critic", 2.0, True)
--- a/tests/gateway/cover/test_demand.py
+++ b/tests/gateway/cover/test_demand.py
@@ -54,3 +54,17 @@
         self.demand.refused(0.0, "tutor", come_back_s=0.3)
         self.assertEqual(self.want(0.3).waiting, 1)
         self.assertEqual(self.want(0.4 + DUE_BACK_LATE_S).waiting, 0)
+
+    def test_the_next_call_that_would_be_late_tells_how_long_it_is_in_time(self):
+        self.demand.asked(0.0, "tutor")
+        self.demand.begin_waiting(0.0, "tutor", due=0.5)
+        self.demand.begin_waiting(0.0, "tutor", due=4.0)
+        self.demand.begin_waiting(1.0, "tutor", due=9.0)
+        self.assertEqual(self.want(1.0).in_time_s, 3.0)
+        self.demand.end_waiting(0.0, "tutor", due=4.0)
+        self.assertEqual(self.want(1.0).in_time_s, 8.0)
+
+    def test_calls_that_are_late_already_are_in_time_no_more(self):
+        self.demand.asked(0.0, "tutor")
+        self.demand.begin_waiting(0.0, "tutor", due=0.5)
+        self.assertEqual(self.want(1.0).in_time_s, 0.0)
--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -3,6 +3,8 @@
 import unittest
 
 from bambootiller_core.gateway.engine_state import Loading
+from bambootiller_core.gateway.order_demand import EntriesSay
+from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
 from bambootiller_core.gateway.places import choose_victims, keep_values
 from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.want import Want
@@ -128,6 +130,48 @@
         self.assertEqual(plan, ["hot", "early"])
 
 
+class TestCallsThatCanBeInTime(unittest.TestCase):
+    """Symptom: a call that a load from a copy would serve well within its target waits
+    behind loads for calls that are late whatever is done.
+
+    Models were given their loads in the order in which their callers came.
+    """
+
+    def setUp(self):
+        self.spec = samples.engine(*map(samples.model, ("early", "late", "soon")))
+        copies = frozenset({"early", "late", "soon"})
+        self.backends = [engine_backend("b1", on_disk=copies)]
+        self.late = Want(0.1, 1, 0, 5.0, 1)
+
+    def plan(self, **wants):
+        return list(Planner(self.spec, STORE_LOADS).plan(NOW, self.backends, wants))
+
+    def test_they_go_before_calls_that_are_late_already(self):
+        early = Want(0.1, 1, 0, 0.2, 1, in_time_s=2.0)
+        self.assertEqual(self.plan(late=self.late, early=early), ["early", "late"])
+
+    def test_the_one_that_would_be_late_first_is_first(self):
+        early = Want(0.1, 1, 0, 0.9, 1, in_time_s=3.0)
+        soon = Want(0.1, 1, 0, 0.1, 1, in_time_s=1.0)
+        self.assertEqual(self.plan(early=early, soon=soon), ["soon", "early"])
+
+    def test_one_that_no_load_can_serve_in_time_keeps_its_turn(self):
+        early = Want(0.1, 1, 0, 0.2, 1, in_time_s=0.5)
+        self.assertEqual(self.plan(late=self.late, early=early), ["late", "early"])
+
+    def test_nor_does_one_overtake_that_only_the_store_can_serve(self):
+        self.backends = [engine_backend("b1", on_disk=frozenset({"late"}))]
+        early = Want(0.1, 1, 0, 0.2, 0, in_time_s=3.0)
+        self.assertEqual(self.plan(late=self.late, early=early), ["late", "early"])
+
+    def test_an_agent_takes_the_wishes_of_entries_in_the_same_order(self):
+        say = EntriesSay()
+        early = Want(0.1, 1, 0, 0.2, 1, in_time_s=2.0)
+        say.wished(NOW, Wish("late", "", WAITED_FOR, self.late))
+        say.wished(NOW, Wish("early", "", WAITED_FOR, early))
+        self.assertEqual([wish.model for wish in say.wishes()], ["early", "late"])
+
+
 class TestVictims(unittest.TestCase):
     def setUp(self):
         self.spec = samples.engine(samples.model("tutor"), samples.model("poet"))
