Load first what still serves a waiting call in time

Ruled out: the same for models that only the weight store has: no call with such a target is in time then, so these keep the order of their callers.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
@@ -152,10 +152,20 @@
             want.holders,
             max(want.oldest_s, held.oldest_s),
             want.copies,
+            sooner(want.in_time_s, held.in_time_s),
         )
     return merged
 
 
+def sooner(first: float, second: float) -> float:
+    """The lesser of two times left, where 0 stands for none.
+
+    >>> sooner(0.0, 2.5), sooner(1.0, 2.5)
+    (2.5, 1.0)
+    """
+    return min(first, second) if first and second else max(first, second)
+
+
 @lru_cache(KEPT_LISTS)
 def planners(entries: tuple[str, ...]) -> tuple[str, ...]:
     """The entries that see to loads which nobody waits for, or which draw on the weight
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -5,6 +5,7 @@
 import math
 from collections import deque
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from bambootiller_core.gateway.want import Want
 
@@ -21,6 +22,15 @@
 LEAST_RATE = 0.005
 
 
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A call that waits since ``since``; served after ``due`` it is late."""
+
+    since: float
+    weight: float
+    due: float
+
+
 class Demand:
     """Calls a second and calls waiting, by model, each call by its weight.
 
@@ -34,7 +44,7 @@
 
     def __init__(self) -> None:
         self._rates: dict[str, tuple[float, float]] = {}
-        self._waiting: dict[str, list[tuple[float, float]]] = {}
+        self._waiting: dict[str, list[_Waiting]] = {}
         self._refused: dict[str, deque[tuple[float, float]]] = {}
 
     def asked(self, now: float, model: str, weight: float = 1.0) -> None:
@@ -42,14 +52,19 @@
         rate = self._rate(now, model) + weight / MEMORY_S
         self._rates[model] = (rate, now)
 
-    def begin_waiting(self, now: float, model: str, weight: float = 1.0) -> None:
-        """A call begins to wait for the model to be loaded."""
-        self._waiting.setdefault(model, []).append((now, weight))
+    def begin_waiting(
+        self, now: float, model: str, weight: float = 1.0, due: float = 0.0
+    ) -> None:
+        """A call begins to wait for the model to be loaded; it is late if it is served
+        after ``due``."""
+        self._waiting.setdefault(model, []).append(_Waiting(now, weight, due))
 
-    def end_waiting(self, since: float, model: str, weight: float = 1.0) -> None:
+    def end_waiting(
+        self, since: float, model: str, weight: float = 1.0, due: float = 0.0
+    ) -> None:
         """The call that began to wait at ``since`` waits no more."""
         waiting = self._waiting[model]
-        waiting.remove((since, weight))
+        waiting.remove(_Waiting(since, weight, due))
         if not waiting:
             del self._waiting[model]
 
@@ -74,7 +89,7 @@
     def waiting(self, now: float, model: str) -> int:
         """The calls that wait for the model, by their weights; those that were refused
         and are due back count too."""
-        counted = sum(weight for _, weight in self._waiting.get(model, ()))
+        counted = sum(call.weight for call in self._waiting.get(model, ()))
         counted += self._due_back(now, model)
         return max(1, round(counted)) if counted else 0
 
@@ -88,13 +103,19 @@
             rate = self._rate(now, model)
             here = self._waiting.get(model, [])
             waiting = self.waiting(now, model)
-            oldest_s = now - min(here)[0] if here else 0.0
+            oldest_s = max([now - call.since for call in here], default=0.0)
+            left_s = [call.due - now for call in here if call.due > now]
             if rate < LEAST_RATE and not waiting:
                 del self._rates[model]
                 self._refused.pop(model, None)
                 continue
             found[model] = Want(
-                rate, waiting, holders.get(model, 0), oldest_s, copies.get(model, 0)
+                rate,
+                waiting,
+                holders.get(model, 0),
+                oldest_s,
+                copies.get(model, 0),
+                min(left_s, default=0.0),
             )
         return found
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
@@ -80,18 +80,25 @@
             ranks = _ranks_while_coming(want, coming)
         else:
             ranks = _ranks(now, want, holders.get(name, ()), name in copied, total)
-        ranked += [(_key(rank, spec, want), spec, rank) for rank in ranks]
+        ranked += [
+            (_key(rank, spec, want, name in copied), spec, rank) for rank in ranks
+        ]
     ranked.sort(key=lambda item: item[0])
     return [(spec, rank) for _, spec, rank in ranked]
 
 
-def _key(rank: Rank, spec: ModelSpec, want: Want) -> tuple[float, ...]:
+def _key(rank: Rank, spec: ModelSpec, want: Want, copied: bool) -> tuple[float, ...]:
     """What puts the models of one rank in order.
 
-    First come, first served: ordered by demand alone, later calls would overtake those
-    that were told to wait, until these have waited for nothing.
+    Those first whose calls a load from a copy can still serve in time, the soonest due
+    before others: behind calls that are late in any case they would be late as well.
+
+    The others first come, first served: ordered by demand alone, later calls would
+    overtake those that were told to wait, until these have waited for nothing.
     """
-    return rank, -round(want.oldest_s, 1), -want.value, _tie(spec.name)
+    in_time = copied and want.in_time_s >= spec.disk_s
+    first = want.in_time_s if in_time else -want.oldest_s
+    return rank, not in_time, round(first, 1), -want.value, _tie(spec.name)
 
 
 @lru_cache(KEPT_WEIGHTS)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
@@ -5,10 +5,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from bambootiller_core.gateway.collecting import greater
+from bambootiller_core.gateway.collecting import greater, sooner
 from bambootiller_core.gateway.demand import faded
 from bambootiller_core.gateway.order_messages import Wish
-from bambootiller_core.gateway.want import Want
+from bambootiller_core.gateway.want import NO_WANT, Want
 
 #: What an entry asked for is forgotten after this time unless it is asked for again.
 #: Seconds.
@@ -112,14 +112,15 @@
                 del self._entries[entry]
 
     def wishes(self) -> list[Wish]:
-        """Urgent wishes first, and among these the one whose calls have waited
-        longest."""
+        """Urgent wishes first, among these the one whose calls are in time, but not
+        for long, and then the one whose calls have waited longest."""
         wants = self.wants()
-        wishes = [wish for wish, _ in self._wishes.values()]
-        wishes.sort(
-            key=lambda wish: (wish.urgency, -wants.get(wish.model, Want()).oldest_s)
-        )
-        return wishes
+
+        def key(wish: Wish) -> tuple[float, ...]:
+            want = wants.get(wish.model, NO_WANT)
+            return wish.urgency, not want.in_time_s, want.in_time_s, -want.oldest_s
+
+        return sorted([wish for wish, _ in self._wishes.values()], key=key)
 
     def wants(self) -> dict[str, Want]:
         """The demand of all entries together, by what they say here, or by what the
@@ -147,6 +148,7 @@
                     max(held.holders, want.holders),
                     max(held.oldest_s, want.oldest_s),
                     max(held.copies, want.copies),
+                    sooner(held.in_time_s, want.in_time_s),
                 )
         wished = {wish.model: wish.want for wish, _ in self._wishes.values()}
         return greater(merged, wished)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
@@ -17,14 +17,16 @@
 @dataclass(frozen=True, slots=True)
 class Want:
     """The demand for one model: calls a second, calls waiting, engines holding it, how
-    long the first of the waiting calls has waited, in seconds, and how many engines
-    have its weights, those that hold it included."""
+    long the first of the waiting calls has waited, in seconds, how many engines have
+    its weights, those that hold it included, and how long the next of the waiting calls
+    to be late is still in time, in seconds, 0 if none is."""
 
     rate: float = 0.0
     waiting: int = 0
     holders: int = 0
     oldest_s: float = 0.0
     copies: int = 0
+    in_time_s: float = 0.0
 
     @property
     def value(self) -> float:
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -108,7 +108,8 @@
         relays, ask = self._relays, self._call.ask
         demand = relays.engines.demand(self._call.service)
         began = relays.clock()
-        demand.begin_waiting(began, ask.model, self._weight)
+        due = self._call.arrived + self._call.route.target_s - FIRST_EVENT_S
+        demand.begin_waiting(began, ask.model, self._weight, due)
         try:
             while True:
                 found = self._engine_now(began)
@@ -116,7 +117,7 @@
                     return found
                 await relays.knowledge.changed.wait(LOOK_AGAIN_S)
         finally:
-            demand.end_waiting(began, ask.model, self._weight)
+            demand.end_waiting(began, ask.model, self._weight, due)
 
     def _engine_now(self, began: float) -> Backend | Refusal | None:
         """An engine, a refusal, or None to wait."""
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -84,6 +84,7 @@
             holders=want.holders,
             oldest_ms=int(want.oldest_s * 1000),
             copies=want.copies,
+            in_time_ms=int(want.in_time_s * 1000),
         )
         for model, want in wants.items()
     ]
@@ -102,6 +103,7 @@
         message.holders,
         oldest_s,
         message.copies,
+        message.in_time_ms / 1000,
     )
 
 
