Test: a busy model is unloaded for a single caller while it has no call for a moment

Cause: one waiting call counts for as much as four calls a second. Ruled out: the factor that keeps models (three): it compares equals. Conclusion: none yet.

--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -215,6 +215,20 @@
             victims = choose_victims(self.spec, holdings, 20.0, {}, values, incoming)
             self.assertEqual(victims is not None, goes, incoming)
 
+    def test_a_busy_model_without_calls_for_a_moment_stays(self):
+        """Symptom: a model with eight calls a second is unloaded for a single caller,
+        and loaded again two seconds later.
+
+        Its engine had no call of it for a moment, and one that waits counted for as
+        much as four calls a second.
+        """
+        wants = {"tutor": Want(8.0, holders=1), "poet": Want(0.3, holders=1)}
+        values = keep_values(self.held, wants)
+        for in_use in ({}, {"poet": 1}):
+            with self.subTest(in_use=in_use):
+                found = self.victims(in_use, values, Want(0.2, 2))
+                self.assertEqual(found.models, ("poet",))
+
     def test_no_model_makes_way_for_one_that_is_wanted_far_less(self):
         values = {"tutor": 50.0, "poet": 50.0}
         self.assertIsNone(self.victims({}, values, Want(0.1, 1)))
