Count a waiting call as one call a second, not four

Ruled out: a wider bound for what makes way: it compares the same figures. Change: WAITING_WEIGHT 4 to 1.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
@@ -4,8 +4,10 @@
 
 from dataclasses import dataclass
 
-#: What a call that waits now adds to a model's demand, against its calls per second.
-WAITING_WEIGHT = 4.0
+#: What a call that waits now adds to a model's demand, against its calls per second. If
+#: it were several, a single caller would have a busy model unloaded that has no call
+#: for a moment, and all of its callers would wait for it to come back.
+WAITING_WEIGHT = 1.0
 #: What keeping a model is worth without any demand for it, so that of models nobody
 #: asks for the one that several engines hold goes first. Calls a second.
 LEAST_KEEP = 0.01
