Comments of the gateway without stories of tuning

Ruled out: comments that tell what goes wrong and how one notices; they stay. Change: comments only. Conclusion: no behaviour changed.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/adapter_places.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/adapter_places.py
@@ -18,8 +18,7 @@
     """For each model with adapters in demand, the engines that hold it and that no
     long load keeps from other orders.
 
-    They are counted once for a plan. Looked for anew for each model and engine, they
-    were half of the time of a plan.
+    They are counted once for a plan, not for each model and engine.
 
     Example::
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
@@ -5,9 +5,6 @@
 it. So two agents of a service collect the whole demand and tell the sum; the others
 hear only of the models that concern their own engine.
 
-Measured with 32 entries and 30 agents, all demand on all streams took 0.19 cores an
-entry, 0.23 an agent and 16 MB a second between them.
-
 Entries choose the collectors by themselves, from the agents that they hear. Where they
 disagree for a moment, the sums are too small for that moment; then loads come later
 than they could, and no promise depends on it.
@@ -143,7 +140,7 @@
     for model, want in second.items():
         held = merged.get(model)
         if held is None or held == want:
-            # Two collectors mostly tell the same; a third of the time for their sum.
+            # Two collectors mostly tell the same.
             merged[model] = want
             continue
         merged[model] = Want(
@@ -180,6 +177,5 @@
 @lru_cache(KEPT_FIRST)
 def seen_to_by(model: str, entries: tuple[str, ...]) -> str | None:
     """The one of the planners that sees to loads of the model."""
-    # Hashed anew for each load of each plan, the names of 32 entries took a tenth of
-    # an entry's time for a plan.
+    # Kept, as it is asked for each load of each plan.
     return rendezvous.first(model, planners(entries))
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/moving.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/moving.py
@@ -5,9 +5,6 @@
 its copy it would take half of one. So one of the models there is loaded a second time,
 from a copy that another engine with room has of it. Then it can go where it stands in
 the way, and none of its calls waits.
-
-On a day on which demand moved three times, three models that waited 6 to 11 seconds for
-the store while their copies lay behind others had 379 of 656 refusals.
 """
 
 from __future__ import annotations
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -45,8 +45,8 @@
 #: and doesn't hold the model, has given the load up. Seconds.
 LOAD_SHOWS_S = 0.4
 #: An engine that refused an order because it is another instance isn't ordered for so
-#: long, unless its name is known sooner. Seconds; about a heartbeat, within which a new
-#: start is listed. Without it 79 of 100 orders of a day were such.
+#: long, unless its name is known sooner: it would refuse the same order again and
+#: again. Seconds; about a heartbeat, within which a new start is listed.
 MISNAMED_S = 1.0
 #: A load that has outlived its estimate is expected to last this part of it longer.
 OVERRUN_SHARE = 0.15
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/places.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/places.py
@@ -16,7 +16,7 @@
 LONG_LOAD_S = 1.5
 #: A model that must wait for another's call to end there waits about so long, and
 #: longer the more calls there are, as the last of them counts. Seconds, and the part of
-#: it for each factor of e: 24 calls took 6 s.
+#: it for each factor of e.
 RUN_S = 1.5
 MORE_RUNS = 0.5
 #: Demand that is this many times another's isn't made way for it.
@@ -94,8 +94,7 @@
         if need_mb <= 0:
             return NO_VICTIMS
         if self._leavers is None:
-            # Put in order once for a plan, not for each model that could come: that
-            # took a fifth of the time of a plan.
+            # Put in order once for a plan, not for each model that could come.
             self._leavers = Leavers(
                 engine, state.holdings, state.in_use, state.keep_values
             )
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/service_levels.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/service_levels.py
@@ -6,9 +6,6 @@
 their level is used than others, half of the way to the same part in all demand. With
 the whole way, one call of a rare level took the place of models with several calls a
 second.
-
-Seen with three levels of 91, 89 and 11 calls a second: 41 in 100 of the rare one were
-served, and 72 in 100 of the others.
 """
 
 from __future__ import annotations
--- a/packages/bambootiller/src/bambootiller/gateway/agent_words.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent_words.py
@@ -173,8 +173,8 @@
     def _said(self) -> Update | None:
         """What all entries are told, made once for all streams until it changes.
 
-        A change goes out on all of them in the same moment. Made for each, with 32
-        entries that took 5 ms a stream, 0.2 of a core.
+        A change goes out on all of them in the same moment; made for each, it would
+        cost an agent more the more entries there are.
         """
         if self._saying is not None:
             return self._saying
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -325,8 +325,8 @@
         """Make the plan if this entry acts on it; if not, only what comes of it for
         others: its own demand, which agents are told, and the store's speed.
 
-        Of 68 entries that all made the plan four times a second, with 39 engines and
-        186 models, four asked for loads; the others spent 2.4 % of a core on it.
+        Made by all of many entries, it would be made in vain by most: a few ask for the
+        loads.
         """
         if self._is_planner() or self._awaits_own():
             self._plan_all(now)
@@ -341,8 +341,8 @@
     def _plan_awaited(self, now: float) -> None:
         """Calls wait: make the plan if this entry acts on it.
 
-        Of 32 entries that all made the plan at each beat, one asked for the load. The
-        store's speed is learnt from when loads begin and end, by all of them.
+        Of many entries one asks for the load. The store's speed is learnt from when
+        loads begin and end, by all of them.
         """
         if self._acts_on_plan(now):
             self._plan_all(now)
