--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -12,9 +12,10 @@
 class ChosenOn:
     """What was known of a backend server when a call was sent there.
 
-    ``occupied`` are calls running or queued, ``candidates`` the backend servers that
-    could have been chosen, ``revision`` the version of its registration, ``standing``
-    how it is judged, ``agent_age_ms`` the age of its agent's word, None without one."""
+    ``occupied`` are calls running or queued, ``unread`` those whose prompts it had still
+    to read, ``candidates`` the backend servers that could have been chosen,
+    ``revision`` the version of its registration, ``standing`` how it is judged,
+    ``agent_age_ms`` the age of its agent's word, None without one."""
 
     zone: str
     occupied: int
@@ -22,6 +23,7 @@
     revision: int
     standing: str
     agent_age_ms: int | None = None
+    unread: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller/src/bambootiller/gateway/reporting.py
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -43,6 +43,7 @@
             revision=backend.registered.revision,
             standing=health.standing(backend.incarnation).value,
             agent_age_ms=_ms(backend.unheard_s(now)) if heard else None,
+            unread=backend.unread_prompts(now),
         )
 
     def part_passed_on(self, now: float) -> None:
