Plans of an entry in a module of their own, apart from its streams

Change: EnginePlans (engine_plans.py) keeps demand, totals, plans and the clock; Engines keeps the streams and asks agents for what the plans wish. Tests and stand-ins follow the names; no test asserts less. Conclusion: no behaviour changed.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -12,8 +12,8 @@
 class ChosenOn:
     """What was known of a backend server when a call was sent there.
 
-    ``occupied`` are calls running or queued, ``unread`` those whose prompts it had still
-    to read, ``candidates`` the backend servers that could have been chosen,
+    ``occupied`` are calls running or queued, ``unread`` those whose prompts it had
+    still to read, ``candidates`` the backend servers that could have been chosen,
     ``revision`` the version of its registration, ``standing`` how it is judged,
     ``agent_age_ms`` the age of its agent's word, None without one."""
 
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -0,0 +1,261 @@
+"""An entry's demand for models, and the plans that it makes of all entries' demand."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+from bambootiller.app import Application
+from bambootiller.gateway.knowledge import Knowledge
+from bambootiller.gateway.plan_clock import PlanClock, pause_s
+from bambootiller_core.gateway.collecting import (
+    Totals,
+    greater,
+    planners,
+    seen_to_by,
+)
+from bambootiller_core.gateway.config import ServiceSpec
+from bambootiller_core.gateway.demand import Demand
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
+from bambootiller_core.gateway.places import copies_at
+from bambootiller_core.gateway.residency import PlannedLoad, Planner
+from bambootiller_core.gateway.store_speeds import StoreSpeeds, left_by
+from bambootiller_core.gateway.want import NO_WANT, Want
+
+#: A plan no older than this is of this moment, in pauses between two plans: a call that
+#: looks at it would otherwise be quicker than the next plan.
+FRESH_PAUSES = 2
+#: The urgency of what is asked for ahead of demand.
+AHEAD = 5
+
+
+class EnginePlans:
+    """The demand and the plans for all services of engines.
+
+    Calls that need a model ask :meth:`plan_for` when it can be used, and say in
+    :meth:`demand` while they wait, so that the plan counts them. ``wish`` asks the
+    agent beside an engine for a load.
+    """
+
+    def __init__(
+        self,
+        app: Application,
+        knowledge: Knowledge,
+        wish: Callable[[Backend, Wish], object],
+    ) -> None:
+        self._app = app
+        self._knowledge = knowledge
+        self._wish = wish
+        #: The entries that agents hear, this one among them.
+        self.entries: tuple[str, ...] = ()
+        self._demand: dict[str, Demand] = {}
+        self._own: dict[str, dict[str, Want]] = {}
+        self._totals = Totals()
+        self._plans: dict[str, dict[str, PlannedLoad]] = {}
+        self._planned_for: dict[str, dict[str, Want]] = {}
+        self._planned_at = float("-inf")
+        self._speeds = StoreSpeeds()
+        self._clock = PlanClock(
+            self._due,
+            self._awaited,
+            self._any_waits,
+            lambda: not all(demand.is_idle for demand in self._demand.values()),
+            lambda: knowledge.changed.count,
+        )
+
+    def start(self, now: float) -> None:
+        """Begin to plan."""
+        self._clock.start(self._app.timers, now)
+
+    def changed(self, now: float) -> None:
+        """Something that plans are made of has changed."""
+        self._clock.changed(now)
+
+    def demand(self, service: str) -> Demand:
+        """The demand for the models of a service at this entry."""
+        return self._demand.setdefault(service, Demand())
+
+    def totals_told(
+        self, now: float, service: str, host: str, totals: Mapping[str, Want]
+    ) -> None:
+        """A collecting agent told the demand of all entries."""
+        self._totals.told(now, service, host, totals)
+
+    def wants_of_all(self, service: str, own: dict[str, Want]) -> dict[str, Want]:
+        """The demand of all entries for the models of a service, as its collectors
+        told it last, and not less than what this entry knows of its own."""
+        return greater(self._totals.of(self._app.now(), service), own)
+
+    def own_wants(self, service: str) -> dict[str, Want]:
+        """This entry's demand, as agents are told it."""
+        wants = self._own.get(service)
+        return self._wants(service) if wants is None else wants
+
+    def planned(self, service: str, model: str) -> PlannedLoad | None:
+        """The load of the model that is under way or planned."""
+        return self._plans.get(service, {}).get(model)
+
+    def waiting(self, service: str, model: str) -> int:
+        """The calls of all entries that waited for the model at the last plan."""
+        return self._planned_for.get(service, {}).get(model, NO_WANT).waiting
+
+    def store_loads(self) -> float:
+        """How many loads the weight store is taken to serve at full speed."""
+        return self._speeds.least_loads
+
+    def plan_for(self, service: str, model: str) -> PlannedLoad | None:
+        """The load of the model for a call that waits now: the plan is made anew unless
+        it is of this moment.
+
+        A model that can't be loaded anywhere isn't in the plan at all. A plan that left
+        it out is an answer too, for the calls that it counted; made anew for each look
+        of each of them, plans would leave a starting entry time for nothing else.
+        """
+        now = self._app.now()
+        planned = self.planned(service, model)
+        counted = self._own.get(service, {}).get(model, NO_WANT).waiting
+        more = self.demand(service).waiting(now, model) > counted
+        if (planned is None and more) or self._is_old(now):
+            self.make(now)
+            self._clock.hurry(now)
+            planned = self.planned(service, model)
+        return planned
+
+    def make(self, now: float) -> None:
+        """Make the plans of all services, and ask for the loads that this entry sees
+        to."""
+        self._clock.making(now)
+        self._planned_at = now
+        pairs = 0
+        for service in self._engine_services():
+            backends = self._knowledge.fleet.of_service(service.name)
+            pairs += len(backends) * len(service.engine.models)
+            speed = self._speeds.observe(now, service, backends)
+            planner = Planner(service.engine, speed.limit, left_by(speed, now))
+            wants = self._refresh_wants(service.name)
+            wants_of_all = self.wants_of_all(service.name, wants)
+            plan = planner.plan(now, backends, wants_of_all)
+            self._plans[service.name] = plan
+            self._planned_for[service.name] = wants_of_all
+            self._ask(plan, wants, wants_of_all)
+            if plan or any(want.value for want in wants_of_all.values()):
+                self._clock.has_work()
+        self._clock.pause_s = pause_s(pairs)
+
+    def _is_old(self, now: float) -> bool:
+        return now - self._planned_at > FRESH_PAUSES * self._clock.pause_s
+
+    def _wants(self, service: str) -> dict[str, Want]:
+        """This entry's demand; models that engines hold are in it also if nobody asks
+        for them, as agents have to know which of them other engines have as well."""
+        holders: Counter[str] = Counter()
+        copies: Counter[str] = Counter()
+        for backend in self._knowledge.fleet.of_service(service):
+            holders.update(backend.holdings.keys())
+            copies.update(copies_at(backend))
+        wants = self.demand(service).wants(self._app.now(), holders, copies)
+        for model, count in holders.items():
+            if model not in wants:
+                wants[model] = Want(holders=count, copies=copies[model])
+        return wants
+
+    def _refresh_wants(self, service: str) -> dict[str, Want]:
+        """This entry's demand as it is now, as agents are told it; the same table as
+        before where nothing has changed."""
+        wants = self._wants(service)
+        if wants != self._own.get(service):
+            self._own[service] = wants
+        return self._own[service]
+
+    def _due(self, now: float) -> None:
+        """Make the plan if this entry acts on it; if not, only what comes of it for
+        others: its own demand, which agents are told, and the store's speed.
+
+        Made by all of many entries, it would be made in vain by most: a few ask for the
+        loads.
+        """
+        if self._is_planner() or self._awaits_own():
+            self.make(now)
+            return
+        self._clock.making(now)
+        self._observe(now)
+        for service in self._engine_services():
+            wants = self._refresh_wants(service.name)
+            if any(want.value for want in wants.values()):
+                self._clock.has_work()
+
+    def _awaited(self, now: float) -> None:
+        """Calls wait: make the plan if this entry acts on it.
+
+        Of many entries one asks for the load. The store's speed is learnt from when
+        loads begin and end, by all of them.
+        """
+        if self._acts_on_plan(now):
+            self.make(now)
+        else:
+            self._observe(now)
+
+    def _acts_on_plan(self, now: float) -> bool:
+        """Whether this entry asks for loads that calls wait for: they are its own, or
+        it is the one to see to their model. Others make the plan when a call comes."""
+        if self._awaits_own():
+            return True
+        return any(map(self._sees_to, self._totals.waited_for(now)))
+
+    def _awaits_own(self) -> bool:
+        """Whether calls of this entry wait, or refused callers are due back here."""
+        if any(demand.anyone_waits for demand in self._demand.values()):
+            return True
+        return any(want.waiting for own in self._own.values() for want in own.values())
+
+    def _any_waits(self) -> bool:
+        if self._awaits_own():
+            return True
+        if not self._is_planner():
+            return False
+        counted = self._planned_for.values()
+        return any(want.waiting for wants in counted for want in wants.values())
+
+    def _is_planner(self) -> bool:
+        return self._app.instance in planners(self.entries)
+
+    def _observe(self, now: float) -> None:
+        for service in self._engine_services():
+            backends = self._knowledge.fleet.of_service(service.name)
+            self._speeds.observe(now, service, backends)
+
+    def _engine_services(self) -> list[ServiceSpec]:
+        config = self._knowledge.config
+        services = config.services.values() if config is not None else ()
+        return [service for service in services if service.engine is not None]
+
+    def _ask(
+        self,
+        plan: dict[str, PlannedLoad],
+        wants: dict[str, Want],
+        wants_of_all: dict[str, Want],
+    ) -> None:
+        for load in plan.values():
+            if not load.ask_now:
+                continue
+            backend = self._knowledge.fleet.get(load.instance)
+            if backend is None:
+                continue
+            waiting = wants.get(load.model, NO_WANT).waiting
+            want = wants_of_all.get(load.model, NO_WANT)
+            alone = waiting and not load.from_store
+            if not alone and not self._sees_to(load.model):
+                continue
+            urgency = WAITED_FOR if waiting or want.waiting else AHEAD
+            self._wish(backend, Wish(load.model, "", urgency, want))
+
+    def _sees_to(self, model: str) -> bool:
+        """Whether this entry is the one to ask for a load from the weight store, or
+        for one that no call waits for.
+
+        All entries have nearly the same plan. Asked by several at the same moment,
+        agents would load a model at more engines than it needs, and half of what the
+        store gives would be wasted. A load from a copy is over before it matters.
+        """
+        return seen_to_by(model, self.entries) == self._app.instance
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -224,11 +224,13 @@
         meters.level(
             "backend_connections", "Connections to backend servers", relays.open_count
         )
-        meters.level("entries_known", "Entries heard", lambda: len(engines.entries))
+        meters.level(
+            "entries_known", "Entries heard", lambda: len(engines.plans.entries)
+        )
         meters.level(
             "store_loads_at_full_speed",
             "Loads that the weight store is taken to serve at full speed",
-            engines.store_loads,
+            engines.plans.store_loads,
         )
         meters.level("engine_streams", "Streams to agents", engines.stream_count)
 
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -49,7 +49,7 @@
         now, service = self._relays.clock(), self._call.service
         levels = self._relays.service(service).levels
         self._weight = levels.weigh(now, level_of(self._call.route))
-        demand = self._relays.engines.demand(service)
+        demand = self._relays.engines.plans.demand(service)
         demand.asked(now, self._call.ask.model, self._weight)
 
     async def place(self) -> Backend | Refusal:
@@ -106,7 +106,7 @@
         """An engine that holds the model and the adapter, waiting for one if need
         be."""
         relays, ask = self._relays, self._call.ask
-        demand = relays.engines.demand(self._call.service)
+        demand = relays.engines.plans.demand(self._call.service)
         began = relays.clock()
         due = self._call.arrived + self._call.route.target_s - FIRST_EVENT_S
         demand.begin_waiting(began, ask.model, self._weight, due)
@@ -166,7 +166,7 @@
     def _await_model(self, now: float, untried: list[Backend]) -> Refusal | None:
         call, ask = self._call, self._call.ask
         engines = self._relays.engines
-        planned = engines.plan_for(call.service, ask.model)
+        planned = engines.plans.plan_for(call.service, ask.model)
         due = min(self._next_event_due(), call.deadline) - FIRST_EVENT_S
         if self._relays.stop_by is not None:
             due = min(due, self._relays.stop_by - STREAM_S)
@@ -178,7 +178,7 @@
         come_back = COME_BACK_MAX_S if ready_in is None else ready_in
         detail = "no engine can load it" if ready_in is None else ""
         come_back = min(max(come_back, attempts.COME_BACK_S), COME_BACK_MAX_S)
-        demand = engines.demand(call.service)
+        demand = engines.plans.demand(call.service)
         demand.refused(now, ask.model, come_back, self._weight)
         plan = self._plan_seen(now, planned)
         return Refusal(Reason.COLD, come_back, detail, plan)
@@ -192,7 +192,7 @@
 
     def _plan_seen(self, now: float, planned: PlannedLoad | None) -> PlanSeen:
         call = self._call
-        waiting = self._relays.engines.waiting(call.service, call.ask.model)
+        waiting = self._relays.engines.plans.waiting(call.service, call.ask.model)
         if planned is None:
             return PlanSeen(waiting=waiting)
         backend = self._relays.knowledge.fleet.get(planned.instance)
--- a/packages/bambootiller/src/bambootiller/gateway/relays.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -76,7 +76,9 @@
         found = self._services.get(name)
         if found is None:
             found = self._services[name] = ServiceState(budget=self._new_budget())
-        found.budget.entries = max(2, len(self.engines.entries) or ASSUMED_ENTRIES)
+        found.budget.entries = max(
+            2, len(self.engines.plans.entries) or ASSUMED_ENTRIES
+        )
         return found
 
     def unreached(self, service: str, backend: Backend) -> None:
@@ -138,5 +140,5 @@
         service = config.services.get(backend.registered.service) if config else None
         if service is None or service.max_connections is None:
             return MOST_CONNECTIONS
-        share = service.max_connections // max(2, len(self.engines.entries))
+        share = service.max_connections // max(2, len(self.engines.plans.entries))
         return max(LEAST_CONNECTIONS, share)
--- a/tests/adapter/common/entry.py
+++ b/tests/adapter/common/entry.py
@@ -35,12 +35,11 @@
         return [line for line in self.lines if line.event == event]
 
 
-class NoEngines:
-    """Engines without agents: nothing can be ordered."""
+class NoPlans:
+    """Plans without engines that take orders."""
 
     def __init__(self):
         self.entries = ("e1", "e2")
-        self.wishes = []
         self._demand = Demand()
 
     def demand(self, service):
@@ -55,6 +54,14 @@
     def plan_for(self, service, model):
         return None
 
+
+class NoEngines:
+    """Engines without agents: nothing can be ordered."""
+
+    def __init__(self):
+        self.plans = NoPlans()
+        self.wishes = []
+
     def wish(self, backend, wish):
         self.wishes.append(wish)
         return True
--- a/tests/gateway/cover/test_collecting.py
+++ b/tests/gateway/cover/test_collecting.py
@@ -143,7 +143,7 @@
             fleet = engines._knowledge.fleet
             fleet.engine_told(10.0, samples.engine_state("b1", ("m0", "m1")))
             for number in range(count):
-                engines.demand("tutor").asked(10.0, f"m{number}")
+                engines.plans.demand("tutor").asked(10.0, f"m{number}")
             figures = engines.figures_for(fleet.get("b1"))
             self.assertEqual(
                 sorted(item.model for item in figures.demand), ["m0", "m1"]
--- a/tests/gateway/failures/test_engines.py
+++ b/tests/gateway/failures/test_engines.py
@@ -4,7 +4,8 @@
 from unittest import mock
 
 from bambootiller.gateway import wire
-from bambootiller.gateway.engines import FRESH_PAUSES, Engines
+from bambootiller.gateway.engine_plans import FRESH_PAUSES
+from bambootiller.gateway.engines import Engines
 from bambootiller.gateway.plan_clock import IDLE_PLAN_S, PLAN_MAX_S, PLAN_S
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core import rendezvous
@@ -59,14 +60,16 @@
         engines = Engines(App(), Known(), None, None, 7)
         engines.received(told("b1", {"poet": Want(rate=3.0, waiting=2)}))
         engines.received(told("b2", {"critic": Want(rate=1.0)}))
-        self.assertEqual(engines.wants_of_all("tutor", {})["poet"].waiting, 2)
-        self.assertNotIn("critic", engines.wants_of_all("tutor", {}))
-        self.assertEqual(engines.wants_of_all("judge", {})["critic"].rate, 1.0)
+        self.assertEqual(engines.plans.wants_of_all("tutor", {})["poet"].waiting, 2)
+        self.assertNotIn("critic", engines.plans.wants_of_all("tutor", {}))
+        self.assertEqual(engines.plans.wants_of_all("judge", {})["critic"].rate, 1.0)
 
     def test_an_entrys_own_demand_counts_where_it_is_more(self):
         engines = Engines(App(), Known(), None, None, 7)
         engines.received(told("b1", {"poet": Want(rate=3.0, waiting=2)}))
-        merged = engines.wants_of_all("tutor", {"poet": Want(rate=1.0, waiting=5)})
+        merged = engines.plans.wants_of_all(
+            "tutor", {"poet": Want(rate=1.0, waiting=5)}
+        )
         self.assertEqual((merged["poet"].rate, merged["poet"].waiting), (3.0, 5))
 
 
@@ -94,9 +97,9 @@
         patched = mock.patch.object(Planner, "plan", plan)
         patched.start()
         self.addCleanup(patched.stop)
-        self.engines._plan_all(10.0)
+        self.engines.plans.make(10.0)
         self.timers = TimerService()
-        self.engines._clock.start(self.timers, 10.0)
+        self.engines.plans._clock.start(self.timers, 10.0)
 
     def told(self, model, among):
         update = told("b1", {model: Want(rate=3.0, waiting=2)})
@@ -123,7 +126,7 @@
     def test_one_that_asks_for_nothing_makes_none_while_others_wait(self):
         model, names = self.others()
         self.told(model, names)
-        self.engines._plan_all(self.app.time)
+        self.engines.plans.make(self.app.time)
         self.assertEqual(self.beats(3), 0)
         self.app.time += IDLE_PLAN_S
         self.assertEqual(self.beats(1), 1)
@@ -153,21 +156,21 @@
 
     def test_one_that_makes_no_plan_still_tells_its_demand(self):
         self.told("poet", self.many())
-        self.engines.demand("tutor").asked(self.app.time, "critic")
+        self.engines.plans.demand("tutor").asked(self.app.time, "critic")
         self.app.time += IDLE_PLAN_S
         self.timers.advance(self.app.time)
-        self.assertIn("critic", self.engines._own_wants("tutor"))
+        self.assertIn("critic", self.engines.plans.own_wants("tutor"))
 
     def test_the_one_that_sees_to_the_model_makes_one_each_beat(self):
         self.told("poet", ("entry-1",))
-        self.engines._plan_all(self.app.time)
+        self.engines.plans.make(self.app.time)
         self.assertEqual(self.beats(3), 3)
 
     def test_one_with_a_waiting_call_makes_one_each_beat(self):
         model, names = self.others()
         self.told(model, names)
-        self.engines.demand("tutor").asked(self.app.time, "poet")
-        self.engines.demand("tutor").begin_waiting(self.app.time, "poet")
+        self.engines.plans.demand("tutor").asked(self.app.time, "poet")
+        self.engines.plans.demand("tutor").begin_waiting(self.app.time, "poet")
         self.assertEqual(self.beats(3), 3)
 
     def test_in_a_large_fleet_plans_take_no_more_of_a_core(self):
@@ -185,39 +188,41 @@
             address = f"10.0.1.{number}:1"
             record = registered(f"i{number}", "tutor", address)
             self.known.fleet.registry_changed(0.0, record)
-        self.engines.demand("tutor").asked(self.app.time, "poet")
-        self.engines.demand("tutor").begin_waiting(self.app.time, "poet")
-        self.engines._plan_all(self.app.time)
+        self.engines.plans.demand("tutor").asked(self.app.time, "poet")
+        self.engines.plans.demand("tutor").begin_waiting(self.app.time, "poet")
+        self.engines.plans.make(self.app.time)
         self.assertLessEqual(self.beats(20), 20 * PLAN_S / PLAN_MAX_S + 1)
 
     def test_one_whose_refused_callers_are_due_back_makes_one_each_beat(self):
         model, names = self.others()
         self.told(model, names)
-        self.engines.demand("tutor").asked(self.app.time, "poet")
-        self.engines.demand("tutor").refused(self.app.time, "poet", 3.0)
-        self.engines._plan_all(self.app.time)
+        self.engines.plans.demand("tutor").asked(self.app.time, "poet")
+        self.engines.plans.demand("tutor").refused(self.app.time, "poet", 3.0)
+        self.engines.plans.make(self.app.time)
         self.assertEqual(self.beats(3), 3)
 
     def test_a_call_gets_a_plan_of_its_moment(self):
         self.engines.received(told("b1", {}))
-        demand = self.engines.demand("tutor")
+        demand = self.engines.plans.demand("tutor")
         demand.asked(self.app.time, "poet")
         demand.begin_waiting(self.app.time, "poet")
         before = len(self.plans)
         for _ in range(5):
-            self.assertEqual(self.engines.plan_for("tutor", "poet").instance, "b1")
+            self.assertEqual(
+                self.engines.plans.plan_for("tutor", "poet").instance, "b1"
+            )
         self.assertEqual(len(self.plans) - before, 1)
         self.app.time += FRESH_PAUSES * PLAN_S + 0.01
-        self.engines.plan_for("tutor", "poet")
+        self.engines.plans.plan_for("tutor", "poet")
         self.assertEqual(len(self.plans) - before, 2)
 
     def test_a_model_that_no_engine_can_load_is_not_planned_for_at_each_look(self):
-        demand = self.engines.demand("tutor")
+        demand = self.engines.plans.demand("tutor")
         demand.asked(self.app.time, "unheard")
         demand.begin_waiting(self.app.time, "unheard")
         before = len(self.plans)
         for _ in range(5):
-            self.assertIsNone(self.engines.plan_for("tutor", "unheard"))
+            self.assertIsNone(self.engines.plans.plan_for("tutor", "unheard"))
         self.assertEqual(len(self.plans) - before, 1)
 
     def test_one_more_call_for_a_model_that_was_left_out_is_counted_at_once(self):
@@ -227,13 +232,13 @@
         A plan that had left a model out while one refused caller was due back held for
         all further calls, and such a plan was at hand nearly always.
         """
-        demand = self.engines.demand("tutor")
+        demand = self.engines.plans.demand("tutor")
         demand.asked(self.app.time, "unheard")
         demand.refused(self.app.time, "unheard", 3.0)
-        self.engines._plan_all(self.app.time)
+        self.engines.plans.make(self.app.time)
         before = len(self.plans)
         for number in (1, 2):
             demand.begin_waiting(self.app.time, "unheard")
             for _ in range(3):
-                self.engines.plan_for("tutor", "unheard")
+                self.engines.plans.plan_for("tutor", "unheard")
             self.assertEqual(len(self.plans) - before, number)
--- a/tests/gateway/failures/test_silence.py
+++ b/tests/gateway/failures/test_silence.py
@@ -170,9 +170,9 @@
         self.clock.at += 1.2
         self.hear(Update())
         self.clock.at += 1.2
-        self.assertEqual(self.engines.wants_of_all(SERVICE, {})["poet"].rate, 3.0)
+        self.assertEqual(self.engines.plans.wants_of_all(SERVICE, {})["poet"].rate, 3.0)
         self.clock.at += 0.4
-        self.assertEqual(self.engines.wants_of_all(SERVICE, {}), {})
+        self.assertEqual(self.engines.plans.wants_of_all(SERVICE, {}), {})
 
     def test_a_collector_that_collects_no_more_takes_its_total_back(self):
         update = figures()
@@ -180,7 +180,7 @@
         update.total_demand.extend(wire.demand_messages({"poet": Want(rate=3.0)}))
         self.hear(update)
         self.hear(Update(collected=True))
-        self.assertEqual(self.engines.wants_of_all(SERVICE, {}), {})
+        self.assertEqual(self.engines.plans.wants_of_all(SERVICE, {}), {})
 
     def test_an_agent_of_an_earlier_version_repeats_everything(self):
         """It never says that it begins, and leaves out copies now and then."""
@@ -201,7 +201,7 @@
         self.backend = self.known.fleet.get("b1")
         self.known.fleet.engine_told(10.0, engine_state("b1", ("poet",)))
         self.stream = Stream("a1")
-        self.engines._own[SERVICE] = {"poet": Want(rate=1.0, holders=1)}
+        self.engines.plans._own[SERVICE] = {"poet": Want(rate=1.0, holders=1)}
 
     def news(self):
         """Whether there is something to tell; it counts as told then."""
@@ -213,7 +213,7 @@
     def test_what_has_not_moved_is_not_told_again(self):
         self.assertTrue(self.news())
         self.assertFalse(self.news())
-        self.engines._own[SERVICE] = {"poet": Want(rate=0.95, holders=1)}
+        self.engines.plans._own[SERVICE] = {"poet": Want(rate=0.95, holders=1)}
         self.assertFalse(self.news())
 
     def test_small_steps_add_up(self):
@@ -223,7 +223,7 @@
         told = 0
         for step in range(40):
             rate = 0.95**step
-            self.engines._own[SERVICE] = {"poet": Want(rate=rate, holders=1)}
+            self.engines.plans._own[SERVICE] = {"poet": Want(rate=rate, holders=1)}
             told += self.news()
             said = self.stream.told["entry"].part["poet"].rate
             self.assertLess(abs(said - rate), 0.11 * said)
@@ -235,9 +235,9 @@
         self.assertTrue(self.news())
         self.known.fleet.get("b1").call_ended("poet")
         self.assertTrue(self.news())
-        self.engines._own[SERVICE] = {"poet": Want(1.0, 1, 1, 0.1)}
+        self.engines.plans._own[SERVICE] = {"poet": Want(1.0, 1, 1, 0.1)}
         self.assertTrue(self.news())
-        self.engines._own[SERVICE] = {"poet": Want(1.0, 0, 2)}
+        self.engines.plans._own[SERVICE] = {"poet": Want(1.0, 0, 2)}
         self.assertTrue(self.news())
 
     def test_a_new_stream_is_told_everything(self):
