--- /dev/null
+++ b/tests/gateway/common/replay.py
@@ -0,0 +1,187 @@
+"""Replays calls for rarely used models on virtual time, around the real plan.
+
+Engines here load one model at a time, from a copy on their own disk or from a weight
+store that serves a few at full speed; what makes way first ends its runs. There is no
+network: calls arrive by a seeded trace, and each is served as soon as an engine holds
+its model.
+"""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from bambootiller_core.gateway.demand import MEMORY_S
+from bambootiller_core.gateway.engine_state import Loading
+from bambootiller_core.gateway.places import choose_victims, keep_values
+from bambootiller_core.gateway.residency import Planner
+from bambootiller_core.gateway.want import NO_WANT, Want
+from tests.gateway.common import samples
+
+ENGINES = 6
+MODELS = 60
+#: Models of which one engine has a copy.
+COPIED = 40
+CALLS_PER_S = 1.2
+#: A caller is late after the first, and leaves after the second. Seconds.
+TARGET_S, PATIENCE_S = 4.0, 16.0
+#: How long a call runs. Seconds.
+RUN_S = 2.0
+LOAD_S, DISK_S = 6.5, 1.5
+STORE_LOADS = 4
+LENGTH_S, TICK_S = 40.0, 0.1
+
+
+@dataclass
+class Engine:
+    """One engine of the replay."""
+
+    name: str
+    copies: set
+    held: dict = field(default_factory=dict)  # model -> when its last run ends
+    loading: str = ""
+    ends_at: float = 0.0
+    from_store: bool = False
+
+    def in_use(self, now):
+        return {model: 1 for model, ends in self.held.items() if ends > now}
+
+
+@dataclass
+class Outcome:
+    """What became of the calls of a replay."""
+
+    in_time: int = 0
+    late: int = 0
+    left: int = 0
+
+    @property
+    def served(self):
+        return self.in_time + self.late
+
+
+class Replay:
+    """One seeded trace.
+
+    ``tells_time_left`` False leaves out of the demand how long calls are in time, as
+    entries of an earlier version do.
+    """
+
+    def __init__(self, seed, tells_time_left=True):
+        self._rng = random.Random(seed)
+        self._tells = tells_time_left
+        names = [f"m{number}" for number in range(MODELS)]
+        models = [samples.model(name, load_s=LOAD_S, disk_s=DISK_S) for name in names]
+        self._spec = samples.engine(*models)
+        copied = self._rng.sample(names, COPIED)
+        self._engines = [
+            Engine(f"b{number}", set(copied[number::ENGINES]))
+            for number in range(ENGINES)
+        ]
+        self._names = names
+        self._rates = Counter()
+        self._waiting = {}
+        self.outcome = Outcome()
+
+    def run(self):
+        """Play it; returns the outcome."""
+        ticks = round(LENGTH_S / TICK_S)
+        for tick in range(ticks):
+            now = tick * TICK_S
+            self._arrive(now)
+            self._end_loads(now)
+            self._serve(now)
+            self._order(now)
+        self.outcome.left += sum(map(len, self._waiting.values()))
+        return self.outcome
+
+    def _arrive(self, now):
+        for model in self._rates:
+            self._rates[model] *= 1 - TICK_S / MEMORY_S
+        if self._rng.random() < CALLS_PER_S * TICK_S:
+            model = self._rng.choice(self._names)
+            self._rates[model] += 1 / MEMORY_S
+            self._waiting.setdefault(model, []).append(now)
+
+    def _end_loads(self, now):
+        for engine in self._engines:
+            if engine.loading and engine.ends_at <= now:
+                engine.held[engine.loading] = now
+                engine.copies.add(engine.loading)
+                engine.loading = ""
+
+    def _serve(self, now):
+        for model, since in list(self._waiting.items()):
+            holder = next((e for e in self._engines if model in e.held), None)
+            if holder is not None:
+                del self._waiting[model]
+                holder.held[model] = now + RUN_S
+                for at in since:
+                    in_time = now - at <= TARGET_S
+                    self.outcome.in_time += in_time
+                    self.outcome.late += not in_time
+                continue
+            staying = [at for at in since if now - at <= PATIENCE_S]
+            self.outcome.left += len(since) - len(staying)
+            self._waiting[model] = staying
+            if not staying:
+                del self._waiting[model]
+
+    def _wants(self, now):
+        wants = {}
+        for model, rate in self._rates.items():
+            since = self._waiting.get(model, [])
+            left = [at + TARGET_S - now for at in since if at + TARGET_S > now]
+            wants[model] = Want(
+                rate,
+                len(since),
+                sum(model in engine.held for engine in self._engines),
+                now - min(since, default=now),
+                sum(model in engine.copies for engine in self._engines),
+                min(left, default=0.0) if self._tells else 0.0,
+            )
+        return wants
+
+    def _order(self, now):
+        wants = self._wants(now)
+        backends = [self._backend(now, engine, wants) for engine in self._engines]
+        plan = Planner(self._spec, STORE_LOADS).plan(now, backends, wants)
+        by_name = {engine.name: engine for engine in self._engines}
+        for load in plan.values():
+            engine = by_name[load.instance]
+            if load.ask_now and not engine.loading:
+                self._load(now, engine, load.model, wants)
+
+    def _backend(self, now, engine, wants):
+        loading = None
+        if engine.loading:
+            left_s = engine.ends_at - now
+            loading = Loading(engine.loading, left_s, engine.from_store)
+        state = samples.engine_state(
+            engine.name,
+            engine.held,
+            loading=loading,
+            busy=loading is not None,
+            on_disk=frozenset(engine.copies),
+            in_use=engine.in_use(now),
+            keep_values=keep_values(engine.held, wants),
+            memory_mb_used=40.0 * (len(engine.held) + bool(loading)),
+        )
+        return samples.backend(engine.name, now, state, service="llm")
+
+    def _load(self, now, engine, model, wants):
+        need_mb = 40.0 * (len(engine.held) + 1) - self._spec.memory_mb
+        victims = choose_victims(
+            self._spec,
+            {name: frozenset() for name in engine.held},
+            need_mb,
+            engine.in_use(now),
+            keep_values(engine.held, wants),
+            wants.get(model, NO_WANT),
+            LOAD_S,
+        )
+        if victims is None:
+            return
+        begins = max([engine.held.pop(name) for name in victims.models], default=now)
+        engine.loading, engine.from_store = model, model not in engine.copies
+        seconds = LOAD_S if engine.from_store else DISK_S
+        engine.ends_at = max(now, begins) + seconds
