A placeholder of the harness's tests that can't miss its SIGTERM

The child of the test, not the harness: it set a handler and then called signal.pause(); a signal between the last check for handlers and the system call is handled only after the call returns, and nothing else wakes it. Ruled out: the harness's order (SIGCONT, then SIGTERM): the same child hangs without a stop. Change: the child blocks the signal and waits for it (sigwait). The test asserts what it did. Conclusion: traced; the product's programs take signals by their loop, which can't miss them this way.

--- a/tests/standins/cover/test_harness.py
+++ b/tests/standins/cover/test_harness.py
@@ -22,13 +22,16 @@
 from bambootiller_standins.plainservice import PlainService
 from bambootiller_standins.testing import FleetTestCase, StandInTestCase
 
-#: Stands for the product's daemon: says that it is ready, and stops on SIGTERM.
+#: Stands for the product's daemon: says that it is ready, and stops on SIGTERM. The
+#: signal is blocked until it is waited for: one that came between the ready line and
+#: signal.pause() would be handled after that returns, which it then never does.
 PLACEHOLDER = """
 import json, os, signal, sys
 ready = {"ready": True, "rpc_port": 9, "http_port": None}
-signal.signal(signal.SIGTERM, lambda *args: sys.exit(3))
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
 print(json.dumps(ready | {"variables": dict(os.environ)}), flush=True)
-signal.pause()
+signal.sigwait({signal.SIGTERM})
+sys.exit(3)
 """
 
 
