--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/copies.py
@@ -0,0 +1,74 @@
+"""Which engines have copies of weights, and what keeps a copy from being used.
+
+Example::
+
+    seen = copies_seen(now, fleet, service, spec.models["tutor"], spec.memory_mb)
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from bambootiller_core.gateway.config import ModelSpec
+from bambootiller_core.gateway.engine_state import EngineState
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.log_lines import CopiesChanged, CopySeen
+from bambootiller_core.gateway.order_messages import EngineReport
+from bambootiller_core.gateway.places import copies_at
+
+#: How many engines with a copy a line names.
+MOST_NAMED = 4
+
+
+def copies_seen(
+    now: float,
+    backends: Iterable[Backend],
+    service: str,
+    spec: ModelSpec,
+    memory_mb: float,
+) -> tuple[CopySeen, ...]:
+    """The engines of the service that have a copy of the model, leaving ones too."""
+    found = [
+        CopySeen(backend.instance, _state(now, backend, spec, memory_mb))
+        for backend in backends
+        if backend.registered.service == service
+        and backend.engine is not None
+        and spec.name in copies_at(backend)
+    ]
+    return tuple(found[:MOST_NAMED])
+
+
+def _state(now: float, backend: Backend, spec: ModelSpec, memory_mb: float) -> str:
+    if backend.registered.leaving:
+        return "leaving"
+    if backend.lost(now):
+        return "lost"
+    if not backend.agent_heard(now):
+        return "unheard"
+    return _engine_state(backend.engine, spec, memory_mb)
+
+
+def _engine_state(state: EngineState, spec: ModelSpec, memory_mb: float) -> str:
+    if state.loading is not None:
+        return "loading"
+    if state.busy:
+        return "unloading"
+    fits = state.memory_mb_used + spec.size_mb <= memory_mb
+    return "free" if fits else "full"
+
+
+def copies_changed(
+    before: EngineReport | None, report: EngineReport
+) -> CopiesChanged | None:
+    """How the engine's copies differ from those of the report before; None if they
+    don't."""
+    had = before.in_memory | before.on_disk if before is not None else frozenset()
+    has = report.in_memory | report.on_disk
+    if had == has:
+        return None
+    return CopiesChanged(
+        tuple(sorted(has - had)),
+        tuple(sorted(had - has)),
+        len(report.on_disk),
+        len(report.in_memory),
+    )
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
@@ -28,6 +28,7 @@
     StoodStill,
 )
 from bambootiller_core.gateway.log_lines._orders import (
+    CopiesChanged,
     FencingToken,
     LoadEnded,
     Order,
@@ -48,6 +49,7 @@
     CallerGone,
     CannotConnect,
     ChosenOn,
+    CopySeen,
     Cut,
     PlanSeen,
     Refused,
@@ -67,6 +69,8 @@
     "CannotConnect",
     "ChosenOn",
     "ConfigInForce",
+    "CopiesChanged",
+    "CopySeen",
     "Cut",
     "CutAtStop",
     "DependencyLost",
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_base.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_base.py
@@ -33,4 +33,6 @@
             for item in fields(value)
             if getattr(value, item.name) is not None
         }
+    if isinstance(value, tuple):
+        return [_plain(item) for item in value]
     return value
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
@@ -49,3 +49,19 @@
     held: bool
     seconds: float
     from_store: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CopiesChanged(LogLine):
+    """The copies of weights that the engine has on its disk or in its memory.
+
+    ``lost`` were pushed out by others, or went with the engine's last start; a model
+    whose only copy is lost comes from the weight store next."""
+
+    event: ClassVar[str] = "copies_changed"
+    failure: ClassVar[bool] = False
+
+    gained: tuple[str, ...]
+    lost: tuple[str, ...]
+    on_disk: int
+    in_memory: int
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -26,13 +26,24 @@
     unread: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class CopySeen:
+    """An engine that has a copy of a model, and what keeps the model from being loaded
+    there: ``leaving``, ``lost``, ``unheard`` (its agent is silent), ``loading``,
+    ``unloading``, ``full``, or ``free`` if nothing does."""
+
+    backend: str
+    state: str
+
+
 @dataclass(frozen=True, slots=True)
 class PlanSeen:
     """The plan on which a call waited for its model, or was refused.
 
     ``ready_in_s`` None: no engine can load it. ``backend`` is the engine of the planned
     load; ``agent_age_ms`` the age of its agent's word, ``waiting`` the calls of all
-    entries that wait for the model."""
+    entries that wait for the model. ``copies`` are engines with a copy of the model, a
+    few at most, ``store_loads`` the loads from the weight store that are under way."""
 
     ready_in_s: float | None = None
     backend: str | None = None
@@ -40,6 +51,8 @@
     asked: bool | None = None
     agent_age_ms: int | None = None
     waiting: int = 0
+    copies: tuple[CopySeen, ...] = ()
+    store_loads: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -17,6 +17,7 @@
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.config import EngineSpec, GatewayConfig
+from bambootiller_core.gateway.copies import copies_changed
 from bambootiller_core.gateway.engine_state import EngineState
 from bambootiller_core.gateway.order_messages import (
     EngineOrder,
@@ -246,6 +247,9 @@
         before = self._book.report
         self._note_load(self._book.reported(self._app.now(), report))
         now_there = self._book.report
+        changed = copies_changed(before, now_there)
+        if changed is not None:
+            self._events.emit(changed)
         if before is None:
             return
         if not now_there.incarnation.is_other_start(before.incarnation):
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -15,8 +15,10 @@
     seen_to_by,
 )
 from bambootiller_core.gateway.config import ServiceSpec
+from bambootiller_core.gateway.copies import copies_seen
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.log_lines import CopySeen
 from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
 from bambootiller_core.gateway.places import copies_at
 from bambootiller_core.gateway.residency import PlannedLoad, Planner
@@ -100,6 +102,30 @@
         """The calls of all entries that waited for the model at the last plan."""
         return self._planned_for.get(service, {}).get(model, NO_WANT).waiting
 
+    def copies_seen(self, service: str, model: str) -> tuple[CopySeen, ...]:
+        """The engines that have a copy of the model, and what keeps it there."""
+        engines = {item.name: item.engine for item in self._engine_services()}
+        engine = engines.get(service)
+        spec = engine.models.get(model) if engine is not None else None
+        if spec is None:
+            return ()
+        fleet, now = self._knowledge.fleet, self._app.now()
+        return copies_seen(now, fleet, service, spec, engine.memory_mb)
+
+    def store_loads_under_way(self, service: str) -> int:
+        """How many loads from the weight store agents tell of."""
+        return sum(
+            backend.engine is not None
+            and backend.engine.loading is not None
+            and backend.engine.loading.from_store
+            for backend in self._knowledge.fleet.of_service(service)
+        )
+
+    def all_store_loads_under_way(self) -> int:
+        """The same of all services."""
+        services = self._engine_services()
+        return sum(self.store_loads_under_way(service.name) for service in services)
+
     def store_loads(self) -> float:
         """How many loads the weight store is taken to serve at full speed."""
         return self._speeds.least_loads
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -232,6 +232,11 @@
             "Loads that the weight store is taken to serve at full speed",
             engines.plans.store_loads,
         )
+        meters.level(
+            "store_loads_under_way",
+            "Loads from the weight store that agents tell of",
+            engines.plans.all_store_loads_under_way,
+        )
         meters.level("engine_streams", "Streams to agents", engines.stream_count)
 
     def _register(self, server: object) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/meters.py
+++ b/packages/bambootiller/src/bambootiller/gateway/meters.py
@@ -123,6 +123,9 @@
             "orders", "Orders to the engine", "order", "target", "answer"
         )
         self.loads = self._histogram("load_seconds", "Loads of models", "tier", "held")
+        self.copies = self._counter(
+            "copies", "Copies of weights that came to the engine or went", "change"
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls of the store", "call", "answer"
         )
@@ -261,3 +264,9 @@
 def _load_ended(meters: Meters, line: lines.LoadEnded) -> None:
     tier = "store" if line.from_store else "copy"
     meters.loads.labels(tier, "yes" if line.held else "no").observe(line.seconds)
+
+
+@counts(lines.CopiesChanged)
+def _copies_changed(meters: Meters, line: lines.CopiesChanged) -> None:
+    meters.copies.labels("gained").inc(len(line.gained))
+    meters.copies.labels("lost").inc(len(line.lost))
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -192,9 +192,12 @@
 
     def _plan_seen(self, now: float, planned: PlannedLoad | None) -> PlanSeen:
         call = self._call
-        waiting = self._relays.engines.plans.waiting(call.service, call.ask.model)
+        plans = self._relays.engines.plans
+        waiting = plans.waiting(call.service, call.ask.model)
+        copies = plans.copies_seen(call.service, call.ask.model)
+        store_loads = plans.store_loads_under_way(call.service)
         if planned is None:
-            return PlanSeen(waiting=waiting)
+            return PlanSeen(waiting=waiting, copies=copies, store_loads=store_loads)
         backend = self._relays.knowledge.fleet.get(planned.instance)
         age_s = None if backend is None else backend.unheard_s(now)
         return PlanSeen(
@@ -204,6 +207,8 @@
             asked=planned.ask_now,
             agent_age_ms=None if age_s is None else round(age_s * 1000),
             waiting=waiting,
+            copies=copies,
+            store_loads=store_loads,
         )
 
 
--- a/tests/adapter/common/entry.py
+++ b/tests/adapter/common/entry.py
@@ -51,6 +51,12 @@
     def waiting(self, service, model):
         return 0
 
+    def copies_seen(self, service, model):
+        return ()
+
+    def store_loads_under_way(self, service):
+        return 0
+
     def plan_for(self, service, model):
         return None
 
--- a/tests/gateway/common/samples.py
+++ b/tests/gateway/common/samples.py
@@ -13,6 +13,7 @@
 )
 from bambootiller_core.gateway.engine_state import EngineState
 from bambootiller_core.gateway.fleet import Backend, Registered
+from bambootiller_core.gateway.log_lines import Refused
 
 HOST = "classes.example"
 
@@ -72,3 +73,20 @@
 
 def ask(model="tutor", adapter="", prefix=()):
     return ModelAsk(model, adapter, prefix=tuple(prefix))
+
+
+def refused(plan=None, route="r", reason="overloaded"):
+    return Refused(
+        request="r-1",
+        route=route,
+        service="tutor",
+        kind="stream",
+        model=None,
+        reason=reason,
+        status=503,
+        come_back_s=0.25,
+        held_ms=120,
+        detail="",
+        config_version=3,
+        plan=plan,
+    )
--- a/tests/gateway/cover/test_meters.py
+++ b/tests/gateway/cover/test_meters.py
@@ -9,22 +9,7 @@
 from bambootiller.gateway.metrics_page import MOST_HEAD, MetricsPage
 from bambootiller.settings import Address
 from bambootiller_core.gateway import log_lines as lines
-
-
-def refused(route="r", reason="overloaded"):
-    return lines.Refused(
-        request="r-1",
-        route=route,
-        service="tutor",
-        kind="stream",
-        model=None,
-        reason=reason,
-        status=503,
-        come_back_s=0.25,
-        held_ms=120,
-        detail="",
-        config_version=3,
-    )
+from tests.gateway.common import samples
 
 
 def sample(kind):
@@ -44,7 +29,7 @@
         return self.meters.registry.get_sample_value(f"bambootiller_{name}", labels)
 
     def test_a_refusal_counts_by_route_and_by_reason(self):
-        self.meters.count(refused())
+        self.meters.count(samples.refused())
         self.assertEqual(
             self.value("requests_total", route="r", kind="stream", outcome="refused"), 1
         )
@@ -59,7 +44,7 @@
 
     def test_hundreds_of_routes_do_not_make_hundreds_of_series(self):
         for number in range(500):
-            self.meters.count(refused(route=f"r-{number}"))
+            self.meters.count(samples.refused(route=f"r-{number}"))
         page = self.meters.page().decode()
         self.assertLess(page.count("bambootiller_requests_total{"), MOST_LABELS + 2)
         self.assertEqual(
@@ -78,7 +63,7 @@
             events = EventLog("i-1", sink.fileno(), per_s=5)
             events.on_line(self.meters.count)
             for _ in range(400):
-                events.emit(refused())
+                events.emit(samples.refused())
         self.assertEqual(
             self.value("refusals_total", reason="overloaded", status="503"), 400
         )
