--- a/packages/bambootiller-core/src/bambootiller_core/gateway/relaying.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/relaying.py
@@ -9,7 +9,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
+from functools import lru_cache
 
 from bambootiller_core import rendezvous
 from bambootiller_core.ports import Changed
@@ -23,18 +24,26 @@
 TELLS_WITHIN_S = 0.9
 #: How many entries tell an agent at once; one would do.
 TELLERS = 2
+#: For how many agents, times the lists of entries that are told, the tellers are kept.
+KEPT_TELLERS = 1024
 
 Complete = Mapping[str, int]
 
 
-def tells_at_once(entry: str, agent: str, entries: Iterable[str]) -> bool:
+def tells_at_once(entry: str, agent: str, entries: tuple[str, ...]) -> bool:
     """Whether ``entry`` is one of those that keep ``agent`` up to date.
 
-    >>> tells_at_once("e1", "10.0.0.1:7", ["e1"])
+    >>> tells_at_once("e1", "10.0.0.1:7", ("e1",))
     True
     """
-    known = set(entries) | {entry}
-    return entry in rendezvous.ranked(f"tells {agent}", known)[:TELLERS]
+    known = entries if entry in entries else (*entries, entry)
+    return entry in _tellers(agent, known)
+
+
+@lru_cache(KEPT_TELLERS)
+def _tellers(agent: str, entries: tuple[str, ...]) -> frozenset[str]:
+    # Kept, as an entry asks it of each agent for each document that it learns.
+    return frozenset(rendezvous.ranked(f"tells {agent}", entries)[:TELLERS])
 
 
 def covers(complete: Complete, change: Changed) -> bool:
--- a/tests/gateway/cover/test_relaying.py
+++ b/tests/gateway/cover/test_relaying.py
@@ -1,7 +1,9 @@
 """Which documents a process passes on to a peer, and when."""
 
 import unittest
+from unittest import mock
 
+from bambootiller_core import rendezvous
 from bambootiller_core.gateway.relaying import (
     OWN_TIME_S,
     ForPeer,
@@ -10,7 +12,7 @@
 )
 from bambootiller_core.ports import Changed, Record
 
-ENTRIES = [f"e{number}" for number in range(32)]
+ENTRIES = tuple([f"e{number}" for number in range(32)])
 
 
 def change(key="config/x", revision=7):
@@ -72,10 +74,20 @@
         self.assertTrue(tells_at_once("e1", "a1", ()))
 
     def test_an_entry_that_the_others_have_not_heard_counts_itself(self):
-        without = [name for name in ENTRIES if name != "e3"]
+        without = tuple([name for name in ENTRIES if name != "e3"])
         told = {name for name in ENTRIES if tells_at_once(name, "a1", without)}
         self.assertGreaterEqual(len(told), 2)
 
+    def test_entries_are_not_weighed_anew_for_each_document(self):
+        """Symptom: an entry at rest spends a tenth of a core on its peers.
+
+        Each document that it learnt had it weigh all entries for each of the agents.
+        """
+        with mock.patch.object(rendezvous, "weight", wraps=rendezvous.weight) as weigh:
+            for _ in range(100):
+                tells_at_once("e1", "weighed once", ENTRIES)
+        self.assertLessEqual(weigh.call_count, len(ENTRIES))
+
 
 class TestCovers(unittest.TestCase):
     def test_up_to_the_revision_and_not_beyond(self):
