--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
@@ -7,10 +7,23 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 #: A load that isn't sooner by this much if it begins now waits: it would keep its
 #: engine from other orders all the while. Seconds.
 WORTH_NOW_S = 1.0
+#: Nor does one begin now that would take longer than so many times its own time. What
+#: the store slows as it begins stays slow, so that crowding it would look like a gain
+#: to each load after that, until most engines wait for the store.
+MOST_STRETCH = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class _Load:
+    """A load under way or planned; seconds from now."""
+
+    begins: float
+    ends: float
 
 
 class StoreQueue:
@@ -24,29 +37,30 @@
 
     def __init__(self, full: int, ends_in_s: Iterable[float]) -> None:
         self._full = full
-        self._ends = sorted(ends_in_s)
+        self._loads = [_Load(0.0, end) for end in ends_in_s]
 
     def add(self, load_s: float, crowding: bool = False) -> tuple[float, float]:
         """Plan one more load; returns when it begins and when it is over.
 
         ``crowding`` lets it begin beyond what the store serves at full speed, if it is
-        over sooner that way.
+        over sooner that way and hardly slowed.
         """
         begins = self._next_free()
         ready = begins + load_s
         if crowding and begins > 0:
             stretch = max(1.0, (self._under_way(0.0) + 1) / self._full)
-            if load_s * stretch + WORTH_NOW_S <= ready:
+            is_sooner = load_s * stretch + WORTH_NOW_S <= ready
+            if stretch <= MOST_STRETCH and is_sooner:
                 begins, ready = 0.0, load_s * stretch
-        self._ends.append(ready)
-        self._ends.sort()
+        self._loads.append(_Load(begins, ready))
         return begins, ready
 
     def _next_free(self) -> float:
-        for at in [0.0, *self._ends]:
+        ends = sorted([load.ends for load in self._loads])
+        for at in [0.0, *ends]:
             if self._under_way(at) < self._full:
                 return at
-        return self._ends[-1]
+        return ends[-1]
 
     def _under_way(self, at: float) -> int:
-        return sum(1 for end in self._ends if end > at)
+        return sum([load.begins <= at < load.ends for load in self._loads])
--- a/tests/gateway/cover/test_store_queue.py
+++ b/tests/gateway/cover/test_store_queue.py
@@ -31,3 +31,18 @@
         """
         queue = StoreQueue(1, [13.0])
         self.assertEqual(queue.add(13.0, crowding=True), (13.0, 26.0))
+
+    def test_loads_that_wait_slow_no_crowding_load(self):
+        queue = StoreQueue(4, [6.0, 6.0, 6.0, 6.0])
+        queue.add(LOAD_S)
+        self.assertEqual(queue.add(LOAD_S, crowding=True), (0.0, 7.5))
+
+    def test_a_crowding_load_waits_where_it_would_be_slowed_much(self):
+        queue = StoreQueue(4, [20.0] * 6)
+        begins, _ = queue.add(LOAD_S, crowding=True)
+        self.assertEqual(begins, 20.0)
+
+    def test_waiting_loads_take_their_turns(self):
+        queue = StoreQueue(1, [5.0])
+        self.assertEqual(queue.add(13.0), (5.0, 18.0))
+        self.assertEqual(queue.add(13.0), (18.0, 31.0))
