--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 from functools import lru_cache
 
@@ -54,7 +54,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PlannedLoad:
-    """A load that is under way or planned, and when the model can be used."""
+    """A load that is under way or planned, and when the model can be used.
+
+    ``instance`` is empty while the load waits for the weight store: which engine is
+    best then isn't known yet.
+    """
 
     model: str
     instance: str
@@ -93,7 +97,7 @@
         self._store_loads = store_loads
         self._left_s = left_s or _told_left_s
         self._places: list[Place] = []
-        self._copies: dict[str, list[Place]] | None = None
+        self._copies: dict[str, list[Place]] = {}
         self._only_here: dict[str, set[str]] = {}
         self._out_of_reach: dict[str, int] = {}
         self._adapters = AdapterPlaces(engine, (), {})
@@ -128,19 +132,28 @@
                 # It is being moved, to make room for one before it in the order.
                 continue
             want = wants.get(spec.name, NO_WANT)
-            if rank is Rank.SECOND_COPY and want.holders > 1:
-                want = _worth_one_more(want)
+            crowding = want.waiting >= MANY_WAITING
+            if self._must_wait_for_store(spec, crowding, queue):
+                if not _is_worth_the_store(rank, coming, second_copies, store_ends):
+                    continue
+                if not self._has_room(spec, _as_option(rank, want)):
+                    continue
+                second_copies += rank is Rank.SECOND_COPY
+                plan[spec.name] = _waiting_load(spec, queue)
+                continue
+            want = _as_option(rank, want)
             option = self._best(spec, want)
-            if option is None or not _is_worth(option, rank, coming):
+            if option is None:
                 continue
-            if rank is Rank.SECOND_COPY and option.from_store:
-                if store_ends or second_copies >= SECOND_COPY_LOADS:
+            if option.from_store:
+                if not _is_worth_the_store(rank, coming, second_copies, store_ends):
                     continue
-                second_copies += 1
+                second_copies += rank is Rank.SECOND_COPY
+            elif not _is_sooner(option, coming):
+                continue
             ready, waits_for_store = option.ready_in_s, False
             if option.from_store:
-                many = wants.get(spec.name, NO_WANT).waiting >= MANY_WAITING
-                begins, ends = queue.add(spec.load_s, crowding=many)
+                begins, ends = queue.add(spec.load_s, crowding)
                 waits_for_store = begins > 0
                 ready += ends - spec.load_s
             if self._moves(spec, ready, wants, plan):
@@ -179,7 +192,7 @@
             self._place(backend) for backend in known if backend.takes_orders(now)
         ]
         self._adapters = AdapterPlaces(self._engine, self._places, wants)
-        self._copies = None
+        self._copies = copies_of(self._places)
         once = {name for name, count in copies.items() if count == 1}
         for place in self._places:
             instance, held = place.instance, place.held
@@ -215,8 +228,6 @@
         coming = {
             load.model: load.ready_in_s for load in plan.values() if not load.from_store
         }
-        if self._copies is None:
-            self._copies = copies_of(self._places)
         move = find_move(self._engine, spec, self._copies, wants, coming)
         if move is None or move.ready_in_s + WORTH_S > ready_in_s:
             return False
@@ -248,11 +259,31 @@
             free_in = RUN_S
         return Place(backend, free_in)
 
+    def _must_wait_for_store(
+        self, spec: ModelSpec, crowding: bool, queue: StoreQueue
+    ) -> bool:
+        """Whether no engine has a copy to load the model from, and the weight store
+        can't serve it now. Most models of a long plan are like that; for these it would
+        be in vain to compare all engines."""
+        if spec.name in self._copies:
+            return False
+        return not queue.can_begin(spec.load_s, crowding)
+
+    def _has_room(self, spec: ModelSpec, want: Want) -> bool:
+        """Whether some engine could make room for a load from the store."""
+        return any(
+            spec.name not in place.held
+            and not (spec.load_s > LONG_LOAD_S and self._adapters.is_last(place))
+            and place.victims(self._engine, spec, want, spec.load_s) is not None
+            for place in self._places
+        )
+
     def _best(self, spec: ModelSpec, want: Want) -> _Option | None:
         """Where a load of the model is over first, as far as that tells."""
         best: _Option | None = None
         best_s = float("inf")
-        for place in self._places:
+        # Copies come first: a load from one rules most other engines out.
+        for place in (*self._copies.get(spec.name, ()), *self._places):
             if place.planned > 2 or spec.name in place.held:
                 continue
             seconds, from_store = place.tier_seconds(spec)
@@ -297,23 +328,44 @@
         option.place.planned += 1
 
 
-def _is_worth(option: _Option, rank: Rank, coming: PlannedLoad | None) -> bool:
-    """Whether a load is worth its engine's time, given its rank and one of the same
-    model that is under way."""
-    if option.from_store:
-        # What waits would wait longer for a second engine from the store than the calls
-        # of the first; it comes later, as a second copy.
-        return coming is None and rank is not Rank.HELD_ONCE
+def _is_worth_the_store(
+    rank: Rank,
+    coming: PlannedLoad | None,
+    second_copies: int,
+    store_ends: Collection[float],
+) -> bool:
+    """Whether a load is worth the weight store's time.
+
+    What waits would wait longer for a second engine from the store than the calls of
+    the first; it comes later, as a second copy, while the store has nothing else to do.
+    """
+    if coming is not None or rank is Rank.HELD_ONCE:
+        return False
+    if rank is Rank.SECOND_COPY:
+        return not store_ends and second_copies < SECOND_COPY_LOADS
+    return True
+
+
+def _is_sooner(option: _Option, coming: PlannedLoad | None) -> bool:
+    """Whether a load from a copy is worth it beside one that is under way."""
     return coming is None or option.ready_in_s + WORTH_S <= coming.ready_in_s
 
 
+def _waiting_load(spec: ModelSpec, queue: StoreQueue) -> PlannedLoad:
+    _, ends = queue.add(spec.load_s)
+    return PlannedLoad(spec.name, "", ends + ORDER_S, ask_now=False, from_store=True)
+
+
 @lru_cache(KEPT_WEIGHTS)
 def _weight(model: str, instance: str) -> int:
     return rendezvous.weight(model, instance)
 
 
-def _worth_one_more(want: Want) -> Want:
-    """What one more engine that holds the model would be worth, as demand."""
+def _as_option(rank: Rank, want: Want) -> Want:
+    """The demand that one more engine would serve: of a model that is held already,
+    what that engine would add."""
+    if rank is not Rank.SECOND_COPY or want.holders <= 1:
+        return want
     return replace(want, rate=want.rate / (want.holders + 1) ** 2, waiting=0)
 
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
@@ -45,14 +45,22 @@
         ``crowding`` lets it begin beyond what the store serves at full speed, if it is
         over sooner that way and hardly slowed.
         """
+        begins, ready = self._when(load_s, crowding)
+        self._loads.append(_Load(begins, ready))
+        return begins, ready
+
+    def can_begin(self, load_s: float, crowding: bool = False) -> bool:
+        """Whether :meth:`add` would have the load begin now."""
+        return self._when(load_s, crowding)[0] <= 0
+
+    def _when(self, load_s: float, crowding: bool) -> tuple[float, float]:
         begins = self._next_free()
         ready = begins + load_s
         if crowding and begins > 0:
             stretch = max(1.0, (self._under_way(0.0) + 1) / self._full)
             is_sooner = load_s * stretch + WORTH_NOW_S <= ready
             if stretch <= MOST_STRETCH and is_sooner:
-                begins, ready = 0.0, load_s * stretch
-        self._loads.append(_Load(begins, ready))
+                return 0.0, load_s * stretch
         return begins, ready
 
     def _next_free(self) -> float:
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -202,7 +202,7 @@
         age_s = None if backend is None else backend.unheard_s(now)
         return PlanSeen(
             ready_in_s=round(planned.ready_in_s, 2),
-            backend=planned.instance,
+            backend=planned.instance or None,
             from_store=planned.from_store,
             asked=planned.ask_now,
             agent_age_ms=None if age_s is None else round(age_s * 1000),
--- a/tests/gateway/common/replay.py
+++ b/tests/gateway/common/replay.py
@@ -147,7 +147,7 @@
         plan = Planner(self._spec, STORE_LOADS).plan(now, backends, wants)
         by_name = {engine.name: engine for engine in self._engines}
         for load in plan.values():
-            engine = by_name[load.instance]
+            engine = by_name.get(load.instance)
             if load.ask_now and not engine.loading:
                 self._load(now, engine, load.model, wants)
 
--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -1,11 +1,12 @@
 """Which engine loads which model next."""
 
 import unittest
+from unittest import mock
 
 from bambootiller_core.gateway.engine_state import Loading
 from bambootiller_core.gateway.order_demand import EntriesSay
 from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
-from bambootiller_core.gateway.places import choose_victims, keep_values
+from bambootiller_core.gateway.places import Place, choose_victims, keep_values
 from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
@@ -285,6 +286,54 @@
         self.assertEqual([plan[name].ask_now for name in names], [False] * 4)
 
 
+class TestPlansOfManyWaitingModels(unittest.TestCase):
+    """Symptom: an entry of a large fleet spends a tenth of a core on its plans.
+
+    Each plan compared all engines for each of the models that only the weight store
+    can bring, though it serves one at a time and the others wait.
+    """
+
+    ENGINES, MODELS = 10, 30
+
+    def setUp(self):
+        names = [f"m{number}" for number in range(self.MODELS)]
+        self.spec = samples.engine(*map(samples.model, names))
+        self.backends = [engine_backend(f"b{n}") for n in range(self.ENGINES)]
+        self.wants = {name: Want(0.1, 1) for name in names}
+
+    def plan(self):
+        return Planner(self.spec, 1).plan(NOW, self.backends, self.wants)
+
+    def test_engines_are_compared_for_the_next_of_them_alone(self):
+        with mock.patch.object(
+            Place, "victims", autospec=True, side_effect=Place.victims
+        ) as asked:
+            self.plan()
+        self.assertLessEqual(asked.call_count, self.ENGINES + self.MODELS)
+
+    def test_each_is_told_when_its_turn_comes(self):
+        ready = sorted(load.ready_in_s for load in self.plan().values())
+        self.assertEqual(len(ready), self.MODELS)
+        for turn, ready_in_s in enumerate(ready, start=1):
+            self.assertAlmostEqual(ready_in_s, 6.0 * turn, delta=0.1)
+
+    def test_one_that_no_engine_makes_room_for_is_not_planned(self):
+        held = [("much", "used")] * self.ENGINES
+        self.backends = [
+            engine_backend(
+                f"b{n}",
+                names,
+                in_use=dict.fromkeys(names, 5),
+                keep_values=dict.fromkeys(names, 9.0),
+                memory_mb_used=100.0,
+            )
+            for n, names in enumerate(held)
+        ]
+        loading = Loading("m0", 5.0, True)
+        self.backends.append(engine_backend("b", loading=loading, orderable=False))
+        self.assertEqual(set(self.plan()), {"m0"})
+
+
 class TestCrowdedModels(unittest.TestCase):
     """Symptom: calls of the busiest model are refused as too many, while engines with a
     copy of it stand idle.
