--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -235,7 +235,9 @@
                 source,
             )
             self._events.emit(line)
-        is_news = before is None or stands != stood or _differs(before, registered)
+        agent_tells = held is not None and held.engine is not None and not held.ended
+        differs = before is None or _differs(before, registered, agent_tells)
+        is_news = differs or stands != stood
         if is_news:
             # Each backend server writes its entry about once a second. A write that
             # says nothing new wakes nobody, and no plan is made for it.
@@ -259,9 +261,16 @@
         return (held.readable, held.registered.leaving) if held is not None else None
 
 
-def _differs(before: Registered, now_there: Registered) -> bool:
-    """Whether two registry entries differ in more than when they were written."""
-    return replace(before, revision=now_there.revision) != now_there
+def _differs(before: Registered, now_there: Registered, agent_tells: bool) -> bool:
+    """Whether two registry entries differ in more than when they were written.
+
+    Where the agent tells what its engine holds, the registry's word on that is used by
+    nobody, and it changes with each load.
+    """
+    same = {"revision": now_there.revision}
+    if agent_tells:
+        same["holdings"] = now_there.holdings
+    return replace(before, **same) != now_there
 
 
 class Changes:
--- /dev/null
+++ b/tests/gateway/failures/test_messages.py
@@ -0,0 +1,183 @@
+"""What the sides of a stream send each other, and which documents they pass on."""
+
+import asyncio
+import unittest
+
+from bambootiller.gateway.exchange import Outgoing, Update
+from bambootiller.gateway.knowledge import Knowledge
+from bambootiller.gateway.ports import Unreadable
+from bambootiller_core.ports import Changed, Record
+from tests.gateway.common.samples import engine_state, registered
+
+
+class NoEvents:
+    """A log that nobody reads."""
+
+    def emit(self, line):
+        pass
+
+
+class TestMessages(unittest.IsolatedAsyncioTestCase):
+    """What one side of a stream sends, first and later."""
+
+    async def asyncSetUp(self):
+        class Directory:
+            def config(self, record):
+                return None
+
+            def registered(self, record):
+                return registered("b1", revision=record.mod_revision)
+
+            def instance_of(self, key):
+                return None
+
+        self.knowledge = Knowledge(Directory(), NoEvents(), lambda: 0.0)
+        self.outgoing = self.new()
+
+    def new(self):
+        return Outgoing("e1", self.knowledge, self.fill, lambda: False, 60.0)
+
+    @staticmethod
+    def fill(update, outgoing):
+        if not outgoing.told.get("said"):
+            outgoing.told["said"] = True
+            update.entry.collect = True
+
+    def peer(self, begins=True, complete=None):
+        return Update(sender="a1", begins=begins, complete=complete or {})
+
+    async def test_the_first_message_is_whole_and_a_beat_is_empty(self):
+        first = self.outgoing._next()
+        self.assertTrue(first.begins and first.entry.collect)
+        self.outgoing.heard(self.peer())
+        self.outgoing._next()
+        self.outgoing._next()
+        self.assertEqual(self.outgoing._next().ByteSize(), 0)
+
+    async def test_until_the_peer_has_spoken_everything_is_said_again(self):
+        self.outgoing._next()
+        again = self.outgoing._next()
+        self.assertTrue(again.begins and again.entry.collect)
+
+    async def test_a_peer_of_an_earlier_version_is_told_everything_each_time(self):
+        """What goes wrong: it takes what isn't repeated for gone, and would hold this
+        side silent."""
+        self.outgoing.heard(self.peer(begins=False))
+        for _ in range(3):
+            update = self.outgoing._next()
+            self.assertEqual(update.sender, "e1")
+            self.assertTrue(update.HasField("entry"))
+
+    async def test_a_new_revision_is_told_once(self):
+        self.outgoing.heard(self.peer())
+        self.outgoing._next()
+        self.outgoing._next()
+        self.knowledge.has_all({"servers/": 8})
+        self.assertEqual(dict(self.outgoing._next().complete), {"servers/": 8})
+        self.assertEqual(self.outgoing._next().ByteSize(), 0)
+        self.knowledge.has_all({"servers/": 7})
+        self.assertEqual(self.outgoing._next().ByteSize(), 0)
+
+    async def test_a_beat_does_not_take_back_what_the_peer_has(self):
+        self.outgoing.heard(self.peer(complete={"servers/": 8}))
+        self.outgoing.heard(Update())
+        self.outgoing.document(Changed(Record("servers/b1", b"", 8)))
+        self.assertTrue(self.outgoing._documents.is_empty)
+
+    async def test_a_heartbeat_of_a_backend_server_is_not_passed_on(self):
+        """Symptom: a fleet at rest spends most of its processor time on telling.
+
+        Each backend server writes its entry about once a second. Each of those writes
+        was queued at each process for each of its peers, a thousand streams with 32
+        entries, and each read of the registry was followed by a message on all of them.
+        """
+        passed_on = []
+        self.knowledge.on_document(passed_on.append)
+        for revision in (3, 4, 5):
+            record = Record("servers/b1", b"", revision)
+            self.knowledge.learnt(Changed(record), "store")
+        self.assertEqual(len(passed_on), 1)
+
+    async def test_what_the_agent_tells_itself_is_not_passed_on(self):
+        """Symptom: entries of a large fleet spend a sixth of their work on documents.
+
+        Each load and unload changed what the registry says of an engine, and each
+        process queued that for each of its peers, who know it from the agent.
+        """
+        passed_on = []
+        self.knowledge.on_document(passed_on.append)
+        self.hold({"tutor"}, revision=3)
+        state = engine_state("b1", ("tutor",))
+        self.knowledge.fleet.engine_told(0.0, state)
+        self.hold({"poet"}, revision=4)
+        self.assertEqual(len(passed_on), 1)
+        self.assertEqual(self.knowledge.changed.count, 1)
+
+    async def test_what_only_the_registry_tells_is_passed_on(self):
+        passed_on = []
+        self.knowledge.on_document(passed_on.append)
+        self.hold({"tutor"}, revision=3)
+        self.hold({"poet"}, revision=4)
+        self.assertEqual(len(passed_on), 2)
+
+    def hold(self, models, revision):
+        self.knowledge._directory.registered = lambda record: registered(
+            "b1",
+            revision=revision,
+            holdings=dict.fromkeys(models, frozenset()),
+        )
+        self.knowledge.learnt(Changed(Record("servers/b1", b"", revision)), "store")
+
+    async def test_a_late_write_of_an_earlier_start_is_not_passed_on(self):
+        """Symptom: an agent takes its engine for an earlier start of it.
+
+        A write was held up until after the engine's restart. Who reads the registry has
+        just heard of the later start and leaves it aside; an agent, which hears of
+        heartbeats no more, would take a start that nobody told of for 10 s for over.
+        """
+        passed_on = []
+        self.knowledge.on_document(passed_on.append)
+        starts = {3: 2000, 4: 1000}
+        self.knowledge._directory.registered = lambda record: registered(
+            "b1",
+            revision=record.mod_revision,
+            started_ms=starts[record.mod_revision],
+        )
+        for revision in starts:
+            record = Record("servers/b1", b"", revision)
+            self.knowledge.learnt(Changed(record), "store")
+        self.assertEqual([one.record.mod_revision for one in passed_on], [3])
+
+    async def test_a_peer_that_reads_the_registry_seldom_is_not_told_what_it_reads(
+        self,
+    ):
+        """Symptom: each change of the registry crosses every stream after all.
+
+        Where more time is allowed until a leaving backend server gets no work, the
+        registry is read less often, and a peer was told meanwhile what it was to read.
+        """
+        self.outgoing.heard(self.peer(complete={"servers/": 7}))
+        self.knowledge.gather_s = 1.2
+        self.outgoing.document(Changed(Record("servers/b1", b"", 8)))
+        due = self.outgoing._documents.next_due()
+        self.assertGreater(due - asyncio.get_running_loop().time(), 1.2 + 0.8)
+
+    async def test_a_peer_hears_of_a_higher_revision_with_the_next_message(self):
+        told = []
+        self.knowledge.on_complete(lambda: told.append(1))
+        self.knowledge.has_all({"servers/": 8})
+        self.assertEqual(told, [])
+
+    async def test_a_peer_hears_soon_that_a_configuration_has_come(self):
+        told = []
+        self.knowledge.on_complete(lambda: told.append(1))
+        self.knowledge._directory.config = lambda record: Unreadable("none")
+        self.knowledge.learnt(Changed(Record("op/config", b"", 9)), "store")
+        self.knowledge.has_all({"op/": 9})
+        self.assertEqual(told, [1])
+
+    async def test_a_write_that_says_nothing_new_wakes_nobody(self):
+        for revision in (3, 4, 5):
+            record = Record("servers/b1", b"", revision)
+            self.knowledge.learnt(Changed(record), "store")
+        self.assertEqual(self.knowledge.changed.count, 1)
