--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
@@ -98,14 +98,19 @@
     def __init__(self, loads: int = ASSUMED_LOADS) -> None:
         self.loads = loads
         self._bounded = False
+        self._one_is_late = False
         self._group: _Group | None = None
         self._watched: dict[_Key, _Watched] = {}
 
     @property
     def limit(self) -> int:
         """How many loads to have under way: one more than the estimate while that is
-        low and nothing has shown that the store serves no more."""
-        if self._bounded or self.loads >= ASSUMED_LOADS:
+        low and nothing has shown that the store serves no more.
+
+        A load that is late may show it soon. Begun beside it, a third load would be
+        slowed by it in any case, and keep its engine twice as long.
+        """
+        if self._bounded or self._one_is_late or self.loads >= ASSUMED_LOADS:
             return self.loads
         return self.loads + 1
 
@@ -138,6 +143,10 @@
         for key, stated_s in current.items():
             if key not in self._watched:
                 self._begun(now, key, stated_s)
+        self._one_is_late = any(
+            watched.seen_at - watched.began > watched.stated_s
+            for watched in self._watched.values()
+        )
         self._lower()
 
     def _current(
--- a/tests/gateway/cover/test_store_speed.py
+++ b/tests/gateway/cover/test_store_speed.py
@@ -109,6 +109,19 @@
         store.run(1.3 * LOAD_S)
         self.assertEqual((store.speed.loads, store.speed.limit), (1, 1))
 
+    def test_while_one_is_late_no_further_one_is_tried(self):
+        """Symptom: the store serves one load, and three of them are under way.
+
+        Two begin together to see whether it serves them at once. One ends in time; the
+        other is late by then, and yet a third was begun beside it.
+        """
+        store = OrderlyStore(full=1, loads=1)
+        store.begin("b0")
+        store.begin("b1")
+        store.run(1.02 * LOAD_S)
+        self.assertEqual(len(store.ends), 1)
+        self.assertEqual(store.speed.limit, 1)
+
     def test_the_end_of_a_load_is_foreseen(self):
         store = OrderlyStore(full=1, loads=1)
         store.begin("b0")
