--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_beliefs.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_beliefs.py
@@ -20,6 +20,22 @@
     source: str
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigPassedOn(LogLine):
+    """A configuration was sent to a peer that, as far as known, lacked it.
+
+    ``peer_has`` is up to which revision the peer said to have all configurations, None
+    if it hasn't said so."""
+
+    event: ClassVar[str] = "config_passed_on"
+    failure: ClassVar[bool] = False
+
+    revision: int
+    size_bytes: int
+    peer: str
+    peer_has: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class DocumentUnreadable(LogLine):
     """The configuration can't be read; what was in force before stays."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/relaying.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/relaying.py
@@ -95,6 +95,15 @@
             if covers(complete, change):
                 del self._queued[key]
 
+    def peer_revision(self, key: str) -> int | None:
+        """Up to which revision the peer has the part of the store with this key."""
+        revisions = [
+            revision
+            for prefix, revision in (self._peer or {}).items()
+            if key.startswith(prefix)
+        ]
+        return max(revisions, default=None)
+
     def due(self, now: float) -> list[Changed]:
         """What goes out now; nothing before the peer has said what it has."""
         if self._peer is None:
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -173,6 +173,8 @@
             update.sender, update.begins = self._sender, True
         for change in self._documents.due(self._loop.time()):
             record = change.record
+            peer_has = self._documents.peer_revision(record.key)
+            self._knowledge.passed_on(record, self.peer, peer_has)
             update.documents.add(
                 key=record.key,
                 revision=record.mod_revision,
--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -127,6 +127,13 @@
                 listener(change)
         return True
 
+    def passed_on(self, record: Record, peer: str, peer_has: int | None) -> None:
+        """A document goes to a peer; a configuration is large enough to be logged."""
+        if self.is_configuration(record.key):
+            size = len(record.value)
+            line = lines.ConfigPassedOn(record.mod_revision, size, peer, peer_has)
+            self._events.emit(line)
+
     def listed(self, prefix: str, found: Found, source: str) -> None:
         """Take over everything under a prefix; what isn't listed is gone."""
         keys = set()
--- a/packages/bambootiller/src/bambootiller/gateway/meters.py
+++ b/packages/bambootiller/src/bambootiller/gateway/meters.py
@@ -110,6 +110,9 @@
         self.unreadable = self._counter(
             "unreadable_documents", "Documents that can't be read", "document"
         )
+        self.passed_on = self._counter(
+            "configurations_passed_on_bytes", "Configurations sent to peers"
+        )
         self.dependencies = self._counter(
             "dependency_changes",
             "Dependencies lost and regained",
@@ -208,6 +211,11 @@
     meters.config_version.set(line.config_version)
 
 
+@counts(lines.ConfigPassedOn)
+def _config_passed_on(meters: Meters, line: lines.ConfigPassedOn) -> None:
+    meters.passed_on.inc(line.size_bytes)
+
+
 @counts(lines.BackendListed)
 def _backend_listed(meters: Meters, line: lines.BackendListed) -> None:
     change = "leaving" if line.leaving else "listed"
--- a/tests/gateway/failures/test_messages.py
+++ b/tests/gateway/failures/test_messages.py
@@ -10,11 +10,14 @@
 from tests.gateway.common.samples import engine_state, registered
 
 
-class NoEvents:
-    """A log that nobody reads."""
+class Events:
+    """Keeps what would be logged."""
+
+    def __init__(self):
+        self.lines = []
 
     def emit(self, line):
-        pass
+        self.lines.append(line)
 
 
 class TestMessages(unittest.IsolatedAsyncioTestCase):
@@ -31,7 +34,8 @@
             def instance_of(self, key):
                 return None
 
-        self.knowledge = Knowledge(Directory(), NoEvents(), lambda: 0.0)
+        self.events = Events()
+        self.knowledge = Knowledge(Directory(), self.events, lambda: 0.0)
         self.outgoing = self.new()
 
     def new(self):
@@ -176,6 +180,19 @@
         self.knowledge.has_all({"op/": 9})
         self.assertEqual(told, [1])
 
+    async def test_a_configuration_that_is_passed_on_is_logged(self):
+        self.knowledge._directory.config = lambda record: Unreadable("none")
+        self.outgoing.heard(self.peer(complete={"op/": 6, "servers/": 40}))
+        change = Changed(Record("op/config", b"12345", 9))
+        self.knowledge.learnt(change, "store")
+        self.outgoing._documents.add(0.0, change, at_once=True)
+        self.outgoing._next()
+        line = self.events.lines[-1]
+        self.assertEqual(
+            (line.event, line.revision, line.size_bytes, line.peer, line.peer_has),
+            ("config_passed_on", 9, 5, "a1", 6),
+        )
+
     async def test_a_write_that_says_nothing_new_wakes_nobody(self):
         for revision in (3, 4, 5):
             record = Record("servers/b1", b"", revision)
