--- a/packages/bambootiller/src/bambootiller/gateway/agent_words.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent_words.py
@@ -6,16 +6,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
 from bambootiller.gateway import wire
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.exchange import TELL_S, Exchanger, Outgoing, Update
+from bambootiller_core.gateway.collecting import planners
 from bambootiller_core.gateway.engine_state import EngineState
 from bambootiller_core.gateway.log_lines import EntryHeard
 from bambootiller_core.gateway.orders import OrderBook
-from bambootiller_core.gateway.want import Want
+from bambootiller_core.gateway.want import NO_WANT, Want
 
 #: Entries heard within this time count. Seconds.
 ENTRY_HEARD_S = 3.0
@@ -25,6 +26,9 @@
 #: But no less often than this: a beat is due then anyway (``exchange.SERVED_BEAT_S``).
 #: Seconds.
 FIGURES_MAX_S = 0.7
+#: An entry that wished for a load is told of all changes at once for so long: it wishes
+#: anew several times a second while a call waits. Seconds.
+WISHED_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +70,9 @@
         self._collected_for: set[str] = set()
         self._saying: Update | None = None
         self._said_at = float("-inf")
+        #: Something has changed that not all entries were told at once.
+        self._some_untold = False
+        self._wished_at: dict[str, float] = {}
 
     @property
     def entry_count(self) -> int:
@@ -97,8 +104,12 @@
         self._say_anew()
 
     def tell(self) -> None:
-        """Tell entries at once when what they decide on has changed, and of other
-        figures that have moved after a while."""
+        """Tell at once what entries decide on, and other figures after a while.
+
+        What takes away from what the engine offers is told to all. What adds to it is
+        told at once to those who look for it: told to all as well, the loads of an
+        engine would be most of what a large fleet's processes read.
+        """
         if self._book is None:
             return
         now = self._clock()
@@ -106,11 +117,37 @@
         state = self._book.state(now)
         if state is None:
             return
-        decisive = self._told is None or _differs(self._told, state)
+        before = self._told
+        decisive = before is None or _differs(before, state)
         due = now - self._said_at >= self._figures_s()
-        if decisive or (due and self._moved(state)):
-            self._told, self._told_wants = state, self._book.wants()
-            self._say_anew()
+        if due and (decisive or self._some_untold or self._moved(state)):
+            self._tell_all(state)
+        elif decisive and (before is None or _takes_away(before, state)):
+            self._tell_all(state)
+        elif decisive:
+            self._tell_concerned(now, state, _added(before, state))
+
+    def _tell_all(self, state: EngineState) -> None:
+        self._told, self._told_wants = state, self._book.wants()
+        self._say_anew()
+
+    def _tell_concerned(
+        self, now: float, state: EngineState, added: Collection[str]
+    ) -> None:
+        """Tell the entries that see to loads, those that wished for one lately, and
+        those whose callers ask for what is there now."""
+        self._told, self._saying = state, None
+        self._some_untold = True
+        seeing_to_loads = planners(tuple(sorted(self._entries)))
+        for outgoing in self._exchanger.streams():
+            entry = outgoing.peer
+            wished_s = now - self._wished_at.get(entry, float("-inf"))
+            if (
+                entry in seeing_to_loads
+                or wished_s < WISHED_S
+                or _asks_for(outgoing.said, added)
+            ):
+                outgoing.poke()
 
     def fill(self, update: Update, outgoing: Outgoing) -> None:
         """Put into a message what its receiver hasn't been told yet."""
@@ -137,6 +174,10 @@
         self._heard(outgoing, told_anew)
         if self._book is None or not update.wishes:
             return
+        self._wished_at[outgoing.peer] = self._clock()
+        if outgoing.told.get("engine") is not self._said():
+            # It decides on what it was told before.
+            outgoing.poke()
         for message in update.wishes:
             self._book.wished(self._clock(), wire.wish_of(message))
         self._wished()
@@ -152,6 +193,7 @@
 
     def _say_anew(self) -> None:
         self._saying = None
+        self._some_untold = False
         self._said_at = self._clock()
         self._exchanger.poke()
 
@@ -194,6 +236,7 @@
             if now - at > ENTRY_HEARD_S:
                 del self._entries[entry]
                 self._collected_for.discard(entry)
+                self._wished_at.pop(entry, None)
                 self._events.emit(EntryHeard(entry, heard=False))
                 self._exchanger.soon()
 
@@ -243,3 +286,35 @@
         or told.orderable != state.orderable
         or (told.loading is None) != (state.loading is None)
     )
+
+
+def _takes_away(told: EngineState, state: EngineState) -> bool:
+    """Whether the engine offers less than entries believe: a call sent there for a
+    model that is gone would be turned away, and may have no other attempt."""
+    if told.incarnation != state.incarnation:
+        return True
+    if told.orderable and not state.orderable:
+        return True
+    return any(
+        not adapters <= state.holdings.get(model, frozenset())
+        or model not in state.holdings
+        for model, adapters in told.holdings.items()
+    )
+
+
+def _added(told: EngineState, state: EngineState) -> set[str]:
+    """The models of which the engine holds more than was told, or that it loads."""
+    models = {
+        model
+        for model, adapters in state.holdings.items()
+        if told.holdings.get(model) != adapters
+    }
+    if state.loading is not None:
+        models.add(state.loading.model)
+    return models
+
+
+def _asks_for(said: object, models: Collection[str]) -> bool:
+    if not isinstance(said, EntryWords):
+        return False
+    return any(said.wants.get(model, NO_WANT).value for model in models)
--- a/tests/gateway/failures/test_silence.py
+++ b/tests/gateway/failures/test_silence.py
@@ -4,13 +4,13 @@
 import unittest
 
 from bambootiller.gateway import wire
-from bambootiller.gateway.agent_words import ENTRY_HEARD_S, AgentWords
+from bambootiller.gateway.agent_words import ENTRY_HEARD_S, AgentWords, EntryWords
 from bambootiller.gateway.engines import Engines
 from bambootiller.gateway.exchange import Update
 from bambootiller.gateway.knowledge import Changes
 from bambootiller_core.gateway.collecting import moved
 from bambootiller_core.gateway.fleet import AGENT_SILENT_S, FIGURES_LIFE_S, Fleet
-from bambootiller_core.gateway.order_messages import EngineReport
+from bambootiller_core.gateway.order_messages import EngineReport, Wish
 from bambootiller_core.gateway.orders import OrderBook
 from bambootiller_core.gateway.want import Want
 from bambootiller_core.timers import TimerService
@@ -58,6 +58,8 @@
     def soon(self):
         self.sent += 1
 
+    poke = soon
+
 
 class Streams:
     """All of them."""
@@ -361,6 +363,70 @@
         self.report(running=1)
         self.assertEqual(self.fill().engine.running, 1)
 
+    def many(self, count=30):
+        """Entries without calls for any model."""
+        others = [Stream(f"other-{number}") for number in range(count)]
+        for stream in others:
+            stream.heard_at = self.clock.at
+            update = Update(sender=stream.peer, begins=True)
+            update.entry.CopyFrom(wire.entry_message({}, {}, False))
+            self.words.received(update, stream)
+        self.streams.all += others
+        self.clock.at += 0.01
+        return others
+
+    def load(self, model="poet"):
+        """The engine holds one more model."""
+        held = dict.fromkeys(("tutor", model), frozenset())
+        for stream in self.streams.all:
+            stream.sent = 0
+        self.report(holdings=held)
+
+    def test_a_load_is_not_told_at_once_to_those_who_do_not_look_for_it(self):
+        """Symptom: processes of a large fleet spend most of their time on streams.
+
+        Each load, and each step of it, was told at once to all of 68 entries, of which
+        a few see to loads and one or two have calls for the model.
+        """
+        self.begin()
+        others = self.many()
+        self.load()
+        self.assertLessEqual(sum(stream.sent > 0 for stream in others), 4)
+        self.clock.at += 1.0
+        self.report(holdings=dict.fromkeys(("tutor", "poet"), frozenset()))
+        self.assertTrue(all(stream.sent for stream in others))
+
+    def test_an_entry_with_calls_for_it_is_told_at_once(self):
+        self.begin()
+        self.hear(self.entry_says())
+        self.many()
+        self.load("poet")
+        self.stream.said = EntryWords({"clerk": Want(rate=0.1)}, {}, False)
+        self.load("clerk")
+        self.assertTrue(self.stream.sent)
+
+    def test_an_entry_that_wished_is_told_at_once_and_brought_up_to_date(self):
+        self.begin()
+        other = self.many()[0]
+        self.load()
+        other.sent = 0
+        update = Update()
+        wire.add_wish(update, Wish("poet"))
+        self.words.received(update, other)
+        self.assertTrue(other.sent)
+        self.load("clerk")
+        self.assertTrue(other.sent)
+
+    def test_what_is_gone_is_told_to_all_at_once(self):
+        """What goes wrong: a call is sent to an engine that has just unloaded its
+        model, and there is no second attempt."""
+        self.begin()
+        others = self.many()
+        for stream in others:
+            stream.sent = 0
+        self.report(holdings={})
+        self.assertTrue(all(stream.sent for stream in others))
+
     def test_a_lost_engine_and_a_fencing_token_are_said_at_once(self):
         self.begin()
         self.assertFalse(self.fill().engine.orderable)
