--- a/tests/adapter/cover/test_start.py
+++ b/tests/adapter/cover/test_start.py
@@ -35,6 +35,21 @@
     return set(done.stdout.split())
 
 
+class TestGarbage(unittest.TestCase):
+    """Symptom: a process with hundreds of modules holds up calls for a twentieth of a
+    second, each time that it looks through all of them for garbage."""
+
+    def test_modules_are_not_looked_through_and_what_comes_later_is(self):
+        script = SCRIPT.format(folder=str(ROOT / "platform"), role="agent")
+        script += "import gc; print(gc.get_freeze_count(), gc.isenabled())"
+        done = subprocess.run(
+            [sys.executable, "-c", script], capture_output=True, text=True, check=True
+        )
+        frozen, enabled = done.stdout.split()[-2:]
+        self.assertGreater(int(frozen), 10_000)
+        self.assertEqual(enabled, "True")
+
+
 class TestLoadedModules(unittest.TestCase):
     def check(self, role):
         found = loaded_by(role).intersection(NEEDLESS)
