--- a/packages/bambootiller-core/src/bambootiller_core/gateway/relaying.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/relaying.py
@@ -4,7 +4,10 @@
 themselves: passed on by all to all, a configuration of 60 kB would cross a thousand
 streams. So each process says up to which revision it has everything, by the part of the
 store, and a document goes out only to a peer that still lacks it a moment after it
-became known. Agents don't follow the store; two of the entries tell each at once.
+became known. Agents don't follow the store; one of the entries tells each at once.
+Whoever else could tell a peer takes turns, so that one says that it has a document
+before most have sent it: sent by all that know it, a configuration fills the link of
+the one that lacks it, and the answers of calls wait behind.
 """
 
 from __future__ import annotations
@@ -22,28 +25,39 @@
 #: agent says with its next message, at most 0.8 s later, up to where it has everything.
 #: Seconds.
 TELLS_WITHIN_S = 0.9
-#: How many entries tell an agent at once; one would do.
-TELLERS = 2
-#: For how many agents, times the lists of entries that are told, the tellers are kept.
-KEPT_TELLERS = 1024
+#: How long each leaves a peer to the one before it in turn: about as long as a
+#: configuration takes on the smallest link, and the word that it has come. Seconds.
+TURN_S = 0.15
+#: Agents that pass a document on to an entry spread over so many turns; they don't know
+#: of each other.
+AGENT_TURNS = 20
+#: For how many agents, times the lists of entries that are told, the turns are kept.
+KEPT_TURNS = 1024
 
 Complete = Mapping[str, int]
 
 
-def tells_at_once(entry: str, agent: str, entries: tuple[str, ...]) -> bool:
-    """Whether ``entry`` is one of those that keep ``agent`` up to date.
+def entry_turn(entry: str, agent: str, entries: tuple[str, ...]) -> int:
+    """Whose turn it is to tell an agent: 0 for the entry that does so at once.
 
-    >>> tells_at_once("e1", "10.0.0.1:7", ("e1",))
-    True
+    >>> entry_turn("e1", "10.0.0.1:7", ("e1",))
+    0
     """
     known = entries if entry in entries else (*entries, entry)
-    return entry in _tellers(agent, known)
+    return _turns(agent, known)[entry]
 
 
-@lru_cache(KEPT_TELLERS)
-def _tellers(agent: str, entries: tuple[str, ...]) -> frozenset[str]:
+@lru_cache(KEPT_TURNS)
+def _turns(agent: str, entries: tuple[str, ...]) -> Mapping[str, int]:
     # Kept, as an entry asks it of each agent for each document that it learns.
-    return frozenset(rendezvous.ranked(f"tells {agent}", entries)[:TELLERS])
+    ranked = rendezvous.ranked(f"tells {agent}", entries)
+    return {entry: turn for turn, entry in enumerate(ranked)}
+
+
+def agent_turn(agent: str, entry: str) -> int:
+    """The turn of an agent to tell an entry what that may lack; never at once, as
+    entries follow the store."""
+    return 1 + rendezvous.weight(f"tells {entry}", agent) % AGENT_TURNS
 
 
 def covers(complete: Complete, change: Changed) -> bool:
@@ -55,17 +69,26 @@
     """
     record = change.record
     return any(
-        record.key.startswith(prefix) and record.mod_revision <= revision
-        for prefix, revision in complete.items()
+        is_under(record.key, part) and record.mod_revision <= revision
+        for part, revision in complete.items()
     )
 
 
+def is_under(key: str, part: str) -> bool:
+    """Whether a key is in a part of the store: a prefix, or one key alone.
+
+    >>> is_under("a/b", "a/"), is_under("a/b", "a/b"), is_under("a/bc", "a/b")
+    (True, True, False)
+    """
+    return key == part or (part.endswith("/") and key.startswith(part))
+
+
 class ForPeer:
     """The documents that one peer may lack.
 
     Example::
 
-        queue.add(now, change, at_once=False)
+        queue.add(now, change, turn=1)
         queue.peer_has({"registry/": 90})
         for change in queue.due(now): ...
     """
@@ -78,14 +101,14 @@
         self,
         now: float,
         change: Changed,
-        at_once: bool,
+        turn: int,
         own_time_s: float = OWN_TIME_S,
     ) -> None:
-        """A document has become known here."""
+        """A document has become known here; it goes out at once in turn 0."""
         if self._peer is not None and covers(self._peer, change):
             # The peer said so before, and doesn't say it again.
             return
-        due_at = now if at_once else now + own_time_s
+        due_at = now + own_time_s + (turn - 1) * TURN_S if turn else now
         self._queued[change.record.key] = (change, due_at)
 
     def peer_has(self, complete: Complete) -> None:
@@ -99,8 +122,8 @@
         """Up to which revision the peer has the part of the store with this key."""
         revisions = [
             revision
-            for prefix, revision in (self._peer or {}).items()
-            if key.startswith(prefix)
+            for part, revision in (self._peer or {}).items()
+            if is_under(key, part)
         ]
         return max(revisions, default=None)
 
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -17,7 +17,7 @@
 from bambootiller_core.gateway.fleet import AGENT_SILENT_S, Backend
 from bambootiller_core.gateway.log_lines import BackendRemoved
 from bambootiller_core.gateway.order_messages import Wish
-from bambootiller_core.gateway.relaying import tells_at_once
+from bambootiller_core.gateway.relaying import entry_turn
 from bambootiller_core.gateway.wakes import wakes_calls
 
 #: How often streams to agents are opened for new engines, and closed for gone ones.
@@ -140,7 +140,7 @@
             self._address(host),
             lambda update, outgoing: self._fill(host, update, outgoing),
             self.received,
-            lambda: tells_at_once(self._app.instance, host, self.plans.entries),
+            lambda: entry_turn(self._app.instance, host, self.plans.entries),
         )
         task = asyncio.get_running_loop().create_task(stream)
         self._links[host] = _Link(task, backend.instance)
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -24,6 +24,7 @@
     OWN_TIME_S,
     TELLS_WITHIN_S,
     ForPeer,
+    agent_turn,
 )
 from bambootiller_core.ports import Changed, Record
 
@@ -70,7 +71,7 @@
         sender: str,
         knowledge: Knowledge,
         fill: Fill,
-        at_once: Callable[[], bool],
+        turn: Callable[[], int],
         beat_s: float,
         to_entry: bool = False,
     ) -> None:
@@ -79,7 +80,7 @@
         self._knowledge = knowledge
         self._documents = ForPeer()
         self._fill = fill
-        self._at_once = at_once
+        self._turn = turn
         self._beat_s = beat_s
         self.peer = ""
         self.heard_at = float("-inf")
@@ -95,19 +96,19 @@
         self._sent_at = float("-inf")
         now = self._loop.time()
         for change in knowledge.documents():
-            self._documents.add(now, change, at_once=True)
+            self._documents.add(now, change, turn=0)
 
     def document(self, change: Changed) -> None:
         """The other side may lack a document."""
-        at_once = self._at_once()
+        turn = self._turn()
         own_time_s = OWN_TIME_S
         if not self._knowledge.is_configuration(change.record.key):
             own_time_s = self._knowledge.gather_s + TELLS_WITHIN_S
-        self._documents.add(self._loop.time(), change, at_once, own_time_s)
-        if at_once:
-            self.poke()
-        else:
+        self._documents.add(self._loop.time(), change, turn, own_time_s)
+        if turn:
             self._arm()
+        else:
+            self.poke()
 
     def heard(self, update: Update) -> None:
         """The other side has spoken."""
@@ -262,16 +263,16 @@
         address: str,
         fill: Fill,
         received: Received,
-        at_once: Callable[[], bool] = lambda: False,
+        turn: Callable[[], int] = lambda: 1,
         to_entry: bool = False,
     ) -> None:
-        """Keep a stream to ``address`` open until cancelled; ``at_once`` tells whether
-        the peer is told of documents without giving it time to learn by itself,
-        ``to_entry`` whether both sides are entries."""
+        """Keep a stream to ``address`` open until cancelled; ``turn`` is when this side
+        tells the peer of a document (:mod:`relaying`), ``to_entry`` whether both sides
+        are entries."""
         pause = REOPEN_S
         try:
             while True:
-                lived = await self._once(address, fill, received, at_once, to_entry)
+                lived = await self._once(address, fill, received, turn, to_entry)
                 if lived:
                     self._events.emit(PeerSilent(address))
                 pause = REOPEN_S if lived else min(pause * 2, REOPEN_MAX_S)
@@ -287,8 +288,12 @@
         to_entry: bool,
     ) -> AsyncIterator[Update]:
         """The answers to a stream that a peer has opened."""
+
+        def turn() -> int:
+            return 1 if to_entry else agent_turn(self._name, outgoing.peer)
+
         outgoing = Outgoing(
-            self._name, self._knowledge, fill, lambda: False, SERVED_BEAT_S, to_entry
+            self._name, self._knowledge, fill, turn, SERVED_BEAT_S, to_entry
         )
         self._outgoing.add(outgoing)
         reader = asyncio.create_task(self._read(requests, received, outgoing))
@@ -306,11 +311,11 @@
         address: str,
         fill: Fill,
         received: Received,
-        at_once: Callable[[], bool],
+        turn: Callable[[], int],
         to_entry: bool,
     ) -> bool:
         outgoing = Outgoing(
-            self._name, self._knowledge, fill, at_once, OPENED_BEAT_S, to_entry
+            self._name, self._knowledge, fill, turn, OPENED_BEAT_S, to_entry
         )
         self._outgoing.add(outgoing)
         self._kept[address] = outgoing
--- a/packages/bambootiller/src/bambootiller/gateway/knowledge.py
+++ b/packages/bambootiller/src/bambootiller/gateway/knowledge.py
@@ -63,7 +63,7 @@
         self._directory = directory
         self._events = events
         self._clock = clock
-        #: Up to which revision everything is known, by the prefix of keys.
+        #: Up to which revision everything is known, by the part of the store.
         self.complete: dict[str, int] = {}
         #: How often that has changed.
         self.known_version = 0
@@ -147,11 +147,12 @@
                 self.learnt(Changed(gone, deleted=True), source)
 
     def has_all(self, complete: Mapping[str, int]) -> None:
-        """Everything up to these revisions has been learnt, by the prefix of keys."""
+        """Everything up to these revisions has been learnt, by the part of the store: a
+        prefix of keys, or one key."""
         news = {
-            prefix: revision
-            for prefix, revision in complete.items()
-            if revision > self.complete.get(prefix, -1)
+            part: revision
+            for part, revision in complete.items()
+            if revision > self.complete.get(part, -1)
         }
         if not news:
             return
@@ -186,6 +187,9 @@
             self._config_keys.add(record.key)
             self._config_came = True
             self._configured(config, record, source)
+            # Told to peers by its key: who has it from a peer, and not from the store,
+            # doesn't know that it has all up to there, and would be sent it by each.
+            self.has_all({record.key: record.mod_revision})
             return True
         registered = self._directory.registered(record)
         if isinstance(registered, Unreadable):
--- a/tests/gateway/failures/test_messages.py
+++ b/tests/gateway/failures/test_messages.py
@@ -39,7 +39,7 @@
         self.outgoing = self.new()
 
     def new(self):
-        return Outgoing("e1", self.knowledge, self.fill, lambda: False, 60.0)
+        return Outgoing("e1", self.knowledge, self.fill, lambda: 1, 60.0)
 
     @staticmethod
     def fill(update, outgoing):
@@ -185,7 +185,7 @@
         self.outgoing.heard(self.peer(complete={"op/": 6, "servers/": 40}))
         change = Changed(Record("op/config", b"12345", 9))
         self.knowledge.learnt(change, "store")
-        self.outgoing._documents.add(0.0, change, at_once=True)
+        self.outgoing._documents.add(0.0, change, turn=0)
         self.outgoing._next()
         line = self.events.lines[-1]
         self.assertEqual(
@@ -193,6 +193,31 @@
             ("config_passed_on", 9, 5, "a1", 6),
         )
 
+    def learn_config(self, revision, source):
+        self.knowledge._directory.config = lambda record: Unreadable("none")
+        change = Changed(Record("op/config", b"12345", revision))
+        self.knowledge.learnt(change, source)
+
+    async def test_who_has_a_configuration_from_a_peer_says_so(self):
+        """Symptom: a store that loses answers has links filled with configurations.
+
+        Who learnt one from a peer didn't know that it had all up to there, and so never
+        said that it had it. All others sent it once more, its sender was sent it back.
+        """
+        self.outgoing.heard(self.peer(complete={"op/": 6}))
+        self.outgoing._next()
+        told = []
+        self.knowledge.on_complete(lambda: told.append(1))
+        self.learn_config(9, "a1")
+        self.assertEqual(told, [1])
+        self.assertEqual(dict(self.outgoing._next().complete), {"op/config": 9})
+
+    async def test_a_configuration_is_not_sent_back(self):
+        update = self.peer(complete={"op/": 6, "op/config": 9})
+        self.outgoing.heard(update)
+        self.learn_config(9, "a1")
+        self.assertTrue(self.outgoing._documents.is_empty)
+
     async def test_a_write_that_says_nothing_new_wakes_nobody(self):
         for revision in (3, 4, 5):
             record = Record("servers/b1", b"", revision)
