--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -231,10 +231,13 @@
         return any(map(self._sees_to, self._totals.waited_for(now)))
 
     def _awaits_own(self) -> bool:
-        """Whether calls of this entry wait, or refused callers are due back here."""
-        if any(demand.anyone_waits for demand in self._demand.values()):
-            return True
-        return any(want.waiting for own in self._own.values() for want in own.values())
+        """Whether calls of this entry wait.
+
+        Refused callers that are due back don't count here: those who see to loads hear
+        of them from the collectors. While a store is short of time most entries have
+        some, and each would make the plan that a few act on.
+        """
+        return any(demand.anyone_waits for demand in self._demand.values())
 
     def _any_waits(self) -> bool:
         if self._awaits_own():
--- /dev/null
+++ b/tests/gateway/cover/test_engine_plans.py
@@ -0,0 +1,85 @@
+"""When an entry makes the plan of loads."""
+
+import unittest
+from unittest import mock
+
+from bambootiller.gateway.engine_plans import EnginePlans
+from bambootiller.gateway.knowledge import Changes
+from bambootiller_core.gateway.collecting import planners
+from bambootiller_core.gateway.fleet import Fleet
+from bambootiller_core.gateway.residency import Planner
+from bambootiller_core.gateway.want import Want
+from bambootiller_core.timers import TimerService
+from tests.gateway.common import samples
+
+SERVICE = "llm"
+ENTRIES = tuple([f"e{number}" for number in range(32)])
+STEP_S = 0.01
+
+
+class App:
+    """The clock and the timers of one entry."""
+
+    def __init__(self, instance):
+        self.instance = instance
+        self.at = 10.0
+        self.timers = TimerService()
+
+    def now(self):
+        return self.at
+
+
+class Known:
+    """One engine, and the configuration of its service."""
+
+    def __init__(self, app):
+        models = [samples.model(f"m{number}") for number in range(40)]
+        service = samples.plain_service(SERVICE, engine=samples.engine(*models))
+        self.config = samples.config(services=[service])
+        self.changed = Changes()
+        self.fleet = Fleet()
+        self.fleet.registry_changed(app.at, samples.registered("b1", SERVICE))
+        self.fleet.engine_told(app.at, samples.engine_state("b1"))
+
+
+class TestWhoPlans(unittest.TestCase):
+    """Symptom: entries of a large fleet spend a quarter of their time on plans.
+
+    Each entry with a refused caller that was due back made the plan ten times a second,
+    though a few see to loads and hear of all callers.
+    """
+
+    def start(self, instance):
+        self.app = App(instance)
+        self.plans = EnginePlans(self.app, Known(self.app), lambda backend, wish: True)
+        self.plans.entries = ENTRIES
+        self.demand = self.plans.demand(SERVICE)
+        self.demand.asked(self.app.at, "m1")
+        self.plans.start(self.app.at)
+
+    def plans_in(self, seconds):
+        with mock.patch.object(Planner, "plan", autospec=True, return_value={}) as plan:
+            for _ in range(round(seconds / STEP_S)):
+                self.app.at += STEP_S
+                self.app.timers.advance(self.app.at)
+        return plan.call_count
+
+    @staticmethod
+    def other():
+        return next(name for name in ENTRIES if name not in planners(ENTRIES))
+
+    def test_an_entry_with_refused_callers_alone_leaves_it_to_those_who_see_to_it(self):
+        self.start(self.other())
+        self.demand.refused(self.app.at, "m1", 6.0)
+        self.assertEqual(self.plans_in(2.0), 0)
+
+    def test_an_entry_with_a_waiting_call_plans(self):
+        self.start(self.other())
+        self.demand.begin_waiting(self.app.at, "m1")
+        self.assertGreater(self.plans_in(1.0), 5)
+
+    def test_who_sees_to_loads_plans_for_the_refused_callers_of_others(self):
+        self.start(planners(ENTRIES)[0])
+        wants = {f"m{number}": Want(0.1, waiting=1) for number in range(40)}
+        self.plans.totals_told(self.app.at, SERVICE, "10.0.0.1", wants)
+        self.assertGreater(self.plans_in(1.0), 5)
