--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -259,6 +259,10 @@
             if backend.registered.service == service and not backend.registered.leaving
         ]
 
+    def all_of_service(self, service: str) -> list[Backend]:
+        """The same, and those that leave."""
+        return [backend for backend in self if backend.registered.service == service]
+
     def store_returned(self, now: float) -> None:
         """The store answers again after it was away; entries may be missing for now."""
         self._returned_at = now
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -84,7 +84,8 @@
 
     ``store_loads`` is how many loads the weight store serves at full speed; those that
     begin beyond it take longer. ``left_s`` is when the load under way at an engine
-    ends.
+    ends, ``ends_elsewhere`` when those end, in seconds, that draw on the weight store
+    at engines which can't be planned with.
     """
 
     def __init__(
@@ -92,10 +93,12 @@
         engine: EngineSpec,
         store_loads: int,
         left_s: Callable[[Backend], float] | None = None,
+        ends_elsewhere: Collection[float] = (),
     ) -> None:
         self._engine = engine
         self._store_loads = store_loads
         self._left_s = left_s or _told_left_s
+        self._ends_elsewhere = ends_elsewhere
         self._places: list[Place] = []
         self._copies: dict[str, list[Place]] = {}
         self._only_here: dict[str, set[str]] = {}
@@ -124,6 +127,7 @@
         copies = self._survey(now, known, wants)
         plan = self._under_way(known)
         store_ends = [load.ready_in_s for load in plan.values() if load.from_store]
+        store_ends += self._ends_elsewhere
         queue = StoreQueue(self._most_store_loads(wants), store_ends)
         second_copies = 0
         for spec, rank in in_order(self._engine, now, known, copies, wants, plan):
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
@@ -16,7 +16,7 @@
 
 import math
 import statistics
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from bambootiller_core.gateway.config import EngineSpec
@@ -126,7 +126,7 @@
         watched = self._watched.get((at, loading.model))
         if watched is None:
             return loading.left_s
-        seconds = watched.stated_s * max(1.0, watched.place / self.loads)
+        seconds = self._seconds(watched)
         left = watched.began + seconds - now
         return max(left, OVERRUN_SHARE * seconds, loading.left_s)
 
@@ -136,49 +136,97 @@
         """Take a look at the loads under way; to be called several times a second."""
         backends = list(backends)
         current = self._current(now, backends, engine)
-        living = {backend.instance: backend.incarnation for backend in backends}
+        present = {backend.instance: backend for backend in backends}
         for key, watched in list(self._watched.items()):
-            watched.seen_at = now
-            if key not in current:
+            if key in current:
+                watched.seen_at = now
+            elif not self._goes_on(now, key, watched, present):
                 del self._watched[key]
-                at, _ = key
-                # A load is cut off where its engine starts anew. Taken for one that has
-                # ended, it may look as if it had run at full speed beside all others.
-                if not at.precedes(living.get(at.instance, at)):
-                    self._ended(watched)
-        for key, stated_s in current.items():
+                self._over(now, key, watched, present)
+        for key, loading in current.items():
             if key not in self._watched:
-                self._begun(now, key, stated_s)
+                self._begun(now, key, engine.models[loading.model].load_s, loading)
         self._one_is_late = any(
-            watched.seen_at - watched.began > watched.stated_s
-            for watched in self._watched.values()
+            now - watched.began > watched.stated_s for watched in self._watched.values()
         )
         self._lower()
 
+    def ends_elsewhere(self, now: float, known: Collection[str]) -> list[float]:
+        """When the loads end, in seconds, that are under way at engines other than the
+        ``known`` ones: the store serves them all the same."""
+        return [
+            max(0.0, watched.began + self._seconds(watched) - now)
+            for (at, _), watched in self._watched.items()
+            if at.instance not in known
+        ]
+
+    def _seconds(self, watched: _Watched) -> float:
+        """How long a load takes from its begin."""
+        return watched.stated_s * max(1.0, watched.place / self.loads)
+
+    def _goes_on(
+        self, now: float, key: _Key, watched: _Watched, present: Mapping[str, Backend]
+    ) -> bool:
+        """Whether a load that nobody tells of is still under way.
+
+        Its agent may be silent for a moment. Taken for over, the load would be joined
+        by another that it slows; and seen again, it would look as if it had just begun,
+        or had ended as fast as if it were alone.
+        """
+        at, _ = key
+        backend = present.get(at.instance)
+        if backend is None or at.precedes(backend.incarnation):
+            # A load is cut off where its engine is gone, or starts anew.
+            return False
+        if backend.agent_heard(now):
+            return False
+        return now < watched.began + (1.0 + OVERRUN_SHARE) * self._seconds(watched)
+
+    def _over(
+        self, now: float, key: _Key, watched: _Watched, present: Mapping[str, Backend]
+    ) -> None:
+        """Learn from a load that has ended, if its end was seen."""
+        at, _ = key
+        backend = present.get(at.instance)
+        seen_s = now - watched.seen_at
+        watched.seen_at = now
+        told = (
+            backend is not None
+            and backend.agent_heard(now)
+            and not backend.engine.silent
+            and not at.precedes(backend.incarnation)
+        )
+        if told and seen_s <= SAME_TIME_S:
+            self._ended(watched)
+
     def _current(
         self, now: float, backends: Iterable[Backend], engine: EngineSpec
-    ) -> dict[_Key, float]:
+    ) -> dict[_Key, Loading]:
         found = {}
         for backend in backends:
             loading = backend.engine.loading if backend.engine is not None else None
             if loading is None or not loading.from_store:
                 continue
             spec = engine.models.get(loading.model)
-            if spec is None or not backend.agent_heard(now):
+            if spec is None or not backend.agent_heard(now) or backend.engine.silent:
                 continue
             # While an engine makes room, its load is told as one to come, with at
             # least all of its time left.
             if loading.left_s < spec.load_s:
-                found[(backend.incarnation, loading.model)] = spec.load_s
+                found[(backend.incarnation, loading.model)] = loading
         return found
 
-    def _begun(self, now: float, key: _Key, stated_s: float) -> None:
+    def _begun(self, now: float, key: _Key, stated_s: float, loading: Loading) -> None:
         group = self._group
         if group is None or now - group.began > SAME_TIME_S:
             group = self._group = _Group(now, len(self._watched))
         group.size += 1
         place = len(self._watched) + 1
-        self._watched[key] = _Watched(stated_s, now, now, place, group)
+        began = now
+        if loading.left_s <= OVERRUN_SHARE * stated_s:
+            # It was under way before this process saw it, and is late.
+            began -= stated_s
+        self._watched[key] = _Watched(stated_s, began, now, place, group)
 
     def _ended(self, watched: _Watched) -> None:
         seconds = watched.seen_at - watched.began
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -22,6 +22,7 @@
 from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
 from bambootiller_core.gateway.places import copies_at
 from bambootiller_core.gateway.residency import PlannedLoad, Planner
+from bambootiller_core.gateway.store_speed import StoreSpeed
 from bambootiller_core.gateway.store_speeds import StoreSpeeds, left_by
 from bambootiller_core.gateway.want import NO_WANT, Want
 
@@ -157,11 +158,17 @@
         for service in self._engine_services():
             backends = self._knowledge.fleet.of_service(service.name)
             pairs += len(backends) * len(service.engine.models)
-            speed = self._speeds.observe(now, service, backends)
+            speed = self._observe(now, service)
             wants = self._refresh_wants(service.name)
             wants_of_all = self.wants_of_all(service.name, wants)
             most = speed.most(any(want.rate for want in wants_of_all.values()))
-            planner = Planner(service.engine, most, left_by(speed, now))
+            known = [backend.instance for backend in backends if not backend.lost(now)]
+            planner = Planner(
+                service.engine,
+                most,
+                left_by(speed, now),
+                speed.ends_elsewhere(now, known),
+            )
             plan = planner.plan(now, backends, wants_of_all)
             self._plans[service.name] = plan
             self._planned_for[service.name] = wants_of_all
@@ -206,7 +213,7 @@
             self.make(now)
             return
         self._clock.making(now)
-        self._observe(now)
+        self._observe_all(now)
         for service in self._engine_services():
             wants = self._refresh_wants(service.name)
             if any(want.value for want in wants.values()):
@@ -221,7 +228,7 @@
         if self._acts_on_plan(now):
             self.make(now)
         else:
-            self._observe(now)
+            self._observe_all(now)
 
     def _acts_on_plan(self, now: float) -> bool:
         """Whether this entry asks for loads that calls wait for: they are its own, or
@@ -254,10 +261,14 @@
     def _is_planner(self) -> bool:
         return self._app.instance in planners(self.entries)
 
-    def _observe(self, now: float) -> None:
+    def _observe_all(self, now: float) -> None:
         for service in self._engine_services():
-            backends = self._knowledge.fleet.of_service(service.name)
-            self._speeds.observe(now, service, backends)
+            self._observe(now, service)
+
+    def _observe(self, now: float, service: ServiceSpec) -> StoreSpeed:
+        """Take a look at the loads under way, at engines that leave too."""
+        backends = self._knowledge.fleet.all_of_service(service.name)
+        return self._speeds.observe(now, service, backends)
 
     def _engine_services(self) -> list[ServiceSpec]:
         config = self._knowledge.config
--- a/tests/gateway/cover/test_store_speed.py
+++ b/tests/gateway/cover/test_store_speed.py
@@ -7,6 +7,7 @@
 from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.store_speed import (
     ASSUMED_LOADS,
+    OVERRUN_SHARE,
     StoreSpeed,
     assumed_loads,
 )
@@ -58,9 +59,12 @@
         self.now = 0.0
         self.speed = StoreSpeed(loads)
         self.ends = {}
+        self.names = []
+        self.silent = {}
         self.spec = samples.engine(samples.model("tutor", load_s=load_s))
 
     def begin(self, name):
+        self.names.append(name)
         stretch = max(1.0, (len(self.ends) + 1) / self.full)
         self.ends[name] = self.now + stretch * self.load_s
 
@@ -71,13 +75,14 @@
             self.speed.observe(self.now, self.backends(), self.spec)
 
     def backends(self):
-        return [
-            samples.backend(name, self.now, state, service="llm")
-            for name, state in (
-                (name, samples.engine_state(name, loading=Loading("tutor", 1.0, True)))
-                for name in self.ends
-            )
-        ]
+        """All engines that ever loaded; an agent in ``silent`` isn't heard."""
+        found = []
+        for name in self.names:
+            loading = Loading("tutor", 1.0, True) if name in self.ends else None
+            state = samples.engine_state(name, loading=loading)
+            heard_at = self.silent.get(name, self.now)
+            found.append(samples.backend(name, heard_at, state, service="llm"))
+        return found
 
 
 class TestLoadsThatTakeLongerByTheirOrder(unittest.TestCase):
@@ -150,6 +155,70 @@
         self.assertEqual(assumed_loads(long), 1)
 
 
+class TestLoadsOutOfSight(unittest.TestCase):
+    """Symptom: of 21 models without a copy none is served in half a minute, though the
+    weight store could bring two.
+
+    The agent beside a load wasn't heard for two seconds. The load was taken for over,
+    and for having ended as fast as if the store served two. Another was begun beside
+    it, took twice its time, and kept the store from all others.
+    """
+
+    def setUp(self):
+        self.store = OrderlyStore(full=1, loads=1)
+        self.store.begin("b0")
+        self.store.begin("b1")
+
+    def unheard(self, name, from_s, to_s):
+        self.store.run(from_s - self.store.now)
+        self.store.silent[name] = self.store.now - 60
+        self.store.run(to_s - self.store.now)
+
+    def test_it_is_not_taken_for_one_at_full_speed(self):
+        self.unheard("b1", 0.9 * LOAD_S, 1.2 * LOAD_S)
+        self.assertEqual((self.store.speed.loads, self.store.speed.limit), (1, 1))
+
+    def test_it_is_not_taken_for_one_that_begins_when_it_is_heard_again(self):
+        self.unheard("b1", 1.3 * LOAD_S, 1.5 * LOAD_S)
+        del self.store.silent["b1"]
+        self.store.run(0.1)
+        left_s = self.store.speed.left_s(
+            self.store.now, Incarnation("b1"), Loading("tutor", 1.0, True)
+        )
+        self.assertLess(left_s, self.store.ends["b1"] - self.store.now + 1.0)
+
+    def test_the_store_serves_it_all_the_same(self):
+        self.unheard("b1", 0.5 * LOAD_S, 1.2 * LOAD_S)
+        (left_s,) = self.store.speed.ends_elsewhere(self.store.now, known=["b0"])
+        self.assertAlmostEqual(left_s, self.store.ends["b1"] - self.store.now, delta=1)
+
+    def test_it_is_over_with_its_time(self):
+        self.unheard("b1", 0.5 * LOAD_S, 2.5 * LOAD_S)
+        self.assertEqual(self.store.speed.ends_elsewhere(self.store.now, ()), [])
+
+    def test_it_is_over_where_its_engine_is_gone(self):
+        self.store.run(0.5 * LOAD_S)
+        self.store.names.remove("b1")
+        self.store.run(STEP_S)
+        self.assertEqual(self.store.speed.ends_elsewhere(self.store.now, ["b0"]), [])
+
+    def test_one_that_is_late_when_it_is_first_seen_has_not_just_begun(self):
+        late = StoreSpeed(1)
+        loading = Loading("tutor", OVERRUN_SHARE * LOAD_S, True)
+        state = samples.engine_state("b1", loading=loading)
+        for now in (50.0, 50.1):
+            backend = samples.backend("b1", now, state, service="llm")
+            late.observe(now, [backend], self.store.spec)
+        self.assertEqual(late.limit, 1)
+
+    def test_a_plan_waits_for_it(self):
+        spec = samples.engine(samples.model("tutor"), samples.model("poet"))
+        backend = samples.backend("b0", 5.0, samples.engine_state("b0"), service="llm")
+        wants = {"poet": Want(0.1, 1)}
+        plan = Planner(spec, 1, None, [4.0]).plan(5.0, [backend], wants)
+        self.assertFalse(plan["poet"].ask_now)
+
+
 class TestStoreSpeed(unittest.TestCase):
     def test_at_full_speed_the_assumption_stays(self):
         store = Store(full=4)
