--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -85,7 +85,8 @@
     ``store_loads`` is how many loads the weight store serves at full speed; those that
     begin beyond it take longer. ``left_s`` is when the load under way at an engine
     ends, ``ends_elsewhere`` when those end, in seconds, that draw on the weight store
-    at engines which can't be planned with.
+    at engines which can't be planned with. ``tries_one_more``: whether the store may be
+    asked for one more than it is known to serve.
     """
 
     def __init__(
@@ -94,11 +95,13 @@
         store_loads: int,
         left_s: Callable[[Backend], float] | None = None,
         ends_elsewhere: Collection[float] = (),
+        tries_one_more: bool = False,
     ) -> None:
         self._engine = engine
         self._store_loads = store_loads
         self._left_s = left_s or _told_left_s
         self._ends_elsewhere = ends_elsewhere
+        self._tries_one_more = tries_one_more
         self._places: list[Place] = []
         self._copies: dict[str, list[Place]] = {}
         self._only_here: dict[str, set[str]] = {}
@@ -128,7 +131,7 @@
         plan = self._under_way(known)
         store_ends = [load.ready_in_s for load in plan.values() if load.from_store]
         store_ends += self._ends_elsewhere
-        queue = StoreQueue(self._most_store_loads(wants), store_ends)
+        queue = self._store_queue(wants, store_ends)
         second_copies = 0
         for spec, rank in in_order(self._engine, now, known, copies, wants, plan):
             coming = plan.get(spec.name)
@@ -174,13 +177,20 @@
                 self._occupy(option)
         return plan
 
-    def _most_store_loads(self, wants: Mapping[str, Want]) -> int:
-        """How many loads from the store may be under way. While calls come, other
-        engines are kept for loads from copies: these serve a call in time, and one in a
-        long load offers none of its copies until it ends."""
+    def _store_queue(
+        self, wants: Mapping[str, Want], store_ends: Collection[float]
+    ) -> StoreQueue:
+        """The loads that draw on the weight store.
+
+        While calls come, half of the engines are kept for loads from copies: these
+        serve a call in time, and one in a long load offers none of its copies until it
+        ends.
+        """
         if not any([want.rate for want in wants.values()]):
-            return self._store_loads
-        return min(self._store_loads, max(1, len(self._places) // LONG_LOADS_PART))
+            return StoreQueue(self._store_loads, store_ends)
+        most = max(1, len(self._places) // LONG_LOADS_PART)
+        one_more = self._tries_one_more and self._store_loads < most
+        return StoreQueue(min(self._store_loads, most), store_ends, one_more)
 
     def _survey(
         self, now: float, known: list[Backend], wants: Mapping[str, Want]
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
@@ -16,6 +16,10 @@
 #: the store slows as it begins stays slow, so that crowding it would look like a gain
 #: to each load after that, until most engines wait for the store.
 MOST_STRETCH = 1.5
+#: One more than the store is known to serve is tried only where its turn is further
+#: away than this part of its time. If the store serves no more, one begun shortly
+#: before its turn would take twice its time for nothing.
+TRIED_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,14 +33,20 @@
 class StoreQueue:
     """The loads of a plan, from those under way on.
 
+    ``full`` is how many the store is known to serve at full speed, ``one_more`` whether
+    another may be begun beside these, to see whether it serves that as well.
+
     Example::
 
         queue = StoreQueue(4, ends_in_s=[2.0, 5.5])
         starts_in_s, ready_in_s = queue.add(6.0)
     """
 
-    def __init__(self, full: int, ends_in_s: Iterable[float]) -> None:
+    def __init__(
+        self, full: int, ends_in_s: Iterable[float], one_more: bool = False
+    ) -> None:
         self._full = full
+        self._one_more = one_more
         self._loads = [_Load(0.0, end) for end in ends_in_s]
 
     def add(self, load_s: float, crowding: bool = False) -> tuple[float, float]:
@@ -55,13 +65,18 @@
 
     def _when(self, load_s: float, crowding: bool) -> tuple[float, float]:
         begins = self._next_free()
-        ready = begins + load_s
-        if crowding and begins > 0:
-            stretch = max(1.0, (self._under_way(0.0) + 1) / self._full)
-            is_sooner = load_s * stretch + WORTH_NOW_S <= ready
-            if stretch <= MOST_STRETCH and is_sooner:
-                return 0.0, load_s * stretch
-        return begins, ready
+        if begins <= 0:
+            return begins, begins + load_s
+        under_way = self._under_way(0.0)
+        slowed_s = load_s * max(1.0, (under_way + 1) / self._full)
+        if self._one_more and under_way == len(self._loads) <= self._full:
+            # None waits before it.
+            if begins > TRIED_SHARE * load_s:
+                return 0.0, slowed_s
+        is_sooner = slowed_s + WORTH_NOW_S <= begins + load_s
+        if crowding and is_sooner and slowed_s <= MOST_STRETCH * load_s:
+            return 0.0, slowed_s
+        return begins, begins + load_s
 
     def _next_free(self) -> float:
         ends = sorted([load.ends for load in self._loads])
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
@@ -9,7 +9,7 @@
 
     speed = StoreSpeed(assumed_loads(engine))
     speed.observe(now, backends, engine)
-    most = speed.most(anyone_asks=True)
+    planner = Planner(engine, speed.loads, tries_one_more=speed.tries_one_more)
 """
 
 from __future__ import annotations
@@ -102,23 +102,16 @@
         self._group: _Group | None = None
         self._watched: dict[_Key, _Watched] = {}
 
-    def most(self, anyone_asks: bool) -> int:
-        """How many loads to have under way. What nobody asks for isn't begun beyond the
-        estimate: slowed by others, it would be over no sooner than one that is chosen
-        later, when calls tell which model is needed."""
-        return self.limit if anyone_asks else self.loads
-
     @property
-    def limit(self) -> int:
-        """How many loads to have under way: one more than the estimate while that is
-        low and nothing has shown that the store serves no more.
+    def tries_one_more(self) -> bool:
+        """Whether one load beyond the estimate may be under way: while that is low and
+        nothing has shown that the store serves no more.
 
         A load that is late may show it soon. Begun beside it, a third load would be
         slowed by it in any case, and keep its engine twice as long.
         """
-        if self._bounded or self._one_is_late or self.loads >= ASSUMED_LOADS:
-            return self.loads
-        return self.loads + 1
+        known = self._bounded or self.loads >= ASSUMED_LOADS
+        return not known and not self._one_is_late
 
     def left_s(self, now: float, at: Incarnation, loading: Loading) -> float:
         """When a load from the store ends. Its agent, which doesn't see the others,
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_speeds.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_speeds.py
@@ -3,7 +3,7 @@
 Example::
 
     speed = speeds.observe(now, service, backends)
-    planner = Planner(service.engine, speed.most(asked), left_by(speed, now))
+    planner = Planner(service.engine, speed.loads, left_by(speed, now))
 """
 
 from __future__ import annotations
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -161,13 +161,13 @@
             speed = self._observe(now, service)
             wants = self._refresh_wants(service.name)
             wants_of_all = self.wants_of_all(service.name, wants)
-            most = speed.most(any(want.rate for want in wants_of_all.values()))
             known = [backend.instance for backend in backends if not backend.lost(now)]
             planner = Planner(
                 service.engine,
-                most,
+                speed.loads,
                 left_by(speed, now),
                 speed.ends_elsewhere(now, known),
+                speed.tries_one_more,
             )
             plan = planner.plan(now, backends, wants_of_all)
             self._plans[service.name] = plan
--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -286,6 +286,48 @@
         self.assertEqual([plan[name].ask_now for name in names], [False] * 4)
 
 
+class TestOneMoreThanTheStoreIsKnownToServe(unittest.TestCase):
+    """Symptom: models without a copy come from the weight store in twice their time.
+
+    To learn how many loads it serves at once, one more than known was begun: for what
+    nobody had asked for, shortly before the one under way was over, or beside two that
+    were tried already.
+    """
+
+    def setUp(self):
+        names = ("tutor", "poet", "clerk", "critic")
+        self.spec = samples.engine(*map(samples.model, names))
+
+    def begun(self, left_s, wants=None, tries=True):
+        """The models that a plan begins, with loads under way of so much left."""
+        loading = ("tutor", "poet")
+        backends = [
+            engine_backend(f"l{n}", loading=Loading(name, seconds, True), busy=True)
+            for n, (name, seconds) in enumerate(zip(loading, left_s, strict=False))
+        ]
+        backends += [engine_backend(f"b{n}") for n in range(6)]
+        if wants is None:
+            wants = {"clerk": Want(0.5, 9), "critic": Want(0.1, 1)}
+        planner = Planner(self.spec, 1, tries_one_more=tries)
+        plan = planner.plan(NOW, backends, wants)
+        return [load.model for load in plan.values() if load.ask_now]
+
+    def test_it_is_tried_where_its_turn_is_far(self):
+        self.assertEqual(self.begun([5.0]), ["clerk"])
+
+    def test_it_waits_where_its_turn_is_near(self):
+        self.assertEqual(self.begun([1.0]), [])
+
+    def test_it_waits_beside_one_that_is_tried(self):
+        self.assertEqual(self.begun([5.0, 6.0]), [])
+
+    def test_it_waits_once_the_store_is_known(self):
+        self.assertEqual(self.begun([5.0], tries=False), [])
+
+    def test_it_is_not_tried_with_what_nobody_asks_for(self):
+        self.assertEqual(self.begun([5.0], wants={}), [])
+
+
 class TestPlansOfManyWaitingModels(unittest.TestCase):
     """Symptom: an entry of a large fleet spends a tenth of a core on its plans.
 
