--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/first_look.py
@@ -0,0 +1,46 @@
+"""Whether an entry knows the engines of a service, some seconds after its start.
+
+Engines are listed one after the other, and their agents speak a moment later. Until
+then a model whose only copy is at an engine that hasn't been heard of looks as if
+nobody had a copy, and the weight store would be asked for it in vain.
+
+Example::
+
+    look = FirstLook()
+    if look.is_over(now, backends, quiet_s=1.2): ...
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from bambootiller_core.gateway.fleet import Backend
+
+#: An agent that hasn't spoken by then isn't waited for: its process may be gone.
+#: Seconds.
+MOST_S = 5.0
+
+
+class FirstLook:
+    """The look at one service, which is over once and for all."""
+
+    def __init__(self) -> None:
+        self._over = False
+        self._known: tuple[int, int] = (0, 0)
+        self._grew_at: float | None = None
+
+    def is_over(
+        self, now: float, backends: Collection[Backend], quiet_s: float
+    ) -> bool:
+        """Whether no engine has been listed for ``quiet_s``, and all were heard, or
+        nothing at all has come to be known for :data:`MOST_S`."""
+        if self._over:
+            return True
+        heard = sum([backend.engine is not None for backend in backends])
+        known = (len(backends), heard)
+        if self._grew_at is None or known != self._known:
+            self._known, self._grew_at = known, now
+        still_s = now - self._grew_at
+        all_heard = 0 < len(backends) == heard
+        self._over = still_s >= (quiet_s if all_heard else MOST_S)
+        return self._over
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from bambootiller.app import Application
 from bambootiller.gateway.knowledge import Knowledge
@@ -17,6 +17,7 @@
 from bambootiller_core.gateway.config import ServiceSpec
 from bambootiller_core.gateway.copies import copies_seen
 from bambootiller_core.gateway.demand import Demand
+from bambootiller_core.gateway.first_look import FirstLook
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.log_lines import CopySeen
 from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
@@ -31,6 +32,9 @@
 FRESH_PAUSES = 2
 #: The urgency of what is asked for ahead of demand.
 AHEAD = 5
+#: An engine that the registry lists is known here within the pause between two reads
+#: and this. Seconds.
+LISTED_WITHIN_S = 0.3
 
 
 class EnginePlans:
@@ -59,6 +63,7 @@
         self._planned_for: dict[str, dict[str, Want]] = {}
         self._planned_at = float("-inf")
         self._speeds = StoreSpeeds()
+        self._first_looks: dict[str, FirstLook] = {}
         self._clock = PlanClock(
             self._due,
             self._awaited,
@@ -172,7 +177,8 @@
             plan = planner.plan(now, backends, wants_of_all)
             self._plans[service.name] = plan
             self._planned_for[service.name] = wants_of_all
-            self._ask(plan, wants, wants_of_all)
+            asks_store = self._knows_engines(now, service.name, backends)
+            self._ask(plan, wants, wants_of_all, asks_store)
             if plan or any(want.value for want in wants_of_all.values()):
                 self._clock.has_work()
         self._clock.pause_s = pause_s(pairs)
@@ -275,14 +281,24 @@
         services = config.services.values() if config is not None else ()
         return [service for service in services if service.engine is not None]
 
+    def _knows_engines(
+        self, now: float, service: str, backends: Collection[Backend]
+    ) -> bool:
+        """Whether copies of models can be at no engine that this entry hasn't heard of
+        since it started."""
+        look = self._first_looks.setdefault(service, FirstLook())
+        quiet_s = self._knowledge.gather_s + LISTED_WITHIN_S
+        return look.is_over(now, backends, quiet_s)
+
     def _ask(
         self,
         plan: dict[str, PlannedLoad],
         wants: dict[str, Want],
         wants_of_all: dict[str, Want],
+        asks_store: bool,
     ) -> None:
         for load in plan.values():
-            if not load.ask_now:
+            if not load.ask_now or (load.from_store and not asks_store):
                 continue
             backend = self._knowledge.fleet.get(load.instance)
             if backend is None:
--- a/tests/gateway/cover/test_engine_plans.py
+++ b/tests/gateway/cover/test_engine_plans.py
@@ -32,6 +32,8 @@
 class Known:
     """One engine, and the configuration of its service."""
 
+    gather_s = 0.6
+
     def __init__(self, app):
         models = [samples.model(f"m{number}") for number in range(40)]
         service = samples.plain_service(SERVICE, engine=samples.engine(*models))
--- a/tests/gateway/failures/test_engines.py
+++ b/tests/gateway/failures/test_engines.py
@@ -28,6 +28,8 @@
 class Known:
     """Knowledge without a store: two services, an engine each."""
 
+    gather_s = 0.6
+
     class changed:
         count = 0
 
