--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -133,7 +133,14 @@
         store_ends += self._ends_elsewhere
         queue = self._store_queue(wants, store_ends)
         second_copies = 0
-        for spec, rank in in_order(self._engine, now, known, copies, wants, plan):
+        order = in_order(self._engine, now, known, copies, wants, plan)
+        without_copy = {
+            spec.name
+            for spec, rank in order
+            if rank <= Rank.ASKED_FOR and not copies[spec.name]
+        }
+        for spec, rank in order:
+            without_copy.discard(spec.name)
             coming = plan.get(spec.name)
             if coming is not None and rank is not Rank.MUCH_WAITED_FOR:
                 # It is being moved, to make room for one before it in the order.
@@ -146,7 +153,7 @@
                 if not self._has_room(spec, _as_option(rank, want)):
                     continue
                 second_copies += rank is Rank.SECOND_COPY
-                plan[spec.name] = _waiting_load(spec, queue)
+                plan[spec.name] = _waiting_load(spec, queue.add(spec.load_s))
                 continue
             want = _as_option(rank, want)
             option = self._best(spec, want)
@@ -155,6 +162,11 @@
             if option.from_store:
                 if not _is_worth_the_store(rank, coming, second_copies, store_ends):
                     continue
+                has_copy = spec.name in self._copies
+                if has_copy and len(without_copy) >= max(1, queue.room()):
+                    # The engine with the copy has its turn later; the others have none.
+                    plan[spec.name] = _waiting_load(spec, queue.when(spec.load_s))
+                    continue
                 second_copies += rank is Rank.SECOND_COPY
             elif not _is_sooner(option, coming):
                 continue
@@ -365,8 +377,9 @@
     return coming is None or option.ready_in_s + WORTH_S <= coming.ready_in_s
 
 
-def _waiting_load(spec: ModelSpec, queue: StoreQueue) -> PlannedLoad:
-    _, ends = queue.add(spec.load_s)
+def _waiting_load(spec: ModelSpec, turn: tuple[float, float]) -> PlannedLoad:
+    """A load that waits for its turn at the weight store."""
+    _, ends = turn
     return PlannedLoad(spec.name, "", ends + ORDER_S, ask_now=False, from_store=True)
 
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
@@ -55,15 +55,20 @@
         ``crowding`` lets it begin beyond what the store serves at full speed, if it is
         over sooner that way and hardly slowed.
         """
-        begins, ready = self._when(load_s, crowding)
+        begins, ready = self.when(load_s, crowding)
         self._loads.append(_Load(begins, ready))
         return begins, ready
 
     def can_begin(self, load_s: float, crowding: bool = False) -> bool:
         """Whether :meth:`add` would have the load begin now."""
-        return self._when(load_s, crowding)[0] <= 0
+        return self.when(load_s, crowding)[0] <= 0
 
-    def _when(self, load_s: float, crowding: bool) -> tuple[float, float]:
+    def room(self) -> int:
+        """How many more loads could begin now."""
+        return max(0, self._full - self._under_way(0.0))
+
+    def when(self, load_s: float, crowding: bool = False) -> tuple[float, float]:
+        """What :meth:`add` would return."""
         begins = self._next_free()
         if begins <= 0:
             return begins, begins + load_s
--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -328,6 +328,48 @@
         self.assertEqual(self.begun([5.0], wants={}), [])
 
 
+class TestModelsWithoutACopyAndTheStore(unittest.TestCase):
+    """Symptom: the weight store brings a model of which an engine has a copy, while a
+    score of models without any are refused all day.
+
+    Its engine was full of models in use at that moment, so a load from the store seemed
+    to be over first.
+    """
+
+    def setUp(self):
+        self.spec = samples.engine(
+            *map(samples.model, ("tutor", "poet", "much", "used"))
+        )
+        busy = ("much", "used")
+        self.backends = [
+            engine_backend(
+                "b1",
+                busy,
+                on_disk=frozenset({"tutor", *busy}),
+                in_use=dict.fromkeys(busy, 5),
+                keep_values=dict.fromkeys(busy, 9.0),
+                memory_mb_used=100.0,
+            ),
+            *(engine_backend(f"b{number}") for number in range(2, 6)),
+        ]
+
+    def begun(self, store_loads=1, **wants):
+        wants = {name: Want(9.0, 0, 1) for name in ("much", "used")} | wants
+        plan = Planner(self.spec, store_loads).plan(NOW, self.backends, wants)
+        self.assertIn("tutor", plan)
+        return [load.model for load in plan.values() if load.ask_now]
+
+    def test_the_one_without_a_copy_goes_first(self):
+        self.assertEqual(self.begun(tutor=Want(2.0, 9), poet=Want(0.2, 1)), ["poet"])
+
+    def test_a_store_for_both_serves_both(self):
+        begun = self.begun(2, tutor=Want(2.0, 9), poet=Want(0.2, 1))
+        self.assertEqual(begun, ["tutor", "poet"])
+
+    def test_where_all_have_a_copy_the_store_is_used(self):
+        self.assertEqual(self.begun(tutor=Want(2.0, 9)), ["tutor"])
+
+
 class TestPlansOfManyWaitingModels(unittest.TestCase):
     """Symptom: an entry of a large fleet spends a tenth of a core on its plans.
 
