--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -34,6 +34,7 @@
     copies_of,
 )
 from bambootiller_core.gateway.store_queue import StoreQueue
+from bambootiller_core.gateway.store_turns import StoreTurns
 from bambootiller_core.gateway.want import NO_WANT, Want
 
 #: What it counts, in seconds, that a long load puts one model out of reach: asked for
@@ -67,11 +68,6 @@
     from_store: bool
 
 
-#: A second copy keeps its engine from all other orders for seconds, so there is one
-#: such load at a time.
-SECOND_COPY_LOADS = 1
-
-
 @dataclass(frozen=True, slots=True)
 class _Option:
     place: Place
@@ -131,64 +127,64 @@
         plan = self._under_way(known)
         store_ends = [load.ready_in_s for load in plan.values() if load.from_store]
         store_ends += self._ends_elsewhere
-        queue = self._store_queue(wants, store_ends)
-        second_copies = 0
         order = in_order(self._engine, now, known, copies, wants, plan)
-        without_copy = {
-            spec.name
-            for spec, rank in order
-            if rank <= Rank.ASKED_FOR and not copies[spec.name]
-        }
+        queue = self._store_queue(wants, store_ends)
+        turns = StoreTurns(queue, bool(store_ends), order, copies)
         for spec, rank in order:
-            without_copy.discard(spec.name)
+            turns.come_to(spec.name)
             coming = plan.get(spec.name)
-            if coming is not None and rank is not Rank.MUCH_WAITED_FOR:
-                # It is being moved, to make room for one before it in the order.
-                continue
-            want = wants.get(spec.name, NO_WANT)
-            crowding = want.waiting >= MANY_WAITING
-            if self._must_wait_for_store(spec, crowding, queue):
-                if not _is_worth_the_store(rank, coming, second_copies, store_ends):
-                    continue
-                if not self._has_room(spec, _as_option(rank, want)):
-                    continue
-                second_copies += rank is Rank.SECOND_COPY
-                plan[spec.name] = _waiting_load(spec, queue.add(spec.load_s))
-                continue
-            want = _as_option(rank, want)
-            option = self._best(spec, want)
-            if option is None:
-                continue
-            if option.from_store:
-                if not _is_worth_the_store(rank, coming, second_copies, store_ends):
-                    continue
-                has_copy = spec.name in self._copies
-                if has_copy and len(without_copy) >= max(1, queue.room()):
-                    # The engine with the copy has its turn later; the others have none.
-                    plan[spec.name] = _waiting_load(spec, queue.when(spec.load_s))
-                    continue
-                second_copies += rank is Rank.SECOND_COPY
-            elif not _is_sooner(option, coming):
-                continue
-            ready, waits_for_store = option.ready_in_s, False
-            if option.from_store:
-                begins, ends = queue.add(spec.load_s, crowding)
-                waits_for_store = begins > 0
-                ready += ends - spec.load_s
-            if self._moves(spec, ready, wants, plan):
-                continue
-            starts_now = option.place.is_free
-            plan[spec.name] = PlannedLoad(
-                spec.name,
-                option.place.instance,
-                ready,
-                ask_now=starts_now and not waits_for_store,
-                from_store=option.from_store,
-            )
-            if not waits_for_store:
-                self._occupy(option)
+            if coming is None or rank is Rank.MUCH_WAITED_FOR:
+                self._plan_one(spec, rank, coming, wants, turns, plan)
+            # Otherwise it is being moved, to make room for one before it in the order.
         return plan
 
+    def _plan_one(
+        self,
+        spec: ModelSpec,
+        rank: Rank,
+        coming: PlannedLoad | None,
+        wants: Mapping[str, Want],
+        turns: StoreTurns,
+        plan: dict[str, PlannedLoad],
+    ) -> None:
+        """Plan the load of one model, if there is one worth it; ``coming`` is one that
+        is under way."""
+        want = wants.get(spec.name, NO_WANT)
+        crowding = want.waiting >= MANY_WAITING
+        if self._must_wait_for_store(spec, crowding, turns.queue):
+            admitted = turns.admit(rank, coming is not None)
+            if admitted and self._has_room(spec, _as_option(rank, want)):
+                turns.took(rank)
+                plan[spec.name] = _waiting_load(spec, turns.queue.add(spec.load_s))
+            return
+        option = self._best(spec, _as_option(rank, want))
+        if option is None:
+            return
+        ready, waits_for_store = option.ready_in_s, False
+        if option.from_store:
+            if not turns.admit(rank, coming is not None):
+                return
+            if spec.name in self._copies and turns.leaves_to_others():
+                plan[spec.name] = _waiting_load(spec, turns.queue.when(spec.load_s))
+                return
+            turns.took(rank)
+            begins, ends = turns.queue.add(spec.load_s, crowding)
+            waits_for_store = begins > 0
+            ready += ends - spec.load_s
+        elif not _is_sooner(option, coming):
+            return
+        if self._moves(spec, ready, wants, plan):
+            return
+        plan[spec.name] = PlannedLoad(
+            spec.name,
+            option.place.instance,
+            ready,
+            ask_now=option.place.is_free and not waits_for_store,
+            from_store=option.from_store,
+        )
+        if not waits_for_store:
+            self._occupy(option)
+
     def _store_queue(
         self, wants: Mapping[str, Want], store_ends: Collection[float]
     ) -> StoreQueue:
@@ -354,24 +350,6 @@
         option.place.planned += 1
 
 
-def _is_worth_the_store(
-    rank: Rank,
-    coming: PlannedLoad | None,
-    second_copies: int,
-    store_ends: Collection[float],
-) -> bool:
-    """Whether a load is worth the weight store's time.
-
-    What waits would wait longer for a second engine from the store than the calls of
-    the first; it comes later, as a second copy, while the store has nothing else to do.
-    """
-    if coming is not None or rank is Rank.HELD_ONCE:
-        return False
-    if rank is Rank.SECOND_COPY:
-        return not store_ends and second_copies < SECOND_COPY_LOADS
-    return True
-
-
 def _is_sooner(option: _Option, coming: PlannedLoad | None) -> bool:
     """Whether a load from a copy is worth it beside one that is under way."""
     return coming is None or option.ready_in_s + WORTH_S <= coming.ready_in_s
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_turns.py
@@ -0,0 +1,76 @@
+"""Which models may draw on the weight store in one plan.
+
+The store serves a few loads at a time, each for seconds, so what draws on it first is
+what nobody has a copy of and somebody waits for.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+
+from bambootiller_core.gateway.config import ModelSpec
+from bambootiller_core.gateway.load_order import Rank
+from bambootiller_core.gateway.store_queue import StoreQueue
+
+#: A second copy keeps its engine from all other orders for seconds, so there is one
+#: such load at a time.
+SECOND_COPY_LOADS = 1
+
+
+class StoreTurns:
+    """The store's queue, and who may join it.
+
+    ``is_taken`` tells whether any load from the store is under way, ``order`` the
+    models of the plan in their order, ``copied`` those of which an engine has a copy.
+
+    Example::
+
+        turns.come_to(spec.name)
+        if turns.admit(rank, is_coming=False):
+            begins_in_s, ready_in_s = turns.queue.add(spec.load_s)
+            turns.took(rank)
+    """
+
+    def __init__(
+        self,
+        queue: StoreQueue,
+        is_taken: bool,
+        order: Iterable[tuple[ModelSpec, Rank]],
+        copied: Collection[str],
+    ) -> None:
+        self.queue = queue
+        self._is_taken = is_taken
+        self._second_copies = 0
+        self._without_copy = {
+            spec.name
+            for spec, rank in order
+            if rank <= Rank.ASKED_FOR and spec.name not in copied
+        }
+
+    def come_to(self, name: str) -> None:
+        """The model is planned next."""
+        self._without_copy.discard(name)
+
+    def admit(self, rank: Rank, is_coming: bool) -> bool:
+        """Whether a load is worth the store's time; ``is_coming``: one of the same
+        model is under way.
+
+        What waits would wait longer for a second engine from the store than the calls
+        of the first; it comes later, as a second copy, while the store has nothing else
+        to do.
+        """
+        if is_coming or rank is Rank.HELD_ONCE:
+            return False
+        if rank is Rank.SECOND_COPY:
+            return not self._is_taken and self._second_copies < SECOND_COPY_LOADS
+        return True
+
+    def leaves_to_others(self) -> bool:
+        """Whether models without any copy, which come later in the plan, need all that
+        the store can begin now. One with a copy leaves it to them: the engine with the
+        copy has its turn later."""
+        return len(self._without_copy) >= max(1, self.queue.room())
+
+    def took(self, rank: Rank) -> None:
+        """A load draws on the store."""
+        self._second_copies += rank is Rank.SECOND_COPY
