--- a/tests/gateway/cover/test_residency.py
+++ b/tests/gateway/cover/test_residency.py
@@ -1,12 +1,12 @@
 """Which engine loads which model next."""
 
+import functools
 import unittest
-from unittest import mock
 
 from bambootiller_core.gateway.engine_state import Loading
 from bambootiller_core.gateway.order_demand import EntriesSay
 from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
-from bambootiller_core.gateway.places import Place, choose_victims, keep_values
+from bambootiller_core.gateway.places import choose_victims, keep_values
 from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
@@ -15,10 +15,7 @@
 STORE_LOADS = 4
 
 
-def engine_backend(instance, holdings=(), **fields):
-    fields.setdefault("memory_mb_used", 40.0 * len(holdings))
-    state = samples.engine_state(instance, holdings, **fields)
-    return samples.backend(instance, NOW, state, service="llm")
+engine_backend = functools.partial(samples.engine_backend, NOW)
 
 
 class TestPlan(unittest.TestCase):
@@ -262,162 +259,6 @@
         self.assertGreater(plan["tutor"].ready_in_s, 6.0 + 2 * 1.5)
 
 
-class TestLoadsThatWaitForTheStore(unittest.TestCase):
-    """Symptom: models of which engines have copies aren't loaded for tens of seconds,
-    though engines are idle and calls wait.
-
-    The store served one load at a time. Each model that waited for it was planned to an
-    engine, and each engine that was planned to took no other order.
-    """
-
-    def test_they_keep_no_engine_from_loading_a_copy(self):
-        names = [f"m{number}" for number in range(4)]
-        spec = samples.engine(*map(samples.model, names), samples.model("poet"))
-        loading = Loading("m0", 5.0, True)
-        backends = [
-            engine_backend("b1", loading=loading),
-            engine_backend("b2", on_disk=frozenset({"poet"})),
-            engine_backend("b3", on_disk=frozenset({"poet"})),
-        ]
-        wants = {name: Want(1.0, 3, 0, 2.0) for name in names}
-        wants["poet"] = Want(0.1, 1, 0, 0.1, 2)
-        plan = Planner(spec, 1).plan(NOW, backends, wants)
-        self.assertTrue(plan["poet"].ask_now)
-        self.assertEqual([plan[name].ask_now for name in names], [False] * 4)
-
-
-class TestOneMoreThanTheStoreIsKnownToServe(unittest.TestCase):
-    """Symptom: models without a copy come from the weight store in twice their time.
-
-    To learn how many loads it serves at once, one more than known was begun: for what
-    nobody had asked for, shortly before the one under way was over, or beside two that
-    were tried already.
-    """
-
-    def setUp(self):
-        names = ("tutor", "poet", "clerk", "critic")
-        self.spec = samples.engine(*map(samples.model, names))
-
-    def begun(self, left_s, wants=None, tries=True):
-        """The models that a plan begins, with loads under way of so much left."""
-        loading = ("tutor", "poet")
-        backends = [
-            engine_backend(f"l{n}", loading=Loading(name, seconds, True), busy=True)
-            for n, (name, seconds) in enumerate(zip(loading, left_s, strict=False))
-        ]
-        backends += [engine_backend(f"b{n}") for n in range(6)]
-        if wants is None:
-            wants = {"clerk": Want(0.5, 9), "critic": Want(0.1, 1)}
-        planner = Planner(self.spec, 1, tries_one_more=tries)
-        plan = planner.plan(NOW, backends, wants)
-        return [load.model for load in plan.values() if load.ask_now]
-
-    def test_it_is_tried_where_its_turn_is_far(self):
-        self.assertEqual(self.begun([5.0]), ["clerk"])
-
-    def test_it_waits_where_its_turn_is_near(self):
-        self.assertEqual(self.begun([1.0]), [])
-
-    def test_it_waits_beside_one_that_is_tried(self):
-        self.assertEqual(self.begun([5.0, 6.0]), [])
-
-    def test_it_waits_once_the_store_is_known(self):
-        self.assertEqual(self.begun([5.0], tries=False), [])
-
-    def test_it_is_not_tried_with_what_nobody_asks_for(self):
-        self.assertEqual(self.begun([5.0], wants={}), [])
-
-
-class TestModelsWithoutACopyAndTheStore(unittest.TestCase):
-    """Symptom: the weight store brings a model of which an engine has a copy, while a
-    score of models without any are refused all day.
-
-    Its engine was full of models in use at that moment, so a load from the store seemed
-    to be over first.
-    """
-
-    def setUp(self):
-        self.spec = samples.engine(
-            *map(samples.model, ("tutor", "poet", "much", "used"))
-        )
-        busy = ("much", "used")
-        self.backends = [
-            engine_backend(
-                "b1",
-                busy,
-                on_disk=frozenset({"tutor", *busy}),
-                in_use=dict.fromkeys(busy, 5),
-                keep_values=dict.fromkeys(busy, 9.0),
-                memory_mb_used=100.0,
-            ),
-            *(engine_backend(f"b{number}") for number in range(2, 6)),
-        ]
-
-    def begun(self, store_loads=1, **wants):
-        wants = {name: Want(9.0, 0, 1) for name in ("much", "used")} | wants
-        plan = Planner(self.spec, store_loads).plan(NOW, self.backends, wants)
-        self.assertIn("tutor", plan)
-        return [load.model for load in plan.values() if load.ask_now]
-
-    def test_the_one_without_a_copy_goes_first(self):
-        self.assertEqual(self.begun(tutor=Want(2.0, 9), poet=Want(0.2, 1)), ["poet"])
-
-    def test_a_store_for_both_serves_both(self):
-        begun = self.begun(2, tutor=Want(2.0, 9), poet=Want(0.2, 1))
-        self.assertEqual(begun, ["tutor", "poet"])
-
-    def test_where_all_have_a_copy_the_store_is_used(self):
-        self.assertEqual(self.begun(tutor=Want(2.0, 9)), ["tutor"])
-
-
-class TestPlansOfManyWaitingModels(unittest.TestCase):
-    """Symptom: an entry of a large fleet spends a tenth of a core on its plans.
-
-    Each plan compared all engines for each of the models that only the weight store
-    can bring, though it serves one at a time and the others wait.
-    """
-
-    ENGINES, MODELS = 10, 30
-
-    def setUp(self):
-        names = [f"m{number}" for number in range(self.MODELS)]
-        self.spec = samples.engine(*map(samples.model, names))
-        self.backends = [engine_backend(f"b{n}") for n in range(self.ENGINES)]
-        self.wants = {name: Want(0.1, 1) for name in names}
-
-    def plan(self):
-        return Planner(self.spec, 1).plan(NOW, self.backends, self.wants)
-
-    def test_engines_are_compared_for_the_next_of_them_alone(self):
-        with mock.patch.object(
-            Place, "victims", autospec=True, side_effect=Place.victims
-        ) as asked:
-            self.plan()
-        self.assertLessEqual(asked.call_count, self.ENGINES + self.MODELS)
-
-    def test_each_is_told_when_its_turn_comes(self):
-        ready = sorted(load.ready_in_s for load in self.plan().values())
-        self.assertEqual(len(ready), self.MODELS)
-        for turn, ready_in_s in enumerate(ready, start=1):
-            self.assertAlmostEqual(ready_in_s, 6.0 * turn, delta=0.1)
-
-    def test_one_that_no_engine_makes_room_for_is_not_planned(self):
-        held = [("much", "used")] * self.ENGINES
-        self.backends = [
-            engine_backend(
-                f"b{n}",
-                names,
-                in_use=dict.fromkeys(names, 5),
-                keep_values=dict.fromkeys(names, 9.0),
-                memory_mb_used=100.0,
-            )
-            for n, names in enumerate(held)
-        ]
-        loading = Loading("m0", 5.0, True)
-        self.backends.append(engine_backend("b", loading=loading, orderable=False))
-        self.assertEqual(set(self.plan()), {"m0"})
-
-
 class TestCrowdedModels(unittest.TestCase):
     """Symptom: calls of the busiest model are refused as too many, while engines with a
     copy of it stand idle.
@@ -556,61 +397,3 @@
         ]
         plan = Planner(self.spec, STORE_LOADS).plan(NOW, backends, self.wants)
         self.assertEqual((plan["poet"].instance, plan["poet"].ask_now), ("b2", True))
-
-
-class TestCopiesBesideTheStore(unittest.TestCase):
-    """Symptom: a model with twenty callers waiting comes after seven seconds, though an
-    engine with a copy of it takes orders after the first.
-
-    Its only holder crashed, and a load from the store was begun elsewhere. The engine
-    came back with its disk; but the model counted as on its way.
-    """
-
-    def plan(self, left_s, waiting=6, **fields):
-        spec = samples.engine(samples.model("tutor"), samples.model("poet"))
-        backends = [
-            engine_backend("b1", loading=Loading("tutor", left_s, True)),
-            engine_backend("b2", **fields),
-        ]
-        wants = {"tutor": Want(5.0, waiting, copies=2, oldest_s=1.0)}
-        return Planner(spec, STORE_LOADS).plan(NOW, backends, wants)["tutor"]
-
-    def test_a_copy_that_is_much_sooner_is_loaded_as_well(self):
-        load = self.plan(5.5, on_disk=frozenset({"tutor"}))
-        self.assertEqual((load.instance, load.ask_now), ("b2", True))
-
-    def test_one_that_is_hardly_sooner_is_not(self):
-        self.assertEqual(self.plan(2.0, on_disk=frozenset({"tutor"})).instance, "b1")
-
-    def test_nor_is_a_second_load_from_the_store(self):
-        self.assertEqual(self.plan(30.0).instance, "b1")
-
-    def test_nor_one_for_few_calls(self):
-        load = self.plan(5.5, waiting=1, on_disk=frozenset({"tutor"}))
-        self.assertEqual(load.instance, "b1")
-
-
-class TestEnginesKeptForCopies(unittest.TestCase):
-    """Symptom: calls that a load from a copy would serve in time wait six seconds.
-
-    Four of six engines were in loads from the store, for calls that could only be late,
-    and each had the only copies of a dozen models.
-    """
-
-    def plan(self, engines, **wants):
-        names = [f"m{number}" for number in range(8)]
-        spec = samples.engine(*map(samples.model, names))
-        backends = [engine_backend(f"b{number}") for number in range(engines)]
-        plan = Planner(spec, STORE_LOADS).plan(NOW, backends, wants)
-        return sum(load.ask_now for load in plan.values())
-
-    def test_while_calls_come_half_of_the_engines_load_from_the_store(self):
-        wants = {f"m{number}": Want(0.1, 1) for number in range(8)}
-        self.assertEqual(self.plan(6, **wants), 3)
-        self.assertEqual(self.plan(12, **wants), STORE_LOADS)
-
-    def test_a_lone_engine_loads_too(self):
-        self.assertEqual(self.plan(1, m0=Want(0.1, 1)), 1)
-
-    def test_before_any_call_all_may(self):
-        self.assertEqual(self.plan(6), STORE_LOADS)
