--- a/tests/gateway/common/samples.py
+++ b/tests/gateway/common/samples.py
@@ -90,3 +90,10 @@
         config_version=3,
         plan=plan,
     )
+
+
+def engine_backend(now, instance, holdings=(), **fields):
+    """An engine whose agent has just spoken; its models take 40 MB each."""
+    fields.setdefault("memory_mb_used", 40.0 * len(holdings))
+    state = engine_state(instance, holdings, **fields)
+    return backend(instance, now, state, service="llm")
