Lost answers name their request across its tries

Change: calls carry a fingerprint of caller, method, host, target and body; answer_lost writes it, and whether that run had brought an event.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
@@ -34,6 +34,7 @@
     answer is due: the earlier of the caller's own deadline and the route's timeout.
     ``first_event_due`` is when the caller of a stream leaves if nothing has come.
     ``resume_after`` is the last event that the caller of a resumed stream already has.
+    ``fingerprint`` is the same for each try of a request.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     first_event_due: float
     ask: ModelAsk | None = None
     resume_after: int | None = None
+    fingerprint: str = ""
 
     @property
     def is_stream(self) -> bool:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -139,7 +139,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerLost(LogLine):
-    """The connection that a call was sent on broke or brought nothing usable."""
+    """The connection that a call was sent on broke or brought nothing usable.
+
+    ``fingerprint`` is the same for each try of a request, ``progressed`` whether this
+    run had brought an event."""
 
     event: ClassVar[str] = "answer_lost"
 
@@ -147,6 +150,8 @@
     backend: str
     detail: str
     reused: bool
+    fingerprint: str = ""
+    progressed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller/src/bambootiller/gateway/front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/front.py
@@ -20,6 +20,7 @@
 from bambootiller_core.gateway.attempts import COME_BACK_S, Reason, Refusal
 from bambootiller_core.gateway.calls import Call
 from bambootiller_core.gateway.config import GatewayConfig, Route
+from bambootiller_core.gateway.fingerprint import fingerprint
 from bambootiller_core.gateway.log_lines import Refused
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -117,7 +118,7 @@
             return
         # Read anew: a configuration may have come into force while the body came.
         config = relays.knowledge.config
-        call = self._call(config, incoming, arrived)
+        call = self._call(config, incoming, arrived, body)
         if isinstance(call, Refusal):
             await self._refuse(send, incoming, call, arrived)
             return
@@ -159,7 +160,7 @@
         return stop_by is not None and self._relays.clock() > stop_by - LAST_CALLS_S
 
     def _call(
-        self, config: GatewayConfig, incoming: Incoming, arrived: float
+        self, config: GatewayConfig, incoming: Incoming, arrived: float, body: bytes
     ) -> Call | Refusal:
         route = config.match(incoming.host, incoming.path)
         if route is None:
@@ -178,6 +179,9 @@
             first_event_due=arrived + (route.patience_s or _time_s(route, incoming)),
             ask=incoming.ask if has_engine else None,
             resume_after=incoming.resume_after,
+            fingerprint=fingerprint(
+                incoming.caller, incoming.method, incoming.host, incoming.target, body
+            ),
         )
 
     def _closing(self, send: Send) -> Send:
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -131,7 +131,7 @@
         self._prompt_sent(backend)
         progress.tried.append(backend.incarnation)
         progress.sends += 1
-        ran_before = progress.may_have_run
+        ran_before, last_event = progress.may_have_run, progress.last_event
         progress.may_have_run = True
         done = False
         try:
@@ -144,7 +144,8 @@
                 # What took this connection may have taken the other idle ones too.
                 pool.close()
             relays.review_health(self._call.service, backend.incarnation)
-            self.report.answer_lost(backend, str(exc), conn.reused)
+            progressed = progress.last_event != last_event
+            self.report.answer_lost(backend, str(exc), conn.reused, progressed)
             return Ended.BROKEN if progress.passed_on else Ended.UNKNOWN
         finally:
             self._prompt_read()
--- a/packages/bambootiller/src/bambootiller/gateway/reporting.py
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -101,10 +101,21 @@
             )
         )
 
-    def answer_lost(self, backend: Backend, detail: str, reused: bool) -> None:
-        """The connection broke, or what it brought is of no use."""
-        request = self._call.request_id
-        self._emit(lines.AnswerLost(request, backend.instance, detail, reused))
+    def answer_lost(
+        self, backend: Backend, detail: str, reused: bool, progressed: bool
+    ) -> None:
+        """The connection broke, or what it brought is of no use; ``progressed`` is
+        whether this attempt had brought an event."""
+        self._emit(
+            lines.AnswerLost(
+                request=self._call.request_id,
+                backend=backend.instance,
+                detail=detail,
+                reused=reused,
+                fingerprint=self._call.fingerprint,
+                progressed=progressed,
+            )
+        )
 
     def silence_borne(self, backend: Backend, detail: str, why: str) -> None:
         """The backend server is silent, and the call stays there."""
--- /dev/null
+++ b/tests/gateway/cover/test_fingerprint.py
@@ -0,0 +1,28 @@
+"""What makes two calls tries of one request."""
+
+import unittest
+
+from bambootiller_core.gateway.fingerprint import fingerprint
+
+PARTS = {
+    "caller": "10.0.0.1",
+    "method": "POST",
+    "host": "a.example",
+    "target": b"/x?y=1",
+    "body": b"body",
+}
+
+
+class TestFingerprint(unittest.TestCase):
+    def test_each_part_makes_a_difference(self):
+        same = fingerprint(**PARTS)
+        self.assertEqual(fingerprint(**PARTS), same)
+        for name, value in PARTS.items():
+            other = {**PARTS, name: value + value}
+            with self.subTest(name):
+                self.assertNotEqual(fingerprint(**other), same)
+
+    def test_a_part_does_not_run_into_the_next(self):
+        first = fingerprint(**{**PARTS, "target": b"/xy", "body": b"z"})
+        second = fingerprint(**{**PARTS, "target": b"/x", "body": b"yz"})
+        self.assertNotEqual(first, second)
