--- a/tests/adapter/common/fleet.py
+++ b/tests/adapter/common/fleet.py
@@ -178,7 +178,7 @@
             accounts = [program.account() for program in self._programs]
             raise NotReady("\n--- ".join((str(exc), *accounts))) from exc
 
-    async def call(self, entry, model, path="/a/x", attempt="r-1"):
+    async def call(self, entry, model, path="/a/x", attempt="r-1", body=b"b"):
         """Call as a client; returns the status and the body."""
         headers = {
             "Host": HOST,
@@ -188,7 +188,7 @@
         if model:
             headers["X-Model"] = model
         url = f"http://{entry.form['listen']['front']}{path}"
-        async with self.session.post(url, headers=headers, data=b"b") as response:
+        async with self.session.post(url, headers=headers, data=body) as response:
             return response.status, await response.read()
 
     async def metrics(self, program):
