A request that ends the engines that run it is kept from them by all

What callers saw: one request ended ten engines and more, one every two seconds; each took up to sixteen other runs and its models with it, and callers of those models were refused or told "outcome unknown". Cause: what a call did to an engine ended with the call. The next try, a call with a new id at another entry, was as good as any. Class: what is tried again by somebody who doesn't know of the tries before. Ruled out: second attempts alone (an arrival makes two runs, so twelve would still end twelve engines); orders that end engines (none was in progress). Change: entries note lost runs by the request's fingerprint, and tell the agents that collect the demand, which tell all entries. Three crashes that nothing else explains quarantine a request. A run counts only if that start of the engine ended with it, and half if it had brought an event; a completion clears its request for good; crashes at which a quarantined request was count against no other; requests that share two crashes run one after the other, so that the third tells them apart.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
@@ -66,6 +66,7 @@
     TIMED_OUT_UNSENT = "timed_out_before_sending"
     TIMED_OUT = "timed_out"
     LEAVING = "leaving"
+    QUARANTINED = "quarantined"
 
 
 STATUS: dict[Reason, int] = {
@@ -81,6 +82,7 @@
     Reason.TIMED_OUT_UNSENT: 503,
     Reason.TIMED_OUT: 504,
     Reason.LEAVING: 503,
+    Reason.QUARANTINED: 503,
 }
 
 
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
@@ -0,0 +1,346 @@
+"""Which requests end the backend servers that run them.
+
+Such a request takes down one backend server with each try, and with it every other run
+there. It is kept from further ones after its third crash: a circuit breaker for one
+request. The ledger holds runs that were lost, by the request's fingerprint, from all
+entries; what ended a backend server can't be seen, so it has to be told from those that
+only ran beside it:
+
+- A request of which a run has completed is sound, whatever it was at.
+- A lost run counts as a crash only if that start of the backend server ended with it,
+  and for half if an event had come from it: a request that ends whatever begins to run
+  it gets no further.
+- Crashes at which a quarantined request was count against no other.
+- Requests that share crashes are run again one after the other (:data:`TURN_S`), so
+  that the next crash tells them apart.
+
+Each process decides for itself on the same records; no two have to agree.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from bambootiller_core.gateway.incarnation import Incarnation
+
+#: A request is quarantined once this many crashes count against it.
+MOST_CRASHES = 3.0
+#: From this many on its runs are kept apart from those of others like it.
+SUSPECT_CRASHES = 2.0
+#: What a crash counts whose run had brought an event.
+PROGRESSED_WEIGHT = 0.5
+#: How long a request is quarantined after its last crash. Seconds; then it may have
+#: been mended, or the backend servers.
+QUARANTINE_S = 600.0
+#: Lost runs are forgotten after this time. Seconds.
+KEPT_S = 3600.0
+#: Requests that share crashes begin this far apart: about what a run takes to end its
+#: backend server, and the others to hear of it. Seconds.
+TURN_S = 0.3
+#: Further ones share the last turn, so that none waits longer than its caller.
+MOST_TURNS = 8
+#: How soon to look again at a request whose last crash isn't settled. Seconds.
+LOOK_AGAIN_S = 0.05
+#: What became of a backend server is final this long after the run was lost. Seconds;
+#: longer than one is down, or an agent that asks it in vain is patient.
+FINAL_S = 20.0
+#: Requests of which lost runs are kept. The least suspicious are forgotten first.
+MOST_REQUESTS = 1024
+#: Requests known to be sound, from the latest completions.
+MOST_SOUND = 4096
+
+
+class Fate(enum.Enum):
+    """What became of the backend server after a run there was lost."""
+
+    OPEN = "open"
+    CRASHED = "crashed"
+    SURVIVED = "survived"
+
+
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that ended without an answer; ``progressed`` is whether an event of it had
+    come. ``lost_at`` is in seconds on this process's monotonic clock."""
+
+    fingerprint: str
+    incarnation: Incarnation
+    progressed: bool
+    lost_at: float
+
+    @property
+    def weight(self) -> float:
+        """How much it counts if the backend server ended with it."""
+        return PROGRESSED_WEIGHT if self.progressed else 1.0
+
+
+class Standing(enum.Enum):
+    """Whether a request may run now."""
+
+    ADMITTED = "admitted"
+    WAITS = "waits"
+    QUARANTINED = "quarantined"
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Whether a request may run, and in how many seconds to ask again if not.
+    ``crashes`` is how many count against it, unsettled ones included."""
+
+    standing: Standing
+    again_s: float = 0.0
+    crashes: float = 0.0
+
+
+ADMITTED = Admission(Standing.ADMITTED)
+
+
+@dataclass(frozen=True, slots=True)
+class Quarantined:
+    """A request that is kept from all backend servers from now on."""
+
+    fingerprint: str
+    crashes: float
+    backends: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """What the ledger has learnt: lost runs, and requests found sound."""
+
+    runs: tuple[LostRun, ...]
+    sound: tuple[str, ...]
+    version: int
+
+
+@dataclass(slots=True)
+class _Record:
+    run: LostRun
+    version: int
+    source: str
+    fate: Fate = Fate.OPEN
+
+
+class CrashLedger:
+    """Lost runs by request, and what they say of each.
+
+    ``source`` is the peer that told of something, empty for what was seen here.
+
+    Example::
+
+        ledger.run_lost(LostRun(fingerprint, incarnation, False, now))
+        ledger.settle(lambda run: Fate.CRASHED)
+        if ledger.admission(now, fingerprint).standing is Standing.QUARANTINED: ...
+    """
+
+    def __init__(self) -> None:
+        self._runs: dict[str, dict[Incarnation, _Record]] = {}
+        self._sound: OrderedDict[str, None] = OrderedDict()
+        #: Sound requests that others may suspect, with the version and the source.
+        self._cleared: OrderedDict[str, tuple[int, str]] = OrderedDict()
+        self._quarantined: dict[str, float] = {}
+        self._explained: set[Incarnation] = set()
+        #: How many changes there have been that others may have to hear of.
+        self.version = 0
+
+    def run_lost(self, run: LostRun, source: str = "") -> bool:
+        """A run ended without an answer; returns whether that is news."""
+        name = run.fingerprint
+        if name in self._sound:
+            if source and name not in self._cleared:
+                self._clear(name, "")
+            return False
+        records = self._runs.setdefault(name, {})
+        held = records.get(run.incarnation)
+        if held is not None and (run.progressed or not held.run.progressed):
+            return False
+        self.version += 1
+        record = _Record(run, self.version, source)
+        if held is not None:
+            record.fate = held.fate
+        records[run.incarnation] = record
+        self._forget_least()
+        return True
+
+    def completed(self, fingerprint: str, source: str = "") -> int:
+        """A run of the request was answered whole; returns how many lost runs that
+        explains."""
+        self._sound[fingerprint] = None
+        self._sound.move_to_end(fingerprint)
+        if len(self._sound) > MOST_SOUND:
+            self._sound.popitem(last=False)
+        lost = len(self._runs.pop(fingerprint, ()))
+        if lost or (source and fingerprint not in self._cleared):
+            self._clear(fingerprint, source)
+            self._judge()
+        return lost
+
+    def settle(
+        self, now: float, fate_of: Callable[[LostRun], Fate]
+    ) -> list[Quarantined]:
+        """Look again at what became of backend servers; returns the requests that are
+        quarantined from now on."""
+        changed = False
+        for name, record in list(self._records()):
+            if now - record.run.lost_at > FINAL_S and record.fate is Fate.CRASHED:
+                continue
+            fate = fate_of(record.run)
+            if fate is record.fate:
+                continue
+            changed = True
+            record.fate = fate
+            if fate is Fate.SURVIVED:
+                self._drop(name, record.run.incarnation)
+        if not changed:
+            return []
+        before = set(self._quarantined)
+        self._judge()
+        return [self._told(name) for name in self._quarantined if name not in before]
+
+    def admission(self, now: float, fingerprint: str) -> Admission:
+        """Whether the request may run now."""
+        records = self._runs.get(fingerprint)
+        if not records:
+            return ADMITTED
+        last_at = self._last_at(fingerprint)
+        crashes = self._count(fingerprint, Fate.CRASHED, Fate.OPEN)
+        left_s = last_at + QUARANTINE_S - now
+        if fingerprint in self._quarantined and left_s > 0:
+            return Admission(Standing.QUARANTINED, left_s, crashes)
+        if crashes >= MOST_CRASHES and self._count(fingerprint, Fate.OPEN):
+            return Admission(Standing.WAITS, LOOK_AGAIN_S, crashes)
+        if crashes < SUSPECT_CRASHES:
+            return ADMITTED
+        wait_s = last_at + self._turn(fingerprint) * TURN_S - now
+        if wait_s > 0:
+            return Admission(Standing.WAITS, wait_s, crashes)
+        return Admission(Standing.ADMITTED, 0.0, crashes)
+
+    def news(self, since: int, own: bool, but_from: str) -> News:
+        """What has been learnt since a version; ``own`` leaves out what others told,
+        ``but_from`` what that peer did."""
+        runs = tuple(
+            record.run
+            for _, record in self._records()
+            if _goes_out(record.version, record.source, since, own, but_from)
+        )
+        sound = tuple(
+            name
+            for name, (version, source) in self._cleared.items()
+            if _goes_out(version, source, since, own, but_from)
+        )
+        return News(runs, sound, self.version)
+
+    def forget(self, now: float) -> None:
+        """Drop lost runs past their time."""
+        for name, record in list(self._records()):
+            if now - record.run.lost_at > KEPT_S:
+                self._drop(name, record.run.incarnation)
+        self._judge()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no request is suspected of anything."""
+        return not self._runs
+
+    @property
+    def quarantined_count(self) -> int:
+        """How many requests have been quarantined."""
+        return len(self._quarantined)
+
+    def _records(self) -> Iterator[tuple[str, _Record]]:
+        for name, records in self._runs.items():
+            for record in records.values():
+                yield name, record
+
+    def _drop(self, name: str, incarnation: Incarnation) -> None:
+        records = self._runs[name]
+        del records[incarnation]
+        if not records:
+            del self._runs[name]
+
+    def _clear(self, name: str, source: str) -> None:
+        self.version += 1
+        self._cleared[name] = (self.version, source)
+        self._cleared.move_to_end(name)
+        if len(self._cleared) > MOST_REQUESTS:
+            self._cleared.popitem(last=False)
+
+    def _forget_least(self) -> None:
+        if len(self._runs) <= MOST_REQUESTS:
+            return
+        least = min(
+            self._runs,
+            key=lambda name: (
+                name in self._quarantined,
+                len(self._runs[name]),
+                self._last_at(name),
+            ),
+        )
+        del self._runs[least]
+
+    def _last_at(self, name: str) -> float:
+        return max(record.run.lost_at for record in self._runs[name].values())
+
+    def _count(self, name: str, *fates: Fate) -> float:
+        """How much the crashes that nobody else explains count."""
+        own = name in self._quarantined
+        return sum(
+            record.run.weight
+            for incarnation, record in self._runs.get(name, {}).items()
+            if record.fate in fates and (own or incarnation not in self._explained)
+        )
+
+    def _judge(self) -> None:
+        """Find anew whom the crashes count against, the most suspicious first.
+
+        From the start each time: a request that was quarantined for what another did
+        is freed when that one has gone on.
+        """
+        self._quarantined, self._explained = {}, set()
+        while True:
+            counts = {
+                name: self._count(name, Fate.CRASHED)
+                for name in self._runs
+                if name not in self._quarantined
+            }
+            # Of two that were at as many, the one that was at the latest: the other may
+            # have been kept from it.
+            worst = max(
+                counts,
+                key=lambda name: (counts[name], self._last_at(name), name),
+                default=None,
+            )
+            if worst is None or counts[worst] < MOST_CRASHES:
+                return
+            self._quarantined[worst] = counts[worst]
+            self._explained |= {
+                incarnation
+                for incarnation, record in self._runs[worst].items()
+                if record.fate is Fate.CRASHED
+            }
+
+    def _turn(self, name: str) -> int:
+        """How many others that share a crash with the request go before it."""
+        own = self._runs[name].keys() - self._explained
+        before = sum(
+            other < name
+            and not own.isdisjoint(records)
+            and other not in self._quarantined
+            and self._count(other, Fate.CRASHED, Fate.OPEN) >= SUSPECT_CRASHES
+            for other, records in self._runs.items()
+        )
+        return min(before, MOST_TURNS - 1)
+
+    def _told(self, name: str) -> Quarantined:
+        backends = {incarnation.instance for incarnation in self._runs[name]}
+        return Quarantined(name, self._quarantined[name], tuple(sorted(backends)))
+
+
+def _goes_out(version: int, source: str, since: int, own: bool, but_from: str) -> bool:
+    if version <= since or (own and source):
+        return False
+    return not source or source != but_from
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
@@ -26,6 +26,8 @@
     EntryHeard,
     PeerHeard,
     PeerSilent,
+    RequestCleared,
+    RequestQuarantined,
     StoodStill,
 )
 from bambootiller_core.gateway.log_lines._orders import (
@@ -52,6 +54,7 @@
     ChosenOn,
     CopySeen,
     Cut,
+    KeptApart,
     PlanSeen,
     Refused,
     SilenceBorne,
@@ -80,6 +83,7 @@
     "DocumentUnreadable",
     "EntryHeard",
     "FencingToken",
+    "KeptApart",
     "LinesLeftOut",
     "LoadEnded",
     "LogLine",
@@ -90,6 +94,8 @@
     "Refused",
     "ReloadRejected",
     "Reloaded",
+    "RequestCleared",
+    "RequestQuarantined",
     "SilenceBorne",
     "Started",
     "StoodStill",
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_beliefs.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_beliefs.py
@@ -124,6 +124,30 @@
     latency_ms: int | None
 
 
+@dataclass(frozen=True, slots=True)
+class RequestQuarantined(LogLine):
+    """A request is kept from all backend servers from now on: it ended those that ran
+    it. ``crashes`` is how much counts against it, ``backends`` where it was lost."""
+
+    event: ClassVar[str] = "request_quarantined"
+
+    fingerprint: str
+    crashes: float
+    backends: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestCleared(LogLine):
+    """A request that was at ``lost_runs`` lost runs has completed, so it ended no
+    backend server. ``source``: "run" if it did so here, or the peer that told."""
+
+    event: ClassVar[str] = "request_cleared"
+
+    fingerprint: str
+    lost_runs: int
+    source: str
+
+
 @dataclass(frozen=True, slots=True)
 class EntryHeard(LogLine):
     """An agent hears an entry, or doesn't any more."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -171,6 +171,19 @@
     why: str
 
 
+@dataclass(frozen=True, slots=True)
+class KeptApart(LogLine):
+    """A call waited before it was sent: its request was at crashes, and has to run
+    apart from others that were, or what became of its last run isn't known yet."""
+
+    event: ClassVar[str] = "kept_apart"
+
+    request: str
+    fingerprint: str
+    crashes: float
+    waited_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class CannotConnect(LogLine):
     """No connection to a backend server was made."""
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -13,6 +13,7 @@
 from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
 from bambootiller.gateway.meters import Meters
 from bambootiller.gateway.ports import Engine, EngineSilent, Platform
+from bambootiller.gateway.quarantine import Quarantine
 from bambootiller.gateway.standstills import Standstills
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller_core.gateway import log_lines as lines
@@ -73,7 +74,12 @@
         self._exchanger = Exchanger(
             app.instance, self._knowledge, events, app.channels, ran
         )
-        self._words = AgentWords(self._exchanger, events, app.now, self._wished)
+        self._quarantine = Quarantine(
+            self._knowledge, events, app.now, self._exchanger.poke
+        )
+        self._words = AgentWords(
+            self._exchanger, events, app.now, self._wished, self._quarantine
+        )
         self._book: OrderBook | None = None
         self._token: int | None = None
         self._wake = asyncio.Event()
@@ -103,6 +109,7 @@
             app.spawn(f"watch {prefix}", follow)
         app.spawn("fencing token", self._keep_token())
         app.spawn("engine", self._look_after())
+        self._quarantine.start(app.timers, app.now())
         self._events.emit(lines.Started("agent", app.settings.zone))
 
     async def drain(self, seconds: float) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/agent_words.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent_words.py
@@ -12,6 +12,7 @@
 from bambootiller.gateway import wire
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.exchange import TELL_S, Exchanger, Outgoing, Update
+from bambootiller.gateway.quarantine import Quarantine
 from bambootiller_core.gateway.collecting import planners
 from bambootiller_core.gateway.engine_state import EngineState
 from bambootiller_core.gateway.log_lines import EntryHeard
@@ -56,7 +57,9 @@
         events: EventLog,
         clock: Callable[[], float],
         wished: Callable[[], None],
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._exchanger = exchanger
         self._events = events
         self._clock = clock
@@ -151,6 +154,7 @@
 
     def fill(self, update: Update, outgoing: Outgoing) -> None:
         """Put into a message what its receiver hasn't been told yet."""
+        self._quarantine.fill(update, outgoing, own=False)
         said = self._said()
         if said is None:
             return
@@ -162,6 +166,7 @@
 
     def received(self, update: Update, outgoing: Outgoing) -> None:
         """Take in an entry's message."""
+        self._quarantine.take(update, outgoing)
         if update.begins:
             outgoing.said = None
         told_anew = update.HasField("entry")
--- a/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
+++ b/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
@@ -124,7 +124,8 @@
         now = self._relays.clock()
         ended = Ended.BROKEN if self._progress.passed_on else Ended.UNKNOWN
         decision = attempts.after(self._call, self._progress, ended, now)
-        if not isinstance(decision, SendAgain):
+        admitted = self._relays.quarantine.admits(self._call)
+        if not isinstance(decision, SendAgain) or not admitted:
             return Stays.ATTEMPTS
         service = self._relays.service(self._call.service)
         if service.budget.left(now) < 1.0:
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -12,6 +12,7 @@
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.exchange import TELL_S, Exchanger, Outgoing, Update
 from bambootiller.gateway.knowledge import Knowledge
+from bambootiller.gateway.quarantine import Quarantine
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core.gateway.collecting import collectors
 from bambootiller_core.gateway.fleet import AGENT_SILENT_S, Backend
@@ -54,6 +55,7 @@
         self._links: dict[str, _Link] = {}
         self._collectors: dict[str, list[str]] = {}
         self.plans = EnginePlans(app, knowledge, self.wish)
+        self.quarantine = Quarantine(knowledge, events, app.now, self._tell_collectors)
         self._reached: list[tuple[str, bool, bool]] = []
 
     def start(self) -> None:
@@ -62,6 +64,7 @@
         self._app.timers.every("engine links", REVIEW_S, now, self._review)
         self._app.timers.every("figures", TELL_S, now, self._tell)
         self.plans.start(now)
+        self.quarantine.start(self._app.timers, now)
 
     def wish(self, backend: Backend, wish: Wish) -> bool:
         """Ask the agent beside the engine for a load; False if there is none."""
@@ -145,7 +148,17 @@
         task = asyncio.get_running_loop().create_task(stream)
         self._links[host] = _Link(task, backend.instance)
 
+    def _tell_collectors(self) -> None:
+        for host in self._collecting():
+            self._exchanger.poke_at(self._address(host))
+
+    def _collecting(self) -> set[str]:
+        """The hosts of the agents that collect what all entries have to know."""
+        return {host for hosts in self._collectors.values() for host in hosts}
+
     def _fill(self, host: str, update: Update, outgoing: Outgoing) -> None:
+        if host in self._collecting():
+            self.quarantine.fill(update, outgoing, own=True)
         link = self._links.get(host)
         backend = link and self._knowledge.fleet.get(link.instance)
         if not backend:
@@ -194,6 +207,8 @@
         words = AgentSaid.after(update, outgoing.said if outgoing else None)
         if outgoing is not None:
             outgoing.said = words
+        if outgoing is not None:
+            self.quarantine.take(update, outgoing)
         if update.collected:
             self.plans.changed(self._app.now())
         source = outgoing.peer if outgoing is not None else update.sender
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -96,6 +96,7 @@
             app.now,
             self._new_budget,
             self._standstills.ran,
+            self._engines.quarantine,
         )
         own_pages = pages(platform.dialect.ready_path, self.is_ready)
         self._front = Front(
@@ -237,6 +238,11 @@
             "Loads from the weight store that agents tell of",
             engines.plans.all_store_loads_under_way,
         )
+        meters.level(
+            "requests_quarantined",
+            "Requests that are kept from all backend servers",
+            lambda: engines.quarantine.count,
+        )
         meters.level("engine_streams", "Streams to agents", engines.stream_count)
 
     def _register(self, server: object) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/meters.py
+++ b/packages/bambootiller/src/bambootiller/gateway/meters.py
@@ -132,6 +132,11 @@
         self.store_calls = self._counter(
             "store_calls", "Calls of the store", "call", "answer"
         )
+        self.suspicions = self._counter(
+            "request_suspicions",
+            "Requests quarantined, and found sound after lost runs",
+            "change",
+        )
         self.config_version = self._gauge(
             "config_version", "The configuration in force"
         )
@@ -247,6 +252,16 @@
     meters.judged.labels(meters.service(line.service), line.standing).inc()
 
 
+@counts(lines.RequestQuarantined)
+def _request_quarantined(meters: Meters, line: lines.RequestQuarantined) -> None:
+    meters.suspicions.labels("quarantined").inc()
+
+
+@counts(lines.RequestCleared)
+def _request_cleared(meters: Meters, line: lines.RequestCleared) -> None:
+    meters.suspicions.labels("cleared").inc()
+
+
 @counts(lines.DependencyLost)
 def _dependency_lost(meters: Meters, line: lines.DependencyLost) -> None:
     meters.dependencies.labels(line.dependency, "lost").inc()
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/quarantine.py
@@ -0,0 +1,135 @@
+"""Keeps requests that end backend servers from further ones, in all processes.
+
+An entry notes the runs that it lost, and tells the agents that collect the demand;
+those tell all entries. So an entry that has just started, or that was cut off, learns
+what others saw from whichever of these agents it hears first, and what an entry saw
+outlives it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from bambootiller.gateway import wire
+from bambootiller.gateway.eventlog import EventLog
+from bambootiller.gateway.exchange import Outgoing, Update
+from bambootiller.gateway.knowledge import Knowledge
+from bambootiller_core.gateway.calls import Call
+from bambootiller_core.gateway.crash_evidence import fate_of
+from bambootiller_core.gateway.crash_ledger import (
+    Admission,
+    CrashLedger,
+    LostRun,
+    Standing,
+)
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.log_lines import RequestCleared, RequestQuarantined
+from bambootiller_core.timers import TimerService
+
+#: How often it is looked at what became of backend servers where runs were lost. A
+#: caller's next try may come as soon. Seconds.
+SETTLE_S = 0.1
+FORGET_S = 60.0
+
+
+class Quarantine:
+    """What one process knows of such requests.
+
+    ``poke`` tells peers soon what is new.
+
+    Example::
+
+        quarantine.run_lost(call, backend, progressed=False)
+        if quarantine.admission(call).standing is Standing.QUARANTINED: ...
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        events: EventLog,
+        clock: Callable[[], float],
+        poke: Callable[[], None],
+    ) -> None:
+        self._knowledge = knowledge
+        self._events = events
+        self._clock = clock
+        self._poke = poke
+        self._ledger = CrashLedger()
+
+    def start(self, timers: TimerService, now: float) -> None:
+        """Begin to look after the ledger."""
+        timers.every("settle lost runs", SETTLE_S, now, self.settle)
+        timers.every("forget lost runs", FORGET_S, now, self._ledger.forget)
+
+    @property
+    def count(self) -> int:
+        """How many requests are known to end backend servers."""
+        return self._ledger.quarantined_count
+
+    def run_lost(self, call: Call, backend: Backend, progressed: bool) -> None:
+        """A run of the call ended without an answer."""
+        if backend.registered.leaving or not self._lives(backend):
+            # It was about to end, or had ended, whatever ran there.
+            return
+        now = self._clock()
+        run = LostRun(call.fingerprint, backend.incarnation, progressed, now)
+        if self._ledger.run_lost(run):
+            self.settle(now)
+            self._poke()
+
+    def completed(self, call: Call) -> None:
+        """A run of the call was answered whole."""
+        lost_runs = self._ledger.completed(call.fingerprint)
+        if lost_runs:
+            self._events.emit(RequestCleared(call.fingerprint, lost_runs, "run"))
+            self._poke()
+
+    def admission(self, call: Call) -> Admission:
+        """Whether the call may be sent to a backend server now."""
+        return self._ledger.admission(self._clock(), call.fingerprint)
+
+    def admits(self, call: Call) -> bool:
+        """Whether the call may be sent at once."""
+        return self.admission(call).standing is Standing.ADMITTED
+
+    def fill(self, update: Update, outgoing: Outgoing, own: bool) -> None:
+        """Put into a message what its receiver hasn't been told yet; ``own`` leaves out
+        what others told, unless the receiver hasn't been told anything."""
+        told = outgoing.told.get("quarantine")
+        if told == self._ledger.version:
+            return
+        known = told is not None
+        news = self._ledger.news(told or 0, own and known, outgoing.peer)
+        outgoing.told["quarantine"] = news.version
+        now = self._clock()
+        for run in news.runs:
+            wire.add_lost_run(update, run, now)
+        update.sound.extend(news.sound)
+
+    def take(self, update: Update, outgoing: Outgoing) -> None:
+        """Take in what a peer tells."""
+        if not update.lost_runs and not update.sound:
+            return
+        version, now = self._ledger.version, self._clock()
+        for message in update.lost_runs:
+            self._ledger.run_lost(wire.lost_run_of(message, now), outgoing.peer)
+        for fingerprint in update.sound:
+            lost_runs = self._ledger.completed(fingerprint, outgoing.peer)
+            if lost_runs:
+                line = RequestCleared(fingerprint, lost_runs, outgoing.peer)
+                self._events.emit(line)
+        if self._ledger.version != version:
+            self.settle(now)
+            self._poke()
+
+    def _lives(self, backend: Backend) -> bool:
+        return self._knowledge.fleet.get(backend.instance) is backend
+
+    def settle(self, now: float) -> None:
+        """Look again at what became of backend servers where runs were lost."""
+        if self._ledger.is_empty:
+            return
+        fleet = self._knowledge.fleet
+        for found in self._ledger.settle(now, lambda run: fate_of(now, run, fleet)):
+            line = RequestQuarantined(found.fingerprint, found.crashes, found.backends)
+            self._events.emit(line)
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -15,8 +15,15 @@
 from bambootiller.gateway.reporting import CallReport
 from bambootiller.gateway.silence import SilenceWatch, Silent
 from bambootiller_core.gateway import attempts
-from bambootiller_core.gateway.attempts import CutOff, Ended, Refusal, SendAgain
+from bambootiller_core.gateway.attempts import (
+    CutOff,
+    Ended,
+    Reason,
+    Refusal,
+    SendAgain,
+)
 from bambootiller_core.gateway.calls import Call, Progress
+from bambootiller_core.gateway.crash_ledger import Standing
 from bambootiller_core.gateway.events import Event, EventSplitter
 from bambootiller_core.gateway.fleet import Backend
 
@@ -83,13 +90,17 @@
         if self._call.ask is not None:
             self._placing.ask()
         while True:
+            kept_out = await self._kept_out()
+            if kept_out is not None:
+                return self._unplaced(kept_out)
             prepared, self._prepared = self._prepared, None
             found = prepared.backend if prepared else await self._placing.place()
             if isinstance(found, Refusal):
-                if self._progress.passed_on or self._progress.may_have_run:
-                    decision = attempts.give_up(self._progress)
-                    return self._finish(decision, found.reason.value)
-                return found
+                return self._unplaced(found)
+            if not self._relays.quarantine.admits(self._call):
+                # Its request ended a backend server while the call was being placed.
+                self._prepared = prepared
+                continue
             self.report.chosen(found, self._placing.candidates)
             ended = await self._attempt(found, prepared)
             if ended is None:
@@ -103,6 +114,31 @@
             if not isinstance(decision, SendAgain):
                 return self._finish(decision, ended.value)
 
+    async def _kept_out(self) -> Refusal | None:
+        """Wait until the call may be sent, or say why it won't be."""
+        began: float | None = None
+        while True:
+            admission = self._relays.quarantine.admission(self._call)
+            now = self._relays.clock()
+            if admission.standing is Standing.ADMITTED:
+                if began is not None:
+                    self.report.kept_apart(admission.crashes, now - began)
+                return None
+            began = now if began is None else began
+            is_late = now + admission.again_s > self._call.deadline
+            if admission.standing is Standing.QUARANTINED or is_late:
+                detail = f"fingerprint {self._call.fingerprint}: "
+                detail += f"{admission.crashes:g} crashes of backend servers"
+                return Refusal(Reason.QUARANTINED, admission.again_s, detail)
+            await asyncio.sleep(admission.again_s)
+
+    def _unplaced(self, refusal: Refusal) -> Refusal:
+        """The final answer of a call that is sent nowhere from now on."""
+        if self._progress.passed_on or self._progress.may_have_run:
+            decision = attempts.give_up(self._progress)
+            return self._finish(decision, refusal.reason.value)
+        return refusal
+
     def _may_spend(self, decision: SendAgain) -> bool:
         if not decision.costs_budget or self._prepared is not None:
             return True
@@ -146,6 +182,7 @@
             relays.review_health(self._call.service, backend.incarnation)
             progressed = progress.last_event != last_event
             self.report.answer_lost(backend, str(exc), conn.reused, progressed)
+            relays.quarantine.run_lost(self._call, backend, progressed)
             return Ended.BROKEN if progress.passed_on else Ended.UNKNOWN
         finally:
             self._prompt_read()
@@ -218,6 +255,8 @@
         if verdict is Verdict.USELESS:
             raise ConnectionLost(f"useless answer of status {head.status}", False, True)
         await self._pass_on(backend, conn, head, began)
+        if 200 <= head.status < 300:
+            relays.quarantine.completed(call)
         self.report.answered(backend, head.status)
         return None
 
--- a/packages/bambootiller/src/bambootiller/gateway/relays.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -11,6 +11,7 @@
 from bambootiller.gateway.knowledge import Knowledge
 from bambootiller.gateway.pools import ConnectionPool
 from bambootiller.gateway.ports import Dialect
+from bambootiller.gateway.quarantine import Quarantine
 from bambootiller.gateway.silence import Ran
 from bambootiller_core.gateway.budget import ASSUMED_ENTRIES, AttemptBudget
 from bambootiller_core.gateway.fleet import Backend
@@ -50,7 +51,9 @@
         clock: Callable[[], float],
         new_budget: Callable[[], AttemptBudget],
         ran: Ran,
+        quarantine: Quarantine,
     ) -> None:
+        self.quarantine = quarantine
         self.knowledge = knowledge
         self.engines = engines
         self.dialect = dialect
--- a/packages/bambootiller/src/bambootiller/gateway/reporting.py
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -122,6 +122,12 @@
         request = self._call.request_id
         self._emit(lines.SilenceBorne(request, backend.instance, detail, why))
 
+    def kept_apart(self, crashes: float, seconds: float) -> None:
+        """The call is sent now, after it waited for so long because of crashes."""
+        call = self._call
+        line = lines.KeptApart(call.request_id, call.fingerprint, crashes, _ms(seconds))
+        self._emit(line)
+
     def cannot_connect(self, backend: Backend, detail: str) -> None:
         """No connection was made."""
         request = self._call.request_id
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -5,7 +5,9 @@
 from collections.abc import Iterable, Mapping
 
 from bambootiller.rpc import bambootiller_pb2 as pb
+from bambootiller_core.gateway.crash_ledger import LostRun
 from bambootiller_core.gateway.engine_state import EngineState, Loading
+from bambootiller_core.gateway.incarnation import Incarnation
 from bambootiller_core.gateway.order_messages import Wish
 from bambootiller_core.gateway.want import Want
 
@@ -120,3 +122,25 @@
     """A wish received."""
     want = _want(message.demand) if message.HasField("demand") else Want()
     return Wish(message.model, message.adapter, message.urgency, want)
+
+
+def add_lost_run(update: pb.ResidencyUpdate, run: LostRun, now: float) -> None:
+    """Put a lost run into a message."""
+    update.lost_runs.add(
+        fingerprint=run.fingerprint,
+        instance=run.incarnation.instance,
+        started_ms=run.incarnation.started_ms,
+        progressed=run.progressed,
+        age_ms=max(0, round((now - run.lost_at) * 1000)),
+    )
+
+
+def lost_run_of(message: pb.LostRun, now: float) -> LostRun:
+    """The same, received."""
+    started_ms = message.started_ms if message.HasField("started_ms") else None
+    return LostRun(
+        fingerprint=message.fingerprint,
+        incarnation=Incarnation(message.instance, started_ms),
+        progressed=message.progressed,
+        lost_at=now - message.age_ms / 1000,
+    )
--- a/tests/adapter/common/entry.py
+++ b/tests/adapter/common/entry.py
@@ -10,6 +10,7 @@
 
 from bambootiller.gateway.front import Front
 from bambootiller.gateway.knowledge import Knowledge
+from bambootiller.gateway.quarantine import Quarantine
 from bambootiller.gateway.relays import Relays
 from bambootiller_core.gateway.budget import AttemptBudget
 from bambootiller_core.gateway.demand import Demand
@@ -111,6 +112,7 @@
             loop.time,
             lambda: AttemptBudget(0.2, 54, 10.0),
             self.ran,
+            Quarantine(self.knowledge, self.events, loop.time, lambda: None),
         )
         # It has been running for a while: what it doesn't know, it won't learn soon.
         self.relays.began -= 60
@@ -127,6 +129,7 @@
         loop = asyncio.get_running_loop()
         while True:
             self._running.tick(loop.time())
+            self.relays.quarantine.settle(loop.time())
             await asyncio.sleep(TICK_S)
 
     def configure(self, **route_fields):
--- a/tests/adapter/failures/test_poison_requests.py
+++ b/tests/adapter/failures/test_poison_requests.py
@@ -1,15 +1,17 @@
 """Requests that end each engine that runs them, and come again at any entry."""
 
 import asyncio
+import signal
 import unittest
 
 import aiohttp
 
 from tests.adapter.common.fleet import Fleet, until
-from tests.adapter.cover.test_documents import MODEL
+from tests.adapter.cover.test_documents import MODEL, ROUTE
 
 MODEL_NAME = MODEL["name"]
 POISON = b"ends the engine"
+STREAM = b"a long stream"
 #: The crash after which a request that was at each is to reach no engine any more.
 MOST_CRASHES = 3
 #: The pause between two tries of a caller: entries have told each other by then. An
@@ -94,3 +96,80 @@
             self.assertLessEqual(fleet.poison_runs(), MOST_CRASHES, statuses)
             self.assertEqual(set(statuses[2:]), {503}, statuses)
             self.assertEqual(fleet.crashes(), MOST_CRASHES)
+
+    async def test_what_an_entry_saw_outlives_it(self):
+        async with PoisonedFleet() as fleet:
+            await fleet.begin()
+            await fleet.tries(3, fleet.entries[:1])
+            await fleet.entries[0].stop(signal.SIGKILL)
+            await fleet.tries(3, fleet.entries[1:])
+            self.assertEqual(fleet.poison_runs(), MOST_CRASHES)
+
+    async def test_one_that_brings_events_first_is_kept_out_after_six_crashes(self):
+        async with PoisonedFleet() as fleet:
+            await fleet.begin()
+            for replica in fleet.replicas.values():
+                replica.poison_events = True
+            await fleet.tries(14, fleet.entries)
+            self.assertLessEqual(fleet.poison_runs(), 2 * MOST_CRASHES)
+
+
+class TestSoundRequests(unittest.IsolatedAsyncioTestCase):
+    """Requests that only were where engines ended are served all the same."""
+
+    async def test_they_are_served_beside_a_poison_request(self):
+        async with PoisonedFleet() as fleet:
+            await fleet.begin()
+            poisoning = asyncio.create_task(fleet.tries(10, fleet.entries))
+            refused = []
+            while not poisoning.done():
+                entry = fleet.entries[len(refused) % 2]
+                body = b"sound %d" % len(refused)
+                refused.append(await fleet.status(entry, body, f"s-{len(refused)}"))
+                await asyncio.sleep(0.02)
+            await poisoning
+            for entry in fleet.entries:
+                await fleet.wait_served(entry)
+                reasons = {line["reason"] for line in entry.events("refused")}
+                quarantined = entry.events("request_quarantined")
+                self.assertEqual(len(quarantined), 1, quarantined)
+                self.assertIn("quarantined", reasons)
+
+    async def test_a_stream_that_engines_end_under_is_served_by_resuming(self):
+        async with PoisonedFleet() as fleet:
+            await fleet.begin(entries=1, engines=6)
+            fleet.configure(
+                version=2, routes=[{**ROUTE, "max-attempts": 7, "timeout-ms": 20000}]
+            )
+            for replica in fleet.replicas.values():
+                replica.events, replica.gap_s = 60, 0.05
+            entry = fleet.entries[0]
+            calling = asyncio.create_task(fleet.status(entry, STREAM, "s-1"))
+            crashing = []
+            for number in range(5):
+                replica = await self.running_at(fleet, number)
+                await asyncio.sleep(0.2)
+                crashing.append(asyncio.create_task(replica.crash()))
+            self.assertEqual(await calling, 200)
+            await asyncio.gather(*crashing)
+            self.assertEqual(entry.events("request_quarantined"), [])
+
+    async def running_at(self, fleet, number):
+        """The replica at which that run of the stream has begun."""
+        seen = {}
+
+        async def begun():
+            runs = {
+                name: sum(run.body == STREAM for run in replica.runs)
+                for name, replica in fleet.replicas.items()
+            }
+            grown = [name for name in runs if runs[name] > self.seen.get(name, 0)]
+            if grown:
+                seen["at"], self.seen = grown[0], runs
+            return bool(grown)
+
+        await until(begun, f"run {number} of the stream begins", pause_s=0.02)
+        return fleet.replicas[seen["at"]]
+
+    def setUp(self):
+        self.seen = {}
--- /dev/null
+++ b/tests/gateway/cover/test_crash_ledger.py
@@ -0,0 +1,232 @@
+"""Which requests count as ending backend servers, and which don't."""
+
+import unittest
+
+from bambootiller_core.gateway.crash_evidence import ANSWERS_S, LISTED_S, fate_of
+from bambootiller_core.gateway.crash_ledger import (
+    KEPT_S,
+    MOST_REQUESTS,
+    QUARANTINE_S,
+    TURN_S,
+    CrashLedger,
+    Fate,
+    LostRun,
+    Standing,
+)
+from bambootiller_core.gateway.fleet import AGENT_SILENT_S, Fleet
+from bambootiller_core.gateway.incarnation import Incarnation
+from tests.gateway.common.samples import engine_state, registered
+
+
+def lost(name, crash, progressed=False, at=0.0):
+    """A run of a request that was lost at the start with that number."""
+    return LostRun(name, Incarnation("b1", crash), progressed, at)
+
+
+def crashed(run):
+    return Fate.CRASHED
+
+
+class Case(unittest.TestCase):
+    def setUp(self):
+        self.ledger = CrashLedger()
+
+    def crash(self, number, *names, progressed=(), at=None):
+        """A backend server ends under runs of these requests, by default in the second
+        with that number."""
+        at = float(number) if at is None else at
+        for name in names:
+            self.ledger.run_lost(lost(name, number, name in progressed, at))
+        return self.ledger.settle(at, crashed)
+
+    def standing(self, name, now=100.0):
+        return self.ledger.admission(now, name).standing
+
+    def assert_quarantined(self, *names):
+        known = {name for name, _ in self.ledger._records()}
+        found = {name for name in known if self.standing(name) is Standing.QUARANTINED}
+        self.assertEqual(found, set(names))
+
+
+class TestQuarantine(Case):
+    def test_begins_with_the_third_crash(self):
+        for number in range(2):
+            self.assertEqual(self.crash(number, "p"), [])
+            self.assert_quarantined()
+        (found,) = self.crash(2, "p")
+        self.assertEqual((found.fingerprint, found.crashes), ("p", 3.0))
+        self.assert_quarantined("p")
+
+    def test_a_crash_counts_once_however_many_runs_were_lost_in_it(self):
+        for _ in range(3):
+            self.crash(1, "p")
+        self.assert_quarantined()
+
+    def test_ends_a_while_after_the_last_crash(self):
+        for number in range(3):
+            self.crash(number, "p")
+        self.assertIs(self.standing("p", QUARANTINE_S), Standing.QUARANTINED)
+        left_s = self.ledger.admission(2.0, "p").again_s
+        self.assertEqual(left_s, QUARANTINE_S)
+        self.assertIs(self.standing("p", 2.0 + QUARANTINE_S), Standing.ADMITTED)
+
+    def test_is_forgotten_with_its_crashes(self):
+        for number in range(3):
+            self.crash(number, "p")
+        self.ledger.forget(KEPT_S + 3)
+        self.assertTrue(self.ledger.is_empty)
+        self.assertEqual(self.ledger.quarantined_count, 0)
+
+    def test_the_least_suspicious_request_makes_room(self):
+        for number in range(3):
+            self.crash(number, "p")
+        for number in range(MOST_REQUESTS + 10):
+            self.crash(100 + number, f"s{number}")
+        self.assert_quarantined("p")
+        names = {name for name, _ in self.ledger._records()}
+        self.assertEqual(len(names), MOST_REQUESTS)
+
+
+class TestSoundRequests(Case):
+    def test_one_that_completes_is_cleared_for_good(self):
+        self.crash(1, "s")
+        self.crash(2, "s")
+        self.assertEqual(self.ledger.completed("s"), 2)
+        for number in range(3, 9):
+            self.crash(number, "s")
+        self.assert_quarantined()
+
+    def test_one_that_has_completed_before_its_crashes_is_not_suspected(self):
+        self.ledger.completed("s")
+        for number in range(3):
+            self.crash(number, "s")
+        self.assertTrue(self.ledger.is_empty)
+
+    def test_one_beside_a_quarantined_request_is_freed_of_their_crashes(self):
+        self.crash(0, "s")
+        for number in range(1, 4):
+            self.crash(number, "p", "s" if number < 3 else "t")
+        self.assert_quarantined("p")
+
+    def test_one_that_was_quarantined_by_mistake_is_freed(self):
+        for number in range(2):
+            self.crash(number, "p", "z")
+        self.crash(2, "z")
+        self.assert_quarantined("z")
+        for number in range(3, 6):
+            self.crash(number, "p")
+        self.assert_quarantined("p")
+
+    def test_a_stream_that_gets_on_at_each_engine_goes_on_through_five_crashes(self):
+        for number in range(5):
+            self.crash(number, "s", progressed=("s",))
+        self.assert_quarantined()
+
+    def test_a_run_that_was_lost_where_the_backend_server_goes_on_does_not_count(self):
+        for number in range(3):
+            self.ledger.run_lost(lost("s", number))
+        self.assertIs(self.standing("s"), Standing.WAITS)
+        self.ledger.settle(1.0, lambda run: Fate.SURVIVED)
+        self.assertTrue(self.ledger.is_empty)
+        self.assertIs(self.standing("s"), Standing.ADMITTED)
+
+
+class TestTurns(Case):
+    def test_requests_that_share_two_crashes_run_one_after_the_other(self):
+        for number in range(2):
+            self.crash(number, "a", "b", "c", at=0.0)
+        waits = [self.ledger.admission(0.0, name).again_s for name in "abc"]
+        self.assertEqual(waits, [0.0, TURN_S, 2 * TURN_S])
+        self.assertIs(self.standing("c", 2 * TURN_S), Standing.ADMITTED)
+
+    def test_requests_of_different_crashes_do_not_wait_for_each_other(self):
+        for number in range(2):
+            self.crash(number, "a", at=0.0)
+            self.crash(10 + number, "b", at=0.0)
+        self.assertIs(self.standing("b", 0.0), Standing.ADMITTED)
+
+    def test_the_third_crash_is_settled_before_a_further_run(self):
+        for number in range(2):
+            self.crash(number, "p")
+        self.ledger.run_lost(lost("p", 2, at=1.0))
+        self.assertIs(self.standing("p"), Standing.WAITS)
+        self.ledger.settle(1.0, crashed)
+        self.assertIs(self.standing("p"), Standing.QUARANTINED)
+
+
+class TestNews(Case):
+    def test_what_a_peer_told_is_not_told_back(self):
+        self.ledger.run_lost(lost("p", 1), source="e1")
+        self.ledger.run_lost(lost("q", 1))
+        self.assertEqual(self.names(0, False, "e1"), ["q"])
+        self.assertEqual(self.names(0, False, "e2"), ["p", "q"])
+        self.assertEqual(self.names(0, True, "e2"), ["q"])
+        self.assertEqual(self.names(1, False, "e2"), ["q"])
+
+    def names(self, *which):
+        return [run.fingerprint for run in self.ledger.news(*which).runs]
+
+    def test_two_processes_that_tell_each_other_agree(self):
+        other = CrashLedger()
+        for number in range(2):
+            self.crash(number, "p")
+        other.run_lost(lost("p", 2))
+        for run in self.ledger.news(0, False, "b").runs:
+            other.run_lost(run, "a")
+        for run in other.news(0, False, "a").runs:
+            self.ledger.run_lost(run, "b")
+        for ledger in (self.ledger, other):
+            ledger.settle(1.0, crashed)
+            standing = ledger.admission(9.0, "p").standing
+            self.assertIs(standing, Standing.QUARANTINED)
+
+    def test_who_is_told_of_a_sound_request_tells_others(self):
+        self.crash(1, "s")
+        self.ledger.completed("s", source="e1")
+        self.assertEqual(self.ledger.news(0, False, "e2").sound, ("s",))
+        self.assertEqual(self.ledger.news(0, False, "e1").sound, ())
+        self.assertTrue(self.ledger.is_empty)
+
+    def test_who_knows_better_answers_a_suspicion(self):
+        self.ledger.completed("s")
+        self.assertEqual(self.ledger.news(0, False, "e1").sound, ())
+        self.ledger.run_lost(lost("s", 1), source="e1")
+        self.assertEqual(self.ledger.news(0, False, "e1").sound, ("s",))
+
+
+class TestFate(unittest.TestCase):
+    """What became of a backend server is told by its registry entry and its agent."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.fleet.registry_changed(0.0, registered("b1", started_ms=5))
+        self.run_ = LostRun("p", Incarnation("b1", 5), False, 10.0)
+
+    def fate(self, now):
+        return fate_of(now, self.run_, self.fleet)
+
+    def agent_says(self, now, **fields):
+        self.fleet.engine_told(now, engine_state("b1", started_ms=5, **fields))
+
+    def test_another_start_or_none_means_that_it_ended(self):
+        self.assertIs(self.fate(10.0), Fate.OPEN)
+        self.fleet.registry_changed(11.0, registered("b1", started_ms=6))
+        self.assertIs(self.fate(11.0), Fate.CRASHED)
+        self.fleet.registry_removed(12.0, "b1")
+        self.assertIs(self.fate(12.0), Fate.CRASHED)
+
+    def test_an_engine_that_does_not_answer_its_agent_counts_as_ended(self):
+        self.agent_says(10.1, silent=True)
+        self.assertIs(self.fate(10.1), Fate.CRASHED)
+        self.agent_says(10.5, silent=False)
+        self.assertIs(self.fate(10.5), Fate.OPEN)
+
+    def test_one_that_answers_its_agent_for_a_second_goes_on(self):
+        self.agent_says(10.0 + ANSWERS_S)
+        self.assertIs(self.fate(10.1 + ANSWERS_S), Fate.SURVIVED)
+
+    def test_without_an_agent_the_registration_has_to_outlive_its_heartbeats(self):
+        self.agent_says(10.0)
+        after = 10.0 + AGENT_SILENT_S
+        self.assertIs(self.fate(after), Fate.OPEN)
+        self.assertIs(self.fate(10.1 + LISTED_S), Fate.SURVIVED)
--- a/tests/gateway/failures/test_silence.py
+++ b/tests/gateway/failures/test_silence.py
@@ -2,12 +2,14 @@
 doesn't."""
 
 import unittest
+from types import SimpleNamespace
 
 from bambootiller.gateway import wire
 from bambootiller.gateway.agent_words import ENTRY_HEARD_S, AgentWords, EntryWords
 from bambootiller.gateway.engines import Engines
 from bambootiller.gateway.exchange import Update
 from bambootiller.gateway.knowledge import Changes
+from bambootiller.gateway.quarantine import Quarantine
 from bambootiller_core.gateway.collecting import moved
 from bambootiller_core.gateway.fleet import AGENT_SILENT_S, FIGURES_LIFE_S, Fleet
 from bambootiller_core.gateway.order_messages import EngineReport, Wish
@@ -254,8 +256,13 @@
         self.streams = Streams()
         self.woken = []
         self.events = Events()
+        knowledge = SimpleNamespace(fleet=Fleet())
         self.words = AgentWords(
-            self.streams, self.events, self.clock, lambda: self.woken.append(1)
+            self.streams,
+            self.events,
+            self.clock,
+            lambda: self.woken.append(1),
+            Quarantine(knowledge, self.events, self.clock, lambda: None),
         )
         self.book = OrderBook(engine())
         self.stream = Stream("e1")
