An entry says that it is ready once it has heard what ends engines

What callers saw: a request that all entries had quarantined ended two more engines by way of an entry that had just started. Cause: an entry was ready as soon as it knew the configuration and the registry, up to 0.2 s before the first agent was heard.

--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -79,6 +79,21 @@
         """How many streams to agents are kept."""
         return len(self._links)
 
+    def has_heard_collectors(self) -> bool:
+        """Whether what all entries have to know has been heard, as far as there is
+        somebody to hear it from."""
+        config, now = self._knowledge.config, self._app.now()
+        engines: dict[str, dict[str, Backend]] = {}
+        for backend in self._knowledge.fleet:
+            service = config.services.get(backend.registered.service)
+            if service is not None and service.engine is not None:
+                by_host = engines.setdefault(service.name, {})
+                by_host[backend.registered.host] = backend
+        return all(
+            any(by_host[host].agent_heard(now) for host in collectors(name, by_host))
+            for name, by_host in engines.items()
+        )
+
     def stop(self) -> None:
         """Close all streams."""
         for link in self._links.values():
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -170,8 +170,12 @@
 
     def is_ready(self) -> bool:
         """Whether the balancer may send new connections here."""
-        known = self.knowledge.config is not None
-        return known and any(True for _ in self.knowledge.fleet) and not self._leaving
+        if self.knowledge.config is None or self._leaving:
+            return False
+        if not any(True for _ in self.knowledge.fleet):
+            return False
+        # It would send on what the other entries have found to end engines.
+        return not self._relays.is_starting() or self._engines.has_heard_collectors()
 
     async def drain(self, seconds: float) -> None:
         """Graceful shutdown: say so, keep serving, then finish what has been taken."""
--- a/tests/adapter/failures/test_poison_requests.py
+++ b/tests/adapter/failures/test_poison_requests.py
@@ -97,6 +97,16 @@
             self.assertEqual(set(statuses[2:]), {503}, statuses)
             self.assertEqual(fleet.crashes(), MOST_CRASHES)
 
+    async def test_an_entry_that_starts_later_keeps_it_out_too(self):
+        async with PoisonedFleet() as fleet:
+            await fleet.begin(entries=1)
+            await fleet.tries(3, fleet.entries)
+            late = await fleet.entry("late")
+            await fleet.wait_ready(late)
+            await fleet.wait_served(late)
+            await fleet.tries(3, [late])
+            self.assertEqual(fleet.poison_runs(), MOST_CRASHES)
+
     async def test_what_an_entry_saw_outlives_it(self):
         async with PoisonedFleet() as fleet:
             await fleet.begin()
