Tests of requests that end engines wait until entries know each other

Change: the tests wait until the entries know each other. No check changes. Conclusion: the share before others are known is as it was meant to be.

--- a/tests/adapter/failures/test_poison_requests.py
+++ b/tests/adapter/failures/test_poison_requests.py
@@ -42,6 +42,17 @@
             await self.wait_ready(entry)
         for entry in self.entries:
             await self.wait_served(entry)
+            await self.wait_knows_entries(entry)
+
+    async def wait_knows_entries(self, entry):
+        """Wait until it knows how many share the budget of second attempts: until then
+        its part is too small for a stream that engines end under."""
+
+        async def knows():
+            found = await self.metrics(entry)
+            return found["bambootiller_entries_known"] >= len(self.entries)
+
+        await until(knows, f"{entry.form['node-name']} knows the entries")
 
     async def wait_served(self, entry):
         """Wait until the entry has calls of the model answered."""
