An engine that is back under another name has ended all the same

Cause: engines there come back under a new name and don't tell their start. For about a second the agent takes the engine that answers again for the one listed before, so a crash that had counted was dropped as a lost connection, a second before the registry would have shown it. One more was found on the way: the agent's last word from before the loss counted as a sign of life.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
@@ -132,7 +132,7 @@
     Example::
 
         ledger.run_lost(LostRun(fingerprint, incarnation, False, now))
-        ledger.settle(lambda run: Fate.CRASHED)
+        ledger.settle(now, lambda run, before: Fate.CRASHED)
         if ledger.admission(now, fingerprint).standing is Standing.QUARANTINED: ...
     """
 
@@ -179,15 +179,15 @@
         return lost
 
     def settle(
-        self, now: float, fate_of: Callable[[LostRun], Fate]
+        self, now: float, fate_of: Callable[[LostRun, Fate], Fate]
     ) -> list[Quarantined]:
-        """Look again at what became of backend servers; returns the requests that are
-        quarantined from now on."""
+        """Look again at what became of backend servers, given what was thought of them
+        until now; returns the requests that are quarantined from now on."""
         changed = False
         for name, record in list(self._records()):
             if now - record.run.lost_at > FINAL_S and record.fate is Fate.CRASHED:
                 continue
-            fate = fate_of(record.run)
+            fate = fate_of(record.run, record.fate)
             if fate is record.fate:
                 continue
             changed = True
--- a/packages/bambootiller/src/bambootiller/gateway/quarantine.py
+++ b/packages/bambootiller/src/bambootiller/gateway/quarantine.py
@@ -19,6 +19,7 @@
 from bambootiller_core.gateway.crash_ledger import (
     Admission,
     CrashLedger,
+    Fate,
     LostRun,
     Standing,
 )
@@ -130,6 +131,10 @@
         if self._ledger.is_empty:
             return
         fleet = self._knowledge.fleet
-        for found in self._ledger.settle(now, lambda run: fate_of(now, run, fleet)):
+
+        def fate(run: LostRun, before: Fate) -> Fate:
+            return fate_of(now, run, before, fleet)
+
+        for found in self._ledger.settle(now, fate):
             line = RequestQuarantined(found.fingerprint, found.crashes, found.backends)
             self._events.emit(line)
--- a/tests/adapter/failures/test_poison_requests.py
+++ b/tests/adapter/failures/test_poison_requests.py
@@ -17,6 +17,9 @@
 #: The pause between two tries of a caller: entries have told each other by then. An
 #: engine is down for longer, so tries meet different engines. Seconds.
 PAUSE_S = 0.3
+#: A start under a new name is listed after so long, and the one before is listed as
+#: long beside it. Seconds.
+UNLISTED_S = 0.8
 
 
 class PoisonedFleet(Fleet):
@@ -26,8 +29,10 @@
         super().__init__()
         self.entries = []
 
-    async def begin(self, entries=2, engines=4):
-        """Start all of it; each engine holds the model."""
+    async def begin(self, entries=2, engines=4, renamed=False):
+        """Start all of it; each engine holds the model. If ``renamed``, a replica that
+        is back has a new name, which the registry lists a moment later, beside the name
+        that it had; nobody tells when it started."""
         self.configure()
         for number in range(engines):
             host = f"127.0.0.{number + 2}"
@@ -35,6 +40,10 @@
             replica.on_disk.add(MODEL_NAME)
             replica.poison = POISON
             replica.on_start = self._lists_again(replica)
+            if renamed:
+                replica.tells_start = False
+                self.store.put(f"servers/{replica.instance}", replica.entry())
+                replica.on_start = self._lists_under_new_name(replica)
             await self.agent(f"a{number}", replica)
         for number in range(entries):
             self.entries.append(await self.entry(f"e{number}"))
@@ -80,6 +89,19 @@
             return None
         return status
 
+    def _lists_under_new_name(self, replica):
+        def start():
+            before = replica.instance
+            replica.instance = f"{before}+"
+            listing = asyncio.get_running_loop()
+            put, remove = self.store.put, self.store.remove
+            listing.call_later(
+                UNLISTED_S, put, f"servers/{replica.instance}", replica.entry()
+            )
+            listing.call_later(2 * UNLISTED_S, remove, f"servers/{before}")
+
+        return start
+
     def poison_runs(self):
         """How many runs of it have begun."""
         return sum(
@@ -118,6 +140,14 @@
             await fleet.tries(3, [late])
             self.assertEqual(fleet.poison_runs(), MOST_CRASHES)
 
+    async def test_it_is_kept_out_though_engines_come_back_under_other_names(self):
+        """The agent names the engine that is back as the one before, which made the
+        crash look like a lost connection."""
+        async with PoisonedFleet() as fleet:
+            await fleet.begin(renamed=True)
+            await fleet.tries(20, fleet.entries)
+            self.assertEqual(fleet.poison_runs(), MOST_CRASHES)
+
     async def test_what_an_entry_saw_outlives_it(self):
         async with PoisonedFleet() as fleet:
             await fleet.begin()
--- a/tests/gateway/cover/test_crash_ledger.py
+++ b/tests/gateway/cover/test_crash_ledger.py
@@ -13,7 +13,7 @@
     LostRun,
     Standing,
 )
-from bambootiller_core.gateway.fleet import AGENT_SILENT_S, Fleet
+from bambootiller_core.gateway.fleet import Fleet
 from bambootiller_core.gateway.incarnation import Incarnation
 from tests.gateway.common.samples import engine_state, registered
 
@@ -23,7 +23,7 @@
     return LostRun(name, Incarnation("b1", crash), progressed, at)
 
 
-def crashed(run):
+def crashed(run, before):
     return Fate.CRASHED
 
 
@@ -126,7 +126,7 @@
         for number in range(3):
             self.ledger.run_lost(lost("s", number))
         self.assertIs(self.standing("s"), Standing.WAITS)
-        self.ledger.settle(1.0, lambda run: Fate.SURVIVED)
+        self.ledger.settle(1.0, lambda run, before: Fate.SURVIVED)
         self.assertTrue(self.ledger.is_empty)
         self.assertIs(self.standing("s"), Standing.ADMITTED)
 
@@ -197,36 +197,51 @@
 class TestFate(unittest.TestCase):
     """What became of a backend server is told by its registry entry and its agent."""
 
-    def setUp(self):
+    def begin(self, started_ms=5):
+        self.started_ms = started_ms
         self.fleet = Fleet()
-        self.fleet.registry_changed(0.0, registered("b1", started_ms=5))
-        self.run_ = LostRun("p", Incarnation("b1", 5), False, 10.0)
+        self.fleet.registry_changed(0.0, registered("b1", started_ms=started_ms))
+        self.run_ = LostRun("p", Incarnation("b1", started_ms), False, 10.0)
+        self.before = Fate.OPEN
 
     def fate(self, now):
-        return fate_of(now, self.run_, self.fleet)
+        self.before = fate_of(now, self.run_, self.before, self.fleet)
+        return self.before
 
     def agent_says(self, now, **fields):
-        self.fleet.engine_told(now, engine_state("b1", started_ms=5, **fields))
+        state = engine_state("b1", started_ms=self.started_ms, **fields)
+        self.fleet.engine_told(now, state)
 
     def test_another_start_or_none_means_that_it_ended(self):
+        self.begin()
         self.assertIs(self.fate(10.0), Fate.OPEN)
         self.fleet.registry_changed(11.0, registered("b1", started_ms=6))
         self.assertIs(self.fate(11.0), Fate.CRASHED)
         self.fleet.registry_removed(12.0, "b1")
         self.assertIs(self.fate(12.0), Fate.CRASHED)
 
-    def test_an_engine_that_does_not_answer_its_agent_counts_as_ended(self):
+    def test_an_engine_that_answers_again_in_the_same_start_was_only_busy(self):
+        self.begin()
         self.agent_says(10.1, silent=True)
         self.assertIs(self.fate(10.1), Fate.CRASHED)
         self.agent_says(10.5, silent=False)
         self.assertIs(self.fate(10.5), Fate.OPEN)
-
-    def test_one_that_answers_its_agent_for_a_second_goes_on(self):
-        self.agent_says(10.0 + ANSWERS_S)
+        self.agent_says(10.1 + ANSWERS_S)
         self.assertIs(self.fate(10.1 + ANSWERS_S), Fate.SURVIVED)
 
-    def test_without_an_agent_the_registration_has_to_outlive_its_heartbeats(self):
+    def test_one_that_answers_again_in_an_unknown_start_has_ended(self):
+        self.begin(started_ms=None)
+        self.agent_says(10.1, silent=True)
+        self.assertIs(self.fate(10.1), Fate.CRASHED)
+        self.agent_says(13.6, silent=False)
+        self.assertIs(self.fate(13.6), Fate.CRASHED)
+
+    def test_what_the_agent_said_before_the_run_was_lost_proves_nothing(self):
+        self.begin()
         self.agent_says(10.0)
-        after = 10.0 + AGENT_SILENT_S
-        self.assertIs(self.fate(after), Fate.OPEN)
+        self.assertIs(self.fate(10.1 + ANSWERS_S), Fate.OPEN)
+
+    def test_without_an_agent_the_registration_has_to_outlive_its_heartbeats(self):
+        self.begin()
+        self.assertIs(self.fate(10.0 + LISTED_S), Fate.OPEN)
         self.assertIs(self.fate(10.1 + LISTED_S), Fate.SURVIVED)
