Runs that are left at an engine gone silently count; holds are bounded

What callers saw: in a test, a request that ends engines without closing their connections was sent on without end; and a call whose request had three lost runs at plain services could wait until its deadline. Cause: a run was noted as lost only where its connection broke. Callers of an engine that went silently leave first. Change: a run that is given up while the engine doesn't answer its agent is noted; a call is held 2.5 s at most and half of the time that it has left, else it is refused at once. The line refused names the fingerprint that decided it. When a stream's caller leaves is worked out in one place.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
@@ -61,6 +61,12 @@
         """
         return self.route.idempotent or (self.is_stream and self.route.resumable)
 
+    def next_event_due(self, progress: Progress) -> float:
+        """When the caller of a stream leaves unless something more has come by then."""
+        if progress.passed_at is None or self.route.patience_s is None:
+            return self.first_event_due
+        return progress.passed_at + self.route.patience_s
+
 
 @dataclass(slots=True)
 class Progress:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -103,7 +103,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused(LogLine):
-    """The gateway gave its own final answer."""
+    """The gateway gave its own final answer; ``fingerprint`` is the request's across
+    its tries, where that decided it."""
 
     event: ClassVar[str] = "refused"
 
@@ -119,6 +120,7 @@
     detail: str
     config_version: int | None
     plan: PlanSeen | None = None
+    fingerprint: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller/src/bambootiller/gateway/front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/front.py
@@ -216,6 +216,7 @@
             detail=refusal.detail,
             config_version=config.version if config else None,
             plan=refusal.plan,
+            fingerprint=_deciding_fingerprint(refusal, call),
         )
         relays.events.emit(line)
         body = refusal.reason.value.encode()
@@ -261,6 +262,12 @@
     return max(0.0, min(times))
 
 
+def _deciding_fingerprint(refusal: Refusal, call: Call | None) -> str | None:
+    if call is None or refusal.reason is not Reason.QUARANTINED:
+        return None
+    return call.fingerprint
+
+
 async def _gone(receive: Receive) -> None:
     while (await receive())["type"] != "http.disconnect":
         continue
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -167,7 +167,10 @@
         call, ask = self._call, self._call.ask
         engines = self._relays.engines
         planned = engines.plans.plan_for(call.service, ask.model)
-        due = min(self._next_event_due(), call.deadline) - FIRST_EVENT_S
+        due = (
+            min(self._call.next_event_due(self._progress), call.deadline)
+            - FIRST_EVENT_S
+        )
         if self._relays.stop_by is not None:
             due = min(due, self._relays.stop_by - STREAM_S)
         ready_in = planned.ready_in_s if planned is not None else None
@@ -183,13 +186,6 @@
         plan = self._plan_seen(now, planned)
         return Refusal(Reason.COLD, come_back, detail, plan)
 
-    def _next_event_due(self) -> float:
-        """When the caller leaves unless something more has come by then."""
-        passed_at, patience_s = self._progress.passed_at, self._call.route.patience_s
-        if passed_at is None or patience_s is None:
-            return self._call.first_event_due
-        return passed_at + patience_s
-
     def _plan_seen(self, now: float, planned: PlannedLoad | None) -> PlanSeen:
         call = self._call
         plans = self._relays.engines.plans
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -33,6 +33,10 @@
 #: the caller's patience, or for the longest pause times this factor, whichever is more.
 SILENCE_SHARE = 0.35
 SILENCE_PAUSES = 3.0
+#: A call that has to run apart from others, or whose last run isn't settled, is held no
+#: longer than this, and no more than this part of the time that it has left. Seconds.
+LONGEST_HOLD_S = 2.5
+HOLD_SHARE = 0.5
 
 
 class AnswerCut(Exception):
@@ -125,13 +129,21 @@
                     self.report.kept_apart(admission.crashes, now - began)
                 return None
             began = now if began is None else began
-            is_late = now + admission.again_s > self._call.deadline
+            is_late = now + admission.again_s > began + self._longest_hold_s(began)
             if admission.standing is Standing.QUARANTINED or is_late:
-                detail = f"fingerprint {self._call.fingerprint}: "
-                detail += f"{admission.crashes:g} crashes of backend servers"
-                return Refusal(Reason.QUARANTINED, admission.again_s, detail)
+                detail = f"{admission.crashes:g} crashes of backend servers"
+                come_back_s = max(admission.again_s, attempts.COME_BACK_S)
+                return Refusal(Reason.QUARANTINED, come_back_s, detail)
             await asyncio.sleep(admission.again_s)
 
+    def _longest_hold_s(self, now: float) -> float:
+        """How long the call may be kept apart from now on; a caller that would be
+        refused in the end had better know at once."""
+        left_s = (
+            min(self._call.deadline, self._call.next_event_due(self._progress)) - now
+        )
+        return max(0.0, min(LONGEST_HOLD_S, left_s * HOLD_SHARE))
+
     def _unplaced(self, refusal: Refusal) -> Refusal:
         """The final answer of a call that is sent nowhere from now on."""
         if self._progress.passed_on or self._progress.may_have_run:
@@ -184,6 +196,12 @@
             self.report.answer_lost(backend, str(exc), conn.reused, progressed)
             relays.quarantine.run_lost(self._call, backend, progressed)
             return Ended.BROKEN if progress.passed_on else Ended.UNKNOWN
+        except asyncio.CancelledError:
+            # Its time is over, or its caller left, while an engine was gone silently.
+            if backend.engine is not None and backend.engine.silent:
+                progressed = progress.last_event != last_event
+                relays.quarantine.run_lost(self._call, backend, progressed)
+            raise
         finally:
             self._prompt_read()
             backend.call_ended(model, adapter)
--- a/tests/adapter/failures/test_poison_requests.py
+++ b/tests/adapter/failures/test_poison_requests.py
@@ -5,9 +5,13 @@
 import unittest
 
 import aiohttp
+from bambootiller_platform_standins.httpd import Reply
+from bambootiller_platform_standins.replica import StandinReplica
 
+from tests.adapter.common.entry import Bench
 from tests.adapter.common.fleet import Fleet, until
 from tests.adapter.cover.test_documents import MODEL, ROUTE
+from tests.gateway.common.samples import engine_state
 
 MODEL_NAME = MODEL["name"]
 POISON = b"ends the engine"
@@ -224,3 +228,55 @@
 
     def setUp(self):
         self.seen = {}
+
+
+class TestEngineGoneSilently(unittest.IsolatedAsyncioTestCase):
+    """An engine that ends without closing its connections loses runs by their callers'
+    leaving alone; the request that did it would go on to the next one."""
+
+    async def asyncSetUp(self):
+        self.bench = Bench()
+        self.bench.configure()
+        for number in range(4):
+            replica = StandinReplica(f"i-{number}", "llm", (MODEL_NAME,))
+            replica.next_replies = [lambda request: Reply(silent=True)] * 9
+            await self.bench.add(replica)
+
+    async def asyncTearDown(self):
+        await self.bench.close()
+
+    def engines_are_silent(self):
+        """The agent beside each engine that has run something says so."""
+        now = asyncio.get_running_loop().time()
+        for replica in self.bench.replicas:
+            if replica.runs:
+                told = engine_state(
+                    replica.instance,
+                    (MODEL_NAME,),
+                    silent=True,
+                    started_ms=replica.born,
+                )
+                self.bench.knowledge.fleet.engine_told(now, told)
+
+    async def call_and_leave(self):
+        calling = asyncio.create_task(
+            self.bench.call(path=b"/a/x", leave_after=0.2, x_model=MODEL_NAME)
+        )
+        await asyncio.sleep(0.1)
+        self.engines_are_silent()
+        answer = await calling
+        for replica in self.bench.replicas:
+            if replica.runs:
+                # Its registration lapses.
+                now = asyncio.get_running_loop().time()
+                self.bench.knowledge.fleet.registry_removed(now, replica.instance)
+        return answer
+
+    async def test_runs_that_are_left_there_count(self):
+        for _ in range(MOST_CRASHES):
+            await self.call_and_leave()
+        answer = await self.call_and_leave()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.body, b"quarantined")
+        runs = sum(len(replica.runs) for replica in self.bench.replicas)
+        self.assertEqual(runs, MOST_CRASHES)
