A request is known again whatever address it comes from

Cause: the fingerprint had the address of the connection for the caller. Our tests had one address. Change: method, host, path and body make the fingerprint. Callers of one body share it; a completion of any of them clears it. Before: test_it_is_kept_out_whatever_address_it_comes_from fails.

--- a/packages/bambootiller/src/bambootiller/gateway/front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/front.py
@@ -180,7 +180,7 @@
             ask=incoming.ask if has_engine else None,
             resume_after=incoming.resume_after,
             fingerprint=fingerprint(
-                incoming.caller, incoming.method, incoming.host, incoming.target, body
+                incoming.method, incoming.host, incoming.target, body
             ),
         )
 
--- a/packages/bambootiller/src/bambootiller/gateway/ports.py
+++ b/packages/bambootiller/src/bambootiller/gateway/ports.py
@@ -26,8 +26,7 @@
     """A caller's request as read from its head.
 
     ``target`` is the path with the query, byte for byte; ``headers`` are those that may
-    be passed on. ``deadline_s`` is the time that the caller still waits, ``caller``
-    what tells one caller from another.
+    be passed on. ``deadline_s`` is the time that the caller still waits.
     """
 
     method: str
@@ -39,7 +38,6 @@
     deadline_s: float | None = None
     ask: ModelAsk | None = None
     resume_after: int | None = None
-    caller: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/adapter/failures/test_poison_requests.py
+++ b/tests/adapter/failures/test_poison_requests.py
@@ -85,6 +85,12 @@
             await asyncio.sleep(PAUSE_S)
         return statuses
 
+    async def come_from(self, host):
+        """Call from that address from now on."""
+        await self.session.close()
+        connector = aiohttp.TCPConnector(local_addr=(host, 0), force_close=True)
+        self.session = aiohttp.ClientSession(connector=connector)
+
     async def status(self, entry, body, attempt):
         """The status of one call, None if it was cut."""
         try:
@@ -152,6 +158,16 @@
             await fleet.tries(20, fleet.entries)
             self.assertEqual(fleet.poison_runs(), MOST_CRASHES)
 
+    async def test_it_is_kept_out_whatever_address_it_comes_from(self):
+        """A caller's tries come through different addresses, by the entry that each
+        goes to."""
+        async with PoisonedFleet() as fleet:
+            await fleet.begin()
+            for number in range(6):
+                await fleet.come_from(f"127.0.1.{number + 1}")
+                await fleet.tries(1, fleet.entries[number % 2 :])
+            self.assertEqual(fleet.poison_runs(), MOST_CRASHES)
+
     async def test_what_an_entry_saw_outlives_it(self):
         async with PoisonedFleet() as fleet:
             await fleet.begin()
--- a/tests/gateway/cover/test_fingerprint.py
+++ b/tests/gateway/cover/test_fingerprint.py
@@ -5,7 +5,6 @@
 from bambootiller_core.gateway.fingerprint import fingerprint
 
 PARTS = {
-    "caller": "10.0.0.1",
     "method": "POST",
     "host": "a.example",
     "target": b"/x?y=1",
