A quarantine outlives the end of all processes

What callers saw: in a test, a request that had been quarantined ended three more engines after all entries and agents had been killed. Cause: what ends engines was known to processes only; what must last lives in the store. Lost runs past their time are removed. Costs one read a start, and one write for each entry that lost one of the three runs. Before: test_it_is_known_again_after_all_processes_have_ended fails.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
@@ -241,6 +241,16 @@
                 self._drop(name, record.run.incarnation)
         self._judge()
 
+    def lost_runs(self, fingerprint: str) -> tuple[LostRun, ...]:
+        """The lost runs of a request."""
+        records = self._runs.get(fingerprint, {}).values()
+        return tuple(record.run for record in records)
+
+    def lost_one(self, fingerprint: str) -> bool:
+        """Whether a run of the request was lost here."""
+        records = self._runs.get(fingerprint, {}).values()
+        return any(not record.source for record in records)
+
     @property
     def is_empty(self) -> bool:
         """Whether no request is suspected of anything."""
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/quarantine_record.py
@@ -0,0 +1,59 @@
+"""A quarantine as it is kept in the key-value service, for the time after all processes
+that knew of it have ended."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+
+from bambootiller_core.gateway.crash_ledger import KEPT_S, LostRun
+from bambootiller_core.gateway.incarnation import Incarnation
+
+PREFIX = "bambootiller/quarantine/"
+
+
+def key_of(fingerprint: str) -> str:
+    """Where the quarantine of a request is kept."""
+    return PREFIX + fingerprint
+
+
+def encode(runs: Iterable[LostRun], now: float, unix_s: float) -> bytes:
+    """The lost runs that are the reason. Their times are written as Unix time: clocks
+    of instances disagree by seconds, a quarantine lasts for minutes."""
+    form = [
+        {
+            "instance": run.incarnation.instance,
+            "started_ms": run.incarnation.started_ms,
+            "progressed": run.progressed,
+            "lost_at": round(unix_s - (now - run.lost_at), 3),
+        }
+        for run in runs
+    ]
+    return json.dumps(form).encode()
+
+
+def decode(key: str, value: bytes, now: float, unix_s: float) -> tuple[LostRun, ...]:
+    """The lost runs that still count; none if the record is too old.
+
+    Raises :class:`ValueError` if the record can't be read.
+    """
+    try:
+        form = json.loads(value)
+        runs = tuple(_run(key, item, now, unix_s) for item in form)
+    except (KeyError, TypeError) as exc:
+        raise ValueError(
+            f"{key}: {value[:80]!r}; allowed: a list of lost runs"
+        ) from exc
+    return tuple(run for run in runs if now - run.lost_at <= KEPT_S)
+
+
+def _run(key: str, item: dict, now: float, unix_s: float) -> LostRun:
+    started_ms = item["started_ms"]
+    return LostRun(
+        fingerprint=key.removeprefix(PREFIX),
+        incarnation=Incarnation(
+            str(item["instance"]), None if started_ms is None else int(started_ms)
+        ),
+        progressed=bool(item["progressed"]),
+        lost_at=now - max(0.0, unix_s - float(item["lost_at"])),
+    )
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -22,6 +22,7 @@
 from bambootiller.gateway.knowledge import Knowledge, StoreWatcher
 from bambootiller.gateway.meters import Meters
 from bambootiller.gateway.ports import Platform
+from bambootiller.gateway.quarantine_records import QuarantineRecords
 from bambootiller.gateway.relays import Relays
 from bambootiller.gateway.standstills import Standstills
 from bambootiller.rpc import bambootiller_pb2_grpc as api
@@ -98,6 +99,9 @@
             self._standstills.ran,
             self._engines.quarantine,
         )
+        self._records = QuarantineRecords(
+            app, platform.kv, self._engines.quarantine, events
+        )
         own_pages = pages(platform.dialect.ready_path, self.is_ready)
         self._front = Front(
             self._relays, own_pages, self.is_ready, lambda: self._leaving
@@ -139,6 +143,7 @@
             app.spawn(f"http port {server.port}", server.serve())
         app.http_port = self._callers.port
         self._engines.start()
+        self._records.start()
         app.timers.every("gateway sweep", SWEEP_S, app.now(), self._relays.sweep)
         for peer in self._places.peers:
             stream = self._exchanger.keep_open(
@@ -175,7 +180,10 @@
         if not any(True for _ in self.knowledge.fleet):
             return False
         # It would send on what the other entries have found to end engines.
-        return not self._relays.is_starting() or self._engines.has_heard_collectors()
+        return not self._relays.is_starting() or self._knows_quarantines()
+
+    def _knows_quarantines(self) -> bool:
+        return self._records.known and self._engines.has_heard_collectors()
 
     async def drain(self, seconds: float) -> None:
         """Graceful shutdown: say so, keep serving, then finish what has been taken."""
--- a/packages/bambootiller/src/bambootiller/gateway/quarantine.py
+++ b/packages/bambootiller/src/bambootiller/gateway/quarantine.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from bambootiller.gateway import wire
 from bambootiller.gateway.eventlog import EventLog
@@ -31,6 +31,10 @@
 #: caller's next try may come as soon. Seconds.
 SETTLE_S = 0.1
 FORGET_S = 60.0
+#: The source of lost runs that were recorded.
+RECORDED = "record"
+
+Listener = Callable[[str, tuple[LostRun, ...]], None]
 
 
 class Quarantine:
@@ -56,12 +60,24 @@
         self._clock = clock
         self._poke = poke
         self._ledger = CrashLedger()
+        self._listener: Listener | None = None
 
     def start(self, timers: TimerService, now: float) -> None:
         """Begin to look after the ledger."""
         timers.every("settle lost runs", SETTLE_S, now, self.settle)
         timers.every("forget lost runs", FORGET_S, now, self._ledger.forget)
 
+    def on_quarantined(self, listener: Listener) -> None:
+        """Call ``listener`` for each request that is quarantined from now on, if a run
+        of it was lost here."""
+        self._listener = listener
+
+    def recall(self, runs: Iterable[LostRun]) -> None:
+        """Take in lost runs that were recorded before this process began."""
+        for run in runs:
+            self._ledger.run_lost(run, RECORDED)
+        self.settle(self._clock())
+
     @property
     def count(self) -> int:
         """How many requests are known to end backend servers."""
@@ -136,5 +152,7 @@
             return fate_of(now, run, before, fleet)
 
         for found in self._ledger.settle(now, fate):
-            line = RequestQuarantined(found.fingerprint, found.crashes, found.backends)
-            self._events.emit(line)
+            name = found.fingerprint
+            self._events.emit(RequestQuarantined(name, found.crashes, found.backends))
+            if self._listener is not None and self._ledger.lost_one(name):
+                self._listener(name, self._ledger.lost_runs(name))
--- a/tests/adapter/failures/test_poison_requests.py
+++ b/tests/adapter/failures/test_poison_requests.py
@@ -176,6 +176,19 @@
             await fleet.tries(3, fleet.entries[1:])
             self.assertEqual(fleet.poison_runs(), MOST_CRASHES)
 
+    async def test_it_is_known_again_after_all_processes_have_ended(self):
+        async with PoisonedFleet() as fleet:
+            await fleet.begin(entries=1)
+            await fleet.tries(3, fleet.entries)
+            for program in fleet._programs:
+                await program.stop(signal.SIGKILL)
+            for number, replica in enumerate(fleet.replicas.values()):
+                await fleet.agent(f"a{number}", replica)
+            entry = await fleet.entry("later")
+            await fleet.wait_ready(entry)
+            await fleet.tries(3, [entry])
+            self.assertEqual(fleet.poison_runs(), MOST_CRASHES)
+
     async def test_one_that_brings_events_first_is_kept_out_after_six_crashes(self):
         async with PoisonedFleet() as fleet:
             await fleet.begin()
--- /dev/null
+++ b/tests/gateway/cover/test_quarantine_record.py
@@ -0,0 +1,38 @@
+"""Quarantines as they are kept in the key-value service."""
+
+import unittest
+
+from bambootiller_core.gateway import quarantine_record
+from bambootiller_core.gateway.crash_ledger import KEPT_S, LostRun
+from bambootiller_core.gateway.incarnation import Incarnation
+
+KEY = quarantine_record.key_of("f1")
+RUNS = (
+    LostRun("f1", Incarnation("b1", 5), False, 90.0),
+    LostRun("f1", Incarnation("b2"), True, 95.0),
+)
+
+
+class TestRecord(unittest.TestCase):
+    def test_another_process_reads_what_was_written_with_its_age(self):
+        value = quarantine_record.encode(RUNS, now=100.0, unix_s=5000.0)
+        found = quarantine_record.decode(KEY, value, now=7.0, unix_s=5020.0)
+        self.assertEqual([run.lost_at for run in found], [-23.0, -18.0])
+        same = [(run.fingerprint, run.incarnation, run.progressed) for run in RUNS]
+        read = [(run.fingerprint, run.incarnation, run.progressed) for run in found]
+        self.assertEqual(read, same)
+
+    def test_a_clock_that_was_set_back_makes_nothing_younger_than_now(self):
+        value = quarantine_record.encode(RUNS, now=100.0, unix_s=5000.0)
+        found = quarantine_record.decode(KEY, value, now=7.0, unix_s=4000.0)
+        self.assertEqual({run.lost_at for run in found}, {7.0})
+
+    def test_old_runs_count_no_more(self):
+        value = quarantine_record.encode(RUNS, now=100.0, unix_s=5000.0)
+        later = 5000.0 + KEPT_S
+        self.assertEqual(quarantine_record.decode(KEY, value, 7.0, later), ())
+
+    def test_anything_else_is_refused_with_what_it_was(self):
+        for value in (b"", b"{}x", b"[1]", b'[{"instance": "b1"}]', b"\xff"):
+            with self.subTest(value), self.assertRaises(ValueError):
+                quarantine_record.decode(KEY, value, 0.0, 0.0)
