The soak sends a request that ends engines; explain shows all its tries

Change: a fault of the soak sends such a request again and again at any entry, and a check bounds the runs that sound entries begin later than three seconds after the third crash (the users' rule: three). A story includes lines with the request's fingerprint whenever they were written.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/story.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/story.py
@@ -125,7 +125,8 @@
             at = line["uptime_s"] + run.offset_s
             is_own = line.get("request") == request
             near = begin - BEFORE_S <= at <= end + AFTER_S
-            if is_own or (near and subject.concerns(run, line)):
+            tries = subject.is_of_same_request(line)
+            if is_own or tries or (near and subject.concerns(run, line)):
                 steps.append(Step(round(at - begin, 3), is_own, line))
                 if not run.aligned:
                     unaligned.add(run.instance)
@@ -141,9 +142,16 @@
         self._serving = {run.instance for run in serving}
         self._models = {line["model"] for line in own if line.get("model")}
         self._backends = {line["backend"] for line in own if line.get("backend")}
+        named = [line["fingerprint"] for line in own if line.get("fingerprint")]
+        self._fingerprints = set(named)
         plans = [line["plan"] for line in own if line.get("plan")]
         self._backends |= {plan["backend"] for plan in plans if plan.get("backend")}
 
+    def is_of_same_request(self, line: Line) -> bool:
+        """Whether a line tells of another try of the request. Those of minutes before
+        may be why it was refused."""
+        return line.get("fingerprint") in self._fingerprints
+
     def concerns(self, run: _Run, line: Line) -> bool:
         """Whether a line without the request's id helps to explain it."""
         event = line["event"]
--- a/tests/gateway/cover/test_story.py
+++ b/tests/gateway/cover/test_story.py
@@ -116,3 +116,15 @@
         ]
         story = tell(lines, "r-1")
         self.assertEqual([step.own for step in story.steps], [True, False])
+
+    def test_tries_of_the_same_request_are_shown_however_long_before(self):
+        same = {"fingerprint": "f1"}
+        lines = [
+            line("other", 5.0, "answer_lost", request="r-9", backend="b9", **same),
+            line("other", 6.0, "request_quarantined", **same),
+            line("other", 7.0, "request_quarantined", fingerprint="f2"),
+            refused(300.0, reason="quarantined", **same),
+        ]
+        story = tell(lines, "r-1")
+        events = [step.line["event"] for step in story.steps]
+        self.assertEqual(events, ["answer_lost", "request_quarantined", "refused"])
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,6 +13,12 @@
 #: After the store was away for all, what it says may be known so much later: a watch
 #: that was swallowed shows after 3.5 s. The first users' platform allows 4. Seconds.
 CATCH_UP_S = 4.0
+#: All entries know of a request's third crash after this time. Seconds.
+CONTACT_S = 3.0
+#: The crash after which a request is kept from all engines, and how many runs of it may
+#: begin later.
+MOST_CRASHES = 3
+MOST_LATE = 3
 #: Faults count for a call if they ended no longer before it: connections made while a
 #: path was injured may be lost later. Seconds.
 AFTERMATH_S = 3.0
@@ -28,9 +34,42 @@
     broken += _planned(attempts, injuries)
     broken += _replicas(world, injuries)
     broken += _configs(world)
+    broken += _poison(world, injuries)
     return broken
 
 
+def _poison(world, injuries):
+    """Only a few tries of a request reach engines later than a moment after the third
+    of them ended with it, by way of entries that were well."""
+    engines = world.all_replicas()
+    crashes = sorted(at for engine in engines for at in engine.crash_times)
+    if len(crashes) < MOST_CRASHES:
+        return
+    known_by = crashes[MOST_CRASHES - 1] + CONTACT_S
+    runs = [at for engine in engines for at in engine.poison_times if at > known_by]
+    late = [at for at in runs if _sent_by_a_sound_entry(world, injuries, at)]
+    if len(late) > MOST_LATE:
+        yield f"poison: {len(late)} late runs, {len(crashes)} engines ended"
+
+
+def _sent_by_a_sound_entry(world, injuries, at):
+    senders = {
+        attempt.entry
+        for attempt in world.poisonings
+        if attempt.sent_at <= at and at <= (attempt.ended_at or at)
+    }
+    return any(not _was_injured(entry, injuries, at) for entry in senders)
+
+
+def _was_injured(entry, injuries, at):
+    return any(
+        (entry in injury.on or injury.on == "the store" or "agent" in injury.on)
+        and injury.began <= at
+        and injury.ended + CONTACT_S >= at
+        for injury in injuries
+    )
+
+
 def _runs(world, attempts):
     runs = Counter(
         run.headers.get("x-request-attempt")
--- a/tests/soak/cover/test_checks.py
+++ b/tests/soak/cover/test_checks.py
@@ -19,12 +19,17 @@
 
 
 class TestChecks(unittest.TestCase):
-    def broken(self, made, runs=1, injuries=(), **replica):
+    def broken(self, made, runs=1, injuries=(), poisonings=(), **replica):
         run = SimpleNamespace(headers={"x-request-attempt": made.id})
         fields = {"instance": "r-1", "overfull": [], "left_at": None, "run_times": []}
+        fields |= {"crash_times": [], "poison_times": []}
         found = SimpleNamespace(runs=[run] * runs, **{**fields, **replica})
         world = SimpleNamespace(
-            ended=[], all_replicas=lambda: [found], _programs=[], entries={}
+            ended=[],
+            all_replicas=lambda: [found],
+            _programs=[],
+            entries={},
+            poisonings=poisonings,
         )
         return check(world, [SimpleNamespace(attempts=[made])], list(injuries))
 
@@ -76,3 +81,17 @@
     def test_memory_that_is_overcommitted_is_found(self):
         (text,) = self.broken(attempt(), overfull=["tutor: 3 of 2 MB"])
         self.assertIn("overcommitted", text)
+
+    def test_late_runs_of_a_request_that_ended_three_engines_are_found(self):
+        made = attempt()
+        seen = {
+            "poisonings": [attempt(waited=60.0)],
+            "crash_times": [101.0, 102.0, 103.0],
+            "poison_times": [101.0, 102.0, 103.0, 105.9, 107.0, 108.0, 109.0],
+        }
+        self.assertEqual(self.broken(made, **seen), [])
+        seen["poison_times"].append(110.0)
+        (text,) = self.broken(made, **seen)
+        self.assertIn("4 late runs", text)
+        injury = Injury("pause", "e0", False, 105.0, 106.0)
+        self.assertEqual(self.broken(made, injuries=[injury], **seen), [])
--- a/tests/soak/failures/test_soak.py
+++ b/tests/soak/failures/test_soak.py
@@ -12,3 +12,7 @@
         report = await soak(11, SECONDS, "out/soak")
         self.assertEqual(report.broken, [], report)
         self.assertGreater(report.answered, 20, report)
+
+    async def test_a_request_that_ends_engines_is_kept_from_them(self):
+        report = await soak(11, SECONDS, "out/soak", ("poison",), engines=3)
+        self.assertEqual(report.broken, [], report)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 from bambootiller_platform_standins.store import Trouble
 
 from tests.soak.proxy import Mode
+from tests.soak.world import POISON, Client
 
 FAULTS = {}
 #: The faults of which the first seeds drew. A seed draws others if there are more to
@@ -119,6 +120,10 @@
     return rng.choice(sorted(world.proxies))
 
 
+def _poison_request(world, rng):
+    return "the poison request"
+
+
 def _store(world, rng):
     return "the store"
 
@@ -228,6 +233,18 @@
     replica.late_orders = 0
 
 
+@fault("poison")
+@on(_poison_request)
+async def poison(world, target, rng):
+    """A request that ends engines is sent again and again, at any entry."""
+    for number in range(rng.randint(4, 10)):
+        name = rng.choice(sorted(world.entries))
+        client = Client(world, name, f"poison-{len(world.poisonings)}", rng)
+        world.poisonings.append(await client.call("stream", POISON))
+        await client.close()
+        await asyncio.sleep(rng.uniform(0.1, 0.8))
+
+
 @fault("store")
 @on(_store)
 async def store(world, target, rng):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -19,6 +19,8 @@
 EVENTS = 5
 #: What the route gives a call. Seconds.
 TIMEOUT_S = 4.0
+#: The body of a request that ends each engine that runs it.
+POISON = b"poison"
 
 _MODELS = [{**MODEL, "name": name, "load-s": 1.0} for name in MODELS]
 _SERVICES = [
@@ -49,16 +51,41 @@
 
 
 class SoakReplica(StandinReplica):
-    """Answers with the caller's id, so that an answer of somebody else's shows."""
+    """Answers with the caller's id, so that an answer of somebody else's shows.
+
+    A poison request ends it; while it is down it closes each connection at once, as its
+    port may be needed by other faults meanwhile."""
 
     def __init__(self, *args):
         super().__init__(*args)
+        self.poison = POISON
+        self.poison_times = []
+        self.crash_times = []
+        self._down = False
         self.run_times = []
         self.left_at = None
         self.sizes_mb = dict.fromkeys(MODELS, SIZE_MB)
         self.memory_mb = MEMORY_MB
         self.on_disk |= set(MODELS)
 
+    async def crash(self):
+        self.crashes += 1
+        self.crash_times.append(asyncio.get_running_loop().time())
+        self._down = True
+        self.restart()
+        await asyncio.sleep(self.down_s)
+        self._down = False
+        self.on_start()
+
+    async def _handle(self, request):
+        if self._down:
+            raise ConnectionResetError
+        return await super()._handle(request)
+
+    def _poisoned(self, request):
+        self.poison_times.append(asyncio.get_running_loop().time())
+        return super()._poisoned(request)
+
     def answer(self, request, **fields):
         body = request.headers.get("x-request-attempt", "").encode()
         self.run_times.append(asyncio.get_running_loop().time())
@@ -90,6 +117,8 @@
         self.gone = []
         self.in_force = 0
         self.ended = []
+        #: The tries of the poison request.
+        self.poisonings = []
         self._starts = 0
         self._ports = (quiet_port(), quiet_port())
 
@@ -223,7 +252,13 @@
 
     def _new_replica(self, name, service):
         self._starts += 1
-        return SoakReplica(f"{name}-{self._starts}", service)
+        replica = SoakReplica(f"{name}-{self._starts}", service)
+        replica.on_start = lambda: self._list_again(name, replica)
+        return replica
+
+    def _list_again(self, name, replica):
+        if self.replicas.get(name) is replica:
+            self.store.put(f"servers/{replica.instance}", self._entry_of(name))
 
     async def _start_replica(self, name, number, service):
         replica = self._new_replica(name, service)
@@ -285,7 +320,7 @@
             pause = 0.02 if attempt.status == 200 else 0.2
             await asyncio.sleep(min(attempt.come_back_s or pause, 1.0))
 
-    async def call(self, kind):
+    async def call(self, kind, body=b"b"):
         """One call."""
         loop = asyncio.get_running_loop()
         attempt_id = f"{self._name}-{self._number}-{len(self.attempts)}"
@@ -298,7 +333,7 @@
         listen = self._world.entries[self._name].form["listen"]["front"]
         url = f"http://{listen}/{kind}/x"
         try:
-            async with self._session.post(url, headers=headers, data=b"b") as resp:
+            async with self._session.post(url, headers=headers, data=body) as resp:
                 attempt.status = resp.status
                 if "retry-after" in resp.headers:
                     attempt.come_back_s = float(resp.headers["retry-after"])
