The wait before an attempt has a module of its own, and says why it refuses

Change: KeepingApart holds a call back or refuses it, as quarantined or kept_apart; a silent engine that a call can't leave for that reason is borne as kept_apart.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
@@ -67,6 +67,7 @@
     TIMED_OUT = "timed_out"
     LEAVING = "leaving"
     QUARANTINED = "quarantined"
+    KEPT_APART = "kept_apart"
 
 
 STATUS: dict[Reason, int] = {
@@ -83,6 +84,7 @@
     Reason.TIMED_OUT: 504,
     Reason.LEAVING: 503,
     Reason.QUARANTINED: 503,
+    Reason.KEPT_APART: 503,
 }
 
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -162,8 +162,8 @@
 
     ``why``: no attempt or no time left (``attempts``), the budget of second attempts
     used up (``budget``), no other backend server with a place (``no_place``), no
-    connection to it (``no_connection``), or the silent one has spoken after all
-    (``spoke``)."""
+    connection to it (``no_connection``), its request may not run elsewhere now because
+    of crashes (``kept_apart``), or the silent one has spoken after all (``spoke``)."""
 
     event: ClassVar[str] = "silence_borne"
 
--- a/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
+++ b/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
@@ -38,6 +38,7 @@
     BUDGET = "budget"
     NO_PLACE = "no_place"
     NO_CONNECTION = "no_connection"
+    KEPT_APART = "kept_apart"
     SPOKE = "spoke"
 
 
@@ -124,9 +125,10 @@
         now = self._relays.clock()
         ended = Ended.BROKEN if self._progress.passed_on else Ended.UNKNOWN
         decision = attempts.after(self._call, self._progress, ended, now)
-        admitted = self._relays.quarantine.admits(self._call)
-        if not isinstance(decision, SendAgain) or not admitted:
+        if not isinstance(decision, SendAgain):
             return Stays.ATTEMPTS
+        if not self._relays.quarantine.admits(self._call):
+            return Stays.KEPT_APART
         service = self._relays.service(self._call.service)
         if service.budget.left(now) < 1.0:
             return Stays.BUDGET
--- a/packages/bambootiller/src/bambootiller/gateway/front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/front.py
@@ -263,7 +263,8 @@
 
 
 def _deciding_fingerprint(refusal: Refusal, call: Call | None) -> str | None:
-    if call is None or refusal.reason is not Reason.QUARANTINED:
+    because_of_crashes = (Reason.QUARANTINED, Reason.KEPT_APART)
+    if call is None or refusal.reason not in because_of_crashes:
         return None
     return call.fingerprint
 
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/keeping_apart.py
@@ -0,0 +1,66 @@
+"""Holds a call back while its request may not run because of crashes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bambootiller.gateway.relays import Relays
+from bambootiller.gateway.reporting import CallReport
+from bambootiller_core.gateway import attempts
+from bambootiller_core.gateway.attempts import Reason, Refusal
+from bambootiller_core.gateway.calls import Call, Progress
+from bambootiller_core.gateway.crash_ledger import Admission, Standing
+
+#: A call is held no longer than this, and no more than this part of the time that it
+#: has left: a caller that would be refused in the end had better know at once. Seconds.
+LONGEST_HOLD_S = 2.5
+HOLD_SHARE = 0.5
+
+
+class KeepingApart:
+    """The wait of one call before each of its attempts.
+
+    Example::
+
+        refusal = await KeepingApart(relays, call, progress, report).wait()
+    """
+
+    def __init__(
+        self, relays: Relays, call: Call, progress: Progress, report: CallReport
+    ) -> None:
+        self._relays = relays
+        self._call = call
+        self._progress = progress
+        self._report = report
+
+    async def wait(self) -> Refusal | None:
+        """Wait until the call may be sent; returns a refusal if it may not, or not
+        soon."""
+        admission = self._admission()
+        if admission.standing is Standing.ADMITTED:
+            return None
+        began = self._relays.clock()
+        give_up_at = began + self._longest_hold_s(began)
+        while admission.standing is not Standing.ADMITTED:
+            now = self._relays.clock()
+            if admission.standing is Standing.QUARANTINED:
+                return _refusal(Reason.QUARANTINED, admission)
+            if now + admission.again_s > give_up_at:
+                return _refusal(Reason.KEPT_APART, admission)
+            await asyncio.sleep(admission.again_s)
+            admission = self._admission()
+        self._report.kept_apart(admission.crashes, self._relays.clock() - began)
+        return None
+
+    def _admission(self) -> Admission:
+        return self._relays.quarantine.admission(self._call)
+
+    def _longest_hold_s(self, now: float) -> float:
+        due = min(self._call.deadline, self._call.next_event_due(self._progress))
+        return max(0.0, min(LONGEST_HOLD_S, (due - now) * HOLD_SHARE))
+
+
+def _refusal(reason: Reason, admission: Admission) -> Refusal:
+    come_back_s = max(admission.again_s, attempts.COME_BACK_S)
+    detail = f"{admission.crashes:g} crashes of backend servers"
+    return Refusal(reason, come_back_s, detail)
--- a/packages/bambootiller/src/bambootiller/gateway/ports.py
+++ b/packages/bambootiller/src/bambootiller/gateway/ports.py
@@ -39,6 +39,15 @@
     ask: ModelAsk | None = None
     resume_after: int | None = None
 
+    def head(self, headers: Sequence[Header], body: bytes) -> bytes:
+        """The head of the request with these headers, as it goes to a backend
+        server."""
+        lines = [self.method.encode() + b" " + self.target + b" HTTP/1.1"]
+        lines += [name + b": " + value for name, value in headers]
+        if body or self.method not in ("GET", "HEAD", "DELETE"):
+            lines.append(b"content-length: %d" % len(body))
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
 
 @dataclass(frozen=True, slots=True)
 class Unreadable:
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -8,6 +8,7 @@
 
 from bambootiller.gateway.connections import BackendConnection, ConnectionLost
 from bambootiller.gateway.elsewhere import Elsewhere, Prepared, Stays
+from bambootiller.gateway.keeping_apart import KeepingApart
 from bambootiller.gateway.placing import LOOK_AGAIN_S, Placing
 from bambootiller.gateway.pools import CannotConnect
 from bambootiller.gateway.ports import AnswerHead, Incoming, Verdict
@@ -18,12 +19,10 @@
 from bambootiller_core.gateway.attempts import (
     CutOff,
     Ended,
-    Reason,
     Refusal,
     SendAgain,
 )
 from bambootiller_core.gateway.calls import Call, Progress
-from bambootiller_core.gateway.crash_ledger import Standing
 from bambootiller_core.gateway.events import Event, EventSplitter
 from bambootiller_core.gateway.fleet import Backend
 
@@ -33,10 +32,6 @@
 #: the caller's patience, or for the longest pause times this factor, whichever is more.
 SILENCE_SHARE = 0.35
 SILENCE_PAUSES = 3.0
-#: A call that has to run apart from others, or whose last run isn't settled, is held no
-#: longer than this, and no more than this part of the time that it has left. Seconds.
-LONGEST_HOLD_S = 2.5
-HOLD_SHARE = 0.5
 
 
 class AnswerCut(Exception):
@@ -66,6 +61,7 @@
         self._elsewhere = Elsewhere(
             relays, call, self._progress, self._placing, self.report
         )
+        self._keeping_apart = KeepingApart(relays, call, self._progress, self.report)
         #: Where the call goes on, found while its attempt before was still running.
         self._prepared: Prepared | None = None
         self._watch: SilenceWatch | None = None
@@ -94,7 +90,7 @@
         if self._call.ask is not None:
             self._placing.ask()
         while True:
-            kept_out = await self._kept_out()
+            kept_out = await self._keeping_apart.wait()
             if kept_out is not None:
                 return self._unplaced(kept_out)
             prepared, self._prepared = self._prepared, None
@@ -118,32 +114,6 @@
             if not isinstance(decision, SendAgain):
                 return self._finish(decision, ended.value)
 
-    async def _kept_out(self) -> Refusal | None:
-        """Wait until the call may be sent, or say why it won't be."""
-        began: float | None = None
-        while True:
-            admission = self._relays.quarantine.admission(self._call)
-            now = self._relays.clock()
-            if admission.standing is Standing.ADMITTED:
-                if began is not None:
-                    self.report.kept_apart(admission.crashes, now - began)
-                return None
-            began = now if began is None else began
-            is_late = now + admission.again_s > began + self._longest_hold_s(began)
-            if admission.standing is Standing.QUARANTINED or is_late:
-                detail = f"{admission.crashes:g} crashes of backend servers"
-                come_back_s = max(admission.again_s, attempts.COME_BACK_S)
-                return Refusal(Reason.QUARANTINED, come_back_s, detail)
-            await asyncio.sleep(admission.again_s)
-
-    def _longest_hold_s(self, now: float) -> float:
-        """How long the call may be kept apart from now on; a caller that would be
-        refused in the end had better know at once."""
-        left_s = (
-            min(self._call.deadline, self._call.next_event_due(self._progress)) - now
-        )
-        return max(0.0, min(LONGEST_HOLD_S, left_s * HOLD_SHARE))
-
     def _unplaced(self, refusal: Refusal) -> Refusal:
         """The final answer of a call that is sent nowhere from now on."""
         if self._progress.passed_on or self._progress.may_have_run:
@@ -244,7 +214,7 @@
             self._incoming, call, backend.instance, resume_after
         )
         headers.append(relays.dialect.time_left(call.deadline - began))
-        conn.send(self._request_head(backend, headers), self._body)
+        conn.send(self._incoming.head(headers, self._body), self._body)
         silence_s = self._silence_s(began)
         if silence_s is None:
             return await self._answer(backend, conn, ran_before)
@@ -286,14 +256,6 @@
             return self._progress.last_event
         return self._call.resume_after
 
-    def _request_head(self, backend: Backend, headers: list) -> bytes:
-        incoming = self._incoming
-        lines = [incoming.method.encode() + b" " + incoming.target + b" HTTP/1.1"]
-        lines += [name + b": " + value for name, value in headers]
-        if self._body or incoming.method not in ("GET", "HEAD", "DELETE"):
-            lines.append(b"content-length: %d" % len(self._body))
-        return b"\r\n".join(lines) + b"\r\n\r\n"
-
     async def _next(
         self,
         backend: Backend,
