--- a/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
@@ -20,6 +20,7 @@
 from __future__ import annotations
 
 import enum
+import heapq
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -141,6 +142,8 @@
         self._sound: OrderedDict[str, None] = OrderedDict()
         #: Sound requests that others may suspect, with the version and the source.
         self._cleared: OrderedDict[str, tuple[int, str]] = OrderedDict()
+        #: Those of which it may still show what became of the backend server.
+        self._watched: list[_Record] = []
         self._quarantined: dict[str, float] = {}
         self._explained: set[Incarnation] = set()
         #: How many changes there have been that others may have to hear of.
@@ -162,6 +165,7 @@
         if held is not None:
             record.fate = held.fate
         records[run.incarnation] = record
+        self._watched.append(record)
         self._forget_least()
         return True
 
@@ -184,16 +188,17 @@
         """Look again at what became of backend servers, given what was thought of them
         until now; returns the requests that are quarantined from now on."""
         changed = False
-        for name, record in list(self._records()):
-            if now - record.run.lost_at > FINAL_S and record.fate is Fate.CRASHED:
+        watched, self._watched = self._watched, []
+        for record in watched:
+            if not self._holds(record):
                 continue
-            fate = fate_of(record.run, record.fate)
-            if fate is record.fate:
-                continue
-            changed = True
-            record.fate = fate
-            if fate is Fate.SURVIVED:
-                self._drop(name, record.run.incarnation)
+            before = record.fate
+            record.fate = fate_of(record.run, before)
+            changed = changed or record.fate is not before
+            if record.fate is Fate.SURVIVED:
+                self._drop(record.run)
+            elif now - record.run.lost_at <= FINAL_S or record.fate is Fate.OPEN:
+                self._watched.append(record)
         if not changed:
             return []
         before = set(self._quarantined)
@@ -224,7 +229,7 @@
         ``but_from`` what that peer did."""
         runs = tuple(
             record.run
-            for _, record in self._records()
+            for record in self._records()
             if _goes_out(record.version, record.source, since, own, but_from)
         )
         sound = tuple(
@@ -236,9 +241,13 @@
 
     def forget(self, now: float) -> None:
         """Drop lost runs past their time."""
-        for name, record in list(self._records()):
-            if now - record.run.lost_at > KEPT_S:
-                self._drop(name, record.run.incarnation)
+        old = [
+            record.run
+            for record in self._records()
+            if now - record.run.lost_at > KEPT_S
+        ]
+        for run in old:
+            self._drop(run)
         self._judge()
 
     def lost_runs(self, fingerprint: str) -> tuple[LostRun, ...]:
@@ -261,16 +270,19 @@
         """How many requests have been quarantined."""
         return len(self._quarantined)
 
-    def _records(self) -> Iterator[tuple[str, _Record]]:
-        for name, records in self._runs.items():
-            for record in records.values():
-                yield name, record
+    def _records(self) -> Iterator[_Record]:
+        for records in self._runs.values():
+            yield from records.values()
+
+    def _holds(self, record: _Record) -> bool:
+        records = self._runs.get(record.run.fingerprint, {})
+        return records.get(record.run.incarnation) is record
 
-    def _drop(self, name: str, incarnation: Incarnation) -> None:
-        records = self._runs[name]
-        del records[incarnation]
+    def _drop(self, run: LostRun) -> None:
+        records = self._runs[run.fingerprint]
+        del records[run.incarnation]
         if not records:
-            del self._runs[name]
+            del self._runs[run.fingerprint]
 
     def _clear(self, name: str, source: str) -> None:
         self.version += 1
@@ -311,25 +323,26 @@
         is freed when that one has gone on.
         """
         self._quarantined, self._explained = {}, set()
-        while True:
-            counts = {
-                name: self._count(name, Fate.CRASHED)
-                for name in self._runs
-                if name not in self._quarantined
-            }
-            # Of two that were at as many, the one that was at the latest: the other may
-            # have been kept from it.
-            worst = max(
-                counts,
-                key=lambda name: (counts[name], self._last_at(name), name),
-                default=None,
-            )
-            if worst is None or counts[worst] < MOST_CRASHES:
-                return
-            self._quarantined[worst] = counts[worst]
+        suspects = []
+        for name in self._runs:
+            crashes = self._count(name, Fate.CRASHED)
+            if crashes >= MOST_CRASHES:
+                # Of two that were at as many, the one that was at the latest: the other
+                # may have been kept from it.
+                suspects.append((-crashes, -self._last_at(name), name))
+        heapq.heapify(suspects)
+        while suspects:
+            before, last_at, name = heapq.heappop(suspects)
+            crashes = self._count(name, Fate.CRASHED)
+            if crashes < MOST_CRASHES:
+                continue
+            if crashes < -before:
+                heapq.heappush(suspects, (-crashes, last_at, name))
+                continue
+            self._quarantined[name] = crashes
             self._explained |= {
                 incarnation
-                for incarnation, record in self._runs[worst].items()
+                for incarnation, record in self._runs[name].items()
                 if record.fate is Fate.CRASHED
             }
 
--- a/tests/gateway/cover/test_crash_ledger.py
+++ b/tests/gateway/cover/test_crash_ledger.py
@@ -43,7 +43,7 @@
         return self.ledger.admission(now, name).standing
 
     def assert_quarantined(self, *names):
-        known = {name for name, _ in self.ledger._records()}
+        known = set(self.ledger._runs)
         found = {name for name in known if self.standing(name) is Standing.QUARANTINED}
         self.assertEqual(found, set(names))
 
@@ -83,8 +83,7 @@
         for number in range(MOST_REQUESTS + 10):
             self.crash(100 + number, f"s{number}")
         self.assert_quarantined("p")
-        names = {name for name, _ in self.ledger._records()}
-        self.assertEqual(len(names), MOST_REQUESTS)
+        self.assertEqual(len(self.ledger._runs), MOST_REQUESTS)
 
 
 class TestSoundRequests(Case):
