A run that is lost after its engine's registration lapsed counts

What callers saw: in a test, a request that ends engines without closing their connections, whose callers leave after some seconds, was sent on without end. Cause: runs at a backend server that isn't listed any more weren't noted, as it may have left without saying so. Its registration lapses within 3.6 s, before callers of a silent engine leave. Change: only runs at a backend server that says it leaves aren't noted.

--- a/packages/bambootiller/src/bambootiller/gateway/quarantine.py
+++ b/packages/bambootiller/src/bambootiller/gateway/quarantine.py
@@ -85,8 +85,8 @@
 
     def run_lost(self, call: Call, backend: Backend, progressed: bool) -> None:
         """A run of the call ended without an answer."""
-        if backend.registered.leaving or not self._lives(backend):
-            # It was about to end, or had ended, whatever ran there.
+        if backend.registered.leaving:
+            # It was about to end whatever ran there.
             return
         now = self._clock()
         run = LostRun(call.fingerprint, backend.incarnation, progressed, now)
@@ -139,9 +139,6 @@
             self.settle(now)
             self._poke()
 
-    def _lives(self, backend: Backend) -> bool:
-        return self._knowledge.fleet.get(backend.instance) is backend
-
     def settle(self, now: float) -> None:
         """Look again at what became of backend servers where runs were lost."""
         if self._ledger.is_empty:
--- a/tests/adapter/failures/test_poison_requests.py
+++ b/tests/adapter/failures/test_poison_requests.py
@@ -287,23 +287,34 @@
                 )
                 self.bench.knowledge.fleet.engine_told(now, told)
 
-    async def call_and_leave(self):
+    async def call_and_leave(self, lapses_first=False):
         calling = asyncio.create_task(
             self.bench.call(path=b"/a/x", leave_after=0.2, x_model=MODEL_NAME)
         )
         await asyncio.sleep(0.1)
         self.engines_are_silent()
+        if lapses_first:
+            self.registrations_lapse()
         answer = await calling
+        self.registrations_lapse()
+        return answer
+
+    def registrations_lapse(self):
+        """Engines that have run something are listed no more."""
+        now = asyncio.get_running_loop().time()
         for replica in self.bench.replicas:
             if replica.runs:
-                # Its registration lapses.
-                now = asyncio.get_running_loop().time()
                 self.bench.knowledge.fleet.registry_removed(now, replica.instance)
-        return answer
 
     async def test_runs_that_are_left_there_count(self):
+        await self.assert_kept_out(lapses_first=False)
+
+    async def test_runs_that_are_left_after_its_registration_lapsed_count_too(self):
+        await self.assert_kept_out(lapses_first=True)
+
+    async def assert_kept_out(self, lapses_first):
         for _ in range(MOST_CRASHES):
-            await self.call_and_leave()
+            await self.call_and_leave(lapses_first)
         answer = await self.call_and_leave()
         self.assertEqual(answer.status, 503)
         self.assertEqual(answer.body, b"quarantined")
