A model whose load ends engines is loaded no more after the third

What callers saw: in a test, two engines that end 50 ms after they begin to load a model were ordered to load it eight times in eight seconds; by hand, three engines 27 times in 32 s. All that these engines held was lost each time. Change: an agent notes that its engine stopped to answer during a load, in the same ledger; a load that ends well clears its model. Entries wish for no quarantined load, and refuse the model's callers at once with when it may be loaded again.

--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -20,11 +20,13 @@
 from bambootiller_core.gateway.config import EngineSpec, GatewayConfig
 from bambootiller_core.gateway.copies import copies_changed
 from bambootiller_core.gateway.engine_state import EngineState
+from bambootiller_core.gateway.incarnation import Incarnation
 from bambootiller_core.gateway.order_messages import (
     EngineOrder,
     EngineReport,
     LoadEnded,
     OrderAnswer,
+    OrderKind,
 )
 from bambootiller_core.gateway.orders import OrderBook
 from bambootiller_core.gateway.report_naming import listed_at, named
@@ -84,6 +86,9 @@
         self._token: int | None = None
         self._wake = asyncio.Event()
         self._silent_since: float | None = None
+        #: The model that the engine was last ordered to load, and when, until that has
+        #: ended.
+        self._loading: tuple[str, float] | None = None
         self._reported_at = 0.0
         self._add_levels(meters)
         app.add_servicer(self._register)
@@ -226,6 +231,7 @@
                 self._silent_since = self._app.now()
                 self._events.emit(lines.DependencyLost("engine", report.detail))
                 self._words.engine_answers(False)
+                self._engine_gone()
             return QUIET_S
         self._reported_at = self._app.now()
         if self._silent_since is not None:
@@ -261,14 +267,28 @@
             return
         if not now_there.incarnation.is_other_start(before.incarnation):
             return
+        self._engine_gone(before.incarnation)
         line = lines.BackendRestarted(
             report.instance, now_there.started_ms, before.started_ms, "report"
         )
         self._events.emit(line)
 
+    def _engine_gone(self, incarnation: Incarnation | None = None) -> None:
+        """The engine answers no more, or in another start; its load may have ended
+        it."""
+        report = self._book.report
+        if self._loading is None or report is None:
+            return
+        (model, began), self._loading = self._loading, None
+        ended = incarnation or report.incarnation
+        self._quarantine.load_lost(model, ended, self._app.now() - began)
+
     def _note_load(self, ended: LoadEnded | None) -> None:
         if ended is None:
             return
+        self._loading = None
+        if ended.held:
+            self._quarantine.load_completed(ended.model)
         seconds = round(ended.seconds, 2)
         self._events.emit(
             lines.LoadEnded(ended.model, ended.held, seconds, ended.from_store)
@@ -282,6 +302,9 @@
         want = book.wants().get(order.wanted_for or order.model, Want())
         answer = await self._engine.order(order, instance, self._token)
         book.answered(self._app.now(), order, answer)
+        may_load = answer in (OrderAnswer.ACCEPTED, OrderAnswer.UNANSWERED)
+        if may_load and order.kind is OrderKind.LOAD and not order.adapter:
+            self._loading = (order.model, decided)
         line = lines.Order(
             order.kind.value,
             order.model,
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -15,6 +15,7 @@
 from bambootiller.gateway.quarantine import Quarantine
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core.gateway.collecting import collectors
+from bambootiller_core.gateway.crash_ledger import Standing
 from bambootiller_core.gateway.fleet import AGENT_SILENT_S, Backend
 from bambootiller_core.gateway.log_lines import BackendRemoved
 from bambootiller_core.gateway.order_messages import Wish
@@ -67,7 +68,11 @@
         self.quarantine.start(self._app.timers, now)
 
     def wish(self, backend: Backend, wish: Wish) -> bool:
-        """Ask the agent beside the engine for a load; False if there is none."""
+        """Ask the agent beside the engine for a load; False if there is none, or if
+        the load ends engines."""
+        admission = self.quarantine.load_admission(wish.model)
+        if not wish.adapter and admission.standing is not Standing.ADMITTED:
+            return False
         link = self._links.get(backend.registered.host)
         if link is None:
             return False
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -6,6 +6,7 @@
 from bambootiller_core.gateway import attempts, selection
 from bambootiller_core.gateway.attempts import Reason, Refusal
 from bambootiller_core.gateway.calls import Call, Progress
+from bambootiller_core.gateway.crash_ledger import Standing
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.log_lines import PlanSeen
 from bambootiller_core.gateway.order_messages import Wish
@@ -166,6 +167,9 @@
     def _await_model(self, now: float, untried: list[Backend]) -> Refusal | None:
         call, ask = self._call, self._call.ask
         engines = self._relays.engines
+        admission = self._relays.quarantine.load_admission(ask.model)
+        if admission.standing is Standing.QUARANTINED:
+            return Refusal(Reason.COLD, admission.again_s, "its load ends engines")
         planned = engines.plans.plan_for(call.service, ask.model)
         due = (
             min(self._call.next_event_due(self._progress), call.deadline)
--- a/packages/bambootiller/src/bambootiller/gateway/quarantine.py
+++ b/packages/bambootiller/src/bambootiller/gateway/quarantine.py
@@ -24,6 +24,7 @@
     Standing,
 )
 from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.incarnation import Incarnation
 from bambootiller_core.gateway.log_lines import RequestCleared, RequestQuarantined
 from bambootiller_core.timers import TimerService
 
@@ -31,6 +32,11 @@
 #: caller's next try may come as soon. Seconds.
 SETTLE_S = 0.1
 FORGET_S = 60.0
+#: What stands before the model in the fingerprint of a load.
+LOAD = "load "
+#: An engine that ends with a load ends as it begins; one that ends later counts half.
+#: Seconds.
+LOAD_BEGINS_S = 1.0
 #: The source of lost runs that were recorded.
 RECORDED = "record"
 
@@ -88,18 +94,24 @@
         if backend.registered.leaving:
             # It was about to end whatever ran there.
             return
-        now = self._clock()
-        run = LostRun(call.fingerprint, backend.incarnation, progressed, now)
-        if self._ledger.run_lost(run):
-            self.settle(now)
-            self._poke()
+        self._lost(call.fingerprint, backend.incarnation, progressed)
 
     def completed(self, call: Call) -> None:
         """A run of the call was answered whole."""
-        lost_runs = self._ledger.completed(call.fingerprint)
-        if lost_runs:
-            self._events.emit(RequestCleared(call.fingerprint, lost_runs, "run"))
-            self._poke()
+        self._completed(call.fingerprint)
+
+    def load_lost(self, model: str, engine: Incarnation, seconds: float) -> None:
+        """The engine stopped to answer ``seconds`` after the load of a model began."""
+        self._lost(LOAD + model, engine, seconds > LOAD_BEGINS_S)
+
+    def load_completed(self, model: str) -> None:
+        """The load of a model has ended well."""
+        self._completed(LOAD + model)
+
+    def load_admission(self, model: str) -> Admission:
+        """Whether the model may be loaded now: a load can end engines as a request
+        can."""
+        return self._ledger.admission(self._clock(), LOAD + model)
 
     def admission(self, call: Call) -> Admission:
         """Whether the call may be sent to a backend server now."""
@@ -139,6 +151,18 @@
             self.settle(now)
             self._poke()
 
+    def _lost(self, name: str, incarnation: Incarnation, progressed: bool) -> None:
+        now = self._clock()
+        if self._ledger.run_lost(LostRun(name, incarnation, progressed, now)):
+            self.settle(now)
+            self._poke()
+
+    def _completed(self, name: str) -> None:
+        lost_runs = self._ledger.completed(name)
+        if lost_runs:
+            self._events.emit(RequestCleared(name, lost_runs, "run"))
+            self._poke()
+
     def settle(self, now: float) -> None:
         """Look again at what became of backend servers where runs were lost."""
         if self._ledger.is_empty:
--- a/tests/adapter/failures/test_poison_requests.py
+++ b/tests/adapter/failures/test_poison_requests.py
@@ -43,7 +43,7 @@
             replica = await self.replica(host, f"i-{number}", "llm", (MODEL_NAME,))
             replica.on_disk.add(MODEL_NAME)
             replica.poison = POISON
-            replica.on_start = self._lists_again(replica)
+            replica.on_start = self.lists_again(replica)
             if renamed:
                 replica.tells_start = False
                 self.store.put(f"servers/{replica.instance}", replica.entry())
@@ -124,7 +124,9 @@
         """How often an engine has ended."""
         return sum(replica.crashes for replica in self.replicas.values())
 
-    def _lists_again(self, replica):
+    def lists_again(self, replica):
+        """What lists a replica that is back."""
+
         def put():
             self.store.put(f"servers/{replica.instance}", replica.entry())
 
