Soak seed 300: a replica that leaves isn't listed as ready after a crash

Cause: seed 300 said that six calls came to a replica after it had said that it leaves. It had said so at 3509.9; the poison request ended it a moment later, and the soak listed its next start as ready, which entries rightly believe. Ruled out: a fault of the programs (they learnt the new entry from the store, the log's backend_listed shows it not leaving). Change: a replica that has said that it leaves stays down for the registry; the seed stays as a test with the faults that it drew. Conclusion: a fault of the soak.

--- a/tests/soak/failures/seeds.py
+++ b/tests/soak/failures/seeds.py
@@ -7,7 +7,8 @@
 SECONDS = 12.0
 
 
-async def again(case, seed):
-    """Run a seed, and fail the test if a promise is broken."""
-    report = await soak(seed, SECONDS, "out/soak", FIRST_FAULTS)
+async def again(case, seed, faults=FIRST_FAULTS):
+    """Run a seed with the faults that it had, and fail the test if a promise is
+    broken."""
+    report = await soak(seed, SECONDS, "out/soak", faults)
     case.assertEqual(report.broken, [], report)
--- a/tests/soak/failures/test_seeds_of_checks.py
+++ b/tests/soak/failures/test_seeds_of_checks.py
@@ -3,6 +3,7 @@
 import unittest
 
 from tests.soak.failures.seeds import again
+from tests.soak.faults import SECOND_FAULTS
 
 
 class TestSeeds(unittest.IsolatedAsyncioTestCase):
@@ -23,3 +24,8 @@
         """A replica left while the store was away, which came back for half a second
         only before it was away again."""
         await again(self, 140)
+
+    async def test_seed_300(self):
+        """A replica that a request ended was listed as ready, though it had said that
+        it leaves."""
+        await again(self, 300, SECOND_FAULTS)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -31,6 +31,10 @@
 )
 
 
+#: Those that seeds drew from next.
+SECOND_FAULTS = (*FIRST_FAULTS, "poison", "restart")
+
+
 def fault(name, planned=False):
     """Register a fault. One that is ``planned`` may cost no call its answer."""
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -257,7 +257,7 @@
         return replica
 
     def _list_again(self, name, replica):
-        if self.replicas.get(name) is replica:
+        if self.replicas.get(name) is replica and replica.left_at is None:
             self.store.put(f"servers/{replica.instance}", self._entry_of(name))
 
     async def _start_replica(self, name, number, service):
