--- a/tests/adapter/common/entry.py
+++ b/tests/adapter/common/entry.py
@@ -55,6 +55,9 @@
     def copies_seen(self, service, model):
         return ()
 
+    def obstacles(self, service, model):
+        return None
+
     def store_loads_under_way(self, service):
         return 0
 
