Lines and metrics tell who is asked for and never served, and why

Callers saw: "no engine can load it", come back in 6 s, for forty seconds. Cause: no line said what kept engines from a load, which model or adapter has been refused to everybody for how long, or that the weight store serves nobody. Ruled out: nothing. Change: a refusal without a plan counts engines by what keeps them from the load (obstacles); answered, refused, cut and caller_gone name the adapter; weight_store_idle; gauges of models by the age of their first unserved call, of the store's idle seconds; a counter of obstacles. No decision changes.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
@@ -35,6 +35,7 @@
     FencingToken,
     LoadEnded,
     Order,
+    WeightStoreIdle,
 )
 from bambootiller_core.gateway.log_lines._process import (
     CutAtStop,
@@ -55,6 +56,7 @@
     CopySeen,
     Cut,
     KeptApart,
+    Obstacles,
     PlanSeen,
     Refused,
     SilenceBorne,
@@ -87,6 +89,7 @@
     "LinesLeftOut",
     "LoadEnded",
     "LogLine",
+    "Obstacles",
     "Order",
     "PeerHeard",
     "PeerSilent",
@@ -101,4 +104,5 @@
     "StoodStill",
     "Stopped",
     "Stopping",
+    "WeightStoreIdle",
 ]
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
@@ -6,6 +6,7 @@
 from typing import ClassVar
 
 from bambootiller_core.gateway.log_lines._base import LogLine
+from bambootiller_core.gateway.log_lines._requests import Obstacles
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,3 +66,20 @@
     lost: tuple[str, ...]
     on_disk: int
     in_memory: int
+
+
+@dataclass(frozen=True, slots=True)
+class WeightStoreIdle(LogLine):
+    """No load from the weight store is under way, though callers wait for models that
+    no engine has a copy of.
+
+    ``seconds`` is for how long, ``awaited`` how many such models there are, ``model``
+    the most wanted of them, ``obstacles`` what keeps engines from loading that."""
+
+    event: ClassVar[str] = "weight_store_idle"
+
+    service: str
+    seconds: float
+    awaited: int
+    model: str
+    obstacles: Obstacles | None
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -36,6 +36,19 @@
     state: str
 
 
+@dataclass(frozen=True, slots=True)
+class Obstacles:
+    """How many engines are kept from loading a model, by what keeps them: ``no_orders``
+    (they take none, or their agent is silent), ``kept_for_adapters``, ``no_room`` (what
+    they hold doesn't make way). ``able`` are the others: they only wait for the weight
+    store."""
+
+    no_orders: int = 0
+    kept_for_adapters: int = 0
+    no_room: int = 0
+    able: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class PlanSeen:
     """The plan on which a call waited for its model, or was refused.
@@ -43,7 +56,8 @@
     ``ready_in_s`` None: no engine can load it. ``backend`` is the engine of the planned
     load; ``agent_age_ms`` the age of its agent's word, ``waiting`` the calls of all
     entries that wait for the model. ``copies`` are engines with a copy of the model, a
-    few at most, ``store_loads`` the loads from the weight store that are under way."""
+    few at most, ``store_loads`` the loads from the weight store that are under way.
+    ``obstacles`` tells why no engine can load it."""
 
     ready_in_s: float | None = None
     backend: str | None = None
@@ -53,6 +67,7 @@
     waiting: int = 0
     copies: tuple[CopySeen, ...] = ()
     store_loads: int = 0
+    obstacles: Obstacles | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +91,7 @@
     longest_gap_ms: int
     config_version: int
     chosen_on: ChosenOn
+    adapter: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +137,7 @@
     config_version: int | None
     plan: PlanSeen | None = None
     fingerprint: str | None = None
+    adapter: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +154,7 @@
     last_event: int | None
     held_ms: int
     reason: str
+    adapter: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,3 +230,4 @@
     held_ms: int
     attempts: int
     last_event: int | None
+    adapter: str | None = None
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -23,7 +23,9 @@
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.load_order import MANY_WAITING, Rank, in_order
+from bambootiller_core.gateway.log_lines import Obstacles
 from bambootiller_core.gateway.moving import WORTH_S, WORTH_WAITING, find_move
+from bambootiller_core.gateway.obstacles import obstacles
 from bambootiller_core.gateway.places import (
     LONG_LOAD_S,
     ORDER_S,
@@ -98,6 +100,8 @@
         self._left_s = left_s or _told_left_s
         self._ends_elsewhere = ends_elsewhere
         self._tries_one_more = tries_one_more
+        self._known: list[Backend] = []
+        self._copied: Counter[str] = Counter()
         self._places: list[Place] = []
         self._copies: dict[str, list[Place]] = {}
         self._only_here: dict[str, set[str]] = {}
@@ -123,7 +127,8 @@
             for backend in backends
             if backend.engine is not None and not backend.lost(now)
         ]
-        copies = self._survey(now, known, wants)
+        self._known = known
+        self._copied = copies = self._survey(now, known, wants)
         plan = self._under_way(known)
         store_ends = [load.ready_in_s for load in plan.values() if load.from_store]
         store_ends += self._ends_elsewhere
@@ -138,6 +143,25 @@
             # Otherwise it is being moved, to make room for one before it in the order.
         return plan
 
+    def awaited_from_store(self, wants: Mapping[str, Want]) -> list[str]:
+        """The models that calls wait for and no engine had a copy of at the last plan,
+        the most wanted first."""
+        awaited = [
+            name
+            for name, want in wants.items()
+            if want.waiting and name in self._engine.models and not self._copied[name]
+        ]
+        return sorted(awaited, key=lambda name: (-wants[name].value, name))
+
+    def obstacles(self, model: str, want: Want) -> Obstacles | None:
+        """What kept engines from loading the model at the last plan."""
+        spec = self._engine.models.get(model)
+        if spec is None:
+            return None
+        return obstacles(
+            self._engine, spec, want, self._known, self._places, self._adapters
+        )
+
     def _plan_one(
         self,
         spec: ModelSpec,
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_idle.py
@@ -0,0 +1,48 @@
+"""How long the weight store serves nobody while callers wait for what only it has.
+
+Example::
+
+    idle = StoreIdle()
+    spell = idle.observe(now, loads_under_way=0, awaited={"tutor"})
+    idle.total_s  # a level for the metrics page
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+#: A load begins some moments after the one before has ended: the agent has to see the
+#: end, and an entry to plan. A spell shorter than this is no finding. Seconds.
+SPELL_S = 1.0
+#: A spell that goes on is told again after this time. Seconds.
+AGAIN_S = 5.0
+
+
+class StoreIdle:
+    """The weight store of one service, as one process sees it."""
+
+    def __init__(self) -> None:
+        #: All idle time so far. Seconds.
+        self.total_s = 0.0
+        self._since: float | None = None
+        self._seen_at = 0.0
+        self._told_at: float | None = None
+
+    def observe(
+        self, now: float, loads_under_way: int, awaited: Collection[str]
+    ) -> float | None:
+        """Take a look; ``awaited`` are models that no engine has a copy of. Returns how
+        long the store has been idle where that is to be told, in seconds."""
+        if loads_under_way or not awaited:
+            self._since = self._told_at = None
+            return None
+        if self._since is None:
+            self._since = self._seen_at = now
+        self.total_s += now - self._seen_at
+        self._seen_at = now
+        told_at = self._told_at
+        due_at = self._since + SPELL_S if told_at is None else told_at + AGAIN_S
+        if now < due_at:
+            return None
+        self._told_at = now
+        return now - self._since
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -19,10 +19,16 @@
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.gateway.first_look import FirstLook
 from bambootiller_core.gateway.fleet import Backend
-from bambootiller_core.gateway.log_lines import CopySeen
+from bambootiller_core.gateway.log_lines import (
+    CopySeen,
+    LogLine,
+    Obstacles,
+    WeightStoreIdle,
+)
 from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
 from bambootiller_core.gateway.places import copies_at
 from bambootiller_core.gateway.residency import PlannedLoad, Planner
+from bambootiller_core.gateway.store_idle import StoreIdle
 from bambootiller_core.gateway.store_speed import StoreSpeed
 from bambootiller_core.gateway.store_speeds import StoreSpeeds, left_by
 from bambootiller_core.gateway.want import NO_WANT, Want
@@ -50,10 +56,12 @@
         app: Application,
         knowledge: Knowledge,
         wish: Callable[[Backend, Wish], object],
+        emit: Callable[[LogLine], None] = lambda line: None,
     ) -> None:
         self._app = app
         self._knowledge = knowledge
         self._wish = wish
+        self._emit = emit
         #: The entries that agents hear, this one among them.
         self.entries: tuple[str, ...] = ()
         self._demand: dict[str, Demand] = {}
@@ -61,6 +69,8 @@
         self._totals = Totals()
         self._plans: dict[str, dict[str, PlannedLoad]] = {}
         self._planned_for: dict[str, dict[str, Want]] = {}
+        self._planners: dict[str, Planner] = {}
+        self._store_idle: dict[str, StoreIdle] = {}
         self._planned_at = float("-inf")
         self._speeds = StoreSpeeds()
         self._first_looks: dict[str, FirstLook] = {}
@@ -108,6 +118,19 @@
         """The calls of all entries that waited for the model at the last plan."""
         return self._planned_for.get(service, {}).get(model, NO_WANT).waiting
 
+    def obstacles(self, service: str, model: str) -> Obstacles | None:
+        """What kept engines from loading the model at the last plan."""
+        planner = self._planners.get(service)
+        if planner is None:
+            return None
+        want = self._planned_for.get(service, {}).get(model, NO_WANT)
+        return planner.obstacles(model, want)
+
+    def store_idle_s(self) -> float:
+        """For how long altogether the weight store served nobody while callers waited
+        for models that no engine has a copy of, by this entry's plans."""
+        return sum(idle.total_s for idle in self._store_idle.values())
+
     def copies_seen(self, service: str, model: str) -> tuple[CopySeen, ...]:
         """The engines that have a copy of the model, and what keeps it there."""
         engines = {item.name: item.engine for item in self._engine_services()}
@@ -177,12 +200,28 @@
             plan = planner.plan(now, backends, wants_of_all)
             self._plans[service.name] = plan
             self._planned_for[service.name] = wants_of_all
+            self._planners[service.name] = planner
+            self._note_idle_store(now, service.name, planner, wants_of_all)
             asks_store = self._knows_engines(now, service.name, backends)
             self._ask(plan, wants, wants_of_all, asks_store)
             if plan or any(want.value for want in wants_of_all.values()):
                 self._clock.has_work()
         self._clock.pause_s = pause_s(pairs)
 
+    def _note_idle_store(
+        self, now: float, service: str, planner: Planner, wants: Mapping[str, Want]
+    ) -> None:
+        idle = self._store_idle.setdefault(service, StoreIdle())
+        awaited = planner.awaited_from_store(wants)
+        under_way = self.store_loads_under_way(service)
+        seconds = idle.observe(now, under_way, awaited)
+        if seconds is None:
+            return
+        first = awaited[0]
+        seen = planner.obstacles(first, wants[first])
+        line = WeightStoreIdle(service, round(seconds, 2), len(awaited), first, seen)
+        self._emit(line)
+
     def _is_old(self, now: float) -> bool:
         return now - self._planned_at > FRESH_PAUSES * self._clock.pause_s
 
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -17,7 +17,7 @@
 from bambootiller_core.gateway.collecting import collectors
 from bambootiller_core.gateway.crash_ledger import Standing
 from bambootiller_core.gateway.fleet import AGENT_SILENT_S, Backend
-from bambootiller_core.gateway.log_lines import BackendRemoved
+from bambootiller_core.gateway.log_lines import BackendRemoved, LogLine
 from bambootiller_core.gateway.order_messages import Wish
 from bambootiller_core.gateway.relaying import entry_turn
 from bambootiller_core.gateway.wakes import wakes_calls
@@ -55,7 +55,7 @@
         self._agent_port = agent_port
         self._links: dict[str, _Link] = {}
         self._collectors: dict[str, list[str]] = {}
-        self.plans = EnginePlans(app, knowledge, self.wish)
+        self.plans = EnginePlans(app, knowledge, self.wish, self._emit)
         self.quarantine = Quarantine(knowledge, events, app.now, self._tell_collectors)
         self._reached: list[tuple[str, bool, bool]] = []
 
@@ -67,6 +67,9 @@
         self.plans.start(now)
         self.quarantine.start(self._app.timers, now)
 
+    def _emit(self, line: LogLine) -> None:
+        self._events.emit(line)
+
     def wish(self, backend: Backend, wish: Wish) -> bool:
         """Ask the agent beside the engine for a load; False if there is none, or if
         the load ends engines."""
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -250,6 +250,12 @@
             "Loads from the weight store that agents tell of",
             engines.plans.all_store_loads_under_way,
         )
+        meters.level(
+            "weight_store_idle_seconds",
+            "Time in which the weight store served nobody while callers waited for"
+            " models that no engine has a copy of",
+            engines.plans.store_idle_s,
+        )
         meters.level(
             "requests_quarantined",
             "Requests that are kept from all backend servers",
--- a/packages/bambootiller/src/bambootiller/gateway/front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/front.py
@@ -217,6 +217,7 @@
             config_version=config.version if config else None,
             plan=refusal.plan,
             fingerprint=_deciding_fingerprint(refusal, call),
+            adapter=(call.ask.adapter or None) if call and call.ask else None,
         )
         relays.events.emit(line)
         body = refusal.reason.value.encode()
--- a/packages/bambootiller/src/bambootiller/gateway/meters.py
+++ b/packages/bambootiller/src/bambootiller/gateway/meters.py
@@ -14,7 +14,9 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
+from dataclasses import asdict
 
 from prometheus_client import (
     CollectorRegistry,
@@ -25,6 +27,7 @@
 )
 
 from bambootiller_core.gateway import log_lines as lines
+from bambootiller_core.gateway.unserved import Unserved
 
 #: Values of one label that are told apart; all further ones count as "other".
 MOST_LABELS = 40
@@ -33,6 +36,9 @@
 #: From a few milliseconds, what a good answer takes, to the longest deadlines. Seconds.
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0)
 
+#: Models and adapters are counted by how long nobody has been served. Seconds.
+UNSERVED_AGES_S = (4, 8, 16, 32)
+
 Count = Callable[["Meters", lines.LogLine], None]
 _COUNTS: dict[type[lines.LogLine], Count] = {}
 
@@ -76,6 +82,7 @@
         self.registry = CollectorRegistry()
         self._route = BoundedLabel()
         self._service = BoundedLabel()
+        self.unserved = Unserved()
         self.requests = self._counter(
             "requests", "Calls by their end", "route", "kind", "outcome"
         )
@@ -137,6 +144,12 @@
             "Requests quarantined, and found sound after lost runs",
             "change",
         )
+        self.obstacles = self._counter(
+            "load_obstacles",
+            "Engines that were kept from a load that a refused call needed",
+            "obstacle",
+        )
+        self._show_unserved()
         self.config_version = self._gauge(
             "config_version", "The configuration in force"
         )
@@ -159,6 +172,25 @@
         """A level that is read when the page is asked for."""
         self._gauge(name, text).set_function(read)
 
+    def _show_unserved(self) -> None:
+        unserved = self.unserved
+        ages = Gauge(
+            PREFIX + "models_unserved",
+            "Models and adapters asked for here of which no call has been served for"
+            " so many seconds",
+            ["seconds"],
+            registry=self.registry,
+        )
+        for age_s in UNSERVED_AGES_S:
+            ages.labels(str(age_s)).set_function(
+                lambda age_s=age_s: unserved.count(time.monotonic(), age_s)
+            )
+        self.level(
+            "oldest_unserved_seconds",
+            "For how long a model or adapter that is asked for here hasn't been served",
+            lambda: unserved.oldest_s(time.monotonic()),
+        )
+
     def page(self) -> bytes:
         """All metrics in the text format that scrapers read."""
         return generate_latest(self.registry)
@@ -186,6 +218,8 @@
     meters.first_part.observe(line.first_ms / 1000)
     meters.waited.observe(line.waited_ms / 1000)
     meters.longest_gap.observe(line.longest_gap_ms / 1000)
+    if line.model is not None:
+        meters.unserved.served(line.model, line.adapter or "")
 
 
 @counts(lines.AttemptFailed)
@@ -199,15 +233,29 @@
     meters.requests.labels(meters.route(line.route), kind, "refused").inc()
     meters.refusals.labels(line.reason, str(line.status)).inc()
     meters.held.observe(line.held_ms / 1000)
+    _note_unserved(meters, line)
+    if line.plan and line.plan.obstacles:
+        for obstacle, engines in asdict(line.plan.obstacles).items():
+            meters.obstacles.labels(obstacle).inc(engines)
+
+
+def _note_unserved(
+    meters: Meters, line: lines.Refused | lines.Cut | lines.CallerGone
+) -> None:
+    if line.model is not None:
+        now = time.monotonic()
+        meters.unserved.refused(now, line.model, line.adapter or "")
 
 
 @counts(lines.Cut)
 def _cut(meters: Meters, line: lines.Cut) -> None:
+    _note_unserved(meters, line)
     meters.requests.labels(meters.route(line.route), line.kind, "cut").inc()
 
 
 @counts(lines.CallerGone)
 def _caller_gone(meters: Meters, line: lines.CallerGone) -> None:
+    _note_unserved(meters, line)
     meters.requests.labels(meters.route(line.route), line.kind, "caller_gone").inc()
 
 
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -197,7 +197,13 @@
         copies = plans.copies_seen(call.service, call.ask.model)
         store_loads = plans.store_loads_under_way(call.service)
         if planned is None:
-            return PlanSeen(waiting=waiting, copies=copies, store_loads=store_loads)
+            obstacles = plans.obstacles(call.service, call.ask.model)
+            return PlanSeen(
+                waiting=waiting,
+                copies=copies,
+                store_loads=store_loads,
+                obstacles=obstacles,
+            )
         backend = self._relays.knowledge.fleet.get(planned.instance)
         age_s = None if backend is None else backend.unheard_s(now)
         return PlanSeen(
--- a/packages/bambootiller/src/bambootiller/gateway/reporting.py
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -74,6 +74,7 @@
                 longest_gap_ms=_ms(self._longest_gap_s),
                 config_version=self._config_version(),
                 chosen_on=self._chosen_on,
+                adapter=_adapter(call),
             )
         )
 
@@ -146,6 +147,7 @@
                 last_event=self._progress.last_event,
                 held_ms=_ms(self._relays.clock() - call.arrived),
                 reason=reason,
+                adapter=_adapter(call),
             )
         )
 
@@ -163,6 +165,7 @@
                 held_ms=_ms(self._relays.clock() - call.arrived),
                 attempts=progress.sends,
                 last_event=progress.last_event,
+                adapter=_adapter(call),
             )
         )
 
@@ -178,5 +181,9 @@
     return call.ask.model if call.ask is not None else None
 
 
+def _adapter(call: Call) -> str | None:
+    return (call.ask.adapter or None) if call.ask is not None else None
+
+
 def _ms(seconds: float) -> int:
     return round(seconds * 1000)
--- a/tests/gateway/cover/test_meters.py
+++ b/tests/gateway/cover/test_meters.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import unittest
-from dataclasses import fields
+from dataclasses import fields, replace
+from unittest import mock
 
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.meters import MOST_LABELS, Meters
@@ -42,6 +43,25 @@
         self.meters.count(lines.LoadEnded("tutor", True, 6.4, from_store=True))
         self.assertEqual(self.value("load_seconds_sum", tier="store", held="yes"), 6.4)
 
+    def test_a_model_that_is_refused_again_and_again_shows_until_it_is_served(self):
+        refused = replace(samples.refused(), model="tutor")
+        with mock.patch("time.monotonic", return_value=100.0):
+            self.meters.count(refused)
+        with mock.patch("time.monotonic", return_value=109.0):
+            self.assertEqual(self.value("models_unserved", seconds="8"), 1)
+            self.assertEqual(self.value("models_unserved", seconds="16"), 0)
+            self.assertEqual(self.value("oldest_unserved_seconds"), 9.0)
+            self.meters.count(
+                replace(sample(lines.Answered), model="tutor", adapter="")
+            )
+            self.assertEqual(self.value("models_unserved", seconds="8"), 0)
+
+    def test_what_keeps_engines_from_a_load_counts_by_engine(self):
+        plan = lines.PlanSeen(obstacles=lines.Obstacles(kept_for_adapters=3))
+        self.meters.count(samples.refused(plan))
+        kept = self.value("load_obstacles_total", obstacle="kept_for_adapters")
+        self.assertEqual(kept, 3)
+
     def test_hundreds_of_routes_do_not_make_hundreds_of_series(self):
         for number in range(500):
             self.meters.count(samples.refused(route=f"r-{number}"))
--- /dev/null
+++ b/tests/gateway/cover/test_obstacles.py
@@ -0,0 +1,47 @@
+"""What is said of a model that no engine can load."""
+
+import unittest
+
+from bambootiller_core.gateway.log_lines import Obstacles, PlanSeen
+from bambootiller_core.gateway.residency import Planner
+from bambootiller_core.gateway.want import Want
+from tests.gateway.common import samples
+from tests.gateway.common.samples import engine_backend
+
+NOW = 5.0
+
+
+class TestObstacles(unittest.TestCase):
+    def seen(self, *backends, wants=None):
+        names = ("tutor", "poet", "coder")
+        spec = samples.engine(*[samples.model(name) for name in names])
+        wants = {"tutor": Want(0.2, 1), **(wants or {})}
+        planner = Planner(spec, 1)
+        planner.plan(NOW, backends, wants)
+        return planner.obstacles("tutor", wants["tutor"])
+
+    def test_an_engine_whose_agent_is_silent_takes_no_orders(self):
+        silent = engine_backend(NOW - 60.0, "b1")
+        self.assertEqual(self.seen(silent), Obstacles(no_orders=1))
+
+    def test_an_engine_full_of_models_that_are_wanted_more_has_no_room(self):
+        full = engine_backend(
+            NOW,
+            "b1",
+            ("poet", "coder"),
+            in_use={"poet": 3, "coder": 3},
+            keep_values={"poet": 9.0, "coder": 9.0},
+        )
+        self.assertEqual(self.seen(full), Obstacles(no_room=1))
+
+    def test_an_engine_with_room_waits_for_the_store_alone(self):
+        self.assertEqual(self.seen(engine_backend(NOW, "b1")), Obstacles(able=1))
+
+    def test_a_model_that_the_configuration_does_not_know_has_none(self):
+        planner = Planner(samples.engine(), 1)
+        self.assertIsNone(planner.obstacles("nobody", Want()))
+
+    def test_a_refusal_tells_them(self):
+        line = samples.refused(PlanSeen(obstacles=Obstacles(no_room=2)))
+        expected = {"no_orders": 0, "kept_for_adapters": 0, "no_room": 2, "able": 0}
+        self.assertEqual(line.to_json()["plan"]["obstacles"], expected)
--- /dev/null
+++ b/tests/gateway/cover/test_unserved.py
@@ -0,0 +1,36 @@
+"""Models and adapters that are asked for and not served."""
+
+import unittest
+
+from bambootiller_core.gateway.unserved import ASKED_LATELY_S, MOST_KEPT, Unserved
+
+
+class TestUnserved(unittest.TestCase):
+    def setUp(self):
+        self.unserved = Unserved()
+
+    def test_it_counts_from_the_first_call_that_nobody_served(self):
+        for now in (1.0, 4.0, 9.0):
+            self.unserved.refused(now, "tutor", "")
+        self.assertEqual(self.unserved.count(9.0, older_than_s=8.0), 1)
+        self.assertEqual(self.unserved.count(9.0, older_than_s=8.5), 0)
+        self.assertEqual(self.unserved.oldest_s(10.0), 9.0)
+
+    def test_an_answer_ends_it_for_its_adapter_alone(self):
+        self.unserved.refused(1.0, "tutor", "")
+        self.unserved.refused(1.0, "tutor", "physics")
+        self.unserved.served("tutor", "")
+        self.assertEqual(self.unserved.count(20.0, older_than_s=8.0), 1)
+
+    def test_what_nobody_asks_for_any_more_does_not_count(self):
+        self.unserved.refused(1.0, "tutor", "")
+        later = 2.0 + ASKED_LATELY_S
+        self.assertEqual(self.unserved.count(later, older_than_s=8.0), 0)
+        self.assertEqual(self.unserved.oldest_s(later), 0.0)
+        self.unserved.refused(later, "tutor", "")
+        self.assertEqual(self.unserved.oldest_s(later), 0.0)
+
+    def test_what_was_asked_for_last_is_kept(self):
+        for number in range(MOST_KEPT + 5):
+            self.unserved.refused(1.0, f"m{number}", "")
+        self.assertEqual(self.unserved.count(20.0, older_than_s=8.0), MOST_KEPT)
