--- /dev/null
+++ b/tests/gateway/common/rare_replay.py
@@ -0,0 +1,268 @@
+"""Replays refused callers of rarely used models on virtual time, around the real demand
+and the real plan.
+
+More models are asked for than the engines hold. Some have no copy on any engine and
+come from a weight store that serves one load at a time. A caller whose model isn't
+there in time is refused, and returns once.
+"""
+
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from bambootiller_core.gateway.demand import Demand
+from bambootiller_core.gateway.engine_state import Loading
+from bambootiller_core.gateway.places import choose_victims, copies_at, keep_values
+from bambootiller_core.gateway.residency import Planner
+from bambootiller_core.gateway.want import NO_WANT
+from tests.gateway.common import samples
+
+TICK_S = 0.1
+DISK_S, RUN_S = 0.4, 0.5
+#: A caller of which the model comes later than this is refused. Seconds.
+PATIENCE_S = 4.0
+COME_BACK_MAX_S = 6.0
+HELD = 3
+
+
+@dataclass
+class Engine:
+    """One engine of the replay."""
+
+    name: str
+    copies: set
+    held: dict = field(default_factory=dict)  # model -> when its last run ends
+    adapters: dict = field(default_factory=lambda: defaultdict(set))
+    loading: str = ""
+    ends_at: float = 0.0
+    from_store: bool = False
+
+
+@dataclass
+class Caller:
+    """One call; ``again`` is whether its caller returns after a refusal."""
+
+    model: str
+    adapter: str
+    arrived: float
+    again: bool = True
+
+
+class RareReplay:
+    """One seeded trace.
+
+    ``models`` are asked for, ``copied`` of them have a copy at the start; calls for
+    models with ``adapters`` name one of so many. ``rates`` are calls a second by model.
+    """
+
+    def __init__(
+        self, seed, engines, rates, copied, load_s=2.5, adapters=0, store_loads=1
+    ):
+        self._rng = random.Random(seed)
+        self._rates = rates
+        self._adapters = adapters
+        self._load_s = load_s
+        self._store_loads = store_loads
+        models = [
+            samples.model(name, load_s=load_s, disk_s=DISK_S, adapters=adapters)
+            for name in rates
+        ]
+        self.spec = samples.engine(*models, memory_mb=40.0 * HELD)
+        self.engines = [
+            Engine(f"b{number}", set(copied[number::engines]))
+            for number in range(engines)
+        ]
+        for engine in self.engines:
+            engine.held = {name: 0.0 for name in sorted(engine.copies)[:HELD]}
+        self.demand = Demand()
+        self._waiting = []
+        self._returning = []
+        self.now = 0.0
+        #: By model and adapter, when each call ended, and whether it was served.
+        self.ends = defaultdict(list)
+        #: Times in which no load from the store was under way, though a caller had been
+        #: refused within the last second for a model without any copy. Seconds.
+        self.idle = []
+        #: The models that came from the store, and when each began.
+        self.fetched = []
+        self._plan = {}
+
+    def run(self, seconds, losses=()):
+        """Play it; ``losses`` are pairs of a time and a model that all engines lose
+        their copies of then."""
+        losses = sorted(losses)
+        while self.now < seconds:
+            while losses and losses[0][0] <= self.now:
+                self._lose(losses.pop(0)[1])
+            self._end_loads()
+            self._arrive()
+            self._order()
+            self._serve()
+            self._note_idle()
+            self.now = round(self.now + TICK_S, 1)
+
+    def starved(self, least_calls=4, span_s=8.0):
+        """The models and adapters asked for so often over so long and never served."""
+        return [
+            key
+            for key, ends in sorted(self.ends.items())
+            if len(ends) >= least_calls
+            and ends[-1][0] - ends[0][0] >= span_s
+            and not any(served for _, served in ends)
+        ]
+
+    def longest_idle_s(self):
+        """The longest time in which the store served nobody though it could have."""
+        longest = spell = 0
+        for before, at in zip([float("-inf"), *self.idle], self.idle):
+            spell = spell + 1 if at - before < 1.5 * TICK_S else 1
+            longest = max(longest, spell)
+        return longest * TICK_S
+
+    def _lose(self, model):
+        for engine in self.engines:
+            engine.copies.discard(model)
+            engine.held.pop(model, None)
+
+    def _arrive(self):
+        arrived = [caller for at, caller in self._returning if at <= self.now]
+        self._returning = [pair for pair in self._returning if pair[0] > self.now]
+        for model, rate in self._rates.items():
+            if self._rng.random() < rate * TICK_S:
+                adapter = ""
+                if self._adapters:
+                    adapter = f"a{self._rng.randrange(self._adapters)}"
+                arrived.append(Caller(model, adapter, self.now))
+        for caller in arrived:
+            caller.arrived = self.now
+            self.demand.asked(self.now, caller.model)
+            self.demand.begin_waiting(self.now, caller.model)
+            self._waiting.append(caller)
+
+    def _serve(self):
+        staying = []
+        for caller in self._waiting:
+            engine = self._holder(caller)
+            if engine is not None:
+                engine.held[caller.model] = self.now + RUN_S
+                self._end(caller, served=True)
+            elif self._is_in_time(caller):
+                staying.append(caller)
+            else:
+                self._refused(caller)
+        self._waiting = staying
+
+    def _holder(self, caller):
+        holders = [engine for engine in self.engines if caller.model in engine.held]
+        for engine in holders:
+            if not caller.adapter or caller.adapter in engine.adapters[caller.model]:
+                return engine
+        for engine in holders:
+            if not engine.loading:
+                engine.adapters[caller.model].add(caller.adapter)
+                return engine
+        if holders:
+            self._adapter_missed(caller)
+        return None
+
+    def _adapter_missed(self, caller):
+        missed = getattr(self.demand, "adapter_missed", None)
+        if missed is not None and caller.arrived == self.now:
+            missed(self.now, caller.model)
+
+    def _is_in_time(self, caller):
+        left_s = caller.arrived + PATIENCE_S - self.now
+        holders = [engine for engine in self.engines if caller.model in engine.held]
+        if holders:
+            return min(engine.ends_at for engine in holders) - self.now < left_s
+        load = self._plan.get(caller.model)
+        return load is not None and load.ready_in_s < left_s
+
+    def _refused(self, caller):
+        load = self._plan.get(caller.model)
+        ready_in_s = load.ready_in_s if load is not None else COME_BACK_MAX_S
+        come_back_s = min(max(0.2, ready_in_s), COME_BACK_MAX_S)
+        self.demand.refused(self.now, caller.model, come_back_s)
+        self._end(caller, served=False)
+        if caller.again:
+            again = Caller(caller.model, caller.adapter, 0.0, again=False)
+            self._returning.append((self.now + come_back_s, again))
+
+    def _end(self, caller, served):
+        self.demand.end_waiting(caller.arrived, caller.model)
+        self.ends[(caller.model, caller.adapter)].append((self.now, served))
+
+    def _end_loads(self):
+        for engine in self.engines:
+            if engine.loading and engine.ends_at <= self.now:
+                engine.held[engine.loading] = self.now
+                engine.copies.add(engine.loading)
+                engine.loading = ""
+
+    def _order(self):
+        backends = [self._backend(engine) for engine in self.engines]
+        holders, copies = defaultdict(int), defaultdict(int)
+        for backend in backends:
+            for name in backend.holdings:
+                holders[name] += 1
+            for name in copies_at(backend):
+                copies[name] += 1
+        wants = self.demand.wants(self.now, holders, copies)
+        backends = [self._backend(engine, wants) for engine in self.engines]
+        planner = Planner(self.spec, self._store_loads)
+        self._plan = planner.plan(self.now, backends, wants)
+        by_name = {engine.name: engine for engine in self.engines}
+        for load in self._plan.values():
+            engine = by_name.get(load.instance)
+            if load.ask_now and not engine.loading:
+                self._load(engine, load.model, wants)
+
+    def _backend(self, engine, wants=None):
+        loading = None
+        if engine.loading:
+            left_s = max(0.0, engine.ends_at - self.now)
+            loading = Loading(engine.loading, left_s, engine.from_store)
+        held = {name: frozenset(engine.adapters[name]) for name in engine.held}
+        state = samples.engine_state(
+            engine.name,
+            adapters=held,
+            loading=loading,
+            busy=loading is not None,
+            on_disk=frozenset(engine.copies),
+            in_use={name: 1 for name, ends in engine.held.items() if ends > self.now},
+            keep_values=keep_values(engine.held, wants or {}),
+            memory_mb_used=40.0 * (len(engine.held) + bool(loading)),
+        )
+        return samples.backend(engine.name, self.now, state, service="llm")
+
+    def _load(self, engine, model, wants):
+        need_mb = 40.0 * (len(engine.held) + 1) - self.spec.memory_mb
+        victims = choose_victims(
+            self.spec,
+            {name: frozenset() for name in engine.held},
+            need_mb,
+            {name: 1 for name, ends in engine.held.items() if ends > self.now},
+            keep_values(engine.held, wants),
+            wants.get(model, NO_WANT),
+            self._load_s,
+        )
+        if victims is None:
+            return
+        begins = max([engine.held.pop(name) for name in victims.models], default=0.0)
+        for name in victims.models:
+            engine.adapters[name].clear()
+        engine.loading, engine.from_store = model, model not in engine.copies
+        seconds = self._load_s if engine.from_store else DISK_S
+        engine.ends_at = max(self.now, begins) + seconds
+        if engine.from_store:
+            self.fetched.append((self.now, model))
+
+    def _note_idle(self):
+        if any(engine.loading and engine.from_store for engine in self.engines):
+            return
+        copied = {name for engine in self.engines for name in engine.copies}
+        for (model, _), ends in self.ends.items():
+            at, served = ends[-1]
+            if not served and self.now - at <= 1.0 and model not in copied:
+                self.idle.append(self.now)
+                return
--- /dev/null
+++ b/tests/gateway/failures/test_starvation.py
@@ -0,0 +1,47 @@
+"""Models that are asked for again and again, and never served."""
+
+import unittest
+
+from tests.gateway.common.rare_replay import RareReplay
+
+#: A load from the store begins so long after the one before has ended: what makes way
+#: ends its runs first. Seconds.
+MOST_IDLE_S = 2.0
+
+
+class TestStoreForModelsWithAdapters(unittest.TestCase):
+    """No engine loaded from the weight store because each of them was the last one to
+    hold some model with adapters."""
+
+    def replay(self, seed, seconds=60.0):
+        rates = {f"m{number}": 0.5 for number in range(36)}
+        copied = list(rates)[:24]
+        replay = RareReplay(seed, 8, rates, copied, adapters=2)
+        replay.run(seconds)
+        return replay
+
+    def test_the_store_is_not_idle_while_somebody_waits_for_it(self):
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                self.assertLessEqual(self.replay(seed).longest_idle_s(), MOST_IDLE_S)
+
+    def test_everybody_is_served_that_the_store_can_serve(self):
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                self.assertEqual(self.replay(seed).starved(), [])
+
+
+class TestOrderOfTheStore(unittest.TestCase):
+    """A model whose callers were all refused was passed over by each busier one that
+    lost its copies later."""
+
+    def test_models_that_come_later_do_not_pass_it_over_for_ever(self):
+        later = [f"m{number}" for number in range(16)]
+        rates = {"early": 0.4, **dict.fromkeys(later, 1.2)}
+        losses = [(2.4 * number, model) for number, model in enumerate(later)]
+        losses += [(0.0, model) for model in later[1:4]]
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                replay = RareReplay(seed, 6, rates, copied=later)
+                replay.run(40.0, losses)
+                self.assertEqual(replay.starved(), [])
