Engines kept for adapters don't shut the weight store

Callers saw: "no engine can load it" for as long as they asked, for every model that no engine had a copy of. Cause: an engine that was the last free one to hold a model with adapters in demand took no long load, whatever waited for it and whether any adapter was missed. Rarely used models are held once, so with enough of them each engine is the last for some model. Class: a guard without a bound, that weighs nothing. Change: entries tell how many calls a second find their adapter nowhere.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/adapter_places.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/adapter_places.py
@@ -1,7 +1,9 @@
-"""Engines that are kept free for orders of adapters, while a plan is made.
+"""What a long load costs the callers of adapters, while a plan is made.
 
-An engine that loads a model takes no order for an adapter meanwhile. So of the engines
-that hold a model with adapters in demand, one is kept free of long loads.
+An engine that loads a model takes no order for an adapter meanwhile. If it is the last
+one that could take some for a model, calls for adapters that it doesn't have wait until
+the load ends, and most of them are refused. So a long load goes where this costs least,
+and nowhere while it costs more calls than the load would serve.
 """
 
 from __future__ import annotations
@@ -15,7 +17,7 @@
 
 
 class AdapterPlaces:
-    """For each model with adapters in demand, the engines that hold it and that no
+    """For each model whose adapters are missed, the engines that hold it and that no
     long load keeps from other orders.
 
     They are counted once for a plan, not for each model and engine.
@@ -23,8 +25,8 @@
     Example::
 
         homes = AdapterPlaces(engine, places, wants)
-        if not homes.is_last(place):
-            homes.occupy(place, until_s=6.0)
+        calls = homes.calls_kept(place, seconds=6.0)
+        homes.occupy(place, until_s=6.0)
     """
 
     def __init__(
@@ -32,24 +34,26 @@
     ) -> None:
         self._free: Counter[str] = Counter()
         self._held: dict[str, list[str]] = {}
-        wanted = {
-            name
+        self._missed = {
+            name: want.adapter_rate
             for name, want in wants.items()
-            if want.rate and name in engine.models and engine.models[name].adapters
+            if want.adapter_rate and name in engine.models
         }
         for place in places:
-            held = [name for name in place.held if name in wanted]
+            held = [name for name in place.held if name in self._missed]
             self._held[place.instance] = held
             if _is_free(place):
                 self._free.update(held)
 
-    def is_last(self, place: Place) -> bool:
-        """Whether a long load here would leave a model without such an engine."""
+    def calls_kept(self, place: Place, seconds: float) -> float:
+        """How many calls would wait for an adapter in vain during a load of so many
+        seconds here."""
+        if seconds <= LONG_LOAD_S:
+            return 0.0
         itself = 1 if _is_free(place) else 0
-        for name in self._held[place.instance]:
-            if self._free[name] == itself:
-                return True
-        return False
+        held = self._held[place.instance]
+        missed = [self._missed[name] for name in held if self._free[name] == itself]
+        return seconds * sum(missed)
 
     def occupy(self, place: Place, until_s: float) -> None:
         """The engine's next order can begin only then, in seconds from now."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
@@ -87,8 +87,12 @@
         return True
     if want.waiting and told.oldest_s != want.oldest_s:
         return True
-    taken_for = told.rate * left
-    return abs(taken_for - want.rate) > MOVED_SHARE * max(taken_for, want.rate)
+    rates = (told.rate, want.rate), (told.adapter_rate, want.adapter_rate)
+    return any(_rate_moved(before * left, rate) for before, rate in rates)
+
+
+def _rate_moved(taken_for: float, rate: float) -> bool:
+    return abs(taken_for - rate) > MOVED_SHARE * max(taken_for, rate)
 
 
 class Totals:
@@ -150,6 +154,7 @@
             max(want.oldest_s, held.oldest_s),
             want.copies,
             sooner(want.in_time_s, held.in_time_s),
+            max(want.adapter_rate, held.adapter_rate),
         )
     return merged
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -44,14 +44,20 @@
 
     def __init__(self) -> None:
         self._rates: dict[str, tuple[float, float]] = {}
+        self._missed: dict[str, tuple[float, float]] = {}
         self._waiting: dict[str, list[_Waiting]] = {}
         self._refused: dict[str, deque[tuple[float, float]]] = {}
 
     def asked(self, now: float, model: str, weight: float = 1.0) -> None:
         """A call asks for the model."""
-        rate = self._rate(now, model) + weight / MEMORY_S
+        rate = _rate(self._rates, now, model) + weight / MEMORY_S
         self._rates[model] = (rate, now)
 
+    def adapter_missed(self, now: float, model: str, weight: float = 1.0) -> None:
+        """A call finds its adapter at none of the engines that hold the model."""
+        rate = _rate(self._missed, now, model) + weight / MEMORY_S
+        self._missed[model] = (rate, now)
+
     def begin_waiting(
         self, now: float, model: str, weight: float = 1.0, due: float = 0.0
     ) -> None:
@@ -100,7 +106,7 @@
         hold it, and that have its weights."""
         found = {}
         for model in list(self._rates):
-            rate = self._rate(now, model)
+            rate = _rate(self._rates, now, model)
             here = self._waiting.get(model, [])
             waiting = self.waiting(now, model)
             oldest_s = max([now - call.since for call in here], default=0.0)
@@ -108,6 +114,7 @@
             if rate < LEAST_RATE and not waiting:
                 del self._rates[model]
                 self._refused.pop(model, None)
+                self._missed.pop(model, None)
                 continue
             found[model] = Want(
                 rate,
@@ -116,6 +123,7 @@
                 oldest_s,
                 copies.get(model, 0),
                 min(left_s, default=0.0),
+                _rate(self._missed, now, model),
             )
         return found
 
@@ -127,9 +135,10 @@
             due.popleft()
         return sum(weight for at, weight in due if at >= now)
 
-    def _rate(self, now: float, model: str) -> float:
-        rate, at = self._rates.get(model, (0.0, now))
-        return faded(rate, now - at)
+
+def _rate(rates: Mapping[str, tuple[float, float]], now: float, model: str) -> float:
+    rate, at = rates.get(model, (0.0, now))
+    return faded(rate, now - at)
 
 
 def faded(rate: float, seconds: float) -> float:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/obstacles.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/obstacles.py
@@ -14,7 +14,7 @@
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.log_lines import Obstacles
-from bambootiller_core.gateway.places import LONG_LOAD_S, Place
+from bambootiller_core.gateway.places import Place
 from bambootiller_core.gateway.want import Want
 
 
@@ -32,10 +32,10 @@
     for place in places:
         taking += 1
         seconds, _ = place.tier_seconds(spec)
-        if seconds > LONG_LOAD_S and adapters.is_last(place):
-            kept += 1
-        elif place.victims(engine, spec, want, seconds) is None:
+        if place.victims(engine, spec, want, seconds) is None:
             no_room += 1
+        elif adapters.calls_kept(place, seconds) > want.value:
+            kept += 1
         else:
             able += 1
     return Obstacles(len(known) - taking, kept, no_room, able)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
@@ -149,6 +149,7 @@
                     max(held.oldest_s, want.oldest_s),
                     max(held.copies, want.copies),
                     sooner(held.in_time_s, want.in_time_s),
+                    held.adapter_rate + want.adapter_rate * left,
                 )
         wished = {wish.model: wish.want for wish, _ in self._wishes.values()}
         return greater(merged, wished)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -42,6 +42,9 @@
 #: What it counts, in seconds, that a long load puts one model out of reach: asked for
 #: meanwhile, it would be late by half of the load, and most aren't asked for.
 BLOCKED_S = 0.3
+#: What it counts that a long load keeps one call from its adapter: it is refused, and
+#: comes back as late as that. Seconds.
+CALL_KEPT_S = 1.0
 #: Loads that are over within so long of each other are equally good; then rendezvous
 #: hashing decides. Decimals of a second.
 EQUAL_DECIMALS = 1
@@ -319,7 +322,7 @@
         """Whether some engine could make room for a load from the store."""
         return any(
             spec.name not in place.held
-            and not (spec.load_s > LONG_LOAD_S and self._adapters.is_last(place))
+            and self._adapters.calls_kept(place, spec.load_s) <= want.value
             and place.victims(self._engine, spec, want, spec.load_s) is not None
             for place in self._places
         )
@@ -337,7 +340,8 @@
             if ready > best_s + SURELY_LATER_S:
                 # Before the costlier questions: half of all engines end here.
                 continue
-            if seconds > LONG_LOAD_S and self._adapters.is_last(place):
+            calls_kept = self._adapters.calls_kept(place, seconds)
+            if calls_kept > want.value:
                 continue
             victims = place.victims(self._engine, spec, want, seconds)
             if victims is None:
@@ -346,6 +350,7 @@
             rated = ready
             if seconds > LONG_LOAD_S:
                 rated += BLOCKED_S * self._blocked_by_load(place, victims)
+                rated += CALL_KEPT_S * calls_kept
             rated = round(rated, EQUAL_DECIMALS)
             if rated > best_s:
                 continue
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
@@ -20,8 +20,9 @@
 class Want:
     """The demand for one model: calls a second, calls waiting, engines holding it, how
     long the first of the waiting calls has waited, in seconds, how many engines have
-    its weights, those that hold it included, and how long the next of the waiting calls
-    to be late is still in time, in seconds, 0 if none is."""
+    its weights, those that hold it included, how long the next of the waiting calls to
+    be late is still in time, in seconds, 0 if none is, and calls a second that find
+    their adapter at no engine."""
 
     rate: float = 0.0
     waiting: int = 0
@@ -29,6 +30,7 @@
     oldest_s: float = 0.0
     copies: int = 0
     in_time_s: float = 0.0
+    adapter_rate: float = 0.0
 
     @property
     def value(self) -> float:
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -44,6 +44,7 @@
         #: How many backend servers the last choice was made from.
         self.candidates = 0
         self._weight = 1.0
+        self._missed_adapter = False
 
     def ask(self) -> None:
         """Count the call in the demand for its model."""
@@ -152,6 +153,7 @@
         self, now: float, began: float, holders: list[Backend]
     ) -> Refusal | None:
         ask = self._call.ask
+        self._miss_adapter(now)
         able = [backend for backend in holders if backend.takes_orders(now)]
         if not able:
             return Refusal(Reason.COLD, attempts.COME_BACK_S)
@@ -164,6 +166,13 @@
         self._relays.engines.wish(able[turn], Wish(ask.model, ask.adapter))
         return None
 
+    def _miss_adapter(self, now: float) -> None:
+        if self._missed_adapter:
+            return
+        self._missed_adapter = True
+        demand = self._relays.engines.plans.demand(self._call.service)
+        demand.adapter_missed(now, self._call.ask.model, self._weight)
+
     def _await_model(self, now: float, untried: list[Backend]) -> Refusal | None:
         call, ask = self._call, self._call.ask
         engines = self._relays.engines
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -87,6 +87,7 @@
             oldest_ms=int(want.oldest_s * 1000),
             copies=want.copies,
             in_time_ms=int(want.in_time_s * 1000),
+            adapter_calls_per_s=want.adapter_rate,
         )
         for model, want in wants.items()
     ]
@@ -106,6 +107,7 @@
         oldest_s,
         message.copies,
         message.in_time_ms / 1000,
+        message.adapter_calls_per_s,
     )
 
 
--- a/tests/gateway/common/fleets.py
+++ b/tests/gateway/common/fleets.py
@@ -1,6 +1,7 @@
 """Random fleets of engines with random demand, equal for equal seeds."""
 
 import random
+from dataclasses import replace
 
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
 from bambootiller_core.gateway.engine_state import EngineState, Loading
@@ -92,6 +93,16 @@
     }
 
 
+def _with_adapters_missed(rng, spec, wants):
+    """Some calls for models that have adapters find theirs nowhere."""
+    found = dict(wants)
+    for name, want in wants.items():
+        if name in spec.models and spec.models[name].adapters and want.rate:
+            rate = want.rate * rng.choice((0.0, 0.02, 0.3))
+            found[name] = replace(want, adapter_rate=rate)
+    return found
+
+
 def fleet(seed):
     """The engines' settings, the backend servers, the demand for models, and how many
     loads the store serves at full speed."""
@@ -100,6 +111,7 @@
     models = {spec.name: spec for spec in _models(rng, tight)}
     spec = EngineSpec(rng.choice((90_000.0, 200_000.0)), 8, 24, 15.0, models)
     wants = _wants(rng, spec, idle=rng.random() < 0.15, tight=tight)
+    wants = _with_adapters_missed(random.Random(f"adapters {seed}"), spec, wants)
     backends = []
     for number in range(rng.choice((1, 3, 9, 29))):
         state = _engine(rng, number, spec, wants, tight)
