Who was refused keeps a place in the weight store's queue

Cause: the queue goes by who waits at this moment. A caller whose plan is too late is refused at once and never waits, so its model has no age; it counts as awaited for three seconds. Each model that lost its copies later and is asked for more went first. Class: what is owed to a refused caller is forgotten with the refusal. Ruled out: the store idle (it wasn't, without adapters); first come, first served by the first refusal alone (one early caller of a model that nobody asks for again would go before models with dozens). Change: calls that ended without an answer count until an engine holds the model, and one more for each 4 s since the first; in the order of loads, in what makes way, and in the agent's own decision. The age is told once and grows by itself on both sides.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
@@ -24,6 +24,10 @@
 #: A rate that differs by less than this part of it from what its receiver takes it for
 #: isn't told again: it changes no decision.
 MOVED_SHARE = 0.1
+#: Calls without an answer that weigh less than this aren't told by themselves, nor that
+#: the first of them came so many seconds sooner or later.
+MOVED_CALLS = 0.25
+MOVED_S = 1.0
 #: So many entries see to loads that no call of their own waits for, and so make plans
 #: without having calls that wait. More would make the same plan for the same end; one
 #: alone would leave all such loads undone until the agents notice its silence.
@@ -74,11 +78,10 @@
     """
     if told.keys() != wants.keys():
         return True
-    left = faded(1.0, elapsed_s)
-    return any(_moved(told[name], want, left) for name, want in wants.items())
+    return any(_moved(told[name], want, elapsed_s) for name, want in wants.items())
 
 
-def _moved(told: Want, want: Want, left: float) -> bool:
+def _moved(told: Want, want: Want, elapsed_s: float) -> bool:
     if (told.waiting, told.holders, told.copies) != (
         want.waiting,
         want.holders,
@@ -87,6 +90,11 @@
         return True
     if want.waiting and told.oldest_s != want.oldest_s:
         return True
+    if abs(told.unserved - want.unserved) >= MOVED_CALLS:
+        return True
+    if want.unserved and abs(told.unserved_s + elapsed_s - want.unserved_s) > MOVED_S:
+        return True
+    left = faded(1.0, elapsed_s)
     rates = (told.rate, want.rate), (told.adapter_rate, want.adapter_rate)
     return any(_rate_moved(before * left, rate) for before, rate in rates)
 
@@ -155,6 +163,8 @@
             want.copies,
             sooner(want.in_time_s, held.in_time_s),
             max(want.adapter_rate, held.adapter_rate),
+            max(want.unserved, held.unserved),
+            max(want.unserved_s, held.unserved_s),
         )
     return merged
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -31,6 +31,14 @@
     due: float
 
 
+@dataclass(slots=True)
+class _Unserved:
+    """Calls that ended without an answer since ``since``, by their weights."""
+
+    since: float
+    weight: float
+
+
 class Demand:
     """Calls a second and calls waiting, by model, each call by its weight.
 
@@ -47,6 +55,7 @@
         self._missed: dict[str, tuple[float, float]] = {}
         self._waiting: dict[str, list[_Waiting]] = {}
         self._refused: dict[str, deque[tuple[float, float]]] = {}
+        self._unserved: dict[str, _Unserved] = {}
 
     def asked(self, now: float, model: str, weight: float = 1.0) -> None:
         """A call asks for the model."""
@@ -84,10 +93,18 @@
         """Whether no model has been asked for lately."""
         return not self._rates and not self._waiting
 
+    def unserved(self, since: float, model: str, weight: float = 1.0) -> None:
+        """The call that came at ``since`` has ended without an answer, refused or left
+        by its caller: the model didn't come in time."""
+        found = self._unserved.setdefault(model, _Unserved(since, 0.0))
+        found.since = min(found.since, since)
+        found.weight += weight
+
     def refused(
         self, now: float, model: str, come_back_s: float, weight: float = 1.0
     ) -> None:
-        """A call was refused because the model isn't there in time."""
+        """A call was refused because the model isn't there in time; its caller may come
+        back."""
         due_in_s = min(come_back_s + DUE_BACK_LATE_S, DUE_BACK_MOST_S)
         due = self._refused.setdefault(model, deque())
         due.append((now + due_in_s, weight))
@@ -115,7 +132,11 @@
                 del self._rates[model]
                 self._refused.pop(model, None)
                 self._missed.pop(model, None)
+                self._unserved.pop(model, None)
                 continue
+            if holders.get(model):
+                self._unserved.pop(model, None)
+            unserved = self._unserved.get(model)
             found[model] = Want(
                 rate,
                 waiting,
@@ -124,6 +145,8 @@
                 copies.get(model, 0),
                 min(left_s, default=0.0),
                 _rate(self._missed, now, model),
+                unserved.weight if unserved is not None else 0.0,
+                now - unserved.since if unserved is not None else 0.0,
             )
         return found
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
@@ -123,8 +123,8 @@
     total_rate: float,
 ) -> tuple[Rank, ...]:
     """How soon a model is to be loaded; empty if it isn't to be."""
-    if not holders and want.waiting:
-        many = want.waiting >= MANY_WAITING
+    if not holders and want.awaited:
+        many = want.awaited >= MANY_WAITING
         return (Rank.MUCH_WAITED_FOR if many else Rank.WAITED_FOR,)
     if not holders and not copied:
         if want.rate > 0:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -57,7 +57,8 @@
     load; ``agent_age_ms`` the age of its agent's word, ``waiting`` the calls of all
     entries that wait for the model. ``copies`` are engines with a copy of the model, a
     few at most, ``store_loads`` the loads from the weight store that are under way.
-    ``obstacles`` tells why no engine can load it."""
+    ``obstacles`` tells why no engine can load it. ``unserved`` calls have ended without
+    an answer since an engine held the model last, the first ``unserved_s`` ago."""
 
     ready_in_s: float | None = None
     backend: str | None = None
@@ -68,6 +69,8 @@
     copies: tuple[CopySeen, ...] = ()
     store_loads: int = 0
     obstacles: Obstacles | None = None
+    unserved: float = 0.0
+    unserved_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
@@ -139,7 +139,8 @@
         self._summed_at = self._now
         merged: dict[str, Want] = {}
         for use in self._entries.values():
-            left = faded(1.0, self._now - use.told_at)
+            elapsed_s = self._now - use.told_at
+            left = faded(1.0, elapsed_s)
             for model, want in use.wants.items():
                 held = merged.get(model, Want())
                 merged[model] = Want(
@@ -150,6 +151,8 @@
                     max(held.copies, want.copies),
                     sooner(held.in_time_s, want.in_time_s),
                     held.adapter_rate + want.adapter_rate * left,
+                    held.unserved + want.unserved,
+                    max(held.unserved_s, _aged(want, elapsed_s)),
                 )
         wished = {wish.model: wish.want for wish, _ in self._wishes.values()}
         return greater(merged, wished)
@@ -174,3 +177,8 @@
     def used_at(self, model: str, adapter: str) -> float:
         """When the adapter was wished for last, 0 if it wasn't."""
         return self._used_at.get((model, adapter), 0.0)
+
+
+def _aged(want: Want, elapsed_s: float) -> float:
+    """How long ago the first unserved call came, so long after it was told."""
+    return want.unserved_s + elapsed_s if want.unserved else 0.0
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -357,8 +357,8 @@
         in_use = self._say.in_use()
         incoming = greater(wants, {wish.model: wish.want})[wish.model]
         if wish.urgency > WAITED_FOR:
-            incoming = replace(incoming, waiting=0)
-        elif not incoming.waiting:
+            incoming = replace(incoming, waiting=0, unserved=0.0)
+        elif not incoming.awaited:
             incoming = replace(incoming, waiting=1)
         values = keep_values(report.holdings, wants)
         fresh = [name for name in report.holdings if self._say.loaded_lately(now, name)]
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/places.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/places.py
@@ -207,7 +207,7 @@
             need_mb -= leaver.freed_mb
             if need_mb <= 0:
                 return _victims(chosen)
-        if not incoming.waiting:
+        if not incoming.awaited:
             return None
         for leaver in self._busy:
             chosen.append(leaver)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -152,7 +152,7 @@
         awaited = [
             name
             for name, want in wants.items()
-            if want.waiting and name in self._engine.models and not self._copied[name]
+            if want.awaited and name in self._engine.models and not self._copied[name]
         ]
         return sorted(awaited, key=lambda name: (-wants[name].value, name))
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
@@ -8,6 +8,10 @@
 #: it were several, a single caller would have a busy model unloaded that has no call
 #: for a moment, and all of its callers would wait for it to come back.
 WAITING_WEIGHT = 1.0
+#: A model that nobody could be served of for this long counts as if one more of its
+#: callers waited. So none is passed over for ever by others that are asked for more.
+#: Seconds.
+AGING_S = 4.0
 #: What keeping a model is worth without any demand for it, so that of models nobody
 #: asks for the one that several engines hold goes first. Calls a second.
 LEAST_KEEP = 0.01
@@ -21,8 +25,9 @@
     """The demand for one model: calls a second, calls waiting, engines holding it, how
     long the first of the waiting calls has waited, in seconds, how many engines have
     its weights, those that hold it included, how long the next of the waiting calls to
-    be late is still in time, in seconds, 0 if none is, and calls a second that find
-    their adapter at no engine."""
+    be late is still in time, in seconds, 0 if none is, calls a second that find their
+    adapter at no engine, calls that ended without an answer since an engine held it
+    last, and how long ago the first of these came, in seconds."""
 
     rate: float = 0.0
     waiting: int = 0
@@ -31,11 +36,21 @@
     copies: int = 0
     in_time_s: float = 0.0
     adapter_rate: float = 0.0
+    unserved: float = 0.0
+    unserved_s: float = 0.0
+
+    @property
+    def awaited(self) -> float:
+        """The calls that a load is for, those among them that were refused, and the
+        longer for the time that these have come in vain."""
+        if not self.unserved:
+            return self.waiting
+        return max(self.waiting, self.unserved + self.unserved_s / AGING_S)
 
     @property
     def value(self) -> float:
         """How much a load is worth, to compare models."""
-        return self.rate + WAITING_WEIGHT * self.waiting
+        return self.rate + WAITING_WEIGHT * self.awaited
 
     @property
     def value_of_one(self) -> float:
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -114,17 +114,16 @@
         """The load of the model that is under way or planned."""
         return self._plans.get(service, {}).get(model)
 
-    def waiting(self, service: str, model: str) -> int:
-        """The calls of all entries that waited for the model at the last plan."""
-        return self._planned_for.get(service, {}).get(model, NO_WANT).waiting
+    def wanted(self, service: str, model: str) -> Want:
+        """The demand of all entries for the model at the last plan."""
+        return self._planned_for.get(service, {}).get(model, NO_WANT)
 
     def obstacles(self, service: str, model: str) -> Obstacles | None:
         """What kept engines from loading the model at the last plan."""
         planner = self._planners.get(service)
         if planner is None:
             return None
-        want = self._planned_for.get(service, {}).get(model, NO_WANT)
-        return planner.obstacles(model, want)
+        return planner.obstacles(model, self.wanted(service, model))
 
     def store_idle_s(self) -> float:
         """For how long altogether the weight store served nobody while callers waited
@@ -228,12 +227,13 @@
     def _wants(self, service: str) -> dict[str, Want]:
         """This entry's demand; models that engines hold are in it also if nobody asks
         for them, as agents have to know which of them other engines have as well."""
+        now = self._app.now()
         holders: Counter[str] = Counter()
         copies: Counter[str] = Counter()
         for backend in self._knowledge.fleet.of_service(service):
             holders.update(backend.holdings.keys())
             copies.update(copies_at(backend))
-        wants = self.demand(service).wants(self._app.now(), holders, copies)
+        wants = self.demand(service).wants(now, holders, copies)
         for model, count in holders.items():
             if model not in wants:
                 wants[model] = Want(holders=count, copies=copies[model])
@@ -347,7 +347,7 @@
             alone = waiting and not load.from_store
             if not alone and not self._sees_to(load.model):
                 continue
-            urgency = WAITED_FOR if waiting or want.waiting else AHEAD
+            urgency = WAITED_FOR if waiting or want.awaited else AHEAD
             self._wish(backend, Wish(load.model, "", urgency, want))
 
     def _sees_to(self, model: str) -> bool:
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -112,14 +112,17 @@
         began = relays.clock()
         due = self._call.arrived + self._call.route.target_s - FIRST_EVENT_S
         demand.begin_waiting(began, ask.model, self._weight, due)
+        found = None
         try:
-            while True:
+            while found is None:
                 found = self._engine_now(began)
-                if found is not None:
-                    return found
-                await relays.knowledge.changed.wait(LOOK_AGAIN_S)
+                if found is None:
+                    await relays.knowledge.changed.wait(LOOK_AGAIN_S)
+            return found
         finally:
             demand.end_waiting(began, ask.model, self._weight, due)
+            if not isinstance(found, Backend):
+                demand.unserved(began, ask.model, self._weight)
 
     def _engine_now(self, began: float) -> Backend | Refusal | None:
         """An engine, a refusal, or None to wait."""
@@ -202,16 +205,18 @@
     def _plan_seen(self, now: float, planned: PlannedLoad | None) -> PlanSeen:
         call = self._call
         plans = self._relays.engines.plans
-        waiting = plans.waiting(call.service, call.ask.model)
+        want = plans.wanted(call.service, call.ask.model)
         copies = plans.copies_seen(call.service, call.ask.model)
         store_loads = plans.store_loads_under_way(call.service)
         if planned is None:
             obstacles = plans.obstacles(call.service, call.ask.model)
             return PlanSeen(
-                waiting=waiting,
+                waiting=want.waiting,
                 copies=copies,
                 store_loads=store_loads,
                 obstacles=obstacles,
+                unserved=round(want.unserved, 1),
+                unserved_s=round(want.unserved_s, 1),
             )
         backend = self._relays.knowledge.fleet.get(planned.instance)
         age_s = None if backend is None else backend.unheard_s(now)
@@ -221,9 +226,11 @@
             from_store=planned.from_store,
             asked=planned.ask_now,
             agent_age_ms=None if age_s is None else round(age_s * 1000),
-            waiting=waiting,
+            waiting=want.waiting,
             copies=copies,
             store_loads=store_loads,
+            unserved=round(want.unserved, 1),
+            unserved_s=round(want.unserved_s, 1),
         )
 
 
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -88,6 +88,8 @@
             copies=want.copies,
             in_time_ms=int(want.in_time_s * 1000),
             adapter_calls_per_s=want.adapter_rate,
+            unserved=want.unserved,
+            unserved_ms=int(want.unserved_s * 1000),
         )
         for model, want in wants.items()
     ]
@@ -108,6 +110,8 @@
         message.copies,
         message.in_time_ms / 1000,
         message.adapter_calls_per_s,
+        message.unserved,
+        message.unserved_ms / 1000,
     )
 
 
--- a/tests/gateway/common/rare_replay.py
+++ b/tests/gateway/common/rare_replay.py
@@ -190,6 +190,8 @@
 
     def _end(self, caller, served):
         self.demand.end_waiting(caller.arrived, caller.model)
+        if not served:
+            self.demand.unserved(caller.arrived, caller.model)
         self.ends[(caller.model, caller.adapter)].append((self.now, served))
 
     def _end_loads(self):
--- a/tests/gateway/cover/test_collecting.py
+++ b/tests/gateway/cover/test_collecting.py
@@ -57,6 +57,27 @@
                 say.wants()["poet"].rate, math.exp((1.0 - now) / MEMORY_S), delta=0.05
             )
 
+    def test_the_age_of_calls_without_an_answer_is_told_once(self):
+        told = {"poet": Want(unserved=2.0, unserved_s=3.0)}
+        wants = {"poet": Want(unserved=2.0, unserved_s=13.0)}
+        self.assertFalse(moved(told, wants, elapsed_s=10.0))
+        self.assertTrue(moved(told, {"poet": Want(unserved=3.0)}, elapsed_s=0.1))
+        self.assertTrue(moved(told, {"poet": Want()}, elapsed_s=0.1))
+
+    def test_an_agent_lets_that_age_grow(self):
+        say = EntriesSay()
+        say.told(1.0, "e1", {"poet": Want(unserved=2.0, unserved_s=3.0)}, {})
+        say.told(2.0, "e2", {"poet": Want(unserved=1.0, unserved_s=0.5)}, {})
+        say.forget(2.0)
+        want = say.wants()["poet"]
+        self.assertEqual((want.unserved, want.unserved_s), (3.0, 4.0))
+
+    def test_it_travels_both_ways(self):
+        want = Want(0.5, 1, adapter_rate=0.25, unserved=2.5, unserved_s=3.5)
+        self.assertEqual(
+            wire.wants_of(wire.demand_messages({"poet": want})), {"poet": want}
+        )
+
     def test_a_rate_that_rises_is_told(self):
         self.assertTrue(moved({"poet": Want(rate=1.0)}, {"poet": Want(rate=1.3)}))
 
--- a/tests/gateway/cover/test_demand.py
+++ b/tests/gateway/cover/test_demand.py
@@ -8,6 +8,7 @@
     MEMORY_S,
     Demand,
 )
+from bambootiller_core.gateway.want import AGING_S
 
 
 class TestDemand(unittest.TestCase):
@@ -49,6 +50,25 @@
         self.assertEqual(self.want(1.0).waiting, 6)
         self.assertEqual(self.want(1.0 + DUE_BACK_MOST_S).waiting, 0)
 
+    def test_calls_without_an_answer_count_until_an_engine_holds_the_model(self):
+        """A model was passed over as its callers, refused at once, never waited."""
+        self.demand.asked(0.0, "tutor")
+        self.demand.unserved(0.0, "tutor")
+        self.demand.unserved(6.0, "tutor", weight=0.5)
+        want = self.want(9.0)
+        self.assertEqual((want.waiting, want.unserved, want.unserved_s), (0, 1.5, 9.0))
+        self.assertEqual(want.awaited, 1.5 + 9.0 / AGING_S)
+        held = self.demand.wants(9.0, {"tutor": 1}, {})["tutor"]
+        self.assertEqual((held.unserved, held.awaited), (0.0, 0))
+        self.assertEqual(self.want(9.5).unserved, 0.0)
+
+    def test_calls_without_an_answer_are_forgotten_with_the_demand(self):
+        self.demand.asked(0.0, "tutor")
+        self.demand.unserved(0.0, "tutor")
+        self.assertIsNone(self.want(20 * MEMORY_S))
+        self.demand.asked(21 * MEMORY_S, "tutor")
+        self.assertEqual(self.want(21 * MEMORY_S).unserved, 0.0)
+
     def test_a_caller_told_to_come_soon_is_not_waited_for_longer(self):
         self.demand.asked(0.0, "tutor")
         self.demand.refused(0.0, "tutor", come_back_s=0.3)
