What a lost engine holds doesn't count as held

Callers saw: nothing by itself; a model that only a lost engine holds counts as served, so that its refused callers would be forgotten, and engines that hold a model as well made way for what the lost one holds. Cause: an entry counted the holders and copies of a model at all listed engines. Found by looking for the same cause elsewhere: what can't serve counted as serving. The plan itself leaves lost engines out already. Ruled out: leaving it to the registry (it drops a lost engine seconds later). Change: an entry's demand counts holders and copies at engines that aren't lost. Before: the new test fails (one holder, one copy). After: it passes.

--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -231,6 +231,9 @@
         holders: Counter[str] = Counter()
         copies: Counter[str] = Counter()
         for backend in self._knowledge.fleet.of_service(service):
+            if backend.lost(now):
+                # Nobody is served there, and others mustn't make way for what it holds.
+                continue
             holders.update(backend.holdings.keys())
             copies.update(copies_at(backend))
         wants = self.demand(service).wants(now, holders, copies)
--- a/tests/gateway/cover/test_engine_plans.py
+++ b/tests/gateway/cover/test_engine_plans.py
@@ -6,7 +6,7 @@
 from bambootiller.gateway.engine_plans import EnginePlans
 from bambootiller.gateway.knowledge import Changes
 from bambootiller_core.gateway.collecting import planners
-from bambootiller_core.gateway.fleet import Fleet
+from bambootiller_core.gateway.fleet import AGENT_SILENT_S, Fleet
 from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.want import Want
 from bambootiller_core.timers import TimerService
@@ -44,6 +44,22 @@
         self.fleet.engine_told(app.at, samples.engine_state("b1"))
 
 
+class TestLostEngines(unittest.TestCase):
+    """Callers of a model that only a lost engine holds counted as served."""
+
+    def test_what_they_hold_does_not_count_as_held(self):
+        app = App("e1")
+        known = Known(app)
+        known.fleet.engine_told(app.at, samples.engine_state("b1", ["m1"]))
+        plans = EnginePlans(app, known, lambda backend, wish: True)
+        plans.demand(SERVICE).asked(app.at, "m1")
+        self.assertEqual(plans.own_wants(SERVICE)["m1"].holders, 1)
+        known.fleet.get("b1").unreached(app.at)
+        app.at += AGENT_SILENT_S + 0.1
+        want = plans.own_wants(SERVICE)["m1"]
+        self.assertEqual((want.holders, want.copies), (0, 0))
+
+
 class TestWhoPlans(unittest.TestCase):
     """Symptom: entries of a large fleet spend a quarter of their time on plans.
 
