A model stays until the callers that it came for are back

Cause: a refused caller counts as due back for 3 s, but is told up to 6. Class: what is owed to a refused caller is forgotten before it can be claimed. Ruled out: telling 3 s at most (a caller has one return, and comes while its model isn't there yet). Before: the new test fails (told 3.5 and 6 s).

--- a/tests/gateway/failures/test_starvation.py
+++ b/tests/gateway/failures/test_starvation.py
@@ -2,6 +2,10 @@
 
 import unittest
 
+from bambootiller_core.gateway.demand import Demand
+from bambootiller_core.gateway.places import choose_victims, keep_values
+from bambootiller_core.gateway.want import Want
+from tests.gateway.common import samples
 from tests.gateway.common.rare_replay import RareReplay
 
 #: A load from the store begins so long after the one before has ended: what makes way
@@ -45,3 +49,21 @@
                 replay = RareReplay(seed, 6, rates, copied=later)
                 replay.run(40.0, losses)
                 self.assertEqual(replay.starved(), [])
+
+
+class TestCallersDueBack(unittest.TestCase):
+    """A model was loaded for refused callers and unloaded before they came back."""
+
+    def test_it_stays_until_they_are_back(self):
+        spec = samples.engine(samples.model("tutor"), samples.model("poet"))
+        for come_back_s in (1.0, 3.5, 6.0):
+            demand = Demand()
+            demand.asked(0.0, "tutor")
+            demand.refused(0.0, "tutor", come_back_s)
+            for now in (0.5 * come_back_s, come_back_s):
+                wants = demand.wants(now, {"tutor": 1}, {"tutor": 1})
+                values = keep_values(["tutor"], wants)
+                held = {"tutor": frozenset()}
+                found = choose_victims(spec, held, 40.0, {}, values, Want(0.2, 1))
+                with self.subTest(come_back_s=come_back_s, now=now):
+                    self.assertIsNone(found)
