Adapters of refused callers are loaded with their model

Cause: only a call that waits asks for its adapter. A caller that was refused for want of its model leaves no trace of the adapter that it named. Class: what is owed to a refused caller is forgotten with the refusal. Ruled out: holding the engine back from loads (the weight store would wait). Change: an entry keeps the adapters that its refused callers named until these are due back, and asks for them at an engine that tells that it holds the model and takes orders. Before: the new tests have nothing to call.

--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/due_adapters.py
@@ -0,0 +1,64 @@
+"""Adapters that refused callers will need when they come back.
+
+A caller that names an adapter is refused while its model isn't there. When the model
+has come, its engine may begin a long load at once, and takes no order for an adapter
+until that ends; the caller would come back to its model and be refused again. So the
+adapter is loaded as soon as the model is there.
+
+Example::
+
+    due = DueAdapters()
+    due.refused(now, ask, come_back_s=6.0)
+    for wish in due.wishes(now, backend, fleet.of_service("tutor")): ...
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from bambootiller_core.gateway.calls import ModelAsk
+from bambootiller_core.gateway.demand import DUE_BACK_LATE_S, DUE_BACK_MOST_S
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.order_messages import Wish
+
+
+class DueAdapters:
+    """The adapters that refused callers of one entry named, for the engines of one
+    service."""
+
+    def __init__(self) -> None:
+        #: When the last caller is due back, by model and adapter.
+        self._due: dict[str, dict[str, float]] = {}
+
+    def refused(self, now: float, ask: ModelAsk, come_back_s: float) -> None:
+        """A caller was refused because its model isn't there in time."""
+        if not ask.adapter:
+            return
+        for model in list(self._due):
+            self._still_due(now, model)
+        due_in_s = min(come_back_s + DUE_BACK_LATE_S, DUE_BACK_MOST_S)
+        self._due.setdefault(ask.model, {})[ask.adapter] = now + due_in_s
+
+    def wishes(
+        self, now: float, backend: Backend, backends: Collection[Backend]
+    ) -> list[Wish]:
+        """Which adapters to load at the engine that has just spoken; ``backends`` are
+        all engines of the service."""
+        if not self._due:
+            return []
+        able = backend.takes_orders(now) and backend.engine.loading is None
+        models = [model for model in self._due if backend.serves(now, model)]
+        found = []
+        for model in models:
+            due = self._still_due(now, model)
+            for adapter in due if able else ():
+                if not any(other.serves(now, model, adapter) for other in backends):
+                    found.append(Wish(model, adapter))
+        return found
+
+    def _still_due(self, now: float, model: str) -> dict[str, float]:
+        """Forget callers who were due back before now; returns those who are still."""
+        due = {name: at for name, at in self._due.pop(model).items() if at >= now}
+        if due:
+            self._due[model] = due
+        return due
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -17,6 +17,7 @@
 from bambootiller_core.gateway.config import ServiceSpec
 from bambootiller_core.gateway.copies import copies_seen
 from bambootiller_core.gateway.demand import Demand
+from bambootiller_core.gateway.due_adapters import DueAdapters
 from bambootiller_core.gateway.first_look import FirstLook
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.log_lines import (
@@ -73,6 +74,7 @@
         self._store_idle: dict[str, StoreIdle] = {}
         self._planned_at = float("-inf")
         self._speeds = StoreSpeeds()
+        self._due_adapters: dict[str, DueAdapters] = {}
         self._first_looks: dict[str, FirstLook] = {}
         self._clock = PlanClock(
             self._due,
@@ -94,6 +96,21 @@
         """The demand for the models of a service at this entry."""
         return self._demand.setdefault(service, Demand())
 
+    def due_adapters(self, service: str) -> DueAdapters:
+        """The adapters that refused callers will need, at the engines of a service."""
+        return self._due_adapters.setdefault(service, DueAdapters())
+
+    def engine_spoke(self, now: float, backend: Backend) -> None:
+        """An agent told something new: ask it for the adapters of refused callers whose
+        models are there."""
+        service = backend.registered.service
+        due = self._due_adapters.get(service)
+        if due is None:
+            return
+        backends = self._knowledge.fleet.of_service(service)
+        for wish in due.wishes(now, backend, backends):
+            self._wish(backend, wish)
+
     def totals_told(
         self, now: float, service: str, host: str, totals: Mapping[str, Want]
     ) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -261,5 +261,6 @@
             if backend.ended:
                 self._knowledge.note_restart(backend, source)
             self.plans.changed(now)
+            self.plans.engine_spoke(now, fleet.get(words.state.instance))
             if wakes:
                 self._knowledge.changed.notify()
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -199,6 +199,7 @@
         come_back = min(max(come_back, attempts.COME_BACK_S), COME_BACK_MAX_S)
         demand = engines.plans.demand(call.service)
         demand.refused(now, ask.model, come_back, self._weight)
+        engines.plans.due_adapters(call.service).refused(now, ask, come_back)
         plan = self._plan_seen(now, planned)
         return Refusal(Reason.COLD, come_back, detail, plan)
 
--- a/tests/adapter/common/entry.py
+++ b/tests/adapter/common/entry.py
@@ -14,6 +14,7 @@
 from bambootiller.gateway.relays import Relays
 from bambootiller_core.gateway.budget import AttemptBudget
 from bambootiller_core.gateway.demand import Demand
+from bambootiller_core.gateway.due_adapters import DueAdapters
 from bambootiller_core.gateway.running import TICK_S, RunningTime
 from bambootiller_core.gateway.want import NO_WANT
 from bambootiller_core.ports import Changed, Record
@@ -47,6 +48,9 @@
     def demand(self, service):
         return self._demand
 
+    def due_adapters(self, service):
+        return DueAdapters()
+
     def planned(self, service, model):
         return None
 
--- a/tests/gateway/failures/test_starvation.py
+++ b/tests/gateway/failures/test_starvation.py
@@ -2,7 +2,10 @@
 
 import unittest
 
+from bambootiller_core.gateway.calls import ModelAsk
 from bambootiller_core.gateway.demand import Demand
+from bambootiller_core.gateway.due_adapters import DueAdapters
+from bambootiller_core.gateway.engine_state import Loading
 from bambootiller_core.gateway.places import choose_victims, keep_values
 from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
@@ -51,6 +54,39 @@
                 self.assertEqual(replay.starved(), [])
 
 
+class TestAdaptersOfCallersDueBack(unittest.TestCase):
+    """Callers came back to their model and were refused for want of their adapter, as
+    the model's engine was in another long load by then."""
+
+    def setUp(self):
+        self.due = DueAdapters()
+        self.due.refused(1.0, ModelAsk("tutor", "physics"), come_back_s=6.0)
+
+    def wished(self, now, *states):
+        backends = [samples.backend(state.instance, now, state) for state in states]
+        wishes = self.due.wishes(now, backends[-1], backends)
+        return [(wish.model, wish.adapter) for wish in wishes]
+
+    def test_they_are_loaded_once_their_model_is_there(self):
+        self.assertEqual(self.wished(2.0, samples.engine_state("b1")), [])
+        held = samples.engine_state("b1", ["tutor"])
+        self.assertEqual(self.wished(3.0, held), [("tutor", "physics")])
+
+    def test_an_engine_in_a_load_takes_none(self):
+        loading = Loading("poet", 9.0, True)
+        held = samples.engine_state("b1", ["tutor"], loading=loading, busy=True)
+        self.assertEqual(self.wished(3.0, held), [])
+
+    def test_one_that_an_engine_has_is_not_loaded_again(self):
+        has = samples.engine_state("b1", adapters={"tutor": frozenset({"physics"})})
+        other = samples.engine_state("b2", ["tutor"])
+        self.assertEqual(self.wished(3.0, has, other), [])
+
+    def test_nothing_is_loaded_for_callers_that_did_not_come_back(self):
+        held = samples.engine_state("b1", ["tutor"])
+        self.assertEqual(self.wished(8.0, held), [])
+
+
 class TestCallersDueBack(unittest.TestCase):
     """A model was loaded for refused callers and unloaded before they came back."""
 
