The weight store's one turn is given away once

Callers saw: nothing by itself; models whose only copies are at the engines of both loads were refused twice as long. Cause: four entries ask for loads from the store, each for the models that it sees to. And between a wish and the agent's word lie some plans, each of which may put another model first. Change: one entry asks for all loads of a service from the store. What it asked for takes a turn until its agent tells of it, or for half a second. The asking has a module of its own. Before: the new tests fail: 3 of 4 entries give the turn, and a plan later another model has it. After: they pass. It doesn't make the store faster: two loads at a time end when one after the other would have; it takes fewer engines out.

--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_asks.py
@@ -0,0 +1,56 @@
+"""Which loads from the weight store an entry asks for, until agents tell of them.
+
+Between the wish for a load and the agent's word that it has begun lie some plans. The
+next caller may change their order, and each of them would give the store's one turn to
+another model at another engine: two loads would begin, and each would take longer.
+
+Example::
+
+    asks = StoreAsks()
+    for load in asks.choose(now, planned, is_told): ...
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from bambootiller_core.gateway.residency import PlannedLoad
+
+#: An agent tells of a load that it begins, or makes room for, well within this time. If
+#: it doesn't, it can't, and another load is asked for. Seconds.
+TOLD_WITHIN_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class _Ask:
+    load: PlannedLoad
+    first_at: float
+
+
+class StoreAsks:
+    """The loads of one service that an entry has asked for and not been told of."""
+
+    def __init__(self) -> None:
+        self._asks: list[_Ask] = []
+
+    def choose(
+        self,
+        now: float,
+        planned: Iterable[PlannedLoad],
+        is_told: Callable[[PlannedLoad], bool],
+    ) -> list[PlannedLoad]:
+        """The loads to ask for now. ``planned`` are those that the store has turns for,
+        ``is_told`` whether the agent has told of the load, so that the plan counts it
+        as under way."""
+        planned = list(planned)
+        self._asks = [
+            ask
+            for ask in self._asks
+            if now - ask.first_at <= TOLD_WITHIN_S and not is_told(ask.load)
+        ]
+        asked = {ask.load.model for ask in self._asks}
+        turns = max(0, len(planned) - len(self._asks))
+        others = [load for load in planned if load.model not in asked]
+        self._asks += [_Ask(load, now) for load in others[:turns]]
+        return [ask.load for ask in self._asks]
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -7,12 +7,12 @@
 
 from bambootiller.app import Application
 from bambootiller.gateway.knowledge import Knowledge
+from bambootiller.gateway.load_asks import LoadAsks
 from bambootiller.gateway.plan_clock import PlanClock, pause_s
 from bambootiller_core.gateway.collecting import (
     Totals,
     greater,
     planners,
-    seen_to_by,
 )
 from bambootiller_core.gateway.config import ServiceSpec
 from bambootiller_core.gateway.copies import copies_seen
@@ -26,7 +26,7 @@
     Obstacles,
     WeightStoreIdle,
 )
-from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
+from bambootiller_core.gateway.order_messages import Wish
 from bambootiller_core.gateway.places import copies_at
 from bambootiller_core.gateway.residency import PlannedLoad, Planner
 from bambootiller_core.gateway.store_idle import StoreIdle
@@ -37,8 +37,6 @@
 #: A plan no older than this is of this moment, in pauses between two plans: a call that
 #: looks at it would otherwise be quicker than the next plan.
 FRESH_PAUSES = 2
-#: The urgency of what is asked for ahead of demand.
-AHEAD = 5
 #: An engine that the registry lists is known here within the pause between two reads
 #: and this. Seconds.
 LISTED_WITHIN_S = 0.3
@@ -67,6 +65,7 @@
         self.entries: tuple[str, ...] = ()
         self._demand: dict[str, Demand] = {}
         self._own: dict[str, dict[str, Want]] = {}
+        self._asks = LoadAsks(app.instance, knowledge.fleet, lambda: self.entries, wish)
         self._totals = Totals()
         self._plans: dict[str, dict[str, PlannedLoad]] = {}
         self._planned_for: dict[str, dict[str, Want]] = {}
@@ -218,8 +217,10 @@
             self._planned_for[service.name] = wants_of_all
             self._planners[service.name] = planner
             self._note_idle_store(now, service.name, planner, wants_of_all)
-            asks_store = self._knows_engines(now, service.name, backends)
-            self._ask(plan, wants, wants_of_all, asks_store)
+            loads = self._asks.from_copies(plan, wants)
+            if self._knows_engines(now, service.name, backends):
+                loads += self._asks.from_store(now, service.name, plan)
+            self._asks.ask(loads, wants, wants_of_all)
             if plan or any(want.value for want in wants_of_all.values()):
                 self._clock.has_work()
         self._clock.pause_s = pause_s(pairs)
@@ -300,7 +301,11 @@
         it is the one to see to their model. Others make the plan when a call comes."""
         if self._awaits_own():
             return True
-        return any(map(self._sees_to, self._totals.waited_for(now)))
+        awaited = self._totals.waited_for(now)
+        if any(map(self._asks.sees_to, awaited)):
+            return True
+        services = self._engine_services() if awaited else ()
+        return any(self._asks.sees_to_store(service.name) for service in services)
 
     def _awaits_own(self) -> bool:
         """Whether calls of this entry wait, or of one that sees to loads refused
@@ -348,34 +353,3 @@
         look = self._first_looks.setdefault(service, FirstLook())
         quiet_s = self._knowledge.gather_s + LISTED_WITHIN_S
         return look.is_over(now, backends, quiet_s)
-
-    def _ask(
-        self,
-        plan: dict[str, PlannedLoad],
-        wants: dict[str, Want],
-        wants_of_all: dict[str, Want],
-        asks_store: bool,
-    ) -> None:
-        for load in plan.values():
-            if not load.ask_now or (load.from_store and not asks_store):
-                continue
-            backend = self._knowledge.fleet.get(load.instance)
-            if backend is None:
-                continue
-            waiting = wants.get(load.model, NO_WANT).waiting
-            want = wants_of_all.get(load.model, NO_WANT)
-            alone = waiting and not load.from_store
-            if not alone and not self._sees_to(load.model):
-                continue
-            urgency = WAITED_FOR if waiting or want.awaited else AHEAD
-            self._wish(backend, Wish(load.model, "", urgency, want))
-
-    def _sees_to(self, model: str) -> bool:
-        """Whether this entry is the one to ask for a load from the weight store, or
-        for one that no call waits for.
-
-        All entries have nearly the same plan. Asked by several at the same moment,
-        agents would load a model at more engines than it needs, and half of what the
-        store gives would be wasted. A load from a copy is over before it matters.
-        """
-        return seen_to_by(model, self.entries) == self._app.instance
--- a/tests/gateway/failures/test_engines.py
+++ b/tests/gateway/failures/test_engines.py
@@ -9,6 +9,7 @@
 from bambootiller.gateway.plan_clock import IDLE_PLAN_S, PLAN_MAX_S, PLAN_S
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core import rendezvous
+from bambootiller_core.gateway.collecting import seen_to_by
 from bambootiller_core.gateway.fleet import Fleet
 from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.want import Want
@@ -117,13 +118,14 @@
         return len(self.plans) - before
 
     def others(self):
-        """Entries of which another sees to the model."""
-        names = ("entry-1", "entry-2")
-        for number in range(99):
-            model = f"m{number}"
-            if rendezvous.first(model, names) == "entry-2":
+        """Entries of which another sees to the model and to the weight store."""
+        for number in range(9999):
+            model, other = f"m{number}", f"other-{number}"
+            names = ("entry-1", other)
+            seen_to = (model, "weight store of tutor")
+            if all(seen_to_by(name, names) == other for name in seen_to):
                 return model, names
-        raise AssertionError("no model that the other entry sees to")
+        raise AssertionError("no entry that sees to a model and to the weight store")
 
     def test_one_that_asks_for_nothing_makes_none_while_others_wait(self):
         model, names = self.others()
--- /dev/null
+++ b/tests/gateway/failures/test_store_turns_taken.py
@@ -0,0 +1,103 @@
+"""One turn of the weight store that was given to two models."""
+
+import unittest
+
+from bambootiller.gateway.engine_plans import EnginePlans
+from bambootiller.gateway.plan_clock import PLAN_S
+from bambootiller_core.gateway.collecting import planners
+from bambootiller_core.gateway.first_look import MOST_S
+from bambootiller_core.gateway.fleet import Fleet
+from bambootiller_core.gateway.residency import PlannedLoad
+from bambootiller_core.gateway.store_asks import TOLD_WITHIN_S, StoreAsks
+from bambootiller_core.gateway.want import Want
+from tests.gateway.common import samples
+from tests.gateway.cover.test_engine_plans import ENTRIES, SERVICE, App, Known
+
+MODELS = ("m1", "m2", "m3", "m4")
+
+
+class KnownStore(Known):
+    """Engines without any copy, and a weight store that is slow enough to be taken to
+    serve one load at a time."""
+
+    def __init__(self, app):
+        super().__init__(app)
+        models = [samples.model(name, load_s=20.0) for name in MODELS]
+        service = samples.plain_service(SERVICE, engine=samples.engine(*models))
+        self.config = samples.config(services=[service])
+        self.fleet = Fleet()
+        for number in range(6):
+            instance, address = f"b{number}", f"10.0.0.{number}:1"
+            record = samples.registered(instance, SERVICE, address)
+            self.fleet.registry_changed(app.at, record)
+            self.fleet.engine_told(app.at, samples.engine_state(instance))
+
+
+class TestOneTurn(unittest.TestCase):
+    """Two loads began within 40 ms, at two engines: each entry gave the turn that had
+    come free to the first of the models that it sees to."""
+
+    def entry(self, instance, wants):
+        app = App(instance)
+        known = KnownStore(app)
+        wished = []
+
+        def wish(backend, wish):
+            wished.append(wish.model)
+
+        plans = EnginePlans(app, known, wish)
+        plans.entries = ENTRIES
+        plans.make(app.at)
+        app.at += MOST_S + 0.1
+        for number in range(6):
+            known.fleet.engine_told(app.at, samples.engine_state(f"b{number}"))
+        plans.make(app.at)
+        wished.clear()
+        plans.totals_told(app.at, SERVICE, "10.0.0.1", wants)
+        plans.make(app.at)
+        return app, plans, wished
+
+    def test_of_all_entries_one_gives_it(self):
+        giving = set()
+        for instance in planners(ENTRIES):
+            for first in MODELS:
+                wants = dict.fromkeys(MODELS, Want(0.1, 1))
+                wants[first] = Want(0.5, 2)
+                if self.entry(instance, wants)[2]:
+                    giving.add(instance)
+        self.assertEqual(len(giving), 1)
+
+    def test_an_entry_does_not_change_its_mind_until_the_agent_has_spoken(self):
+        for instance in planners(ENTRIES):
+            first = {**dict.fromkeys(MODELS, Want(0.1, 1)), "m1": Want(0.5, 2)}
+            app, plans, wished = self.entry(instance, first)
+            asked = set(wished)
+            for model in MODELS:
+                later = {**first, model: Want(0.9, 3)}
+                plans.totals_told(app.at, SERVICE, "10.0.0.1", later)
+                app.at += PLAN_S
+                plans.make(app.at)
+            self.assertEqual(set(wished), asked)
+
+
+class TestAsks(unittest.TestCase):
+    def setUp(self):
+        self.asks = StoreAsks()
+
+    def choose(self, now, *models, told=()):
+        planned = [PlannedLoad(model, "b1", 6.0, True, True) for model in models]
+        chosen = self.asks.choose(now, planned, lambda load: load.model in told)
+        return [load.model for load in chosen]
+
+    def test_what_was_asked_for_takes_a_turn(self):
+        self.assertEqual(self.choose(1.0, "m1"), ["m1"])
+        self.assertEqual(self.choose(1.1, "m2"), ["m1"])
+        self.assertEqual(self.choose(1.2, "m2", "m3"), ["m1", "m2"])
+
+    def test_one_that_its_agent_tells_of_takes_none_any_more(self):
+        self.choose(1.0, "m1")
+        self.assertEqual(self.choose(1.1, "m2", told={"m1"}), ["m2"])
+
+    def test_one_that_its_agent_does_not_begin_is_given_up(self):
+        self.choose(1.0, "m1")
+        self.assertEqual(self.choose(1.1 + TOLD_WITHIN_S, "m2"), ["m2"])
