No second load is tried at the store while the first one's outcome is open

Cause: one load beyond what the store is known to serve is tried unless one is late. Ruled out: never trying (a store that serves more would stay unused). Change: none is tried while one is under way that began beyond the estimate. Before: the new test fails. After: it passes.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
@@ -99,6 +99,7 @@
         self.loads = loads
         self._bounded = False
         self._one_is_late = False
+        self._one_is_tried = False
         self._group: _Group | None = None
         self._watched: dict[_Key, _Watched] = {}
 
@@ -107,11 +108,12 @@
         """Whether one load beyond the estimate may be under way: while that is low and
         nothing has shown that the store serves no more.
 
-        A load that is late may show it soon. Begun beside it, a third load would be
-        slowed by it in any case, and keep its engine twice as long.
+        A load that is late may show it soon, as may one begun beyond the estimate.
+        Begun beside it, a third load would be slowed by it in any case, and keep its
+        engine twice as long.
         """
         known = self._bounded or self.loads >= ASSUMED_LOADS
-        return not known and not self._one_is_late
+        return not known and not self._one_is_late and not self._one_is_tried
 
     def left_s(self, now: float, at: Incarnation, loading: Loading) -> float:
         """When a load from the store ends. Its agent, which doesn't see the others,
@@ -143,6 +145,9 @@
             now - watched.began > watched.stated_s for watched in self._watched.values()
         )
         self._lower()
+        self._one_is_tried = any(
+            watched.place > self.loads for watched in self._watched.values()
+        )
 
     def ends_elsewhere(self, now: float, known: Collection[str]) -> list[float]:
         """When the loads end, in seconds, that are under way at engines other than the
--- a/tests/gateway/cover/test_store_speed.py
+++ b/tests/gateway/cover/test_store_speed.py
@@ -127,6 +127,18 @@
         self.assertEqual(len(store.ends), 1)
         self.assertFalse(store.speed.tries_one_more)
 
+    def test_until_the_one_that_is_tried_shows_something_no_other_is_tried(self):
+        """The load before it had ended, it wasn't late yet, and another was tried."""
+        store = OrderlyStore(full=1, loads=1)
+        store.begin("b0")
+        store.run(0.1 * LOAD_S)
+        store.begin("b1")
+        store.run(0.1 * LOAD_S)
+        self.assertFalse(store.speed.tries_one_more)
+        store.run(0.82 * LOAD_S)
+        self.assertEqual(list(store.ends), ["b1"])
+        self.assertFalse(store.speed.tries_one_more)
+
     def test_the_end_of_a_load_is_foreseen(self):
         store = OrderlyStore(full=1, loads=1)
         store.begin("b0")
