An entry's first look at the engines ends while they come and go

Callers saw: nothing yet. Found by looking for guards without a bound. Cause: after its start an entry asks the weight store for nothing until it has heard of no new engine for a while. Each engine that goes down or comes up begins that while anew, so that with engines that do so every few seconds it never ends; and one entry now asks for all of a service. Ruled out: counting engines that come only (one that goes and comes back would still do it). Change: the look lasts ten seconds at most. Before: the new test has no bound to import; without it the look lasts for ever. After: it passes.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/first_look.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/first_look.py
@@ -19,6 +19,9 @@
 #: An agent that hasn't spoken by then isn't waited for: its process may be gone.
 #: Seconds.
 MOST_S = 5.0
+#: Nor are engines that come and go waited for longer than this, or the weight store
+#: would be asked for nothing while they do. Seconds since the first one was heard.
+LONGEST_S = 10.0
 
 
 class FirstLook:
@@ -28,19 +31,25 @@
         self._over = False
         self._known: tuple[int, int] = (0, 0)
         self._grew_at: float | None = None
+        self._began_at: float | None = None
 
     def is_over(
         self, now: float, backends: Collection[Backend], quiet_s: float
     ) -> bool:
         """Whether no engine has been listed for ``quiet_s``, and all were heard, or
-        nothing at all has come to be known for :data:`MOST_S`."""
+        nothing at all has come to be known for :data:`MOST_S`, or the look has taken
+        :data:`LONGEST_S`."""
         if self._over:
             return True
         heard = sum([backend.engine is not None for backend in backends])
         known = (len(backends), heard)
         if self._grew_at is None or known != self._known:
             self._known, self._grew_at = known, now
+        if heard and self._began_at is None:
+            self._began_at = now
         still_s = now - self._grew_at
         all_heard = 0 < len(backends) == heard
-        self._over = still_s >= (quiet_s if all_heard else MOST_S)
+        is_still = still_s >= (quiet_s if all_heard else MOST_S)
+        lasts_s = now - self._began_at if self._began_at is not None else 0.0
+        self._over = is_still or lasts_s >= LONGEST_S
         return self._over
--- a/tests/gateway/cover/test_first_look.py
+++ b/tests/gateway/cover/test_first_look.py
@@ -4,7 +4,7 @@
 
 from bambootiller.gateway.engine_plans import EnginePlans
 from bambootiller.gateway.knowledge import Changes
-from bambootiller_core.gateway.first_look import MOST_S, FirstLook
+from bambootiller_core.gateway.first_look import LONGEST_S, MOST_S, FirstLook
 from bambootiller_core.gateway.fleet import Fleet
 from bambootiller_core.timers import TimerService
 from tests.gateway.common import samples
@@ -37,6 +37,14 @@
         self.assertFalse(self.over(MOST_S - 0.1, heard("b1"), silent))
         self.assertTrue(self.over(MOST_S, heard("b1"), silent))
 
+    def test_engines_that_come_and_go_do_not_make_it_last_for_ever(self):
+        """The weight store was asked for nothing while engines went down and up."""
+        now, both = 0.0, (heard("b1"), heard("b2"))
+        while now < LONGEST_S - 0.1:
+            self.assertFalse(self.over(now, *both[: 1 + round(now * 2) % 2]))
+            now += 0.5
+        self.assertTrue(self.over(LONGEST_S, *both))
+
     def test_before_any_engine_is_listed_nothing_is_known(self):
         self.assertFalse(self.over(0.0))
         self.assertFalse(self.over(QUIET_S + 0.1))
