A model whose copy can't be loaded for long takes its own turn at the store

Callers saw: nothing yet. Found by looking for the same cause elsewhere: a model with a copy at an engine that stays full leaves the store to models without any, however long its callers have been refused. Cause: the rule has no bound; it counts on the engine's turn. Ruled out: dropping the rule (the store brought what two engines had copies of). Change: after 8 s without one call served the model doesn't leave its turn. Before: the new test fails. After: it passes; the rule's own tests hold.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_turns.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_turns.py
@@ -11,10 +11,13 @@
 from bambootiller_core.gateway.config import ModelSpec
 from bambootiller_core.gateway.load_order import Rank
 from bambootiller_core.gateway.store_queue import StoreQueue
+from bambootiller_core.gateway.want import Want
 
 #: A second copy keeps its engine from all other orders for seconds, so there is one
 #: such load at a time.
 SECOND_COPY_LOADS = 1
+#: Where an engine has a copy, its turn to load it comes within this time. Seconds.
+COPY_DUE_S = 8.0
 
 
 class StoreTurns:
@@ -65,10 +68,13 @@
             return not self._is_taken and self._second_copies < SECOND_COPY_LOADS
         return True
 
-    def leaves_to_others(self) -> bool:
+    def leaves_to_others(self, want: Want) -> bool:
         """Whether models without any copy, which come later in the plan, need all that
         the store can begin now. One with a copy leaves it to them: the engine with the
-        copy has its turn later."""
+        copy has its turn later. If that doesn't come for long, because the engine stays
+        full or in other loads, the model takes its own turn."""
+        if want.unserved_s >= COPY_DUE_S:
+            return False
         return len(self._without_copy) >= max(1, self.queue.room())
 
     def took(self, rank: Rank) -> None:
--- a/tests/gateway/cover/test_store_turns.py
+++ b/tests/gateway/cover/test_store_turns.py
@@ -7,6 +7,7 @@
 from bambootiller_core.gateway.engine_state import Loading
 from bambootiller_core.gateway.places import Place
 from bambootiller_core.gateway.residency import Planner
+from bambootiller_core.gateway.store_turns import COPY_DUE_S
 from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
 
@@ -117,6 +118,10 @@
     def test_the_one_without_a_copy_goes_first(self):
         self.assertEqual(self.begun(tutor=Want(2.0, 9), poet=Want(0.2, 1)), ["poet"])
 
+    def test_one_whose_engine_never_has_room_is_not_passed_over_for_ever(self):
+        tutor = Want(2.0, 9, unserved=9.0, unserved_s=COPY_DUE_S)
+        self.assertEqual(self.begun(tutor=tutor, poet=Want(0.2, 1)), ["tutor"])
+
     def test_a_store_for_both_serves_both(self):
         begun = self.begun(2, tutor=Want(2.0, 9), poet=Want(0.2, 1))
         self.assertEqual(begun, ["tutor", "poet"])
