A rarely used model has a turn where all that engines hold is busy

Callers saw: refused for as long as they asked (virtual time: 31 and 35 calls in 60 s, none served; six models with 12 calls a second each on two engines). Cause: a model with calls under way makes way only if it is wanted less than once a second, whoever waits and for how long. Change: it makes way for a model of which no call could be served for 8 s, if it has fewer calls a second than wait for that, and one of these is there. The replay serves calls whose model is there before it plans, as an entry does.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -18,6 +18,8 @@
 #: Callers come sooner than told if they have little time. Seconds.
 DUE_BACK_LATE_S = 0.5
 DUE_BACK_MOST_S = 6.5
+#: A call that waits has waited for so long at least: 0 stands for none. Seconds.
+JUST_COME_S = 0.001
 #: Below this rate a model isn't told of any more. Calls a second.
 LEAST_RATE = 0.005
 
@@ -126,7 +128,7 @@
             rate = _rate(self._rates, now, model)
             here = self._waiting.get(model, [])
             waiting = self.waiting(now, model)
-            oldest_s = max([now - call.since for call in here], default=0.0)
+            waited_s = [max(now - call.since, JUST_COME_S) for call in here]
             left_s = [call.due - now for call in here if call.due > now]
             if rate < LEAST_RATE and not waiting:
                 del self._rates[model]
@@ -141,7 +143,7 @@
                 rate,
                 waiting,
                 holders.get(model, 0),
-                oldest_s,
+                max(waited_s, default=0.0),
                 copies.get(model, 0),
                 min(left_s, default=0.0),
                 _rate(self._missed, now, model),
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_turns.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_turns.py
@@ -16,8 +16,6 @@
 #: A second copy keeps its engine from all other orders for seconds, so there is one
 #: such load at a time.
 SECOND_COPY_LOADS = 1
-#: Where an engine has a copy, its turn to load it comes within this time. Seconds.
-COPY_DUE_S = 8.0
 
 
 class StoreTurns:
@@ -73,7 +71,7 @@
         the store can begin now. One with a copy leaves it to them: the engine with the
         copy has its turn later. If that doesn't come for long, because the engine stays
         full or in other loads, the model takes its own turn."""
-        if want.unserved_s >= COPY_DUE_S:
+        if want.overdue:
             return False
         return len(self._without_copy) >= max(1, self.queue.room())
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
@@ -12,6 +12,8 @@
 #: callers waited. So none is passed over for ever by others that are asked for more.
 #: Seconds.
 AGING_S = 4.0
+#: A model of which no call could be served for so long is overdue. Seconds.
+OVERDUE_S = 8.0
 #: What keeping a model is worth without any demand for it, so that of models nobody
 #: asks for the one that several engines hold goes first. Calls a second.
 LEAST_KEEP = 0.01
@@ -22,21 +24,27 @@
 
 @dataclass(frozen=True, slots=True)
 class Want:
-    """The demand for one model: calls a second, calls waiting, engines holding it, how
-    long the first of the waiting calls has waited, in seconds, how many engines have
-    its weights, those that hold it included, how long the next of the waiting calls to
-    be late is still in time, in seconds, 0 if none is, calls a second that find their
-    adapter at no engine, calls that ended without an answer since an engine held it
-    last, and how long ago the first of these came, in seconds."""
+    """The demand for one model, of one entry or of all."""
 
+    #: Calls a second.
     rate: float = 0.0
+    #: Calls that wait now, and refused ones whose callers are due back.
     waiting: int = 0
+    #: Engines that hold it.
     holders: int = 0
+    #: How long the first of the calls that wait now has waited, 0 if none does; in
+    #: seconds.
     oldest_s: float = 0.0
+    #: Engines that have its weights, those that hold it included.
     copies: int = 0
+    #: How long the next of the waiting calls to be late is still in time, 0 if none is.
+    #: Seconds.
     in_time_s: float = 0.0
+    #: Calls a second that find their adapter at no engine.
     adapter_rate: float = 0.0
+    #: Calls that ended without an answer since an engine held it last.
     unserved: float = 0.0
+    #: How long ago the first of these came. Seconds.
     unserved_s: float = 0.0
 
     @property
@@ -47,6 +55,11 @@
             return self.waiting
         return max(self.waiting, self.unserved + self.unserved_s / AGING_S)
 
+    @property
+    def overdue(self) -> float:
+        """The calls that a load is for, if none could be served for long; else 0."""
+        return self.awaited if self.unserved_s >= OVERDUE_S else 0.0
+
     @property
     def value(self) -> float:
         """How much a load is worth, to compare models."""
--- a/tests/gateway/common/rare_replay.py
+++ b/tests/gateway/common/rare_replay.py
@@ -12,6 +12,7 @@
 
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.gateway.engine_state import Loading
+from bambootiller_core.gateway.order_demand import SHORTEST_TURN_S
 from bambootiller_core.gateway.places import choose_victims, copies_at, keep_values
 from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.want import NO_WANT
@@ -33,6 +34,7 @@
     copies: set
     held: dict = field(default_factory=dict)  # model -> when its last run ends
     adapters: dict = field(default_factory=lambda: defaultdict(set))
+    loaded_at: dict = field(default_factory=dict)
     loading: str = ""
     ends_at: float = 0.0
     from_store: bool = False
@@ -96,6 +98,7 @@
                 self._lose(losses.pop(0)[1])
             self._end_loads()
             self._arrive()
+            self._serve_held()
             self._order()
             self._serve()
             self._note_idle()
@@ -139,14 +142,23 @@
             self.demand.begin_waiting(self.now, caller.model)
             self._waiting.append(caller)
 
-    def _serve(self):
+    def _serve_held(self):
+        """Calls whose model is there don't wait for it."""
         staying = []
         for caller in self._waiting:
             engine = self._holder(caller)
-            if engine is not None:
-                engine.held[caller.model] = self.now + RUN_S
-                self._end(caller, served=True)
-            elif self._is_in_time(caller):
+            if engine is None:
+                staying.append(caller)
+                continue
+            engine.held[caller.model] = self.now + RUN_S
+            self._end(caller, served=True)
+        self._waiting = staying
+
+    def _serve(self):
+        self._serve_held()
+        staying = []
+        for caller in self._waiting:
+            if self._is_in_time(caller):
                 staying.append(caller)
             else:
                 self._refused(caller)
@@ -198,6 +210,7 @@
         for engine in self.engines:
             if engine.loading and engine.ends_at <= self.now:
                 engine.held[engine.loading] = self.now
+                engine.loaded_at[engine.loading] = self.now
                 engine.copies.add(engine.loading)
                 engine.loading = ""
 
@@ -239,12 +252,16 @@
 
     def _load(self, engine, model, wants):
         need_mb = 40.0 * (len(engine.held) + 1) - self.spec.memory_mb
+        values = keep_values(engine.held, wants)
+        for name in engine.held:
+            if self.now - engine.loaded_at.get(name, -1.0) < SHORTEST_TURN_S:
+                values[name] = float("inf")
         victims = choose_victims(
             self.spec,
             {name: frozenset() for name in engine.held},
             need_mb,
             {name: 1 for name, ends in engine.held.items() if ends > self.now},
-            keep_values(engine.held, wants),
+            values,
             wants.get(model, NO_WANT),
             self._load_s,
         )
--- a/tests/gateway/failures/test_starvation.py
+++ b/tests/gateway/failures/test_starvation.py
@@ -54,6 +54,21 @@
                 self.assertEqual(replay.starved(), [])
 
 
+class TestEnginesFullOfBusyModels(unittest.TestCase):
+    """A rarely used model was never loaded where all that engines hold has calls under
+    way at every moment."""
+
+    def test_it_has_a_turn(self):
+        busy = [f"m{number}" for number in range(6)]
+        for rate in (2.0, 6.0, 12.0):
+            rates = {**dict.fromkeys(busy, rate), "rare": 0.3}
+            for seed in range(3):
+                with self.subTest(rate=rate, seed=seed):
+                    replay = RareReplay(seed, 2, rates, [*busy, "rare"])
+                    replay.run(60.0)
+                    self.assertEqual(replay.starved(), [])
+
+
 class TestAdaptersOfCallersDueBack(unittest.TestCase):
     """Callers came back to their model and were refused for want of their adapter, as
     the model's engine was in another long load by then."""
