--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_idle.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_idle.py
@@ -16,6 +16,8 @@
 SPELL_S = 1.0
 #: A spell that goes on is told again after this time. Seconds.
 AGAIN_S = 5.0
+#: Looks that lie further apart than this say nothing of the time between. Seconds.
+LOOK_APART_S = 1.0
 
 
 class StoreIdle:
@@ -36,8 +38,9 @@
         if loads_under_way or not awaited:
             self._since = self._told_at = None
             return None
-        if self._since is None:
+        if self._since is None or now - self._seen_at > LOOK_APART_S:
             self._since = self._seen_at = now
+            self._told_at = None
         self.total_s += now - self._seen_at
         self._seen_at = now
         told_at = self._told_at
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -229,8 +229,8 @@
         self, now: float, service: str, planner: Planner, wants: Mapping[str, Want]
     ) -> None:
         idle = self._store_idle.setdefault(service, StoreIdle())
-        awaited = planner.awaited_from_store(wants)
         under_way = self.store_loads_under_way(service)
+        awaited = [] if under_way else planner.awaited_from_store(wants)
         seconds = idle.observe(now, under_way, awaited)
         if seconds is None:
             return
--- a/tests/adapter/common/rare_models.py
+++ b/tests/adapter/common/rare_models.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 import random
 from collections import Counter, defaultdict
 from dataclasses import dataclass
@@ -115,6 +116,17 @@
             if self._counts(tries, asked_by) and not any(one.served for one in tries)
         ]
 
+    def story(self, models):
+        """What programs logged of these models, but for calls that were answered; the
+        logs are removed with the fleet."""
+        lines = [
+            (line["time"], json.dumps(line))
+            for program in self._programs
+            for line in program.lines()
+            if line.get("model") in models and line["event"] != "answered"
+        ]
+        return "\n".join([text for _, text in sorted(lines)])
+
     def asked(self):
         """How many models and adapters were asked for often and for long."""
         asked = defaultdict(list)
