--- a/tests/gateway/common/rare_replay.py
+++ b/tests/gateway/common/rare_replay.py
@@ -42,19 +42,21 @@
 
 @dataclass
 class Caller:
-    """One call; ``again`` is whether its caller returns after a refusal."""
+    """One call; ``again`` is whether its caller returns after a refusal,
+    ``missed_adapter`` whether it has found its adapter nowhere."""
 
     model: str
     adapter: str
     arrived: float
     again: bool = True
+    missed_adapter: bool = False
 
 
 class RareReplay:
     """One seeded trace.
 
-    ``models`` are asked for, ``copied`` of them have a copy at the start; calls for
-    models with ``adapters`` name one of so many. ``rates`` are calls a second by model.
+    ``rates`` are calls a second by model, ``copied`` the models that have a copy at the
+    start. If there are ``adapters``, each call names one of so many.
     """
 
     def __init__(
@@ -173,15 +175,11 @@
             if not engine.loading:
                 engine.adapters[caller.model].add(caller.adapter)
                 return engine
-        if holders:
-            self._adapter_missed(caller)
+        if holders and not caller.missed_adapter:
+            caller.missed_adapter = True
+            self.demand.adapter_missed(self.now, caller.model)
         return None
 
-    def _adapter_missed(self, caller):
-        missed = getattr(self.demand, "adapter_missed", None)
-        if missed is not None and caller.arrived == self.now:
-            missed(self.now, caller.model)
-
     def _is_in_time(self, caller):
         left_s = caller.arrived + PATIENCE_S - self.now
         holders = [engine for engine in self.engines if caller.model in engine.held]
