--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -17,7 +17,7 @@
 #: caller comes back: so much later than it was told, but no longer than the other.
 #: Callers come sooner than told if they have little time. Seconds.
 DUE_BACK_LATE_S = 0.5
-DUE_BACK_MOST_S = 6.5
+DUE_BACK_MOST_S = 3.0
 #: A call that waits has waited for so long at least: 0 stands for none. Seconds.
 JUST_COME_S = 0.001
 #: Below this rate a model isn't told of any more. Calls a second.
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/places.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/places.py
@@ -37,8 +37,7 @@
 #: What it is worth at least, without demand, if one engine holds it.
 HELD_ONCE_KEEP = COPIED_KEEP * LEAST_KEEP
 #: A model with calls under way makes way only if it is wanted no more than this: the
-#: calls a second of a rarely used model, or of one that other engines hold as well. For
-#: one that is overdue it does if it has fewer calls a second than wait for that.
+#: calls a second of a rarely used model, or of one that other engines hold as well.
 MOST_CUT_SHORT = 1.0
 
 
@@ -184,7 +183,7 @@
             leaver = _Leaver(name, value, freed_mb, _runs_end_s(calls))
             if not calls:
                 self._idle.append(leaver)
-            else:
+            elif value <= MOST_CUT_SHORT:
                 self._busy.append(leaver)
 
     def choose(
@@ -210,13 +209,7 @@
                 return _victims(chosen)
         if not incoming.awaited:
             return None
-        most = MOST_CUT_SHORT
-        if incoming.oldest_s or load_s > LONG_LOAD_S:
-            # Loaded between two of its calls, it would go before the next one came.
-            most = max(most, incoming.overdue)
         for leaver in self._busy:
-            if leaver.keep_value > most:
-                break
             chosen.append(leaver)
             need_mb -= leaver.freed_mb
             if need_mb <= 0:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -191,7 +191,7 @@
         if option.from_store:
             if not turns.admit(rank, coming is not None):
                 return
-            if spec.name in self._copies and turns.leaves_to_others(want):
+            if spec.name in self._copies and turns.leaves_to_others():
                 plan[spec.name] = _waiting_load(spec, turns.queue.when(spec.load_s))
                 return
             turns.took(rank)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_turns.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_turns.py
@@ -11,7 +11,6 @@
 from bambootiller_core.gateway.config import ModelSpec
 from bambootiller_core.gateway.load_order import Rank
 from bambootiller_core.gateway.store_queue import StoreQueue
-from bambootiller_core.gateway.want import Want
 
 #: A second copy keeps its engine from all other orders for seconds, so there is one
 #: such load at a time.
@@ -66,13 +65,10 @@
             return not self._is_taken and self._second_copies < SECOND_COPY_LOADS
         return True
 
-    def leaves_to_others(self, want: Want) -> bool:
+    def leaves_to_others(self) -> bool:
         """Whether models without any copy, which come later in the plan, need all that
         the store can begin now. One with a copy leaves it to them: the engine with the
-        copy has its turn later. If that doesn't come for long, because the engine stays
-        full or in other loads, the model takes its own turn."""
-        if want.overdue:
-            return False
+        copy has its turn later."""
         return len(self._without_copy) >= max(1, self.queue.room())
 
     def took(self, rank: Rank) -> None:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
@@ -12,8 +12,6 @@
 #: callers waited. So none is passed over for ever by others that are asked for more.
 #: Seconds.
 AGING_S = 4.0
-#: A model of which no call could be served for so long is overdue. Seconds.
-OVERDUE_S = 8.0
 #: What keeping a model is worth without any demand for it, so that of models nobody
 #: asks for the one that several engines hold goes first. Calls a second.
 LEAST_KEEP = 0.01
@@ -55,11 +53,6 @@
             return self.waiting
         return max(self.waiting, self.unserved + self.unserved_s / AGING_S)
 
-    @property
-    def overdue(self) -> float:
-        """The calls that a load is for, if none could be served for long; else 0."""
-        return self.awaited if self.unserved_s >= OVERDUE_S else 0.0
-
     @property
     def value(self) -> float:
         """How much a load is worth, to compare models."""
