Lines tell who gave a turn of the weight store, and why

An order names the entry that wished for it last; a new line store_load_asked names the turn (free, one more, crowded) and what the entry took the store for; store_load_not_begun what came to nothing; load_ended also a load that ends with its engine. No logic is changed.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
@@ -35,6 +35,8 @@
     FencingToken,
     LoadEnded,
     Order,
+    StoreLoadAsked,
+    StoreLoadNotBegun,
     WeightStoreIdle,
 )
 from bambootiller_core.gateway.log_lines._process import (
@@ -104,5 +106,7 @@
     "StoodStill",
     "Stopped",
     "Stopping",
+    "StoreLoadAsked",
+    "StoreLoadNotBegun",
     "WeightStoreIdle",
 ]
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
@@ -23,7 +23,9 @@
     """An order and the engine's answer.
 
     ``wanted_for`` is the model that others are unloaded for; ``rate`` and ``waiting``
-    are the demand of all entries for it, ``report_age_ms`` the age of the report."""
+    are the demand of all entries for it, ``report_age_ms`` the age of the report.
+    ``wished_by`` is the entry that wished for it last, ``from_store`` whether a load
+    draws on the weight store."""
 
     event: ClassVar[str] = "order"
 
@@ -37,6 +39,42 @@
     rate: float
     waiting: int
     report_age_ms: int
+    wished_by: str | None = None
+    from_store: bool | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLoadAsked(LogLine):
+    """An entry asked an agent for a load from the weight store.
+
+    ``turn`` tells why it may begin now: the store serves it at full speed (``free``),
+    is tried for ``one more``, or is ``crowded``. ``under_way`` loads drew on the store,
+    of ``full_speed`` that it is taken to serve. ``waiting`` calls of all entries wait
+    for the model, ``unserved`` ended without an answer."""
+
+    event: ClassVar[str] = "store_load_asked"
+    failure: ClassVar[bool] = False
+
+    service: str
+    model: str
+    backend: str
+    turn: str
+    under_way: int
+    full_speed: int
+    waiting: int
+    unserved: float
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLoadNotBegun(LogLine):
+    """An entry gave up a load from the weight store that it had asked for: its agent
+    told of no such load."""
+
+    event: ClassVar[str] = "store_load_not_begun"
+
+    service: str
+    model: str
+    backend: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
@@ -52,6 +52,7 @@
 
     def __init__(self) -> None:
         self._wishes: dict[tuple[str, str], tuple[Wish, float]] = {}
+        self._wished_by: dict[tuple[str, str], str] = {}
         self._entries: dict[str, _EntryUse] = {}
         self._used_at: dict[tuple[str, str], float] = {}
         self._loaded_at: dict[str, float] = {}
@@ -60,11 +61,12 @@
         self._summed_at = _NEVER
         self._now = _NEVER
 
-    def wished(self, now: float, wish: Wish) -> None:
+    def wished(self, now: float, wish: Wish, entry: str = "") -> None:
         """An entry has calls that need the model or adapter."""
         self._go_on_to(now)
         self._wants = None
         self._wishes[(wish.model, wish.adapter)] = (wish, now)
+        self._wished_by[(wish.model, wish.adapter)] = entry
         self._used_at[(wish.model, wish.adapter)] = now
 
     def told(
@@ -106,11 +108,16 @@
             if now - at > WISH_LIFE_S:
                 self._wants = None
                 del self._wishes[key]
+                del self._wished_by[key]
         for entry, use in list(self._entries.items()):
             if now - use.heard_at > USE_LIFE_S:
                 self._wants = None
                 del self._entries[entry]
 
+    def wished_by(self, model: str, adapter: str = "") -> str:
+        """The entry that wished for it last, empty if none does now."""
+        return self._wished_by.get((model, adapter), "")
+
     def wishes(self) -> list[Wish]:
         """Urgent wishes first, among these the one whose calls are in time, but not
         for long, and then the one whose calls have waited longest."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_messages.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_messages.py
@@ -64,6 +64,10 @@
     queued: int = 0
     started_ms: int | None = None
 
+    def has_copy(self, model: str) -> bool:
+        """Whether a load of the model needn't draw on the weight store."""
+        return model in self.in_memory or model in self.on_disk
+
     @property
     def incarnation(self) -> Incarnation:
         """The start of the engine that says this."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -107,9 +107,15 @@
         """A new configuration describes the engine."""
         self._engine = engine
 
-    def wished(self, now: float, wish: Wish) -> None:
+    def wished(self, now: float, wish: Wish, entry: str = "") -> None:
         """An entry has calls that need the model or adapter."""
-        self._say.wished(now, wish)
+        self._say.wished(now, wish, entry)
+
+    def wished_by(self, order: EngineOrder) -> str:
+        """The entry that wished last for what the order is for."""
+        if order.wanted_for:
+            return self._say.wished_by(order.wanted_for)
+        return self._say.wished_by(order.model, order.adapter)
 
     def entry_told(
         self,
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -35,7 +35,7 @@
     copies_at,
     copies_of,
 )
-from bambootiller_core.gateway.store_queue import StoreQueue
+from bambootiller_core.gateway.store_queue import StoreQueue, TurnKind
 from bambootiller_core.gateway.store_turns import StoreTurns
 from bambootiller_core.gateway.want import NO_WANT, Want
 
@@ -63,7 +63,8 @@
     """A load that is under way or planned, and when the model can be used.
 
     ``instance`` is empty while the load waits for the weight store: which engine is
-    best then isn't known yet.
+    best then isn't known yet. ``turn`` tells why a load from the store begins when it
+    does.
     """
 
     model: str
@@ -71,6 +72,7 @@
     ready_in_s: float
     ask_now: bool
     from_store: bool
+    turn: TurnKind | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,10 +101,13 @@
         tries_one_more: bool = False,
     ) -> None:
         self._engine = engine
-        self._store_loads = store_loads
+        #: How many loads the weight store is taken to serve at full speed.
+        self.store_loads = store_loads
         self._left_s = left_s or _told_left_s
         self._ends_elsewhere = ends_elsewhere
         self._tries_one_more = tries_one_more
+        #: How many loads draw on the weight store at the time of the last plan.
+        self.store_loads_under_way = 0
         self._known: list[Backend] = []
         self._copied: Counter[str] = Counter()
         self._places: list[Place] = []
@@ -135,6 +140,7 @@
         plan = self._under_way(known)
         store_ends = [load.ready_in_s for load in plan.values() if load.from_store]
         store_ends += self._ends_elsewhere
+        self.store_loads_under_way = len(store_ends)
         order = in_order(self._engine, now, known, copies, wants, plan)
         queue = self._store_queue(wants, store_ends)
         turns = StoreTurns(queue, bool(store_ends), order, copies)
@@ -187,7 +193,7 @@
         option = self._best(spec, _as_option(rank, want))
         if option is None:
             return
-        ready, waits_for_store = option.ready_in_s, False
+        ready, waits_for_store, turn = option.ready_in_s, False, None
         if option.from_store:
             if not turns.admit(rank, coming is not None):
                 return
@@ -195,6 +201,7 @@
                 plan[spec.name] = _waiting_load(spec, turns.queue.when(spec.load_s))
                 return
             turns.took(rank)
+            turn = turns.queue.kind(spec.load_s, crowding)
             begins, ends = turns.queue.add(spec.load_s, crowding)
             waits_for_store = begins > 0
             ready += ends - spec.load_s
@@ -208,6 +215,7 @@
             ready,
             ask_now=option.place.is_free and not waits_for_store,
             from_store=option.from_store,
+            turn=turn,
         )
         if not waits_for_store:
             self._occupy(option)
@@ -222,10 +230,10 @@
         ends.
         """
         if not any([want.rate for want in wants.values()]):
-            return StoreQueue(self._store_loads, store_ends)
+            return StoreQueue(self.store_loads, store_ends)
         most = max(1, len(self._places) // LONG_LOADS_PART)
-        one_more = self._tries_one_more and self._store_loads < most
-        return StoreQueue(min(self._store_loads, most), store_ends, one_more)
+        one_more = self._tries_one_more and self.store_loads < most
+        return StoreQueue(min(self.store_loads, most), store_ends, one_more)
 
     def _survey(
         self, now: float, known: list[Backend], wants: Mapping[str, Want]
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_asks.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_asks.py
@@ -33,6 +33,10 @@
 
     def __init__(self) -> None:
         self._asks: list[_Ask] = []
+        #: Those of the last choice that were asked for the first time.
+        self.begun: list[PlannedLoad] = []
+        #: Those that were given up with the last choice: their agents didn't begin.
+        self.given_up: list[PlannedLoad] = []
 
     def choose(
         self,
@@ -44,13 +48,12 @@
         ``is_told`` whether the agent has told of the load, so that the plan counts it
         as under way."""
         planned = list(planned)
-        self._asks = [
-            ask
-            for ask in self._asks
-            if now - ask.first_at <= TOLD_WITHIN_S and not is_told(ask.load)
-        ]
+        untold = [ask for ask in self._asks if not is_told(ask.load)]
+        self._asks = [ask for ask in untold if now - ask.first_at <= TOLD_WITHIN_S]
+        self.given_up = [ask.load for ask in untold if ask not in self._asks]
         asked = {ask.load.model for ask in self._asks}
         turns = max(0, len(planned) - len(self._asks))
         others = [load for load in planned if load.model not in asked]
-        self._asks += [_Ask(load, now) for load in others[:turns]]
+        self.begun = others[:turns]
+        self._asks += [_Ask(load, now) for load in self.begun]
         return [ask.load for ask in self._asks]
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -22,6 +23,20 @@
 TRIED_SHARE = 0.5
 
 
+class TurnKind(enum.Enum):
+    """Why a load begins when it does.
+
+    ``FREE``: the store serves it at full speed. ``ONE_MORE``: it is begun to see
+    whether the store serves one more. ``CROWDED``: it is over sooner beside the others.
+    ``QUEUED``: it waits for its turn.
+    """
+
+    FREE = "free"
+    ONE_MORE = "one more"
+    CROWDED = "crowded"
+    QUEUED = "queued"
+
+
 @dataclass(frozen=True, slots=True)
 class _Load:
     """A load under way or planned; seconds from now."""
@@ -69,19 +84,28 @@
 
     def when(self, load_s: float, crowding: bool = False) -> tuple[float, float]:
         """What :meth:`add` would return."""
+        begins, ends, _ = self._turn(load_s, crowding)
+        return begins, ends
+
+    def kind(self, load_s: float, crowding: bool = False) -> TurnKind:
+        """Why :meth:`add` would have the load begin when it does."""
+        _, _, kind = self._turn(load_s, crowding)
+        return kind
+
+    def _turn(self, load_s: float, crowding: bool) -> tuple[float, float, TurnKind]:
         begins = self._next_free()
         if begins <= 0:
-            return begins, begins + load_s
+            return begins, begins + load_s, TurnKind.FREE
         under_way = self._under_way(0.0)
         slowed_s = load_s * max(1.0, (under_way + 1) / self._full)
         if self._one_more and under_way == len(self._loads) <= self._full:
             # None waits before it.
             if begins > TRIED_SHARE * load_s:
-                return 0.0, slowed_s
+                return 0.0, slowed_s, TurnKind.ONE_MORE
         is_sooner = slowed_s + WORTH_NOW_S <= begins + load_s
         if crowding and is_sooner and slowed_s <= MOST_STRETCH * load_s:
-            return 0.0, slowed_s
-        return begins, begins + load_s
+            return 0.0, slowed_s, TurnKind.CROWDED
+        return begins, begins + load_s, TurnKind.QUEUED
 
     def _next_free(self) -> float:
         ends = sorted([load.ends for load in self._loads])
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from bambootiller.app import Application
 from bambootiller.gateway.agent_words import AgentWords
@@ -44,6 +45,15 @@
 HOLDERS_PREFIX = "bambootiller/holders/"
 
 
+@dataclass(frozen=True, slots=True)
+class _LoadUnderWay:
+    """A load that was ordered at the time ``began``."""
+
+    model: str
+    began: float
+    from_store: bool
+
+
 class GatewayAgent:
     """Stands beside one engine, and is the only one to give it orders.
 
@@ -86,9 +96,8 @@
         self._token: int | None = None
         self._wake = asyncio.Event()
         self._silent_since: float | None = None
-        #: The model that the engine was last ordered to load, and when, until that has
-        #: ended.
-        self._loading: tuple[str, float] | None = None
+        #: The load that the engine was last ordered, until that has ended.
+        self._loading: _LoadUnderWay | None = None
         self._reported_at = 0.0
         self._add_levels(meters)
         app.add_servicer(self._register)
@@ -279,9 +288,12 @@
         report = self._book.report
         if self._loading is None or report is None:
             return
-        (model, began), self._loading = self._loading, None
+        load, self._loading = self._loading, None
         ended = incarnation or report.incarnation
-        self._quarantine.load_lost(model, ended, self._app.now() - began)
+        seconds = self._app.now() - load.began
+        self._quarantine.load_lost(load.model, ended, seconds)
+        line = lines.LoadEnded(load.model, False, round(seconds, 2), load.from_store)
+        self._events.emit(line)
 
     def _note_load(self, ended: LoadEnded | None) -> None:
         if ended is None:
@@ -300,11 +312,13 @@
         self._words.tell()
         decided = self._app.now()
         want = book.wants().get(order.wanted_for or order.model, Want())
+        wished_by = book.wished_by(order)
+        from_store = _draws_on_store(book.report, order)
         answer = await self._engine.order(order, instance, self._token)
         book.answered(self._app.now(), order, answer)
         may_load = answer in (OrderAnswer.ACCEPTED, OrderAnswer.UNANSWERED)
         if may_load and order.kind is OrderKind.LOAD and not order.adapter:
-            self._loading = (order.model, decided)
+            self._loading = _LoadUnderWay(order.model, decided, from_store)
         line = lines.Order(
             order.kind.value,
             order.model,
@@ -316,6 +330,8 @@
             round(want.rate, 2),
             want.waiting,
             round((decided - self._reported_at) * 1000),
+            wished_by or None,
+            from_store or None,
         )
         self._events.emit(line)
         if answer is OrderAnswer.CONFLICT:
@@ -330,3 +346,10 @@
         # A late report of the start before isn't taken over, and settles nothing.
         if self._book.report is report and report.accepted <= order.expected:
             self._book.conflict_seen(order)
+
+
+def _draws_on_store(report: EngineReport, order: EngineOrder) -> bool:
+    """Whether the order is for a load from the weight store."""
+    if order.kind is not OrderKind.LOAD or order.adapter:
+        return False
+    return not report.has_copy(order.model)
--- a/packages/bambootiller/src/bambootiller/gateway/agent_words.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent_words.py
@@ -184,7 +184,8 @@
             # It decides on what it was told before.
             outgoing.poke()
         for message in update.wishes:
-            self._book.wished(self._clock(), wire.wish_of(message))
+            wish = wire.wish_of(message)
+            self._book.wished(self._clock(), wish, outgoing.peer)
         self._wished()
 
     def _figures_s(self) -> float:
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -65,7 +65,9 @@
         self.entries: tuple[str, ...] = ()
         self._demand: dict[str, Demand] = {}
         self._own: dict[str, dict[str, Want]] = {}
-        self._asks = LoadAsks(app.instance, knowledge.fleet, lambda: self.entries, wish)
+        self._asks = LoadAsks(
+            app.instance, knowledge.fleet, lambda: self.entries, wish, emit
+        )
         self._totals = Totals()
         self._plans: dict[str, dict[str, PlannedLoad]] = {}
         self._planned_for: dict[str, dict[str, Want]] = {}
@@ -219,7 +221,9 @@
             self._note_idle_store(now, service.name, planner, wants_of_all)
             loads = self._asks.from_copies(plan, wants)
             if self._knows_engines(now, service.name, backends):
-                loads += self._asks.from_store(now, service.name, plan)
+                loads += self._asks.from_store(
+                    now, service.name, planner, plan, wants_of_all
+                )
             self._asks.ask(loads, wants, wants_of_all)
             if plan or any(want.value for want in wants_of_all.values()):
                 self._clock.has_work()
--- a/packages/bambootiller/src/bambootiller/gateway/load_asks.py
+++ b/packages/bambootiller/src/bambootiller/gateway/load_asks.py
@@ -11,8 +11,13 @@
 
 from bambootiller_core.gateway.collecting import seen_to_by
 from bambootiller_core.gateway.fleet import Backend, Fleet
+from bambootiller_core.gateway.log_lines import (
+    LogLine,
+    StoreLoadAsked,
+    StoreLoadNotBegun,
+)
 from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
-from bambootiller_core.gateway.residency import PlannedLoad
+from bambootiller_core.gateway.residency import PlannedLoad, Planner
 from bambootiller_core.gateway.store_asks import StoreAsks
 from bambootiller_core.gateway.want import NO_WANT, Want
 
@@ -22,11 +27,12 @@
 
 class LoadAsks:
     """The loads that the entry ``instance`` asks for; ``entries`` are those that agents
-    hear, ``wish`` asks the agent beside an engine.
+    hear, ``wish`` asks the agent beside an engine, ``emit`` writes a line of the log.
 
     Example::
 
-        loads = asks.from_copies(plan, own_wants) + asks.from_store(now, "llm", plan)
+        loads = asks.from_copies(plan, own_wants)
+        loads += asks.from_store(now, "llm", planner, plan, wants_of_all)
         asks.ask(loads, own_wants, wants_of_all)
     """
 
@@ -36,11 +42,13 @@
         fleet: Fleet,
         entries: Callable[[], tuple[str, ...]],
         wish: Callable[[Backend, Wish], object],
+        emit: Callable[[LogLine], None],
     ) -> None:
         self._instance = instance
         self._fleet = fleet
         self._entries = entries
         self._wish = wish
+        self._emit = emit
         self._store_asks: dict[str, StoreAsks] = {}
 
     def sees_to(self, model: str) -> bool:
@@ -67,14 +75,26 @@
         ]
 
     def from_store(
-        self, now: float, service: str, plan: Mapping[str, PlannedLoad]
+        self,
+        now: float,
+        service: str,
+        planner: Planner,
+        plan: Mapping[str, PlannedLoad],
+        wants_of_all: Mapping[str, Want],
     ) -> list[PlannedLoad]:
-        """The loads from the weight store that this entry asks for."""
+        """The loads from the weight store that this entry asks for, of the ``plan``
+        that the ``planner`` has made."""
         if not self.sees_to_store(service):
             return []
         planned = [load for load in plan.values() if load.ask_now and load.from_store]
         asks = self._store_asks.setdefault(service, StoreAsks())
-        return asks.choose(now, planned, self._is_told)
+        chosen = asks.choose(now, planned, self._is_told)
+        for load in asks.given_up:
+            self._emit(StoreLoadNotBegun(service, load.model, load.instance))
+        for load in asks.begun:
+            want = wants_of_all.get(load.model, NO_WANT)
+            self._emit(_asked(service, load, planner, want))
+        return chosen
 
     def ask(
         self,
@@ -98,3 +118,18 @@
             return False
         loading = backend.engine.loading
         return loading is not None and loading.model == load.model
+
+
+def _asked(
+    service: str, load: PlannedLoad, planner: Planner, want: Want
+) -> StoreLoadAsked:
+    return StoreLoadAsked(
+        service,
+        load.model,
+        load.instance,
+        load.turn.value if load.turn is not None else "",
+        planner.store_loads_under_way,
+        planner.store_loads,
+        want.waiting,
+        round(want.unserved, 1),
+    )
--- a/packages/bambootiller/src/bambootiller/gateway/meters.py
+++ b/packages/bambootiller/src/bambootiller/gateway/meters.py
@@ -132,6 +132,11 @@
         self.orders = self._counter(
             "orders", "Orders to the engine", "order", "target", "answer"
         )
+        self.store_loads_asked = self._counter(
+            "store_loads_asked",
+            "Loads from the weight store that this entry asked for",
+            "turn",
+        )
         self.loads = self._histogram("load_seconds", "Loads of models", "tier", "held")
         self.copies = self._counter(
             "copies", "Copies of weights that came to the engine or went", "change"
@@ -331,6 +336,16 @@
     meters.orders.labels(line.order, target, line.answer).inc()
 
 
+@counts(lines.StoreLoadAsked)
+def _store_load_asked(meters: Meters, line: lines.StoreLoadAsked) -> None:
+    meters.store_loads_asked.labels(line.turn).inc()
+
+
+@counts(lines.StoreLoadNotBegun)
+def _store_load_not_begun(meters: Meters, line: lines.StoreLoadNotBegun) -> None:
+    meters.store_loads_asked.labels("not begun").inc()
+
+
 @counts(lines.LoadEnded)
 def _load_ended(meters: Meters, line: lines.LoadEnded) -> None:
     tier = "store" if line.from_store else "copy"
--- a/tests/gateway/cover/test_store_queue.py
+++ b/tests/gateway/cover/test_store_queue.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bambootiller_core.gateway.store_queue import StoreQueue
+from bambootiller_core.gateway.store_queue import StoreQueue, TurnKind
 
 LOAD_S = 6.0
 
@@ -46,3 +46,13 @@
         queue = StoreQueue(1, [5.0])
         self.assertEqual(queue.add(13.0), (5.0, 18.0))
         self.assertEqual(queue.add(13.0), (18.0, 31.0))
+
+
+class TestWhyALoadBeginsWhenItDoes(unittest.TestCase):
+    def test_it_is_told(self):
+        crowded = StoreQueue(4, [6.0] * 4)
+        one_more = StoreQueue(1, [6.0], one_more=True)
+        self.assertIs(StoreQueue(1, []).kind(LOAD_S), TurnKind.FREE)
+        self.assertIs(StoreQueue(1, [6.0]).kind(LOAD_S), TurnKind.QUEUED)
+        self.assertIs(crowded.kind(LOAD_S, crowding=True), TurnKind.CROWDED)
+        self.assertIs(one_more.kind(LOAD_S), TurnKind.ONE_MORE)
--- a/tests/gateway/failures/test_store_turns_taken.py
+++ b/tests/gateway/failures/test_store_turns_taken.py
@@ -7,6 +7,7 @@
 from bambootiller_core.gateway.collecting import planners
 from bambootiller_core.gateway.first_look import MOST_S
 from bambootiller_core.gateway.fleet import Fleet
+from bambootiller_core.gateway.log_lines import StoreLoadAsked
 from bambootiller_core.gateway.residency import PlannedLoad
 from bambootiller_core.gateway.store_asks import TOLD_WITHIN_S, StoreAsks
 from bambootiller_core.gateway.want import Want
@@ -45,7 +46,8 @@
         def wish(backend, wish):
             wished.append(wish.model)
 
-        plans = EnginePlans(app, known, wish)
+        self.lines = []
+        plans = EnginePlans(app, known, wish, self.lines.append)
         plans.entries = ENTRIES
         plans.make(app.at)
         app.at += MOST_S + 0.1
@@ -67,6 +69,15 @@
                     giving.add(instance)
         self.assertEqual(len(giving), 1)
 
+    def test_the_log_tells_which_turn_was_given(self):
+        asked = []
+        for instance in planners(ENTRIES):
+            self.entry(instance, {"m1": Want(0.5, 2)})
+            lines = [line for line in self.lines if isinstance(line, StoreLoadAsked)]
+            asked += [line for line in lines if line.model == "m1"]
+        (line,) = asked
+        self.assertEqual((line.turn, line.full_speed), ("free", 1))
+
     def test_an_entry_does_not_change_its_mind_until_the_agent_has_spoken(self):
         for instance in planners(ENTRIES):
             first = {**dict.fromkeys(MODELS, Want(0.1, 1)), "m1": Want(0.5, 2)}
