Each load from the weight store holds a turn, kept in the platform's store

Callers saw: models asked for again and again and never served; the store's loads took twice and three times their time. Cause: a turn of the weight store belonged to nobody. Change: the agent, which alone orders the load and sees it end, takes a key of the platform's store for it by compare-and-set, bound to a lease, before it makes room, and gives it back when its engine's report says that the load is over. As many keys as the asking entry takes the store to serve; the wish says how many. A new process of the agent takes its turn over. Ruled out: two entries asking (wished_by and store_load_asked name one entry, one plan).

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
@@ -37,6 +37,7 @@
     Order,
     StoreLoadAsked,
     StoreLoadNotBegun,
+    StoreTurn,
     WeightStoreIdle,
 )
 from bambootiller_core.gateway.log_lines._process import (
@@ -108,5 +109,6 @@
     "Stopping",
     "StoreLoadAsked",
     "StoreLoadNotBegun",
+    "StoreTurn",
     "WeightStoreIdle",
 ]
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
@@ -77,6 +77,23 @@
     backend: str
 
 
+@dataclass(frozen=True, slots=True)
+class StoreTurn(LogLine):
+    """What came of an agent's try to take one of the ``turns`` of the weight store.
+
+    ``outcome``: ``taken`` (its ``number``), ``held`` by the ``holders``, ``without``
+    (the key-value service couldn't be reached in time, and the load begins all the
+    same), or ``not given back`` (its lease ends it)."""
+
+    event: ClassVar[str] = "store_turn"
+
+    outcome: str
+    model: str
+    turns: int
+    number: str | None
+    holders: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LoadEnded(LogLine):
     """A load has ended; ``held`` tells whether the model is there."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_messages.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_messages.py
@@ -82,12 +82,14 @@
 class Wish:
     """A model, or an adapter of one, that an entry has calls for; 0 is most urgent.
     ``want`` is the demand of all entries for the model, as the one that asks knows
-    it."""
+    it, ``turns`` how many loads it takes the weight store to serve; 0 if it doesn't
+    say."""
 
     model: str
     adapter: str = ""
     urgency: int = 0
     want: Want = Want()
+    turns: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -37,6 +37,7 @@
     Wish,
 )
 from bambootiller_core.gateway.places import RUN_S, choose_victims, keep_values
+from bambootiller_core.gateway.turn_gate import TurnGate
 from bambootiller_core.gateway.want import Want
 
 #: Adapters that may be on their way to an engine at a time.
@@ -69,7 +70,8 @@
 
 
 class OrderBook:
-    """Decides the orders of one engine.
+    """Decides the orders of one engine. Without a ``gate`` loads from the weight store
+    begin whenever they are wished for.
 
     Example::
 
@@ -79,8 +81,9 @@
             book.answered(now, order, await engine.order(order))
     """
 
-    def __init__(self, engine: EngineSpec) -> None:
+    def __init__(self, engine: EngineSpec, gate: TurnGate | None = None) -> None:
         self._engine = engine
+        self._gate = gate
         self._report: EngineReport | None = None
         self._reported_at = float("-inf")
         self._unsettled: EngineOrder | None = None
@@ -171,6 +174,8 @@
 
     def next_order(self, now: float) -> EngineOrder | None:
         """The order to send now, if any."""
+        if self._gate is not None:
+            self._gate.wanted = None
         report = self._report
         if report is None or self._needs_report or self.fenced:
             return None
@@ -199,6 +204,18 @@
                 return order
         return None
 
+    def draws_on_store(self) -> bool:
+        """Whether a load from the weight store is under way, may be, or has room made
+        for it."""
+        if self._load is not None:
+            return self._load.from_store
+        if self._report is None:
+            return False
+        order, preparing = self._unsettled, self._preparing
+        if order is not None and order.kind is OrderKind.LOAD and not order.adapter:
+            return not self._report.has_copy(order.model)
+        return preparing is not None and not self._report.has_copy(preparing.wish.model)
+
     def sending(self, order: EngineOrder) -> None:
         """The order goes out now; until it is answered it may take effect."""
         self._unsettled = order
@@ -358,6 +375,8 @@
             return None
         need = self._memory_used() + spec.size_mb - self._engine.memory_mb
         if need <= 0:
+            if not self._may_load(spec, wish):
+                return None
             return self._order(now, OrderKind.LOAD, wish.model, "")
         wants = self.wants()
         in_use = self._say.in_use()
@@ -373,12 +392,17 @@
         victims = choose_victims(
             self._engine, report.holdings, need, in_use, values, incoming, seconds
         )
-        if victims is None:
+        if victims is None or not self._may_load(spec, wish):
             return None
         if self._preparing is None:
             self._preparing = _Preparing(wish, now)
         return self._order(now, OrderKind.UNLOAD, victims.models[0], "", wish.model)
 
+    def _may_load(self, spec: ModelSpec, wish: Wish) -> bool:
+        if self._gate is None or self._report.has_copy(spec.name):
+            return True
+        return self._gate.permits(spec, wish.turns)
+
     def _order(
         self,
         now: float,
--- a/packages/bambootiller-core/src/bambootiller_core/ports.py
+++ b/packages/bambootiller-core/src/bambootiller_core/ports.py
@@ -93,8 +93,18 @@
     deleted: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A lease: what is bound to it is removed ``ttl_s`` seconds after it was asked
+    for."""
+
+    lease: int
+    ttl_s: float
+
+
 ReadOutcome = Found | Unavailable
 WriteOutcome = Committed | Conflict | Unavailable | Unknown
+LeaseOutcome = Granted | Unavailable
 
 
 class KeyValue(Protocol):
@@ -122,6 +132,10 @@
     ) -> WriteOutcome:
         """Carry out ``writes`` if all ``compares`` hold, all of it or nothing."""
 
+    async def grant_lease(self, ttl_s: float) -> LeaseOutcome:
+        """Begin a lease of so many seconds. One whose answer is lost binds nothing, and
+        ends by itself."""
+
     def watch(
         self, prefix: str, from_revision: int
     ) -> AsyncIterator[tuple[Changed, ...] | Unavailable]:
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -16,6 +16,7 @@
 from bambootiller.gateway.ports import Engine, EngineSilent, Platform
 from bambootiller.gateway.quarantine import Quarantine
 from bambootiller.gateway.standstills import Standstills
+from bambootiller.gateway.turn_holder import TurnHolder
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.config import EngineSpec, GatewayConfig
@@ -31,6 +32,7 @@
 )
 from bambootiller_core.gateway.orders import OrderBook
 from bambootiller_core.gateway.report_naming import listed_at, named
+from bambootiller_core.gateway.turn_gate import TurnGate
 from bambootiller_core.gateway.want import Want
 from bambootiller_core.ports import Committed, Compare, Found, Put
 
@@ -80,6 +82,7 @@
         self._address = address
         self._service = service
         self._events = events
+        self._wake = asyncio.Event()
         self._standstills = Standstills(app, events)
         self._knowledge = Knowledge(platform.directory, events, app.now)
         ran = self._standstills.ran
@@ -93,8 +96,11 @@
             self._exchanger, events, app.now, self._wished, self._quarantine
         )
         self._book: OrderBook | None = None
+        self._gate = TurnGate()
+        self._turn = TurnHolder(
+            app, platform.kv, service, self._gate, events, self._wished
+        )
         self._token: int | None = None
-        self._wake = asyncio.Event()
         self._silent_since: float | None = None
         #: The load that the engine was last ordered, until that has ended.
         self._loading: _LoadUnderWay | None = None
@@ -122,6 +128,7 @@
             follow = watcher.follow(prefix, self._no_entry_heard)
             app.spawn(f"watch {prefix}", follow)
         app.spawn("fencing token", self._keep_token())
+        app.spawn("store turn", self._turn.recall())
         app.spawn("engine", self._look_after())
         self._quarantine.start(app.timers, app.now())
         self._events.emit(lines.Started("agent", app.settings.zone))
@@ -178,7 +185,7 @@
         if spec is None:
             return
         if self._book is None:
-            self._book = OrderBook(spec)
+            self._book = OrderBook(spec, self._gate)
             self._words.begin(self._book)
         else:
             self._book.configured(spec)
@@ -241,6 +248,8 @@
                 self._events.emit(lines.DependencyLost("engine", report.detail))
                 self._words.engine_answers(False)
                 self._engine_gone()
+            if listed_at(self._knowledge.fleet, self._address) is None:
+                self._turn.review(self._app.now(), load_goes_on=False)
             return QUIET_S
         self._reported_at = self._app.now()
         if self._silent_since is not None:
@@ -248,19 +257,29 @@
             self._silent_since = None
             self._words.engine_answers(True)
             self._events.emit(lines.DependencyRegained("engine", away_ms))
-        report = self._named(report)
+        is_busy, report = report.busy, self._named(report)
         if report is None:
+            # Listed no more, it goes on with its load until it ends.
+            self._turn.review(self._reported_at, load_goes_on=is_busy)
             return QUIET_S
         self._take(report)
+        self._review_turn(report)
         book = self._book
         if self._token is None:
             return QUIET_S
         order = book.next_order(self._app.now())
         if order is None:
+            self._turn.seek(self._app.now())
             return BUSY_S if report.busy else QUIET_S
         await self._give(order, book.report.instance)
         return AFTER_ORDER_S
 
+    def _review_turn(self, report: EngineReport) -> None:
+        goes_on = self._book.draws_on_store()
+        if self._turn.recalled:
+            goes_on = goes_on or report.busy
+        self._turn.review(self._reported_at, goes_on)
+
     def _named(self, report: EngineReport) -> EngineReport | None:
         listed = listed_at(self._knowledge.fleet, self._address)
         return named(report, listed)
@@ -301,6 +320,8 @@
         self._loading = None
         if ended.held:
             self._quarantine.load_completed(ended.model)
+        if ended.from_store:
+            self._turn.load_ended()
         seconds = round(ended.seconds, 2)
         self._events.emit(
             lines.LoadEnded(ended.model, ended.held, seconds, ended.from_store)
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -224,7 +224,7 @@
                 loads += self._asks.from_store(
                     now, service.name, planner, plan, wants_of_all
                 )
-            self._asks.ask(loads, wants, wants_of_all)
+            self._asks.ask(loads, wants, wants_of_all, planner.store_loads)
             if plan or any(want.value for want in wants_of_all.values()):
                 self._clock.has_work()
         self._clock.pause_s = pause_s(pairs)
--- a/packages/bambootiller/src/bambootiller/gateway/load_asks.py
+++ b/packages/bambootiller/src/bambootiller/gateway/load_asks.py
@@ -19,6 +19,7 @@
 from bambootiller_core.gateway.order_messages import WAITED_FOR, Wish
 from bambootiller_core.gateway.residency import PlannedLoad, Planner
 from bambootiller_core.gateway.store_asks import StoreAsks
+from bambootiller_core.gateway.store_queue import MOST_STRETCH, TurnKind
 from bambootiller_core.gateway.want import NO_WANT, Want
 
 #: The urgency of what is asked for ahead of demand.
@@ -33,7 +34,7 @@
 
         loads = asks.from_copies(plan, own_wants)
         loads += asks.from_store(now, "llm", planner, plan, wants_of_all)
-        asks.ask(loads, own_wants, wants_of_all)
+        asks.ask(loads, own_wants, wants_of_all, planner.store_loads)
     """
 
     def __init__(
@@ -101,8 +102,10 @@
         loads: Iterable[PlannedLoad],
         wants: Mapping[str, Want],
         wants_of_all: Mapping[str, Want],
+        store_loads: int,
     ) -> None:
-        """Ask the agents; ``wants`` is the demand of this entry."""
+        """Ask the agents; ``wants`` is the demand of this entry, ``store_loads`` how
+        many loads the weight store is taken to serve."""
         for load in loads:
             backend = self._fleet.get(load.instance)
             if backend is None:
@@ -110,7 +113,8 @@
             waiting = wants.get(load.model, NO_WANT).waiting
             want = wants_of_all.get(load.model, NO_WANT)
             urgency = WAITED_FOR if waiting or want.awaited else AHEAD
-            self._wish(backend, Wish(load.model, "", urgency, want))
+            turns = turns_for(load, store_loads)
+            self._wish(backend, Wish(load.model, "", urgency, want, turns))
 
     def _is_told(self, load: PlannedLoad) -> bool:
         backend = self._fleet.get(load.instance)
@@ -120,6 +124,18 @@
         return loading is not None and loading.model == load.model
 
 
+def turns_for(load: PlannedLoad, store_loads: int) -> int:
+    """How many loads may draw on the weight store with this one, which is taken to
+    serve ``store_loads`` at full speed.
+
+    >>> turns_for(PlannedLoad("tutor", "b1", 9.0, True, True, TurnKind.ONE_MORE), 1)
+    2
+    """
+    if load.turn is TurnKind.CROWDED:
+        return int(MOST_STRETCH * store_loads)
+    return store_loads + (load.turn is TurnKind.ONE_MORE)
+
+
 def _asked(
     service: str, load: PlannedLoad, planner: Planner, want: Want
 ) -> StoreLoadAsked:
--- a/packages/bambootiller/src/bambootiller/gateway/metered_store.py
+++ b/packages/bambootiller/src/bambootiller/gateway/metered_store.py
@@ -10,6 +10,7 @@
     Compare,
     Delete,
     KeyValue,
+    LeaseOutcome,
     Put,
     ReadOutcome,
     Unavailable,
@@ -43,6 +44,10 @@
         """Carry out ``writes`` if all ``compares`` hold."""
         return self._counted("transact", await self._kv.transact(compares, writes))
 
+    async def grant_lease(self, ttl_s: float) -> LeaseOutcome:
+        """Begin a lease of so many seconds."""
+        return self._counted("grant_lease", await self._kv.grant_lease(ttl_s))
+
     async def watch(
         self, prefix: str, from_revision: int
     ) -> AsyncIterator[tuple[Changed, ...] | Unavailable]:
--- a/packages/bambootiller/src/bambootiller/gateway/meters.py
+++ b/packages/bambootiller/src/bambootiller/gateway/meters.py
@@ -137,6 +137,9 @@
             "Loads from the weight store that this entry asked for",
             "turn",
         )
+        self.store_turns = self._counter(
+            "store_turns", "Tries to take a turn of the weight store", "outcome"
+        )
         self.loads = self._histogram("load_seconds", "Loads of models", "tier", "held")
         self.copies = self._counter(
             "copies", "Copies of weights that came to the engine or went", "change"
@@ -346,6 +349,11 @@
     meters.store_loads_asked.labels("not begun").inc()
 
 
+@counts(lines.StoreTurn)
+def _store_turn(meters: Meters, line: lines.StoreTurn) -> None:
+    meters.store_turns.labels(line.outcome).inc()
+
+
 @counts(lines.LoadEnded)
 def _load_ended(meters: Meters, line: lines.LoadEnded) -> None:
     tier = "store" if line.from_store else "copy"
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -118,7 +118,10 @@
 def add_wish(update: pb.ResidencyUpdate, wish: Wish) -> None:
     """Put a wish into a message."""
     message = update.wishes.add(
-        model=wish.model, adapter=wish.adapter, urgency=wish.urgency
+        model=wish.model,
+        adapter=wish.adapter,
+        urgency=wish.urgency,
+        store_turns=wish.turns,
     )
     if wish.want != Want():
         message.demand.CopyFrom(demand_messages({wish.model: wish.want})[0])
@@ -127,7 +130,9 @@
 def wish_of(message: pb.ModelWish) -> Wish:
     """A wish received."""
     want = _want(message.demand) if message.HasField("demand") else Want()
-    return Wish(message.model, message.adapter, message.urgency, want)
+    return Wish(
+        message.model, message.adapter, message.urgency, want, message.store_turns
+    )
 
 
 def add_lost_run(update: pb.ResidencyUpdate, run: LostRun, now: float) -> None:
--- a/packages/bambootiller/src/bambootiller/kv/etcd.py
+++ b/packages/bambootiller/src/bambootiller/kv/etcd.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import AsyncIterator, Sequence
 from http import HTTPStatus
 from typing import Any
@@ -29,6 +30,8 @@
     Conflict,
     Delete,
     Found,
+    Granted,
+    LeaseOutcome,
     Put,
     ReadOutcome,
     Unavailable,
@@ -135,6 +138,17 @@
         except (_Unanswered, ValueError, KeyError) as exc:
             return Unknown(_describe(exc))
 
+    async def grant_lease(self, ttl_s: float) -> LeaseOutcome:
+        """Begin a lease of so many seconds; the service counts whole ones."""
+        body = {"TTL": str(math.ceil(ttl_s)), "ID": "0"}
+        try:
+            form = await self._call(
+                "/v3/lease/grant", body, WRITE_SECONDS, repeat=False
+            )
+            return Granted(int(form["ID"]), float(form["TTL"]))
+        except (_NoEffect, _Unanswered, ValueError, KeyError) as exc:
+            return Unavailable(_describe(exc))
+
     async def watch(
         self, prefix: str, from_revision: int
     ) -> AsyncIterator[tuple[Changed, ...] | Unavailable]:
--- a/tests/common/fakekv.py
+++ b/tests/common/fakekv.py
@@ -21,6 +21,8 @@
     Conflict,
     Delete,
     Found,
+    Granted,
+    LeaseOutcome,
     Put,
     ReadOutcome,
     Record,
@@ -51,6 +53,7 @@
         self.before_transact: Callable[[], None] | None = None
         self.before_read: Callable[[str], None] | None = None
         self.transactions = 0
+        self.leases = 0
         self._delayed: list[tuple[Sequence[Compare], Sequence[Put | Delete]]] = []
         self._watchers: list[tuple[str, asyncio.Queue]] = []
 
@@ -69,6 +72,12 @@
         matching = tuple(item for item in found if item.key.startswith(prefix))
         return Found(matching, self.revision)
 
+    async def grant_lease(self, ttl_s: float) -> LeaseOutcome:
+        if self.down:
+            return Unavailable("down")
+        self.leases += 1
+        return Granted(self.leases, ttl_s)
+
     async def transact(
         self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
     ) -> WriteOutcome:
--- /dev/null
+++ b/tests/gateway/cover/test_turn_holder.py
@@ -0,0 +1,191 @@
+"""An agent's turn at the weight store, over a key-value service in memory."""
+
+import asyncio
+import unittest
+
+from bambootiller.gateway.turn_holder import BEGIN_S, TAKE_S, TurnHolder
+from bambootiller_core.gateway.order_messages import (
+    EngineReport,
+    OrderAnswer,
+    OrderKind,
+    Wish,
+)
+from bambootiller_core.gateway.orders import OrderBook
+from bambootiller_core.gateway.turn_gate import TurnGate
+from bambootiller_core.gateway.turn_record import prefix_of
+from tests.common.fakekv import FakeKeyValue, Fault
+from tests.gateway.common import samples
+
+SERVICE = "llm"
+ENGINE = samples.engine(*[samples.model(f"m{number}") for number in range(3)])
+
+
+def report(instance, models=(), accepted=0, **fields):
+    held = {name: frozenset() for name in models}
+    return EngineReport(instance, held, accepted, **fields)
+
+
+class App:
+    """The clock and the tasks of one agent."""
+
+    def __init__(self, instance):
+        self.instance = instance
+        self.at = 10.0
+        self.tasks = []
+
+    def now(self):
+        return self.at
+
+    def spawn(self, name, coroutine):
+        self.tasks.append(asyncio.create_task(coroutine, name=name))
+
+    async def settle(self):
+        while self.tasks:
+            await self.tasks.pop()
+
+
+class Events:
+    def __init__(self):
+        self.lines = []
+
+    def emit(self, line):
+        self.lines.append(line)
+
+
+class Agent:
+    """An order book behind its gate, and who holds its turn."""
+
+    def __init__(self, kv, instance):
+        self.app, self.events = App(instance), Events()
+        self.gate = TurnGate()
+        self.book = OrderBook(ENGINE, self.gate)
+        self.turn = TurnHolder(
+            self.app, kv, SERVICE, self.gate, self.events, lambda: None
+        )
+        self.book.reported(self.app.at, report(instance))
+
+    async def wish(self, model="m1", turns=1):
+        """Somebody wishes for a load; returns the order that comes of it."""
+        self.book.wished(self.app.at, Wish(model, turns=turns))
+        order = self.book.next_order(self.app.at)
+        if order is None:
+            self.turn.seek(self.app.at)
+            await self.app.settle()
+            order = self.book.next_order(self.app.at)
+        return order
+
+    async def review(self, load_goes_on=False):
+        self.turn.review(self.app.at, load_goes_on)
+        await self.app.settle()
+
+
+class TestTurnHolder(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.kv = FakeKeyValue()
+        self.first, self.second = Agent(self.kv, "a1"), Agent(self.kv, "a2")
+
+    def held(self):
+        return [key for key in self.kv.records if key.startswith(prefix_of(SERVICE))]
+
+    async def test_one_agent_has_the_one_turn(self):
+        self.assertEqual((await self.first.wish()).kind, OrderKind.LOAD)
+        self.assertIsNone(await self.second.wish("m2"))
+        self.assertEqual(self.second.events.lines[-1].holders, ("a1",))
+
+    async def test_as_many_loads_begin_as_there_are_turns(self):
+        third = Agent(self.kv, "a3")
+        for agent in (self.first, self.second):
+            self.assertIsNotNone(await agent.wish(turns=2))
+        self.assertIsNone(await third.wish(turns=2))
+
+    async def test_two_that_seek_at_once_do_not_both_have_it(self):
+        begun = []
+        others = [Agent(self.kv, f"b{number}") for number in range(4)]
+        for agent in others:
+            begun.append(asyncio.create_task(agent.wish()))
+        orders = await asyncio.gather(*begun)
+        self.assertEqual(len([order for order in orders if order is not None]), 1)
+
+    async def test_the_next_one_has_it_when_the_load_is_over(self):
+        await self.first.wish()
+        self.first.turn.load_ended()
+        await self.first.app.settle()
+        self.assertIsNotNone(await self.second.wish("m2"))
+
+    async def test_a_load_from_a_copy_takes_none(self):
+        copied = report("a1", on_disk=frozenset({"m1"}))
+        self.first.book.reported(self.first.app.at, copied)
+        self.assertIsNotNone(await self.first.wish())
+        self.assertEqual(self.held(), [])
+
+    async def test_it_is_kept_while_the_load_goes_on(self):
+        await self.first.wish()
+        self.first.app.at += BEGIN_S + 20.0
+        await self.first.review(load_goes_on=True)
+        self.assertEqual(len(self.held()), 1)
+
+    async def test_it_is_given_back_if_the_load_does_not_begin(self):
+        await self.first.wish()
+        self.first.app.at += BEGIN_S + 0.1
+        await self.first.review()
+        self.assertEqual(self.held(), [])
+
+    async def test_a_load_begins_without_one_while_the_service_is_away(self):
+        self.kv.down = True
+        self.assertIsNotNone(await self.first.wish())
+        self.assertEqual(self.first.events.lines[-1].outcome, "without")
+
+    async def test_a_load_begins_without_one_while_the_service_is_slow(self):
+        gate, never = self.first.gate, asyncio.Event()
+        self.first.book.wished(self.first.app.at, Wish("m1"))
+        self.first.book.next_order(self.first.app.at)
+        self.kv.get_prefix = lambda prefix: never.wait()
+        self.first.turn.seek(self.first.app.at)
+        await asyncio.sleep(0)
+        self.assertFalse(gate.is_open)
+        self.first.app.at += TAKE_S + 0.1
+        self.first.turn.seek(self.first.app.at)
+        self.assertTrue(gate.is_open)
+        self.first.app.tasks.pop().cancel()
+
+    async def test_a_write_whose_answer_is_lost_is_found_again(self):
+        self.kv.faults.append(Fault.LOST_AFTER)
+        self.assertIsNotNone(await self.first.wish())
+        self.first.app.at += BEGIN_S + 0.1
+        await self.first.review()
+        self.assertEqual(len(self.held()), 1)
+        self.assertIsNotNone(await self.first.wish("m2"))
+        self.first.turn.load_ended()
+        await self.first.app.settle()
+        self.assertEqual(self.held(), [])
+
+    async def test_a_new_process_takes_over_the_turn_of_the_one_before(self):
+        await self.first.wish()
+        successor = Agent(self.kv, "a1")
+        await successor.turn.recall()
+        self.assertTrue(successor.gate.is_open)
+        successor.app.at += BEGIN_S + 0.1
+        await successor.review()
+        self.assertEqual(self.held(), [])
+
+    async def test_a_key_that_cannot_be_read_is_taken_all_the_same(self):
+        await self.first.wish()
+        (key,) = self.held()
+        record = self.kv.records[key]
+        self.kv.records[key] = type(record)(key, b"\xff", record.mod_revision)
+        self.assertIsNone(await self.second.wish("m2"))
+
+
+class TestOrdersWithoutAGate(unittest.TestCase):
+    def test_a_load_from_the_store_draws_on_it_until_it_is_over(self):
+        book = OrderBook(ENGINE)
+        book.reported(1.0, report("b1"))
+        book.wished(1.0, Wish("m1"))
+        order = book.next_order(1.0)
+        self.assertFalse(book.draws_on_store())
+        book.sending(order)
+        self.assertTrue(book.draws_on_store())
+        book.answered(1.0, order, OrderAnswer.ACCEPTED)
+        self.assertTrue(book.draws_on_store())
+        book.reported(2.0, report("b1", ["m1"], accepted=1))
+        self.assertFalse(book.draws_on_store())
