A load tried beside the others and lost with its engine isn't tried again at once

Callers saw: as before. Cause: the store is tried for one load more than it is known to serve until that is settled; where the tried one's engine goes before it shows anything, the question counts as never asked, and the next plan asks it again, with each turn (huxa and kaye at 4.53 s, nyka and pupu at 17.80 s). Change: another isn't tried for a minute.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_speed.py
@@ -42,6 +42,10 @@
 #: Loads that are seen to begin within this time may have begun in any order. Seconds;
 #: agents speak at least so often.
 SAME_TIME_S = 0.5
+#: One that was tried beside the others and was lost with its engine has shown nothing.
+#: Another isn't tried for so long: while engines come and go each would be lost the
+#: same way. Seconds.
+TRY_AGAIN_S = 60.0
 #: A load that has outlived its estimate is expected to last this part of it longer.
 OVERRUN_SHARE = 0.15
 
@@ -100,6 +104,8 @@
         self._bounded = False
         self._one_is_late = False
         self._one_is_tried = False
+        self._tries_from = float("-inf")
+        self._may_try = True
         self._group: _Group | None = None
         self._watched: dict[_Key, _Watched] = {}
 
@@ -113,7 +119,8 @@
         engine twice as long.
         """
         known = self._bounded or self.loads >= ASSUMED_LOADS
-        return not known and not self._one_is_late and not self._one_is_tried
+        open_question = self._one_is_late or self._one_is_tried
+        return self._may_try and not known and not open_question
 
     def left_s(self, now: float, at: Incarnation, loading: Loading) -> float:
         """When a load from the store ends. Its agent, which doesn't see the others,
@@ -148,6 +155,7 @@
         self._one_is_tried = any(
             watched.place > self.loads for watched in self._watched.values()
         )
+        self._may_try = now >= self._tries_from
 
     def ends_elsewhere(self, now: float, known: Collection[str]) -> list[float]:
         """When the loads end, in seconds, that are under way at engines other than the
@@ -196,6 +204,8 @@
         )
         if told and seen_s <= SAME_TIME_S:
             self._ended(watched)
+        elif watched.place > self.loads:
+            self._tries_from = now + TRY_AGAIN_S
 
     def _current(
         self, now: float, backends: Iterable[Backend], engine: EngineSpec
--- a/tests/gateway/cover/test_store_speed.py
+++ b/tests/gateway/cover/test_store_speed.py
@@ -8,6 +8,7 @@
 from bambootiller_core.gateway.store_speed import (
     ASSUMED_LOADS,
     OVERRUN_SHARE,
+    TRY_AGAIN_S,
     StoreSpeed,
     assumed_loads,
 )
@@ -127,6 +128,22 @@
         self.assertEqual(len(store.ends), 1)
         self.assertFalse(store.speed.tries_one_more)
 
+    def test_one_that_was_lost_with_its_engine_is_not_tried_again_at_once(self):
+        """Symptom: each turn of the store was given to one load more than it serves.
+
+        The engine of the one that was tried went before it had shown anything.
+        """
+        store = OrderlyStore(full=1, loads=1)
+        store.begin("b0")
+        store.begin("b1")
+        store.run(0.8 * LOAD_S)
+        store.names.remove("b1")
+        del store.ends["b1"]
+        store.run(0.3 * LOAD_S)
+        self.assertFalse(store.speed.tries_one_more)
+        store.run(TRY_AGAIN_S)
+        self.assertTrue(store.speed.tries_one_more)
+
     def test_until_the_one_that_is_tried_shows_something_no_other_is_tried(self):
         """The load before it had ended, it wasn't late yet, and another was tried."""
         store = OrderlyStore(full=1, loads=1)
