A long load goes where the adapters that may be asked for aren't kept away

Callers saw: calls that name an adapter refused for 13 s and more though an engine holds their model. Cause: the engine had taken a load from the weight store a second after that model came, when no call had missed an adapter yet; what the load costs was decided by the rate of that one moment (AdapterPlaces.calls_kept weighs adapter_rate). Change: where a long load goes is decided by all calls for models with adapters that it alone could load some for, in proportion to the adapters that aren't there. Whether it goes anywhere stays decided by calls that really miss one, so this can't shut the store. The test fails before (AssertionError: 'b0' == 'b0').

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/adapter_places.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/adapter_places.py
@@ -4,6 +4,10 @@
 one that could take some for a model, calls for adapters that it doesn't have wait until
 the load ends, and most of them are refused. So a long load goes where this costs least,
 and nowhere while it costs more calls than the load would serve.
+
+The calls that miss an adapter now tell little of those that will during the load: none
+has missed one yet of a model that has just come. Where the load goes is therefore
+decided by all calls for the model, in proportion to its adapters that aren't there.
 """
 
 from __future__ import annotations
@@ -13,12 +17,12 @@
 
 from bambootiller_core.gateway.config import EngineSpec
 from bambootiller_core.gateway.places import LONG_LOAD_S, Place
-from bambootiller_core.gateway.want import Want
+from bambootiller_core.gateway.want import LEAST_KEEP, NO_WANT, Want
 
 
 class AdapterPlaces:
-    """For each model whose adapters are missed, the engines that hold it and that no
-    long load keeps from other orders.
+    """For each model with adapters, the engines that hold it and that no long load
+    keeps from other orders.
 
     They are counted once for a plan, not for each model and engine.
 
@@ -26,34 +30,56 @@
 
         homes = AdapterPlaces(engine, places, wants)
         calls = homes.calls_kept(place, seconds=6.0)
+        calls = homes.calls_at_risk(place, seconds=6.0)
         homes.occupy(place, until_s=6.0)
     """
 
     def __init__(
         self, engine: EngineSpec, places: Iterable[Place], wants: Mapping[str, Want]
     ) -> None:
+        self._wants = wants
         self._free: Counter[str] = Counter()
         self._held: dict[str, list[str]] = {}
-        self._missed = {
-            name: want.adapter_rate
-            for name, want in wants.items()
-            if want.adapter_rate and name in engine.models
+        self._adapters = {
+            name: spec.adapters
+            for name, spec in engine.models.items()
+            if spec.adapters or self._want(name).adapter_rate
         }
         for place in places:
-            held = [name for name in place.held if name in self._missed]
+            held = [name for name in place.held if name in self._adapters]
             self._held[place.instance] = held
             if _is_free(place):
                 self._free.update(held)
 
     def calls_kept(self, place: Place, seconds: float) -> float:
         """How many calls would wait for an adapter in vain during a load of so many
-        seconds here."""
+        seconds here, by those that miss one now."""
+        rates = [self._want(name).adapter_rate for name in self._last(place, seconds)]
+        return seconds * sum(rates)
+
+    def calls_at_risk(self, place: Place, seconds: float) -> float:
+        """How many calls would at most, if each named one of its model's adapters."""
+        rates = [
+            self._missing_share(place, name) * max(LEAST_KEEP, self._want(name).rate)
+            for name in self._last(place, seconds)
+        ]
+        return seconds * sum(rates)
+
+    def _last(self, place: Place, seconds: float) -> list[str]:
+        """The models with adapters for which no other engine could take an order during
+        a load of so many seconds here."""
         if seconds <= LONG_LOAD_S:
-            return 0.0
+            return []
         itself = 1 if _is_free(place) else 0
         held = self._held[place.instance]
-        missed = [self._missed[name] for name in held if self._free[name] == itself]
-        return seconds * sum(missed)
+        return [name for name in held if self._free[name] == itself]
+
+    def _missing_share(self, place: Place, name: str) -> float:
+        count = self._adapters[name]
+        return max(0.0, 1.0 - len(place.held[name]) / count) if count else 0.0
+
+    def _want(self, name: str) -> Want:
+        return self._wants.get(name, NO_WANT)
 
     def occupy(self, place: Place, until_s: float) -> None:
         """The engine's next order can begin only then, in seconds from now."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -358,7 +358,8 @@
             rated = ready
             if seconds > LONG_LOAD_S:
                 rated += BLOCKED_S * self._blocked_by_load(place, victims)
-                rated += CALL_KEPT_S * calls_kept
+                at_risk = self._adapters.calls_at_risk(place, seconds)
+                rated += CALL_KEPT_S * max(calls_kept, at_risk)
             rated = round(rated, EQUAL_DECIMALS)
             if rated > best_s:
                 continue
--- a/tests/gateway/failures/test_starvation.py
+++ b/tests/gateway/failures/test_starvation.py
@@ -7,6 +7,7 @@
 from bambootiller_core.gateway.due_adapters import DueAdapters
 from bambootiller_core.gateway.engine_state import Loading
 from bambootiller_core.gateway.places import choose_victims, keep_values
+from bambootiller_core.gateway.residency import Planner
 from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
 from tests.gateway.common.rare_replay import RareReplay
@@ -69,6 +70,23 @@
                     self.assertEqual(replay.starved(), [])
 
 
+class TestAdaptersOfAModelThatHasJustCome(unittest.TestCase):
+    """Its one engine took a load of 13 s: no call had missed an adapter yet."""
+
+    def test_a_long_load_goes_elsewhere(self):
+        plain = [f"p{number}" for number in range(4)]
+        models = [samples.model("tutor", adapters=10, load_s=13.0)]
+        rare = [f"r{number}" for number in range(20)]
+        models += [samples.model(name, load_s=13.0) for name in (*plain, *rare)]
+        spec = samples.engine(*models, memory_mb=120.0)
+        backends = [samples.engine_backend(1.0, "b0", ["tutor"])]
+        backends += [samples.engine_backend(1.0, f"b-{name}", [name]) for name in plain]
+        for name in rare:
+            wants = {"tutor": Want(2.0, holders=1, copies=1), name: Want(0.2, 1)}
+            load = Planner(spec, 1).plan(1.0, backends, wants)[name]
+            self.assertNotEqual(load.instance, "b0")
+
+
 class TestAdaptersOfCallersDueBack(unittest.TestCase):
     """Callers came back to their model and were refused for want of their adapter, as
     the model's engine was in another long load by then."""
