One load more than the store is known to serve is tried for what is much asked for

Callers saw: the most wanted model came after twice a load's time; a model with a single call came before ones with sixteen. Change: one more is tried beside loads that have begun, not beside one that is asked for in the same plan, and for models that four calls wait for or ended without an answer: these would have one of the next turns in any case. test_store_queue.TestOneMoreThanTheStoreIsKnownToServe failed before (the old form has no such distinction).

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -35,7 +35,7 @@
     copies_at,
     copies_of,
 )
-from bambootiller_core.gateway.store_queue import StoreQueue, TurnKind
+from bambootiller_core.gateway.store_queue import Pressing, StoreQueue, TurnKind
 from bambootiller_core.gateway.store_turns import StoreTurns
 from bambootiller_core.gateway.want import NO_WANT, Want
 
@@ -183,8 +183,8 @@
         """Plan the load of one model, if there is one worth it; ``coming`` is one that
         is under way."""
         want = wants.get(spec.name, NO_WANT)
-        crowding = want.waiting >= MANY_WAITING
-        if self._must_wait_for_store(spec, crowding, turns.queue):
+        pressing = _pressing(want)
+        if self._must_wait_for_store(spec, pressing, turns.queue):
             admitted = turns.admit(rank, coming is not None)
             if admitted and self._has_room(spec, _as_option(rank, want)):
                 turns.took(rank)
@@ -201,8 +201,8 @@
                 plan[spec.name] = _waiting_load(spec, turns.queue.when(spec.load_s))
                 return
             turns.took(rank)
-            turn = turns.queue.kind(spec.load_s, crowding)
-            begins, ends = turns.queue.add(spec.load_s, crowding)
+            turn = turns.queue.kind(spec.load_s, pressing)
+            begins, ends = turns.queue.add(spec.load_s, pressing)
             waits_for_store = begins > 0
             ready += ends - spec.load_s
         elif not _is_sooner(option, coming):
@@ -317,14 +317,14 @@
         return Place(backend, free_in)
 
     def _must_wait_for_store(
-        self, spec: ModelSpec, crowding: bool, queue: StoreQueue
+        self, spec: ModelSpec, pressing: Pressing, queue: StoreQueue
     ) -> bool:
         """Whether no engine has a copy to load the model from, and the weight store
         can't serve it now. Most models of a long plan are like that; for these it would
         be in vain to compare all engines."""
         if spec.name in self._copies:
             return False
-        return not queue.can_begin(spec.load_s, crowding)
+        return not queue.can_begin(spec.load_s, pressing)
 
     def _has_room(self, spec: ModelSpec, want: Want) -> bool:
         """Whether some engine could make room for a load from the store."""
@@ -393,6 +393,12 @@
     return coming is None or option.ready_in_s + WORTH_S <= coming.ready_in_s
 
 
+def _pressing(want: Want) -> Pressing:
+    if want.waiting >= MANY_WAITING:
+        return Pressing.MOST
+    return Pressing.MUCH if want.awaited >= MANY_WAITING else Pressing.LITTLE
+
+
 def _waiting_load(spec: ModelSpec, turn: tuple[float, float]) -> PlannedLoad:
     """A load that waits for its turn at the weight store."""
     _, ends = turn
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_queue.py
@@ -23,6 +23,19 @@
 TRIED_SHARE = 0.5
 
 
+class Pressing(enum.IntEnum):
+    """How much a load is worth beginning beyond what the store serves at full speed.
+
+    ``LITTLE``: it waits for its turn. ``MUCH``: it may be the one that is tried, as it
+    would have one of the next turns whatever else is asked for until then. ``MOST``: it
+    may also begin where the store is known to be full, if that is sooner.
+    """
+
+    LITTLE = 0
+    MUCH = 1
+    MOST = 2
+
+
 class TurnKind(enum.Enum):
     """Why a load begins when it does.
 
@@ -64,46 +77,50 @@
         self._one_more = one_more
         self._loads = [_Load(0.0, end) for end in ends_in_s]
 
-    def add(self, load_s: float, crowding: bool = False) -> tuple[float, float]:
-        """Plan one more load; returns when it begins and when it is over.
-
-        ``crowding`` lets it begin beyond what the store serves at full speed, if it is
-        over sooner that way and hardly slowed.
-        """
-        begins, ready = self.when(load_s, crowding)
+    def add(
+        self, load_s: float, pressing: Pressing = Pressing.LITTLE
+    ) -> tuple[float, float]:
+        """Plan one more load; returns when it begins and when it is over."""
+        begins, ready = self.when(load_s, pressing)
         self._loads.append(_Load(begins, ready))
+        # What is tried may be served first, and the one that has the turn slowed by it.
+        self._one_more = False
         return begins, ready
 
-    def can_begin(self, load_s: float, crowding: bool = False) -> bool:
+    def can_begin(self, load_s: float, pressing: Pressing = Pressing.LITTLE) -> bool:
         """Whether :meth:`add` would have the load begin now."""
-        return self.when(load_s, crowding)[0] <= 0
+        return self.when(load_s, pressing)[0] <= 0
 
     def room(self) -> int:
         """How many more loads could begin now."""
         return max(0, self._full - self._under_way(0.0))
 
-    def when(self, load_s: float, crowding: bool = False) -> tuple[float, float]:
+    def when(
+        self, load_s: float, pressing: Pressing = Pressing.LITTLE
+    ) -> tuple[float, float]:
         """What :meth:`add` would return."""
-        begins, ends, _ = self._turn(load_s, crowding)
+        begins, ends, _ = self._turn(load_s, pressing)
         return begins, ends
 
-    def kind(self, load_s: float, crowding: bool = False) -> TurnKind:
+    def kind(self, load_s: float, pressing: Pressing = Pressing.LITTLE) -> TurnKind:
         """Why :meth:`add` would have the load begin when it does."""
-        _, _, kind = self._turn(load_s, crowding)
+        _, _, kind = self._turn(load_s, pressing)
         return kind
 
-    def _turn(self, load_s: float, crowding: bool) -> tuple[float, float, TurnKind]:
+    def _turn(self, load_s: float, pressing: Pressing) -> tuple[float, float, TurnKind]:
         begins = self._next_free()
         if begins <= 0:
             return begins, begins + load_s, TurnKind.FREE
         under_way = self._under_way(0.0)
         slowed_s = load_s * max(1.0, (under_way + 1) / self._full)
-        if self._one_more and under_way == len(self._loads) <= self._full:
+        tries = self._one_more and pressing >= Pressing.MUCH
+        if tries and under_way == len(self._loads) <= self._full:
             # None waits before it.
             if begins > TRIED_SHARE * load_s:
                 return 0.0, slowed_s, TurnKind.ONE_MORE
         is_sooner = slowed_s + WORTH_NOW_S <= begins + load_s
-        if crowding and is_sooner and slowed_s <= MOST_STRETCH * load_s:
+        crowds = pressing is Pressing.MOST
+        if crowds and is_sooner and slowed_s <= MOST_STRETCH * load_s:
             return 0.0, slowed_s, TurnKind.CROWDED
         return begins, begins + load_s, TurnKind.QUEUED
 
