--- a/tests/gateway/cover/test_store_queue.py
+++ b/tests/gateway/cover/test_store_queue.py
@@ -62,8 +62,9 @@
 class TestOneMoreThanTheStoreIsKnownToServe(unittest.TestCase):
     """Symptom: the most wanted model waited for twice a load's time.
 
-    One more was tried in the same plan, arrived first, and slowed it. What was tried was
-    chosen 13 s before its turn, when few callers had come, and was hardly asked for.
+    One more was tried in the same plan, arrived first, and slowed it. What was tried
+    was chosen 13 s before its turn, when few callers had come, and was hardly asked
+    for.
     """
 
     def test_it_is_tried_beside_loads_that_have_begun(self):
