A load from the store that doesn't begin doesn't keep the turn from others

Change: models whose loads aren't admitted take no part in the plan, and an engine whose agent didn't begin a load isn't asked for the same one again for 2 s, and longer for each further engine.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -89,7 +89,8 @@
     begin beyond it take longer. ``left_s`` is when the load under way at an engine
     ends, ``ends_elsewhere`` when those end, in seconds, that draw on the weight store
     at engines which can't be planned with. ``tries_one_more``: whether the store may be
-    asked for one more than it is known to serve.
+    asked for one more than it is known to serve. ``barred`` are models and engines that
+    no load from the store is planned for.
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         left_s: Callable[[Backend], float] | None = None,
         ends_elsewhere: Collection[float] = (),
         tries_one_more: bool = False,
+        barred: Collection[tuple[str, str]] = (),
     ) -> None:
         self._engine = engine
         #: How many loads the weight store is taken to serve at full speed.
@@ -106,6 +108,7 @@
         self._left_s = left_s or _told_left_s
         self._ends_elsewhere = ends_elsewhere
         self._tries_one_more = tries_one_more
+        self._barred = barred
         #: How many loads draw on the weight store at the time of the last plan.
         self.store_loads_under_way = 0
         self._known: list[Backend] = []
@@ -330,6 +333,7 @@
         """Whether some engine could make room for a load from the store."""
         return any(
             spec.name not in place.held
+            and (spec.name, place.instance) not in self._barred
             and self._adapters.calls_kept(place, spec.load_s) <= want.value
             and place.victims(self._engine, spec, want, spec.load_s) is not None
             for place in self._places
@@ -344,6 +348,8 @@
             if place.planned > 2 or spec.name in place.held:
                 continue
             seconds, from_store = place.tier_seconds(spec)
+            if from_store and (spec.name, place.instance) in self._barred:
+                continue
             ready = place.free_in_s + seconds + ORDER_S
             if ready > best_s + SURELY_LATER_S:
                 # Before the costlier questions: half of all engines end here.
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_asks.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_asks.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -20,6 +21,11 @@
 #: An agent tells of a load that it begins, or makes room for, well within this time. If
 #: it doesn't, it can't, and another load is asked for. Seconds.
 TOLD_WITHIN_S = 0.5
+#: An engine whose agent didn't begin a load isn't asked for the same one again for so
+#: long, and twice as long for each further engine, so many times at most: the plan would
+#: choose the model again and again, and nothing else would be loaded. Seconds.
+BARRED_S = 2.0
+DOUBLED_MOST = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +39,10 @@
 
     def __init__(self) -> None:
         self._asks: list[_Ask] = []
+        #: Until when a load of a model isn't asked for at an engine.
+        self._barred: dict[tuple[str, str], float] = {}
+        #: How often in a row the load of a model hasn't begun.
+        self._failures: Counter[str] = Counter()
         #: Those of the last choice that were asked for the first time.
         self.begun: list[PlannedLoad] = []
         #: Those that were given up with the last choice: their agents didn't begin.
@@ -48,12 +58,30 @@
         ``is_told`` whether the agent has told of the load, so that the plan counts it
         as under way."""
         planned = list(planned)
-        untold = [ask for ask in self._asks if not is_told(ask.load)]
+        told = [ask for ask in self._asks if is_told(ask.load)]
+        untold = [ask for ask in self._asks if ask not in told]
         self._asks = [ask for ask in untold if now - ask.first_at <= TOLD_WITHIN_S]
         self.given_up = [ask.load for ask in untold if ask not in self._asks]
+        for ask in told:
+            self._failures.pop(ask.load.model, None)
+        for load in self.given_up:
+            self._bar(now, load)
         asked = {ask.load.model for ask in self._asks}
         turns = max(0, len(planned) - len(self._asks))
         others = [load for load in planned if load.model not in asked]
         self.begun = others[:turns]
         self._asks += [_Ask(load, now) for load in self.begun]
         return [ask.load for ask in self._asks]
+
+    def _bar(self, now: float, load: PlannedLoad) -> None:
+        doubled = min(DOUBLED_MOST, self._failures[load.model])
+        seconds = BARRED_S * 2**doubled
+        self._barred[(load.model, load.instance)] = now + seconds
+        self._failures[load.model] += 1
+
+    def barred(self, now: float) -> frozenset[tuple[str, str]]:
+        """The models and engines that an agent hasn't begun a load for."""
+        for pair, until in list(self._barred.items()):
+            if until <= now:
+                del self._barred[pair]
+        return frozenset(self._barred)
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -47,7 +47,7 @@
 
     Calls that need a model ask :meth:`plan_for` when it can be used, and say in
     :meth:`demand` while they wait, so that the plan counts them. ``wish`` asks the
-    agent beside an engine for a load.
+    agent beside an engine for a load, ``admits`` tells whether a model may be loaded.
     """
 
     def __init__(
@@ -56,11 +56,13 @@
         knowledge: Knowledge,
         wish: Callable[[Backend, Wish], object],
         emit: Callable[[LogLine], None] = lambda line: None,
+        admits: Callable[[str], bool] = lambda model: True,
     ) -> None:
         self._app = app
         self._knowledge = knowledge
         self._wish = wish
         self._emit = emit
+        self._admits = admits
         #: The entries that agents hear, this one among them.
         self.entries: tuple[str, ...] = ()
         self._demand: dict[str, Demand] = {}
@@ -213,8 +215,9 @@
                 left_by(speed, now),
                 speed.ends_elsewhere(now, known),
                 speed.tries_one_more,
+                self._asks.barred(now, service.name),
             )
-            plan = planner.plan(now, backends, wants_of_all)
+            plan = planner.plan(now, backends, self._admitted(wants_of_all))
             self._plans[service.name] = plan
             self._planned_for[service.name] = wants_of_all
             self._planners[service.name] = planner
@@ -229,6 +232,18 @@
                 self._clock.has_work()
         self._clock.pause_s = pause_s(pairs)
 
+    def _admitted(self, wants: Mapping[str, Want]) -> Mapping[str, Want]:
+        """The demand for models that may be loaded. One whose load isn't admitted would
+        have the store's next turn in each plan, and never take it."""
+        refused = [
+            name
+            for name, want in wants.items()
+            if want.awaited and not self._admits(name)
+        ]
+        if not refused:
+            return wants
+        return {name: want for name, want in wants.items() if name not in refused}
+
     def _note_idle_store(
         self, now: float, service: str, planner: Planner, wants: Mapping[str, Want]
     ) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -55,8 +55,10 @@
         self._agent_port = agent_port
         self._links: dict[str, _Link] = {}
         self._collectors: dict[str, list[str]] = {}
-        self.plans = EnginePlans(app, knowledge, self.wish, self._emit)
         self.quarantine = Quarantine(knowledge, events, app.now, self._tell_collectors)
+        self.plans = EnginePlans(
+            app, knowledge, self.wish, self._emit, self._admits_load
+        )
         self._reached: list[tuple[str, bool, bool]] = []
 
     def start(self) -> None:
@@ -73,8 +75,7 @@
     def wish(self, backend: Backend, wish: Wish) -> bool:
         """Ask the agent beside the engine for a load; False if there is none, or if
         the load ends engines."""
-        admission = self.quarantine.load_admission(wish.model)
-        if not wish.adapter and admission.standing is not Standing.ADMITTED:
+        if not wish.adapter and not self._admits_load(wish.model):
             return False
         link = self._links.get(backend.registered.host)
         if link is None:
@@ -83,6 +84,10 @@
         self._exchanger.poke_at(self._address(backend.registered.host))
         return True
 
+    def _admits_load(self, model: str) -> bool:
+        admission = self.quarantine.load_admission(model)
+        return admission.standing is Standing.ADMITTED
+
     def stream_count(self) -> int:
         """How many streams to agents are kept."""
         return len(self._links)
--- a/packages/bambootiller/src/bambootiller/gateway/load_asks.py
+++ b/packages/bambootiller/src/bambootiller/gateway/load_asks.py
@@ -75,6 +75,12 @@
             and (wants.get(load.model, NO_WANT).waiting or self.sees_to(load.model))
         ]
 
+    def barred(self, now: float, service: str) -> frozenset[tuple[str, str]]:
+        """The models and engines of a service that this entry has asked for a load from
+        the store in vain, a moment ago."""
+        asks = self._store_asks.get(service)
+        return asks.barred(now) if asks is not None else frozenset()
+
     def from_store(
         self,
         now: float,
--- a/tests/gateway/failures/test_store_turns_taken.py
+++ b/tests/gateway/failures/test_store_turns_taken.py
@@ -91,6 +91,36 @@
             self.assertEqual(set(wished), asked)
 
 
+class TestLoadsThatDoNotBegin(unittest.TestCase):
+    """Symptom: no model without a copy is loaded for the rest of the day.
+
+    The load of the first in the queue didn't begin, and each plan asked for it again.
+    """
+
+    def plans(self, admits):
+        app = App(ENTRIES[0])
+        known, wished = KnownStore(app), []
+        plans = EnginePlans(
+            app, known, lambda backend, wish: wished.append(wish.model), admits=admits
+        )
+        plans.entries = (app.instance,)
+        wants = {"m1": Want(0.9, 3), "m2": Want(0.5, 2)}
+        for _ in range(round((MOST_S + 12.0) / PLAN_S)):
+            app.at += PLAN_S
+            for number in range(6):
+                known.fleet.engine_told(app.at, samples.engine_state(f"b{number}"))
+            plans.totals_told(app.at, SERVICE, "10.0.0.1", wants)
+            plans.make(app.at)
+        return wished
+
+    def test_a_model_whose_load_is_not_admitted_takes_no_turn(self):
+        wished = self.plans(admits=lambda model: model != "m1")
+        self.assertEqual(set(wished), {"m2"})
+
+    def test_agents_that_do_not_begin_one_are_not_asked_for_it_again_at_once(self):
+        self.assertEqual(set(self.plans(admits=lambda model: True)), {"m1", "m2"})
+
+
 class TestAsks(unittest.TestCase):
     def setUp(self):
         self.asks = StoreAsks()
