The adapter of a caller refused during a load is loaded when it ends

Callers saw: an adapter of a held model refused again and again. Cause: whoever is refused because the model isn't there has its adapter noted; whoever is refused because the model's engine is in a long load hadn't, and the rate of missed adapters fades in 5 s. So nobody wished for it when the load ended, and the engine's next one could begin first. Change: both refusals are noted. The test failed before (no wish at all).

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_asks.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_asks.py
@@ -22,8 +22,8 @@
 #: it doesn't, it can't, and another load is asked for. Seconds.
 TOLD_WITHIN_S = 0.5
 #: An engine whose agent didn't begin a load isn't asked for the same one again for so
-#: long, and twice as long for each further engine, so many times at most: the plan would
-#: choose the model again and again, and nothing else would be loaded. Seconds.
+#: long, and twice as long for each further engine, so many times at most. The plan
+#: would choose the model again and again, and nothing else would be loaded. Seconds.
 BARRED_S = 2.0
 DOUBLED_MOST = 3
 
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -159,16 +159,23 @@
         self._miss_adapter(now)
         able = [backend for backend in holders if backend.takes_orders(now)]
         if not able:
-            return Refusal(Reason.COLD, attempts.COME_BACK_S)
+            return self._refuse_cold(now, attempts.COME_BACK_S)
         soonest = min(_free_in(backend) for backend in able)
         if now + soonest > self._call.first_event_due - FIRST_EVENT_S:
-            return Refusal(Reason.COLD, min(soonest, COME_BACK_MAX_S))
+            return self._refuse_cold(now, min(soonest, COME_BACK_MAX_S))
         able = [backend for backend in able if _free_in(backend) <= soonest + ADAPTER_S]
         able.sort(key=lambda backend: -selection.home_weight(ask, backend.instance))
         turn = int((now - began) / ADAPTER_S) % len(able)
         self._relays.engines.wish(able[turn], Wish(ask.model, ask.adapter))
         return None
 
+    def _refuse_cold(self, now: float, come_back_s: float) -> Refusal:
+        """The adapter is to be there when the caller is back: the engine may begin the
+        next long load as soon as this one ends."""
+        due = self._relays.engines.plans.due_adapters(self._call.service)
+        due.refused(now, self._call.ask, come_back_s)
+        return Refusal(Reason.COLD, come_back_s)
+
     def _miss_adapter(self, now: float) -> None:
         if self._missed_adapter:
             return
--- a/tests/gateway/failures/test_starvation.py
+++ b/tests/gateway/failures/test_starvation.py
@@ -1,8 +1,11 @@
 """Models that are asked for again and again, and never served."""
 
 import unittest
+from unittest import mock
 
-from bambootiller_core.gateway.calls import ModelAsk
+from bambootiller.gateway.placing import Placing
+from bambootiller_core.gateway.attempts import Refusal
+from bambootiller_core.gateway.calls import ModelAsk, Progress
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.gateway.due_adapters import DueAdapters
 from bambootiller_core.gateway.engine_state import Loading
@@ -87,6 +90,26 @@
             self.assertNotEqual(load.instance, "b0")
 
 
+class TestCallersOfAdaptersRefusedDuringALoad(unittest.IsolatedAsyncioTestCase):
+    """When that load had ended nobody wished for the adapter, and the engine's next one
+    began before they were back."""
+
+    async def test_the_adapter_is_loaded_when_it_ends(self):
+        loading = Loading("poet", 60.0, True)
+        holder = samples.engine_backend(5.0, "b1", ["tutor"], loading=loading)
+        due = DueAdapters()
+        relays = mock.Mock()
+        relays.clock.return_value = 5.0
+        relays.knowledge.fleet.of_service.return_value = [holder]
+        relays.engines.plans.due_adapters.return_value = due
+        call = samples.call(now=5.0, ask=samples.ask("tutor", "x1"), service="llm")
+        refusal = await Placing(relays, call, Progress()).place()
+        self.assertIsInstance(refusal, Refusal)
+        free = samples.engine_backend(6.0, "b1", ["tutor"])
+        (wish,) = due.wishes(6.0, free, [free])
+        self.assertEqual((wish.model, wish.adapter), ("tutor", "x1"))
+
+
 class TestAdaptersOfCallersDueBack(unittest.TestCase):
     """Callers came back to their model and were refused for want of their adapter, as
     the model's engine was in another long load by then."""
