A model with a copy is moved room for, whoever has the store's turn

Cause: the turn of the store is left to models that nobody has, and with it the move, which needs no turn; and some of these fit no engine, so that their turn never comes. Change: the move is looked for before the turn is left; models that fit no engine aren't planned. Both tests failed before.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -145,6 +145,7 @@
         store_ends += self._ends_elsewhere
         self.store_loads_under_way = len(store_ends)
         order = in_order(self._engine, now, known, copies, wants, plan)
+        order = [item for item in order if item[0].size_mb <= self._engine.memory_mb]
         queue = self._store_queue(wants, store_ends)
         turns = StoreTurns(queue, bool(store_ends), order, copies)
         for spec, rank in order:
@@ -201,7 +202,9 @@
             if not turns.admit(rank, coming is not None):
                 return
             if spec.name in self._copies and turns.leaves_to_others():
-                plan[spec.name] = _waiting_load(spec, turns.queue.when(spec.load_s))
+                _, ends = turn = turns.queue.when(spec.load_s)
+                if not self._moves(spec, ends, wants, plan):
+                    plan[spec.name] = _waiting_load(spec, turn)
                 return
             turns.took(rank)
             turn = turns.queue.kind(spec.load_s, pressing)
--- a/tests/gateway/cover/test_moving.py
+++ b/tests/gateway/cover/test_moving.py
@@ -62,6 +62,17 @@
         self.assertFalse(plan["clerk"].from_store)
         self.assertEqual(plan["clerk"].instance, "b1")
 
+    def test_models_that_nobody_has_do_not_keep_it_from_that(self):
+        """The store's turn was left to one of these, and the move with it."""
+        names = ("tutor", "poet", "clerk", "scribe", "extra", "new")
+        self.spec = samples.engine(*map(samples.model, names))
+        wants = {**BUSY, "clerk": AWAITED, "new": Want(0.1, 0)}
+        for ends_in_s in ([], [9.0]):
+            planner = Planner(self.spec, 1, ends_elsewhere=ends_in_s)
+            plan = planner.plan(NOW, [self.first(), self.second()], wants)
+            self.assertEqual(plan["clerk"].instance, "b1")
+            self.assertFalse(plan["clerk"].from_store)
+
     def test_once_it_is_held_twice_it_makes_way(self):
         first = self.first(keep_values={"tutor": 0.4, "poet": 3.5})
         wants = {"tutor": Want(3.0, 0, 2, 0.0, 2)}
--- a/tests/gateway/cover/test_store_turns.py
+++ b/tests/gateway/cover/test_store_turns.py
@@ -122,6 +122,12 @@
         tutor = Want(2.0, 9, unserved=9.0, unserved_s=8.0)
         self.assertEqual(self.begun(tutor=tutor, poet=Want(0.2, 1)), ["tutor"])
 
+    def test_one_that_fits_no_engine_has_no_turn(self):
+        """Models with a copy left their turn to it for ever."""
+        models = [*self.spec.models.values(), samples.model("huge", size_mb=500.0)]
+        self.spec = samples.engine(*models)
+        self.assertEqual(self.begun(tutor=Want(2.0, 9), huge=Want(0.1, 1)), ["tutor"])
+
     def test_a_store_for_both_serves_both(self):
         begun = self.begun(2, tutor=Want(2.0, 9), poet=Want(0.2, 1))
         self.assertEqual(begun, ["tutor", "poet"])
