Refused callers are told when their model is to be there, not six seconds at most

They honour a third of the time that they have left at most, so whoever has 30 s comes after ten instead of six, and is served if the load is over by then or soon after. Change: the planned time is told as it is; without a plan 6 s, as before. Adapters of refused callers are kept in mind for as long as callers may take, 10 s, instead of 3. The test failed before (6.0 != 26.0).

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/due_adapters.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/due_adapters.py
@@ -17,10 +17,14 @@
 from collections.abc import Collection
 
 from bambootiller_core.gateway.calls import ModelAsk
-from bambootiller_core.gateway.demand import DUE_BACK_LATE_S, DUE_BACK_MOST_S
+from bambootiller_core.gateway.demand import DUE_BACK_LATE_S
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.order_messages import Wish
 
+#: Callers come no later than this, whatever they were told: they honour a third of the
+#: time that they have left. Seconds.
+DUE_MOST_S = 10.0
+
 
 class DueAdapters:
     """The adapters that refused callers of one entry named, for the engines of one
@@ -36,7 +40,7 @@
             return
         for model in list(self._due):
             self._still_due(now, model)
-        due_in_s = min(come_back_s + DUE_BACK_LATE_S, DUE_BACK_MOST_S)
+        due_in_s = min(come_back_s, DUE_MOST_S) + DUE_BACK_LATE_S
         self._due.setdefault(ask.model, {})[ask.adapter] = now + due_in_s
 
     def wishes(
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -20,9 +20,8 @@
 #: A stream lasts about so long. One that can't begin this long before the end of a
 #: planned stop is refused, because it would be cut. Seconds.
 STREAM_S = 3.0
-#: The longest come-back time; callers honour a part of the time they have left.
-#: Seconds.
-COME_BACK_MAX_S = 6.0
+#: When to come back for a model that no engine can load for now. Seconds.
+UNPLANNED_S = 6.0
 #: An adapter that hasn't come after this time is sought at another engine. Seconds.
 ADAPTER_S = 0.4
 
@@ -162,7 +161,7 @@
             return self._refuse_cold(now, attempts.COME_BACK_S)
         soonest = min(_free_in(backend) for backend in able)
         if now + soonest > self._call.first_event_due - FIRST_EVENT_S:
-            return self._refuse_cold(now, min(soonest, COME_BACK_MAX_S))
+            return self._refuse_cold(now, soonest)
         able = [backend for backend in able if _free_in(backend) <= soonest + ADAPTER_S]
         able.sort(key=lambda backend: -selection.home_weight(ask, backend.instance))
         turn = int((now - began) / ADAPTER_S) % len(able)
@@ -201,9 +200,9 @@
             return None
         if ready_in is None and self._relays.is_starting() and now < due:
             return None
-        come_back = COME_BACK_MAX_S if ready_in is None else ready_in
+        come_back = UNPLANNED_S if ready_in is None else ready_in
         detail = "no engine can load it" if ready_in is None else ""
-        come_back = min(max(come_back, attempts.COME_BACK_S), COME_BACK_MAX_S)
+        come_back = max(come_back, attempts.COME_BACK_S)
         demand = engines.plans.demand(call.service)
         demand.refused(now, ask.model, come_back, self._weight)
         engines.plans.due_adapters(call.service).refused(now, ask, come_back)
--- a/tests/gateway/failures/test_starvation.py
+++ b/tests/gateway/failures/test_starvation.py
@@ -3,14 +3,15 @@
 import unittest
 from unittest import mock
 
-from bambootiller.gateway.placing import Placing
+from bambootiller.gateway.placing import UNPLANNED_S, Placing
 from bambootiller_core.gateway.attempts import Refusal
 from bambootiller_core.gateway.calls import ModelAsk, Progress
+from bambootiller_core.gateway.crash_ledger import Standing
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.gateway.due_adapters import DueAdapters
 from bambootiller_core.gateway.engine_state import Loading
 from bambootiller_core.gateway.places import choose_victims, keep_values
-from bambootiller_core.gateway.residency import Planner
+from bambootiller_core.gateway.residency import PlannedLoad, Planner
 from bambootiller_core.gateway.want import Want
 from tests.gateway.common import samples
 from tests.gateway.common.rare_replay import RareReplay
@@ -110,6 +111,30 @@
         self.assertEqual((wish.model, wish.adapter), ("tutor", "x1"))
 
 
+class TestWhatRefusedCallersAreTold(unittest.IsolatedAsyncioTestCase):
+    """They were told 6 s where the plan said 26, and came back for nothing."""
+
+    async def told(self, planned):
+        relays = mock.Mock()
+        relays.clock.return_value = 5.0
+        relays.knowledge.fleet.of_service.return_value = []
+        relays.quarantine.load_admission.return_value.standing = Standing.ADMITTED
+        relays.is_starting.return_value = False
+        relays.stop_by = None
+        relays.engines.plans.plan_for.return_value = planned
+        call = samples.call(now=5.0, ask=samples.ask("tutor"), service="llm")
+        placing = Placing(relays, call, Progress())
+        with mock.patch.object(Placing, "_plan_seen", return_value=None):
+            return (await placing.place()).come_back_s
+
+    async def test_they_are_told_when_the_model_is_to_be_there(self):
+        planned = PlannedLoad("tutor", "", 26.0, False, True)
+        self.assertEqual(await self.told(planned), 26.0)
+
+    async def test_without_a_plan_they_are_told_to_come_back_soon(self):
+        self.assertEqual(await self.told(None), UNPLANNED_S)
+
+
 class TestAdaptersOfCallersDueBack(unittest.TestCase):
     """Callers came back to their model and were refused for want of their adapter, as
     the model's engine was in another long load by then."""
