What is tried beyond the store's known speed is much asked for by then

Change: eight calls that wait or ended without an answer, their age not counted. Until then the store is taken to serve what it is known to.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -50,6 +50,9 @@
 EQUAL_DECIMALS = 1
 #: While calls come, one in so many engines may be in a load from the weight store.
 LONG_LOADS_PART = 2
+#: A load beyond what the store is known to serve is tried for so many calls: with
+#: fewer, another model may be asked for more by the time of its turn.
+TRIED_FOR = 2 * MANY_WAITING
 #: What is later than the best by more than this can't be equally good. Seconds; half
 #: of the last decimal and a little for rounding.
 SURELY_LATER_S = 0.06
@@ -405,7 +408,9 @@
 def _pressing(want: Want) -> Pressing:
     if want.waiting >= MANY_WAITING:
         return Pressing.MOST
-    return Pressing.MUCH if want.awaited >= MANY_WAITING else Pressing.LITTLE
+    if max(want.waiting, want.unserved) >= TRIED_FOR:
+        return Pressing.MUCH
+    return Pressing.LITTLE
 
 
 def _waiting_load(spec: ModelSpec, turn: tuple[float, float]) -> PlannedLoad:
