A model that took long to load stays for the callers refused meanwhile

Cause: each model stays 0.6 s, however long its load took and however many were refused during it. Change: a quarter of the load's time, 0.6 s at least: 3.3 s after a load of 13.2 s, 1.5 s after one of 6 s, as before after one from a copy. The test failed before (an unload after 2 s).

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
@@ -16,8 +16,10 @@
 #: An entry's figures of use count for this long after it fell silent: its calls may
 #: still be running here. Seconds.
 USE_LIFE_S = 3.0
-#: A model stays at least this long once it is loaded. Seconds.
+#: A model stays at least this long once it is loaded, and for this part of the time that
+#: its load took: callers who were refused meanwhile are on their way back. Seconds.
 SHORTEST_TURN_S = 0.6
+TURN_SHARE = 0.25
 #: An adapter used this recently isn't unloaded: the call that wanted it may be
 #: on its way. Seconds.
 USED_LATELY_S = 0.4
@@ -55,7 +57,8 @@
         self._wished_by: dict[tuple[str, str], str] = {}
         self._entries: dict[str, _EntryUse] = {}
         self._used_at: dict[tuple[str, str], float] = {}
-        self._loaded_at: dict[str, float] = {}
+        #: Until when models that have come stay.
+        self._stays_until: dict[str, float] = {}
         #: The sum over all entries; None once one of them has spoken since.
         self._wants: dict[str, Want] | None = None
         self._summed_at = _NEVER
@@ -93,13 +96,14 @@
     def engine_restarted(self) -> None:
         """What came to the engine, and the calls there, are gone with its last start.
         Entries tell of calls to the new one with their next message."""
-        self._loaded_at.clear()
+        self._stays_until.clear()
         for use in self._entries.values():
             use.in_use = {}
 
-    def loaded(self, now: float, model: str) -> None:
-        """The model has come."""
-        self._loaded_at[model] = now
+    def loaded(self, now: float, model: str, seconds: float) -> None:
+        """The model has come, after a load of so many seconds."""
+        turn_s = max(SHORTEST_TURN_S, TURN_SHARE * seconds)
+        self._stays_until[model] = now + turn_s
 
     def forget(self, now: float) -> None:
         """Drop what is too old to count."""
@@ -175,7 +179,7 @@
     def loaded_lately(self, now: float, model: str) -> bool:
         """Whether the model came so lately that its waiting calls may not be here yet,
         or have only begun; unloaded now, it would have been loaded for nothing."""
-        return now - self._loaded_at.get(model, _NEVER) < SHORTEST_TURN_S
+        return now < self._stays_until.get(model, _NEVER)
 
     def used_lately(self, now: float, model: str, adapter: str) -> bool:
         """Whether a call that wants the adapter may be on its way."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -307,7 +307,7 @@
                 seconds = now - load.began
                 ended = LoadEnded(load.model, held, seconds, load.from_store)
             if held:
-                self._say.loaded(now, load.model)
+                self._say.loaded(now, load.model, now - load.began)
         if self._unloading is not None and self._unsettled is None:
             if self._unloading not in report.holdings or not report.busy:
                 self._unloading = None
--- a/tests/gateway/failures/test_orders.py
+++ b/tests/gateway/failures/test_orders.py
@@ -309,3 +309,23 @@
         self.book.reported(0.0, report())
         self.wish("tutor")
         self.assertIsNone(self.book.next_order(1.0))
+
+
+class TestLoadsThatTakeLong(Case):
+    def test_a_model_stays_for_the_callers_refused_during_its_load(self):
+        """It was unloaded 0.6 s after it had come, before they were back."""
+        engine = samples.engine(
+            samples.model("tutor", load_s=13.0, size_mb=90.0),
+            samples.model("poet", load_s=13.0, size_mb=90.0, disk_s=1.0),
+        )
+        self.book = OrderBook(engine)
+        on_disk = frozenset({"poet"})
+        self.book.reported(0.0, report(on_disk=on_disk))
+        self.wish("tutor")
+        self.give(0.0, OrderAnswer.ACCEPTED)
+        held = report(1, ["tutor"], on_disk=on_disk)
+        self.book.reported(13.0, held)
+        self.wish("poet", now=15.0)
+        self.assertIsNone(self.book.next_order(15.0))
+        self.wish("poet", now=17.0)
+        self.assertIs(self.book.next_order(17.0).kind, OrderKind.UNLOAD)
