A turn of the weight store ends with its agent, by a short lease that is renewed

Cause: the lease was as long as the load. The platform's store was away when the load ended, the agent's machine was removed before it could give the turn back, and the lease began anew when the store was back (26.5 to 45.2 s). Change: a lease of 8 s, renewed every 2 s while the turn is held; a process that is started anew writes its turn again under a lease of its own. The stand-in store, the fake and etcd's adapter know renewals.

--- a/packages/bambootiller-core/src/bambootiller_core/ports.py
+++ b/packages/bambootiller-core/src/bambootiller_core/ports.py
@@ -136,6 +136,9 @@
         """Begin a lease of so many seconds. One whose answer is lost binds nothing, and
         ends by itself."""
 
+    async def keep_lease(self, lease: int) -> LeaseOutcome:
+        """Have a lease begin anew; ``Unavailable`` also if it has ended."""
+
     def watch(
         self, prefix: str, from_revision: int
     ) -> AsyncIterator[tuple[Changed, ...] | Unavailable]:
--- a/packages/bambootiller/src/bambootiller/gateway/metered_store.py
+++ b/packages/bambootiller/src/bambootiller/gateway/metered_store.py
@@ -48,6 +48,10 @@
         """Begin a lease of so many seconds."""
         return self._counted("grant_lease", await self._kv.grant_lease(ttl_s))
 
+    async def keep_lease(self, lease: int) -> LeaseOutcome:
+        """Have a lease begin anew."""
+        return self._counted("keep_lease", await self._kv.keep_lease(lease))
+
     async def watch(
         self, prefix: str, from_revision: int
     ) -> AsyncIterator[tuple[Changed, ...] | Unavailable]:
--- a/packages/bambootiller/src/bambootiller/gateway/turn_holder.py
+++ b/packages/bambootiller/src/bambootiller/gateway/turn_holder.py
@@ -2,8 +2,8 @@
 
 A turn is taken before its load is ordered and given back when the load is over, as the
 engine itself reports it. So a load counts until it ends, also one at an engine that the
-registry lists no more. The key is bound to a lease, so that a turn ends in time if its
-agent does.
+registry lists no more. The key is bound to a lease that the agent renews, so that a
+turn doesn't outlive an agent that is gone for good by more than that.
 
 While the key-value service can't be reached, loads begin without a turn: entries still
 ask for one at a time, and models would otherwise wait for a service that doesn't serve
@@ -32,7 +32,8 @@
     Put,
     ReadOutcome,
     Record,
-    WriteOutcome,
+    Unavailable,
+    Unknown,
 )
 
 #: If the key-value service doesn't answer for so long, the load begins without a turn.
@@ -45,20 +46,23 @@
 #: A turn whose load hasn't been ordered for so long is given back: nobody wishes for it
 #: any more. Seconds; twice as long as a wish lasts.
 BEGIN_S = 0.5
-#: What a load may take longer than expected, as a factor, and the room that is made for
-#: it before that, in seconds. Its lease is as long as all of it.
-OVERRUN = 1.15
-PREPARE_MOST_S = 3.0
+#: A turn whose agent is gone is free after so long. Seconds; an agent that is started
+#: anew has taken its turn over by then.
+LEASE_S = 8.0
+#: How often the lease is renewed. Seconds; it outlasts two renewals that fail.
+RENEW_S = 2.0
 #: How often a turn that was lost to another agent is sought anew at once.
 TRIES = 3
 
 
 @dataclass(frozen=True, slots=True)
 class _Held:
-    """A turn of this agent: its key, at the revision of its own write."""
+    """A turn of this agent: its key, at the revision of its own write, and its
+    lease."""
 
     key: str
     revision: int
+    lease: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,8 +117,12 @@
         while not isinstance(found := await self._read(), Found):
             await asyncio.sleep(RETRY_S)
         own = self._own(found.records)
-        if own is not None and not self._gate.is_open and self._sought_at is None:
-            self._open(_Held(own.key, own.mod_revision))
+        if own is None or self._gate.is_open or self._sought_at is not None:
+            return
+        model = TurnRecord.decode(own.value).model
+        held = await self._write(own.key, own.mod_revision, model)
+        if isinstance(held, _Held):
+            self._open(held)
             self.recalled = True
 
     def seek(self, now: float) -> None:
@@ -143,12 +151,25 @@
             self._shut()
 
     def _open(self, held: _Held | None) -> None:
-        self._held = held
+        self._hold(held)
         self._gate.is_open = True
         self._sought_at = self._gate.sought = None
         self._opened_at = self._app.now()
         self._wake()
 
+    def _hold(self, held: _Held | None) -> None:
+        self._held = held
+        if held is not None:
+            self._app.spawn(f"lease of {held.key}", self._renew(held))
+
+    async def _renew(self, held: _Held) -> None:
+        """Keep the lease while the turn is held; one that has ended isn't begun anew,
+        as another may have the turn."""
+        await asyncio.sleep(RENEW_S)
+        while self._held is held:
+            await self._kv.keep_lease(held.lease)
+            await asyncio.sleep(RENEW_S)
+
     def _shut(self) -> None:
         held, self._held = self._held, None
         self._gate.is_open = self.recalled = False
@@ -161,18 +182,17 @@
         No other turn is sought meanwhile: a removal that is late would take the next
         one away while its load goes on.
         """
-        while held is not None and not await self._remove(held):
+        while held is not None and not await self._remove(held.key, held.revision):
             await asyncio.sleep(RETRY_S)
         while not isinstance(found := await self._read(), Found):
             await asyncio.sleep(RETRY_S)
         own = self._own(found.records)
         self._clearing = False
         if own is not None and not self._gate.is_open:
-            await self._remove(_Held(own.key, own.mod_revision))
+            await self._remove(own.key, own.mod_revision)
 
-    async def _remove(self, held: _Held) -> bool:
-        mine = Compare(held.key, held.revision)
-        outcome = await self._kv.transact([mine], [Delete(held.key)])
+    async def _remove(self, key: str, revision: int) -> bool:
+        outcome = await self._kv.transact([Compare(key, revision)], [Delete(key)])
         return isinstance(outcome, (Committed, Conflict))
 
     async def _read(self) -> ReadOutcome:
@@ -200,9 +220,9 @@
         if held is None:
             return
         if self._gate.is_open and self._held is None:
-            self._held = held
+            self._hold(held)
         else:
-            await self._remove(held)
+            await self._remove(held.key, held.revision)
 
     async def _take(self, wanted: TurnWanted) -> _Outcome | None:
         """Try once; None if the service didn't answer."""
@@ -219,24 +239,26 @@
                 key, revision = free_key(self._service, records, wanted.turns), 0
             if key is None:
                 return _Outcome("held", holders=records)
-            ttl_s = _most_s(wanted, place=len(records) + (own is None))
-            written = await self._write(key, revision, wanted.model, ttl_s)
-            if isinstance(written, Committed):
-                return _Outcome("taken", _Held(key, written.revision), records)
+            written = await self._write(key, revision, wanted.model)
+            if isinstance(written, _Held):
+                return _Outcome("taken", written, records)
             if not isinstance(written, Conflict):
                 return None
         return _Outcome("held", holders=records)
 
     async def _write(
-        self, key: str, revision: int, model: str, ttl_s: float
-    ) -> WriteOutcome:
+        self, key: str, revision: int, model: str
+    ) -> _Held | Conflict | Unavailable | Unknown:
         """Take a turn that is free, or this agent's own at that revision."""
-        granted = await self._kv.grant_lease(ttl_s)
+        granted = await self._kv.grant_lease(LEASE_S)
         if not isinstance(granted, Granted):
             return granted
         value = TurnRecord(self._app.instance, model).encode()
         put = Put(key, value, granted.lease)
-        return await self._kv.transact([Compare(key, revision)], [put])
+        written = await self._kv.transact([Compare(key, revision)], [put])
+        if isinstance(written, Committed):
+            return _Held(key, written.revision, granted.lease)
+        return written
 
     def _own(self, records: tuple[Record, ...]) -> Record | None:
         for record in records:
@@ -268,14 +290,3 @@
         number = key.removeprefix(prefix_of(self._service)) if key else None
         line = StoreTurn(outcome, model, turns, number, tuple(names))
         self._events.emit(line)
-
-
-def _most_s(wanted: TurnWanted, place: int) -> float:
-    """How long the load may take at most that is the ``place``-th to be under way. The
-    store may serve one load less at full speed than there are turns.
-
-    >>> _most_s(TurnWanted("tutor", load_s=10.0, turns=1), place=1)
-    14.5
-    """
-    slowed = max(1.0, place / max(1, wanted.turns - 1))
-    return PREPARE_MOST_S + OVERRUN * slowed * wanted.load_s
--- a/packages/bambootiller/src/bambootiller/kv/etcd.py
+++ b/packages/bambootiller/src/bambootiller/kv/etcd.py
@@ -149,6 +149,18 @@
         except (_NoEffect, _Unanswered, ValueError, KeyError) as exc:
             return Unavailable(_describe(exc))
 
+    async def keep_lease(self, lease: int) -> LeaseOutcome:
+        """Have a lease begin anew."""
+        body = {"ID": str(lease)}
+        try:
+            form = await self._call(
+                "/v3/lease/keepalive", body, WRITE_SECONDS, repeat=True
+            )
+            seconds = float(form["result"].get("TTL", 0))
+            return Granted(lease, seconds) if seconds else Unavailable("it has ended")
+        except (_NoEffect, _Unanswered, ValueError, KeyError) as exc:
+            return Unavailable(_describe(exc))
+
     async def watch(
         self, prefix: str, from_revision: int
     ) -> AsyncIterator[tuple[Changed, ...] | Unavailable]:
--- a/tests/common/fakekv.py
+++ b/tests/common/fakekv.py
@@ -54,6 +54,7 @@
         self.before_read: Callable[[str], None] | None = None
         self.transactions = 0
         self.leases = 0
+        self.kept: list[int] = []
         self._delayed: list[tuple[Sequence[Compare], Sequence[Put | Delete]]] = []
         self._watchers: list[tuple[str, asyncio.Queue]] = []
 
@@ -78,6 +79,12 @@
         self.leases += 1
         return Granted(self.leases, ttl_s)
 
+    async def keep_lease(self, lease: int) -> LeaseOutcome:
+        if self.down:
+            return Unavailable("down")
+        self.kept.append(lease)
+        return Granted(lease, 1.0)
+
     async def transact(
         self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
     ) -> WriteOutcome:
--- a/tests/gateway/cover/test_turn_holder.py
+++ b/tests/gateway/cover/test_turn_holder.py
@@ -34,12 +34,15 @@
         self.instance = instance
         self.at = 10.0
         self.tasks = []
+        self.renewals = []
 
     def now(self):
         return self.at
 
     def spawn(self, name, coroutine):
-        self.tasks.append(asyncio.create_task(coroutine, name=name))
+        task = asyncio.create_task(coroutine, name=name)
+        lasts = name.startswith("lease of")
+        (self.renewals if lasts else self.tasks).append(task)
 
     async def settle(self):
         while self.tasks:
@@ -127,6 +130,18 @@
         await self.first.review(load_goes_on=True)
         self.assertEqual(len(self.held()), 1)
 
+    async def test_its_lease_is_renewed_while_it_is_held(self):
+        """The lease was as long as a load, and began anew when the service was back: the
+        turn of an agent that was gone kept all others from the store for 7 s."""
+        self.enterContext(mock.patch.object(turn_holder, "RENEW_S", 0.01))
+        await self.first.wish()
+        await asyncio.sleep(0.05)
+        self.assertTrue(self.kv.kept)
+        self.first.turn.load_ended()
+        await self.first.app.settle()
+        await asyncio.gather(*self.first.app.renewals)
+        self.assertLess(turn_holder.LEASE_S, 13.0)
+
     async def test_it_is_given_back_if_the_load_does_not_begin(self):
         await self.first.wish()
         self.first.app.at += BEGIN_S + 0.1
