--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
@@ -16,8 +16,9 @@
 #: An entry's figures of use count for this long after it fell silent: its calls may
 #: still be running here. Seconds.
 USE_LIFE_S = 3.0
-#: A model stays at least this long once it is loaded, and for this part of the time that
-#: its load took: callers who were refused meanwhile are on their way back. Seconds.
+#: A model stays at least this long once it is loaded, and for this part of the time
+#: that its load took: callers who were refused meanwhile are on their way back.
+#: Seconds.
 SHORTEST_TURN_S = 0.6
 TURN_SHARE = 0.25
 #: An adapter used this recently isn't unloaded: the call that wanted it may be
--- a/tests/gateway/cover/test_turn_holder.py
+++ b/tests/gateway/cover/test_turn_holder.py
@@ -131,8 +131,8 @@
         self.assertEqual(len(self.held()), 1)
 
     async def test_its_lease_is_renewed_while_it_is_held(self):
-        """The lease was as long as a load, and began anew when the service was back: the
-        turn of an agent that was gone kept all others from the store for 7 s."""
+        """The lease was as long as a load, and began anew when the service was back:
+        the turn of an agent that was gone kept all others from the store for 7 s."""
         self.enterContext(mock.patch.object(turn_holder, "RENEW_S", 0.01))
         await self.first.wish()
         await asyncio.sleep(0.05)
