A silent stream is left only once the other backend server hasn't refused it

Callers saw streams closed in the middle of their answers although their backend servers would have finished them.

The relay gave the silent attempt up as soon as a connection to another backend server was up, and only then sent the call there. Where that one refused the call and the route allowed no further attempt, nothing was left to go on with.

Now the call is sent on that connection while the silent attempt goes on. If the other refuses, loses the connection or answers with nothing of use, the call stays, and the send counts. If the silent one speaks first, the other is given up. Otherwise the silent one is left after 0.25 s of running time, and after 0.3 s by the clock whatever happens, so that no two work on one call for 0.4 s; the call goes on with what has been sent. A request of which a run was lost before is still sent only once the silent run counts as lost, because that run may be what holds it back.

Sending and what an attempt takes up move out of the relay, as two now use them.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -184,7 +184,9 @@
     ``why``: no attempt or no time left (``attempts``), the budget of second attempts
     used up (``budget``), no other backend server with a place (``no_place``), no
     connection to it (``no_connection``), its request may not run elsewhere now because
-    of crashes (``kept_apart``), or the silent one has spoken after all (``spoke``)."""
+    of crashes (``kept_apart``), or the silent one has spoken after all (``spoke``). The
+    call was sent to the one that ``detail`` names, which refused it (``refused``) or
+    lost it (``failed``)."""
 
     event: ClassVar[str] = "silence_borne"
 
--- a/packages/bambootiller/src/bambootiller/gateway/connections.py
+++ b/packages/bambootiller/src/bambootiller/gateway/connections.py
@@ -202,6 +202,11 @@
         included. Counted, because running time stands still with the process."""
         return self.arrivals > heard or self._lost is not None or self._all_whole()
 
+    @property
+    def loss(self) -> ConnectionLost | None:
+        """What became of the connection if it is lost before its answer's end."""
+        return self._lost
+
     def note_silence(self, seconds: float) -> None:
         """Have the relay, which waits, get :class:`Silent`."""
         self._silence_s = seconds
--- a/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
+++ b/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
@@ -6,11 +6,14 @@
 import enum
 from dataclasses import dataclass
 
-from bambootiller.gateway.connections import BackendConnection
+from bambootiller.gateway.connections import BackendConnection, ConnectionLost
 from bambootiller.gateway.placing import Placing
 from bambootiller.gateway.pools import CannotConnect
+from bambootiller.gateway.ports import AnswerHead
 from bambootiller.gateway.relays import Relays
 from bambootiller.gateway.reporting import CallReport
+from bambootiller.gateway.sending import Attempt, Sender
+from bambootiller.gateway.silence import LEAST_WAIT_S
 from bambootiller_core.gateway import attempts
 from bambootiller_core.gateway.attempts import Ended, SendAgain
 from bambootiller_core.gateway.calls import Call, Progress
@@ -19,15 +22,22 @@
 #: While a connection is being made, the silent one is looked at this often. Seconds;
 #: what it says meanwhile is passed on so much later at most.
 NEWS_S = 0.02
+#: A backend server that the call was sent to may say for this long that it doesn't run
+#: it. Seconds of running time.
+REFUSES_S = 0.25
+#: Then the silent one is left, by the clock: no two may work on one call for 0.4 s,
+#: whether this process runs or not. Seconds.
+LEFT_BY_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
 class Prepared:
     """A backend server that takes the call over, and a connection to it. The second
-    attempt is paid for."""
+    attempt is paid for; ``attempt`` is set if it has gone out already."""
 
     backend: Backend
     conn: BackendConnection
+    attempt: Attempt | None = None
 
 
 class Stays(enum.Enum):
@@ -40,6 +50,8 @@
     NO_CONNECTION = "no_connection"
     KEPT_APART = "kept_apart"
     SPOKE = "spoke"
+    REFUSED = "refused"
+    FAILED = "failed"
 
 
 class Elsewhere:
@@ -47,12 +59,16 @@
 
     Silence proves nothing. So the attempt that runs is given up only once everything
     for the next is there: it is allowed, the budget has room, a backend server has a
-    place, and a connection to it is up. Given up first, a stream that was only slow got
-    cut whenever one of these was missing.
+    place, a connection to it is up, and the call, sent there, isn't refused. Given up
+    first, a stream that was only slow got cut whenever one of these was missing.
+
+    A request of which a run was lost before isn't sent early: the run that is about to
+    be given up counts against it, and may be what holds it back.
 
     Example::
 
-        found = await Elsewhere(relays, call, progress, placing, report).prepare(conn)
+        elsewhere = Elsewhere(relays, call, progress, placing, sender, report)
+        found = await elsewhere.prepare(attempt, "silent for 0.70 s")
         if isinstance(found, Stays): ...
     """
 
@@ -62,28 +78,91 @@
         call: Call,
         progress: Progress,
         placing: Placing,
+        sender: Sender,
         report: CallReport,
     ) -> None:
         self._relays = relays
         self._call = call
         self._progress = progress
         self._placing = placing
+        self._sender = sender
         self._report = report
 
-    async def prepare(self, silent: BackendConnection) -> Prepared | Stays:
-        """Where the call goes next, or why it stays on the ``silent`` connection."""
-        heard = silent.arrivals
-        prepared = await self._connected(silent, heard)
-        if isinstance(prepared, Stays):
-            return prepared
+    async def prepare(self, silent: Attempt, detail: str) -> Prepared | Stays:
+        """Where the call goes next, or why it stays with the ``silent`` attempt."""
+        heard = silent.conn.arrivals
+        while True:
+            prepared = await self._connected(silent.conn, heard)
+            if isinstance(prepared, Stays):
+                return prepared
+            hindrance = self._hindrance(silent.conn, heard)
+            if hindrance is not None:
+                self.give_back(prepared)
+                return hindrance
+            if self._relays.quarantine.suspects(self._call):
+                return prepared
+            found = await self._sent(prepared, silent.conn, heard)
+            if found not in (Stays.REFUSED, Stays.FAILED):
+                return found
+            told = f"{detail}; then sent to {prepared.backend.instance}"
+            self._report.silence_borne(silent.backend, told, found.value)
+
+    def _hindrance(self, silent: BackendConnection, heard: int) -> Stays | None:
+        """Why the call isn't sent, though a connection is up; pays for it if it is."""
         if silent.has_news(heard):
-            self.give_back(prepared)
             return Stays.SPOKE
+        if not self._relays.quarantine.admits(self._call):
+            return Stays.KEPT_APART
         budget = self._relays.service(self._call.service).budget
-        if not budget.take(self._relays.clock()):
-            self.give_back(prepared)
-            return Stays.BUDGET
-        return prepared
+        return None if budget.take(self._relays.clock()) else Stays.BUDGET
+
+    async def _sent(
+        self, prepared: Prepared, silent: BackendConnection, heard: int
+    ) -> Prepared | Stays:
+        """Send the call, and see whether it is refused there; the silent one goes on
+        meanwhile."""
+        attempt = self._sender.send(prepared.backend, prepared.conn)
+        goes_on = answered = False
+        try:
+            found = await self._head_or_news(attempt, silent, heard)
+            if found is None:
+                spoke = silent.has_news(heard) and silent.loss is None
+                goes_on = not spoke
+            elif self._sender.is_refusal(attempt, found):
+                answered = True
+                return Stays.REFUSED
+            else:
+                goes_on = True
+        except ConnectionLost as exc:
+            self._sender.lost(attempt, exc)
+            return Stays.FAILED
+        finally:
+            if not goes_on:
+                attempt.end(answered)
+        if not goes_on:
+            return Stays.SPOKE
+        return Prepared(prepared.backend, prepared.conn, attempt)
+
+    async def _head_or_news(
+        self, attempt: Attempt, silent: BackendConnection, heard: int
+    ) -> AnswerHead | None:
+        """The head of the answer, unless the time for it ends or the silent one speaks
+        first. The head stays with the connection."""
+        ran, clock = self._relays.ran, self._relays.clock
+        end, latest = attempt.sent_at + REFUSES_S, clock() + LEFT_BY_S
+        reading = asyncio.ensure_future(attempt.conn.head(self._sender.is_stray))
+        try:
+            while not reading.done() and not silent.has_news(heard):
+                left_s = min(end - ran(), latest - clock())
+                if left_s <= 0:
+                    break
+                wait_s = max(LEAST_WAIT_S, min(NEWS_S, left_s))
+                await asyncio.wait((reading,), timeout=wait_s)
+            return reading.result() if reading.done() else None
+        finally:
+            if not reading.done():
+                reading.cancel()
+                await asyncio.wait((reading,))
 
     async def _connected(
         self, silent: BackendConnection, heard: int
@@ -117,7 +196,10 @@
                 await asyncio.wait((connecting,))
 
     def give_back(self, prepared: Prepared) -> None:
-        """The call doesn't go there; nothing was sent."""
+        """The call doesn't go there."""
+        if prepared.attempt is not None:
+            prepared.attempt.end(answered=False)
+            return
         pool = self._relays.pool(prepared.backend)
         pool.unused(prepared.conn, self._relays.clock())
 
--- a/packages/bambootiller/src/bambootiller/gateway/quarantine.py
+++ b/packages/bambootiller/src/bambootiller/gateway/quarantine.py
@@ -121,6 +121,10 @@
         """Whether the call may be sent at once."""
         return self.admission(call).standing is Standing.ADMITTED
 
+    def suspects(self, call: Call) -> bool:
+        """Whether runs of the request were lost and nothing has explained them yet."""
+        return bool(self._ledger.lost_runs(call.fingerprint))
+
     def fill(self, update: Update, outgoing: Outgoing, own: bool) -> None:
         """Put into a message what its receiver hasn't been told yet; ``own`` leaves out
         what others told, unless the receiver hasn't been told anything."""
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -11,13 +11,15 @@
 from bambootiller.gateway.keeping_apart import KeepingApart
 from bambootiller.gateway.placing import LOOK_AGAIN_S, Placing
 from bambootiller.gateway.pools import CannotConnect
-from bambootiller.gateway.ports import AnswerHead, Incoming, Verdict
+from bambootiller.gateway.ports import AnswerHead, Incoming
 from bambootiller.gateway.relays import Relays
 from bambootiller.gateway.reporting import CallReport
+from bambootiller.gateway.sending import Attempt, Sender
 from bambootiller.gateway.silence import SilenceWatch, Silent
 from bambootiller_core.gateway import attempts
 from bambootiller_core.gateway.attempts import (
     CutOff,
+    Decision,
     Ended,
     Refusal,
     SendAgain,
@@ -50,24 +52,21 @@
         self, relays: Relays, incoming: Incoming, call: Call, body: bytes, send: Send
     ) -> None:
         self._relays = relays
-        self._incoming = incoming
         self._call = call
-        self._body = body
         self._send = send
         self._progress = Progress()
         self._service = relays.service(call.service)
         self._placing = Placing(relays, call, self._progress)
         self.report = CallReport(relays, call, self._progress)
+        self._sender = Sender(relays, incoming, call, body, self._progress, self.report)
         self._elsewhere = Elsewhere(
-            relays, call, self._progress, self._placing, self.report
+            relays, call, self._progress, self._placing, self._sender, self.report
         )
         self._keeping_apart = KeepingApart(relays, call, self._progress, self.report)
         #: Where the call goes on, found while its attempt before was still running.
         self._prepared: Prepared | None = None
         self._watch: SilenceWatch | None = None
         self._stayed: Stays | None = None
-        #: The engine that has still to read the prompt of the attempt under way.
-        self._unread_at: Backend | None = None
 
     async def run(self) -> Refusal | None:
         """Serve the call; returns the gateway's own final answer if there is to be one.
@@ -90,14 +89,15 @@
         if self._call.ask is not None:
             self._placing.ask()
         while True:
-            kept_out = await self._keeping_apart.wait()
+            sent = self._sent
+            kept_out = None if sent else await self._keeping_apart.wait()
             if kept_out is not None:
                 return self._unplaced(kept_out)
             prepared, self._prepared = self._prepared, None
             found = prepared.backend if prepared else await self._placing.place()
             if isinstance(found, Refusal):
                 return self._unplaced(found)
-            if not self._relays.quarantine.admits(self._call):
+            if not sent and not self._relays.quarantine.admits(self._call):
                 # Its request ended a backend server while the call was being placed.
                 self._prepared = prepared
                 continue
@@ -105,12 +105,8 @@
             ended = await self._attempt(found, prepared)
             if ended is None:
                 return None
-            decision = attempts.after(
-                self._call, self._progress, ended, self._relays.clock()
-            )
-            if isinstance(decision, SendAgain) and not self._may_spend(decision):
-                decision = attempts.give_up(self._progress)
-            self.report.attempt_failed(found, ended, decision)
+            decision = self._after(ended)
+            self.report.attempt_failed(found, ended, decision, self._sent)
             if not isinstance(decision, SendAgain):
                 return self._finish(decision, ended.value)
 
@@ -121,6 +117,20 @@
             return self._finish(decision, refusal.reason.value)
         return refusal
 
+    @property
+    def _sent(self) -> bool:
+        """Whether the next attempt has gone out already."""
+        return self._prepared is not None and self._prepared.attempt is not None
+
+    def _after(self, ended: Ended) -> Decision:
+        progress = self._progress
+        if self._sent:
+            return SendAgain(progress.passed_on, costs_budget=True)
+        decision = attempts.after(self._call, progress, ended, self._relays.clock())
+        if isinstance(decision, SendAgain) and not self._may_spend(decision):
+            return attempts.give_up(progress)
+        return decision
+
     def _may_spend(self, decision: SendAgain) -> bool:
         if not decision.costs_budget or self._prepared is not None:
             return True
@@ -135,60 +145,30 @@
     async def _attempt(
         self, backend: Backend, prepared: Prepared | None
     ) -> Ended | None:
-        """Send the call to one backend server; None if the answer was passed on
-        whole."""
-        relays, progress = self._relays, self._progress
-        pool = relays.pool(backend)
-        conn = prepared.conn if prepared else await self._connect(backend)
-        if conn is None:
-            return Ended.NOT_SENT
-        ask = self._call.ask
-        model = ask.model if ask is not None else ""
-        adapter = ask.adapter if ask is not None else ""
-        backend.call_sent(model, adapter)
-        self._prompt_sent(backend)
-        progress.tried.append(backend.incarnation)
-        progress.sends += 1
-        ran_before, last_event = progress.may_have_run, progress.last_event
-        progress.may_have_run = True
-        done = False
+        """Send the call to one backend server, unless it has gone out already; None if
+        the answer was passed on whole."""
+        attempt = prepared.attempt if prepared else None
+        if attempt is None:
+            conn = prepared.conn if prepared else await self._connect(backend)
+            if conn is None:
+                return Ended.NOT_SENT
+            attempt = self._sender.send(backend, conn)
+        answered = False
         try:
-            ended = await self._exchange(backend, conn, ran_before)
-            done = ended in (None, Ended.REFUSED)
+            ended = await self._exchange(attempt)
+            answered = ended in (None, Ended.REFUSED)
             return ended
         except ConnectionLost as exc:
-            self._service.health.failed(relays.clock(), backend.incarnation)
-            if conn.reused:
-                # What took this connection may have taken the other idle ones too.
-                pool.close()
-            relays.review_health(self._call.service, backend.incarnation)
-            progressed = progress.last_event != last_event
-            self.report.answer_lost(backend, str(exc), conn.reused, progressed)
-            relays.quarantine.run_lost(self._call, backend, progressed)
-            return Ended.BROKEN if progress.passed_on else Ended.UNKNOWN
+            self._sender.lost(attempt, exc)
+            return Ended.BROKEN if self._progress.passed_on else Ended.UNKNOWN
         except asyncio.CancelledError:
             # Its time is over, or its caller left, while an engine was gone silently.
             if backend.engine is not None and backend.engine.silent:
-                progressed = progress.last_event != last_event
-                relays.quarantine.run_lost(self._call, backend, progressed)
+                progressed = attempt.progressed
+                self._relays.quarantine.run_lost(self._call, backend, progressed)
             raise
         finally:
-            self._prompt_read()
-            backend.call_ended(model, adapter)
-            if done:
-                pool.release(conn, relays.clock())
-            else:
-                pool.discard(conn)
-
-    def _prompt_sent(self, backend: Backend) -> None:
-        if self._call.ask is not None:
-            self._unread_at = backend
-            backend.prompt_sent()
-
-    def _prompt_read(self) -> None:
-        if self._unread_at is not None:
-            self._unread_at.prompt_read()
-            self._unread_at = None
+            attempt.end(answered)
 
     async def _connect(self, backend: Backend) -> BackendConnection | None:
         relays, progress = self._relays, self._progress
@@ -204,80 +184,46 @@
             progress.tried.append(backend.incarnation)
             return None
 
-    async def _exchange(
-        self, backend: Backend, conn: BackendConnection, ran_before: bool
-    ) -> Ended | None:
-        relays, call = self._relays, self._call
-        began = relays.clock()
-        resume_after = self._resume_after()
-        headers = relays.dialect.outgoing(
-            self._incoming, call, backend.instance, resume_after
-        )
-        headers.append(relays.dialect.time_left(call.deadline - began))
-        conn.send(self._incoming.head(headers, self._body), self._body)
-        silence_s = self._silence_s(began)
+    async def _exchange(self, attempt: Attempt) -> Ended | None:
+        relays = self._relays
+        silence_s = self._silence_s(relays.clock())
         if silence_s is None:
-            return await self._answer(backend, conn, ran_before)
-        self._watch = SilenceWatch(conn, silence_s, relays.ran)
+            return await self._answer(attempt)
+        self._watch = SilenceWatch(attempt.conn, silence_s, relays.ran)
+        self._watch.look_again(silence_s - (relays.ran() - attempt.sent_at))
         try:
-            return await self._answer(backend, conn, ran_before)
+            return await self._answer(attempt)
         finally:
             self._watch.stop()
 
-    async def _answer(
-        self, backend: Backend, conn: BackendConnection, ran_before: bool
-    ) -> Ended | None:
-        relays, call = self._relays, self._call
-        began = relays.ran()
-        head = await self._next(backend, conn, lambda: conn.head(self._is_stray))
-        verdict = relays.dialect.judge(call, head)
-        health = self._service.health
-        if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
-            self._progress.may_have_run = ran_before
-            if verdict is Verdict.MISDIRECTED and call.ask is not None:
-                backend.denies(relays.clock(), call.ask.model, call.ask.adapter)
-            health.failed(relays.clock(), backend.incarnation)
-            relays.review_health(call.service, backend.incarnation)
-            await self._next(backend, conn, lambda: _read_all(conn))
+    async def _answer(self, attempt: Attempt) -> Ended | None:
+        conn, sender = attempt.conn, self._sender
+        head = await self._next(attempt, lambda: conn.head(sender.is_stray))
+        if sender.is_refusal(attempt, head):
+            await self._next(attempt, lambda: _read_all(conn))
             return Ended.REFUSED
-        if verdict is Verdict.USELESS:
-            raise ConnectionLost(f"useless answer of status {head.status}", False, True)
-        await self._pass_on(backend, conn, head, began)
+        await self._pass_on(attempt, head)
         if 200 <= head.status < 300:
-            relays.quarantine.completed(call)
-        self.report.answered(backend, head.status)
+            self._relays.quarantine.completed(self._call)
+        self.report.answered(attempt.backend, head.status)
         return None
 
-    def _is_stray(self, head: AnswerHead) -> bool:
-        return self._relays.dialect.judge(self._call, head) is Verdict.STRAY
-
-    def _resume_after(self) -> int | None:
-        if self._progress.last_event is not None:
-            return self._progress.last_event
-        return self._call.resume_after
-
-    async def _next(
-        self,
-        backend: Backend,
-        conn: BackendConnection,
-        read: Callable[[], Awaitable[Any]],
-    ) -> Any:
+    async def _next(self, attempt: Attempt, read: Callable[[], Awaitable[Any]]) -> Any:
         """Await ``read()``; a silent backend server is left if the call can go on
         elsewhere, or if it is lost."""
         while True:
             try:
                 return await read()
             except Silent as exc:
-                if not await self._stays(backend, conn, str(exc)):
-                    raise ConnectionLost(str(exc), False, False) from exc
+                if not await self._stays(attempt, str(exc)):
+                    lost = attempt.conn.loss or ConnectionLost(str(exc), False, False)
+                    raise lost from exc
 
-    async def _stays(
-        self, backend: Backend, conn: BackendConnection, detail: str
-    ) -> bool:
+    async def _stays(self, attempt: Attempt, detail: str) -> bool:
         """Whether the call stays with its silent backend server for now."""
-        now = self._relays.clock()
-        backend.unreached(now)
-        found = await self._elsewhere.prepare(conn)
+        backend = attempt.backend
+        backend.unreached(self._relays.clock())
+        found = await self._elsewhere.prepare(attempt, detail)
         if isinstance(found, Prepared):
             self._prepared = found
             return False
@@ -309,40 +255,36 @@
             return max(patience, call.route.longest_pause_s * SILENCE_PAUSES)
         return max(0.05, (call.deadline - now) * 0.5)
 
-    async def _pass_on(
-        self, backend: Backend, conn: BackendConnection, head: AnswerHead, began: float
-    ) -> None:
-        relays = self._relays
+    async def _pass_on(self, attempt: Attempt, head: AnswerHead) -> None:
         is_events = self._call.is_stream and 200 <= head.status < 300
         if is_events:
-            await self._pass_events(backend, conn, head, began)
+            await self._pass_events(attempt, head)
             return
         # Collected before the first byte goes out: an answer that breaks off on the way
         # can then still be replaced by one of another backend server.
         parts = []
-        while (data := await self._next(backend, conn, conn.chunk)) is not None:
+        while (data := await self._next(attempt, attempt.conn.chunk)) is not None:
             parts.append(data)
-        self._judge(backend, head, relays.ran() - began)
-        self.report.part_passed_on(relays.clock())
+        self._judge(attempt, head)
+        self.report.part_passed_on(self._relays.clock())
         await self._start(head)
         await self._send({"type": "http.response.body", "body": b"".join(parts)})
 
-    def _judge(self, backend: Backend, head: AnswerHead, latency_s: float) -> None:
-        now = self._relays.clock()
+    def _judge(self, attempt: Attempt, head: AnswerHead) -> None:
+        backend, now = attempt.backend, self._relays.clock()
+        latency_s = self._relays.ran() - attempt.sent_at
         if head.status >= 500:
             self._service.health.failed(now, backend.incarnation)
         else:
             self._service.health.succeeded(now, backend.incarnation, latency_s)
         self._relays.review_health(self._call.service, backend.incarnation)
 
-    async def _pass_events(
-        self, backend: Backend, conn: BackendConnection, head: AnswerHead, began: float
-    ) -> None:
-        relays, progress = self._relays, self._progress
+    async def _pass_events(self, attempt: Attempt, head: AnswerHead) -> None:
+        progress = self._progress
         splitter = EventSplitter()
         first = True
         while True:
-            data = await self._next(backend, conn, conn.chunk)
+            data = await self._next(attempt, attempt.conn.chunk)
             if data is None:
                 break
             events = splitter.feed(data)
@@ -350,8 +292,8 @@
                 continue
             if first:
                 first = False
-                self._prompt_read()
-                self._judge(backend, head, relays.ran() - began)
+                attempt.prompt_read()
+                self._judge(attempt, head)
             await self._pass_whole(head, events)
         if splitter.rest:
             raise ConnectionLost(
@@ -363,7 +305,7 @@
 
     async def _pass_whole(self, head: AnswerHead, events: list[Event]) -> None:
         progress = self._progress
-        last, newest = self._resume_after(), progress.last_event
+        last, newest = self._sender.resume_after(), progress.last_event
         for event in events:
             if event.number is None:
                 continue
--- a/packages/bambootiller/src/bambootiller/gateway/reporting.py
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -78,8 +78,11 @@
             )
         )
 
-    def attempt_failed(self, backend: Backend, ended: Ended, then: Decision) -> None:
-        """An attempt ended without a whole answer, and ``then`` is done."""
+    def attempt_failed(
+        self, backend: Backend, ended: Ended, then: Decision, sent: bool
+    ) -> None:
+        """An attempt ended without a whole answer, and ``then`` is done; ``sent`` if
+        the next one has gone out already."""
         call, progress, now = self._call, self._progress, self._relays.clock()
         budget = self._relays.service(call.service).budget
         self._emit(
@@ -91,7 +94,7 @@
                 resumable=call.route.resumable,
                 backend=backend.instance,
                 ended=ended.value,
-                attempts=progress.sends,
+                attempts=progress.sends - sent,
                 most_attempts=call.route.max_attempts,
                 may_have_run=progress.may_have_run,
                 last_event=progress.last_event,
