Refused callers of a model without a copy count as having waited

Cause: of models that are much awaited the one goes first whose caller has waited longest, and refused callers don't wait. Change: each call that ended without an answer counts as a wait of a second there. First come, first served holds on among those who wait.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
@@ -21,6 +21,9 @@
 #: A model gets one more engine if all that hold it have so many calls, in units of what
 #: they serve at once: a step further and calls would be refused there.
 CROWDED = 0.8
+#: Each call for a model without any copy that ended without an answer counts as a wait
+#: of so long. Seconds.
+UNSERVED_S = 1.0
 #: How many weights of models are kept; a service has some hundred models.
 KEPT_WEIGHTS = 4096
 
@@ -94,12 +97,18 @@
     before others: behind calls that are late in any case they would be late as well.
 
     The others first come, first served: ordered by demand alone, later calls would
-    overtake those that were told to wait, until these have waited for nothing. Of what
-    is wanted equally, as what nobody has asked for yet, the quickest to load goes
-    first: the store's next turn comes sooner.
+    overtake those that were told to wait, until these have waited for nothing. Where
+    nobody has a copy most callers are refused at once, and a model with one caller who
+    can wait would go before another with a dozen; so they count as having waited, too.
+
+    Of what is wanted equally, as what nobody has asked for yet, the quickest to load
+    goes first: the store's next turn comes sooner.
     """
     in_time = copied and want.in_time_s >= spec.disk_s
-    first = want.in_time_s if in_time else -want.oldest_s
+    waited_s = want.oldest_s
+    if not copied:
+        waited_s = max(waited_s, UNSERVED_S * want.unserved)
+    first = want.in_time_s if in_time else -waited_s
     return rank, not in_time, round(first, 1), -want.value, spec.load_s, _tie(spec.name)
 
 
--- a/tests/gateway/failures/test_starvation.py
+++ b/tests/gateway/failures/test_starvation.py
@@ -74,6 +74,20 @@
                     self.assertEqual(replay.starved(), [])
 
 
+class TestModelsWhoseCallersAreAllRefused(unittest.TestCase):
+    """Another model took the store's turn each time, for a caller who could wait."""
+
+    def test_the_one_refused_most_goes_first(self):
+        names = ("refused", "waited")
+        spec = samples.engine(*[samples.model(name, load_s=13.0) for name in names])
+        wants = {
+            "refused": Want(0.6, 0, unserved=9.0, unserved_s=10.0),
+            "waited": Want(0.3, 4, 0, 1.5, unserved=4.0, unserved_s=2.0),
+        }
+        plan = Planner(spec, 1).plan(1.0, [samples.engine_backend(1.0, "b1")], wants)
+        self.assertEqual(next(iter(plan)), "refused")
+
+
 class TestAdaptersOfAModelThatHasJustCome(unittest.TestCase):
     """Its one engine took a load of 13 s: no call had missed an adapter yet."""
 
