--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
@@ -81,9 +81,9 @@
 class StoreTurn(LogLine):
     """What came of an agent's try to take one of the ``turns`` of the weight store.
 
-    ``outcome``: ``taken`` (its ``number``), ``held`` by the ``holders``, ``without``
+    ``outcome``: ``taken`` (its ``number``), ``held`` by the ``holders``, or ``without``
     (the key-value service couldn't be reached in time, and the load begins all the
-    same), or ``not given back`` (its lease ends it)."""
+    same)."""
 
     event: ClassVar[str] = "store_turn"
 
