A stream that has begun gets no head of another answer

Change: once something was passed on, an answer other than a success is of no use; the silent run goes on. The test failed before.

--- a/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
+++ b/packages/bambootiller/src/bambootiller/gateway/elsewhere.py
@@ -186,14 +186,27 @@
         """A connection, unless the silent one speaks first: what it says would wait
         for as long as a connection may take."""
         connecting = asyncio.ensure_future(self._connect(backend))
+        conn = None
         try:
             while not connecting.done() and not silent.has_news(heard):
                 await asyncio.wait((connecting,), timeout=NEWS_S)
-            return connecting.result() if connecting.done() else None
+            conn = connecting.result() if connecting.done() else None
+            return conn
         finally:
             if not connecting.done():
                 connecting.cancel()
                 await asyncio.wait((connecting,))
+            if conn is None:
+                self._give_back_late(backend, connecting)
+
+    def _give_back_late(
+        self, backend: Backend, connecting: asyncio.Future[BackendConnection | None]
+    ) -> None:
+        """A connection may have come up as its call went away."""
+        if connecting.cancelled() or connecting.exception() is not None:
+            return
+        if connecting.result() is not None:
+            self.give_back(Prepared(backend, connecting.result()))
 
     def give_back(self, prepared: Prepared) -> None:
         """The call doesn't go there."""
--- a/packages/bambootiller/src/bambootiller/gateway/sending.py
+++ b/packages/bambootiller/src/bambootiller/gateway/sending.py
@@ -131,6 +131,11 @@
         if verdict is Verdict.USELESS:
             raise ConnectionLost(f"useless answer of status {head.status}", False, True)
         if verdict not in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
+            if self._progress.passed_on and not 200 <= head.status < 300:
+                # The caller has the head of another answer already.
+                raise ConnectionLost(
+                    f"status {head.status} in the middle of a stream", False, True
+                )
             return False
         attempt.not_run()
         if verdict is Verdict.MISDIRECTED and call.ask is not None:
--- a/tests/adapter/failures/test_silent_streams.py
+++ b/tests/adapter/failures/test_silent_streams.py
@@ -97,6 +97,10 @@
     return Reply(502, pieces=(b"a proxy's own answer",))
 
 
+def fails(other, request):
+    return other.answer(request, b"oops", status=500)
+
+
 class TestOneOther(PausedCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -131,6 +135,11 @@
         await self.assert_kept(useless)
         self.assertEqual(self.lost(), [self.others[0].instance])
 
+    async def test_it_is_kept_if_the_other_fails(self):
+        """Its caller was sent the other's head and body behind the events."""
+        await self.assert_kept(fails)
+        self.assertEqual(self.lost(), [self.others[0].instance])
+
     async def test_it_goes_on_where_it_is_taken(self):
         await self.begin()
         self.others_do(takes)
