--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_asks.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_asks.py
@@ -25,7 +25,7 @@
 #: long, and twice as long for each further engine, so many times at most. The plan
 #: would choose the model again and again, and nothing else would be loaded. Seconds.
 BARRED_S = 2.0
-DOUBLED_MOST = 3
+DOUBLED_MOST = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +66,10 @@
             self._failures.pop(ask.load.model, None)
         for load in self.given_up:
             self._bar(now, load)
+        # The plan was made before that.
+        planned = [
+            load for load in planned if (load.model, load.instance) not in self._barred
+        ]
         asked = {ask.load.model for ask in self._asks}
         turns = max(0, len(planned) - len(self._asks))
         others = [load for load in planned if load.model not in asked]
