The weight store isn't idle while the platform's store is away

Cause: an agent that seeks a turn tells the load as one to come, so the entry stops to wish for it; the time after which it begins without a turn was only looked at beside a wish. The test wished at each step, which no entry does. Change: the time is looked at by itself, and the wish lives on until it is known what came of it. An agent that can't give its last turn back doesn't wait for that longer than for a turn. A turn whose lease has ended is taken anew. A try that answers late neither writes nor removes a turn that was taken since; none is sought before the turn of the process before has been looked for.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
@@ -119,6 +119,13 @@
                 self._wants = None
                 del self._entries[entry]
 
+    def renew(self, now: float, model: str) -> None:
+        """A wish for the model lives on: what comes of it isn't known yet, and it isn't
+        repeated meanwhile."""
+        wish, at = self._wishes.get((model, ""), (None, now))
+        if wish is not None:
+            self._wishes[(model, "")] = (wish, max(at, now))
+
     def wished_by(self, model: str, adapter: str = "") -> str:
         """The entry that wished for it last, empty if none does now."""
         return self._wished_by.get((model, adapter), "")
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -183,6 +183,8 @@
             return None
         if self._unsettled is not None:
             return self._unsettled
+        if self._gate is not None and self._gate.sought is not None:
+            self._say.renew(now, self._gate.sought.model)
         self._say.forget(now)
         if report.busy or self._load is not None or self._unloading is not None:
             # The engine turns down every order while it carries one out for a model,
--- a/packages/bambootiller/src/bambootiller/gateway/turn_holder.py
+++ b/packages/bambootiller/src/bambootiller/gateway/turn_holder.py
@@ -57,12 +57,13 @@
 
 @dataclass(frozen=True, slots=True)
 class _Held:
-    """A turn of this agent: its key, at the revision of its own write, and its
-    lease."""
+    """A turn of this agent: its key, at the revision of its own write, its lease, and
+    the model that it was taken for."""
 
     key: str
     revision: int
     lease: int
+    model: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,34 +108,49 @@
         self._sought_at: float | None = None
         self._again_at = float("-inf")
         self._told: tuple[str, str] = ("", "")
-        #: A turn of this agent may be left in the service, and is being removed.
-        self._clearing = False
+        #: Since when a turn that this agent has given back is being removed, or one of
+        #: the process before is looked for, in running time. None is sought meanwhile:
+        #: a removal that is late would take the next one away while its load goes on.
+        self._unsettled_since: float | None = None
         #: Whether the turn is of an agent before this one, whose load isn't known here.
         self.recalled = False
 
     async def recall(self) -> None:
         """Take over a turn that this agent held before it was started anew."""
+        self._unsettled_since = self._ran()
         while not isinstance(found := await self._read(), Found):
             await asyncio.sleep(RETRY_S)
         own = self._own(found.records)
-        if own is None or self._gate.is_open or self._sought_at is not None:
-            return
-        model = TurnRecord.decode(own.value).model
-        held = await self._write(own.key, own.mod_revision, model)
-        if isinstance(held, _Held):
-            self._open(held)
-            self.recalled = True
+        if own is not None and not self._gate.is_open:
+            model = TurnRecord.decode(own.value).model
+            held = await self._write(own.key, own.mod_revision, model)
+            if isinstance(held, _Held) and not self._gate.is_open:
+                self._open(held)
+                self.recalled = True
+        self._unsettled_since = None
 
     def seek(self, now: float) -> None:
-        """Take a turn for what the gate wants, unless that is being done."""
+        """Take a turn for what the gate wants, unless that is being done; to be called
+        several times a second."""
         wanted, gate = self._gate.wanted, self._gate
-        if wanted is None or gate.is_open or now < self._again_at or self._clearing:
+        if gate.is_open:
             return
-        if self._sought_at is None:
+        if self._sought_at is not None:
+            # By now nobody may wish for the load any more: it is told as one to come.
+            self._go_without(gate.sought, self._sought_at)
+        elif wanted is None or now < self._again_at:
+            return
+        elif self._unsettled_since is not None:
+            self._go_without(wanted, self._unsettled_since)
+        else:
             self._sought_at, gate.sought = self._ran(), wanted
             seeking = self._seek(wanted, self._sought_at)
             self._app.spawn(f"store turn for {wanted.model}", seeking)
-        elif self._ran() - self._sought_at > TAKE_S:
+
+    def _go_without(self, wanted: TurnWanted, since: float) -> None:
+        """Have the load begin without a turn if the service hasn't answered for so
+        long."""
+        if self._ran() - since > TAKE_S:
             self._open(None)
             self._say(wanted, _Outcome("without"))
 
@@ -163,33 +179,33 @@
             self._app.spawn(f"lease of {held.key}", self._renew(held))
 
     async def _renew(self, held: _Held) -> None:
-        """Keep the lease while the turn is held; one that has ended isn't begun anew,
-        as another may have the turn."""
+        """Keep the lease while the turn is held. If it has ended, as while the service
+        or this process was away, the turn is taken anew unless another has it."""
         await asyncio.sleep(RENEW_S)
         while self._held is held:
-            await self._kv.keep_lease(held.lease)
+            kept = await self._kv.keep_lease(held.lease)
+            if not isinstance(kept, Granted):
+                again = await self._write(held.key, 0, held.model)
+                if isinstance(again, _Held) and self._held is held:
+                    self._held = held = again
             await asyncio.sleep(RENEW_S)
 
     def _shut(self) -> None:
         held, self._held = self._held, None
         self._gate.is_open = self.recalled = False
-        self._clearing = True
+        self._unsettled_since = self._ran()
         self._app.spawn("give back a store turn", self._give_back(held))
 
     async def _give_back(self, held: _Held | None) -> None:
-        """Remove all turns of this agent, also one whose write got no answer.
-
-        No other turn is sought meanwhile: a removal that is late would take the next
-        one away while its load goes on.
-        """
+        """Remove all turns of this agent, also one whose write got no answer."""
         while held is not None and not await self._remove(held.key, held.revision):
             await asyncio.sleep(RETRY_S)
         while not isinstance(found := await self._read(), Found):
             await asyncio.sleep(RETRY_S)
         own = self._own(found.records)
-        self._clearing = False
         if own is not None and not self._gate.is_open:
             await self._remove(own.key, own.mod_revision)
+        self._unsettled_since = None
 
     async def _remove(self, key: str, revision: int) -> bool:
         outcome = await self._kv.transact([Compare(key, revision)], [Delete(key)])
@@ -199,10 +215,10 @@
         return await self._kv.get_prefix(prefix_of(self._service))
 
     async def _seek(self, wanted: TurnWanted, began: float) -> None:
-        outcome = await self._take(wanted)
+        outcome = await self._take(wanted, began)
         while outcome is None and self._sought_at == began:
             await asyncio.sleep(RETRY_S)
-            outcome = await self._take(wanted)
+            outcome = await self._take(wanted, began)
         if self._sought_at != began:
             await self._took_too_long(outcome)
             return
@@ -221,15 +237,18 @@
             return
         if self._gate.is_open and self._held is None:
             self._hold(held)
+        elif self._held is not None and self._held.key == held.key:
+            # It has written the turn anew that was taken since.
+            self._hold(held)
         else:
             await self._remove(held.key, held.revision)
 
-    async def _take(self, wanted: TurnWanted) -> _Outcome | None:
-        """Try once; None if the service didn't answer."""
+    async def _take(self, wanted: TurnWanted, began: float) -> _Outcome | None:
+        """Try once; None if the service didn't answer, or too late."""
         records: tuple[Record, ...] = ()
         for _ in range(TRIES):
             found = await self._read()
-            if not isinstance(found, Found):
+            if not isinstance(found, Found) or self._sought_at != began:
                 return None
             records = found.records
             own = self._own(records)
@@ -257,7 +276,7 @@
         put = Put(key, value, granted.lease)
         written = await self._kv.transact([Compare(key, revision)], [put])
         if isinstance(written, Committed):
-            return _Held(key, written.revision, granted.lease)
+            return _Held(key, written.revision, granted.lease, model)
         return written
 
     def _own(self, records: tuple[Record, ...]) -> Record | None:
--- a/tests/common/fakekv.py
+++ b/tests/common/fakekv.py
@@ -55,6 +55,7 @@
         self.transactions = 0
         self.leases = 0
         self.kept: list[int] = []
+        self.lapsed: set[int] = set()
         self._delayed: list[tuple[Sequence[Compare], Sequence[Put | Delete]]] = []
         self._watchers: list[tuple[str, asyncio.Queue]] = []
 
@@ -80,8 +81,8 @@
         return Granted(self.leases, ttl_s)
 
     async def keep_lease(self, lease: int) -> LeaseOutcome:
-        if self.down:
-            return Unavailable("down")
+        if self.down or lease in self.lapsed:
+            return Unavailable("down, or it has ended")
         self.kept.append(lease)
         return Granted(lease, 1.0)
 
--- a/tests/gateway/cover/test_turn_holder.py
+++ b/tests/gateway/cover/test_turn_holder.py
@@ -166,6 +166,69 @@
         self.assertEqual(self.first.events.lines[-1].outcome, "without")
         await self.first.app.settle()
 
+    def steps(self, agent, seconds):
+        """The agent's steps of so long, while nobody wishes; returns the first
+        order."""
+        for _ in range(round(seconds / 0.2)):
+            agent.app.at += 0.2
+            order = agent.book.next_order(agent.app.at)
+            if order is not None:
+                return order
+            agent.turn.seek(agent.app.at)
+        return None
+
+    async def test_a_load_begins_without_one_though_the_wish_is_not_repeated(self):
+        """The entry is told of the load as one to come, and wishes no more; the store
+        was idle until the service was back."""
+        self.kv.down = True
+        self.seeks(self.first)
+        self.assertIsNotNone(self.steps(self.first, TAKE_S + 1.0))
+        await self.first.app.settle()
+
+    async def test_a_load_begins_without_one_while_the_last_is_not_given_back(self):
+        await self.first.wish()
+        self.kv.down = True
+        self.first.turn.load_ended()
+        for _ in range(round((TAKE_S + 1.0) / 0.2)):
+            self.first.app.at += 0.2
+            self.seeks(self.first, "m2")
+        self.assertTrue(self.first.gate.is_open)
+        self.kv.down = False
+        await self.first.app.settle()
+
+    async def test_a_turn_whose_lease_has_ended_is_taken_anew(self):
+        self.enterContext(mock.patch.object(turn_holder, "RENEW_S", 0.01))
+        await self.first.wish()
+        (key,) = self.held()
+        del self.kv.records[key]
+        self.kv.lapsed.add(self.kv.leases)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.held(), [key])
+        self.first.turn.load_ended()
+        await self.first.app.settle()
+        self.assertEqual(self.held(), [])
+
+    async def test_a_try_that_is_late_does_not_remove_the_next_turn(self):
+        answers = asyncio.Event()
+        read = self.kv.get_prefix
+
+        async def late(prefix):
+            await answers.wait()
+            return await read(prefix)
+
+        self.kv.get_prefix = late
+        self.seeks(self.first)
+        late_try = self.first.app.tasks.pop()
+        await asyncio.sleep(0)
+        self.kv.get_prefix = read
+        self.steps(self.first, TAKE_S + 1.0)
+        self.first.turn.load_ended()
+        await self.first.app.settle()
+        self.assertIsNotNone(await self.first.wish("m2"))
+        answers.set()
+        await late_try
+        self.assertEqual(len(self.held()), 1)
+
     async def test_one_read_that_fails_gives_no_turn(self):
         """A load began beside one that visibly held the turn."""
         await self.second.wish()
