A watch for silence that is set anew leaves no timer behind

Cause: since silent streams are asked about elsewhere first the watch is set twice at the begin of an attempt, and the first timer was forgotten. It fired into the next call on the kept connection: 'NoneType' object has no attribute 'again', for a call that may not be repeated and so has no watch. Change: setting it ends the timer before. The test failed before.

--- a/packages/bambootiller/src/bambootiller/gateway/silence.py
+++ b/packages/bambootiller/src/bambootiller/gateway/silence.py
@@ -76,6 +76,7 @@
             self._timer = None
 
     def _arm(self, seconds: float) -> None:
+        self.stop()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(max(seconds, LEAST_WAIT_S), self._look)
 
