A turn is free three seconds after its agent is gone

Change: 3 s, renewed every 0.75 s. A process that takes longer to start anew doesn't find its turn, and its load may get a second one beside it.

--- a/packages/bambootiller/src/bambootiller/gateway/turn_holder.py
+++ b/packages/bambootiller/src/bambootiller/gateway/turn_holder.py
@@ -46,11 +46,11 @@
 #: A turn whose load hasn't been ordered for so long is given back: nobody wishes for it
 #: any more. Seconds; twice as long as a wish lasts.
 BEGIN_S = 0.5
-#: A turn whose agent is gone is free after so long. Seconds; an agent that is started
-#: anew has taken its turn over by then.
-LEASE_S = 8.0
+#: A turn whose agent is gone is free after so long: until then the weight store may be
+#: idle. Seconds.
+LEASE_S = 3.0
 #: How often the lease is renewed. Seconds; it outlasts two renewals that fail.
-RENEW_S = 2.0
+RENEW_S = 0.75
 #: How often a turn that was lost to another agent is sought anew at once.
 TRIES = 3
 
