A long load waits at most a second longer for an engine without adapters

What calls might miss was counted in full, up to tens of seconds, so a load waited for an engine that was busy rather than begin at a free one. Change: it counts for a second at most, which prefers one of several free engines and waits for none.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -45,6 +45,9 @@
 #: What it counts that a long load keeps one call from its adapter: it is refused, and
 #: comes back as late as that. Seconds.
 CALL_KEPT_S = 1.0
+#: What it counts at most that calls may miss an adapter during a long load: it waits
+#: for no other engine longer than that. Seconds.
+AT_RISK_MOST_S = 1.0
 #: Loads that are over within so long of each other are equally good; then rendezvous
 #: hashing decides. Decimals of a second.
 EQUAL_DECIMALS = 1
@@ -371,7 +374,7 @@
             if seconds > LONG_LOAD_S:
                 rated += BLOCKED_S * self._blocked_by_load(place, victims)
                 at_risk = self._adapters.calls_at_risk(place, seconds)
-                rated += CALL_KEPT_S * max(calls_kept, at_risk)
+                rated += max(CALL_KEPT_S * calls_kept, min(at_risk, AT_RISK_MOST_S))
             rated = round(rated, EQUAL_DECIMALS)
             if rated > best_s:
                 continue
