Those who wait or are expected back are counted, and a turn's line tells them

Cause of the gap: store_load_asked told the calls that ended without an answer, a count that stays when the callers have gone, and the calls that count as waiting, refused ones for 3 s only.

Each entry now counts, by model, those who wait and those whom it has refused and expects back: at the time they were told, but within a third of the time that they have left, and only on their first try, which shows in the time that they have. The count travels with the demand (optional field callers, so that a sender that doesn't count is told from one that counted none) and appears in store_load_asked beside rate and unserved_s.

Ruled out: using the count 'waiting' for it.

Tests: cover/test_returning, cover/test_collecting (TestCallers).

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/collecting.py
@@ -24,8 +24,8 @@
 #: A rate that differs by less than this part of it from what its receiver takes it for
 #: isn't told again: it changes no decision.
 MOVED_SHARE = 0.1
-#: Calls without an answer that weigh less than this aren't told by themselves, nor that
-#: the first of them came so many seconds sooner or later.
+#: Callers, and calls without an answer, that weigh less than this aren't told by
+#: themselves, nor that the first of those calls came so many seconds sooner or later.
 MOVED_CALLS = 0.25
 MOVED_S = 1.0
 #: So many entries see to loads that no call of their own waits for, and so make plans
@@ -92,6 +92,8 @@
         return True
     if abs(told.unserved - want.unserved) >= MOVED_CALLS:
         return True
+    if abs((told.callers or 0.0) - (want.callers or 0.0)) >= MOVED_CALLS:
+        return True
     if want.unserved and abs(told.unserved_s + elapsed_s - want.unserved_s) > MOVED_S:
         return True
     left = faded(1.0, elapsed_s)
@@ -165,10 +167,21 @@
             max(want.adapter_rate, held.adapter_rate),
             max(want.unserved, held.unserved),
             max(want.unserved_s, held.unserved_s),
+            most(want.callers, held.callers),
         )
     return merged
 
 
+def most(first: float | None, second: float | None) -> float | None:
+    """The greater of two counts, where None stands for one that wasn't told.
+
+    >>> most(None, 2.0), most(1.0, 2.0), most(None, None)
+    (2.0, 2.0, None)
+    """
+    told = [count for count in (first, second) if count is not None]
+    return max(told, default=None)
+
+
 def sooner(first: float, second: float) -> float:
     """The lesser of two times left, where 0 stands for none.
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/demand.py
@@ -57,6 +57,7 @@
         self._missed: dict[str, tuple[float, float]] = {}
         self._waiting: dict[str, list[_Waiting]] = {}
         self._refused: dict[str, deque[tuple[float, float]]] = {}
+        self._returning: dict[str, list[tuple[float, float]]] = {}
         self._unserved: dict[str, _Unserved] = {}
 
     def asked(self, now: float, model: str, weight: float = 1.0) -> None:
@@ -103,13 +104,21 @@
         found.weight += weight
 
     def refused(
-        self, now: float, model: str, come_back_s: float, weight: float = 1.0
+        self,
+        now: float,
+        model: str,
+        come_back_s: float,
+        weight: float = 1.0,
+        returns_in_s: float | None = None,
     ) -> None:
-        """A call was refused because the model isn't there in time; its caller may come
-        back."""
+        """A call was refused because the model isn't there in time; its caller was told
+        when to come back, and is expected in ``returns_in_s``, None if not at all."""
         due_in_s = min(come_back_s + DUE_BACK_LATE_S, DUE_BACK_MOST_S)
         due = self._refused.setdefault(model, deque())
         due.append((now + due_in_s, weight))
+        if returns_in_s is not None:
+            back_by = now + returns_in_s + DUE_BACK_LATE_S
+            self._returning.setdefault(model, []).append((back_by, weight))
 
     def waiting(self, now: float, model: str) -> int:
         """The calls that wait for the model, by their weights; those that were refused
@@ -133,6 +142,7 @@
             if rate < LEAST_RATE and not waiting:
                 del self._rates[model]
                 self._refused.pop(model, None)
+                self._returning.pop(model, None)
                 self._missed.pop(model, None)
                 self._unserved.pop(model, None)
                 continue
@@ -149,9 +159,18 @@
                 _rate(self._missed, now, model),
                 unserved.weight if unserved is not None else 0.0,
                 now - unserved.since if unserved is not None else 0.0,
+                self._callers(now, model),
             )
         return found
 
+    def _callers(self, now: float, model: str) -> float:
+        """Those who wait and those expected back, by their weights."""
+        returning = self._returning.get(model)
+        if returning is not None:
+            returning[:] = [item for item in returning if item[0] >= now]
+        waiting = sum([call.weight for call in self._waiting.get(model, ())])
+        return waiting + sum([weight for _, weight in returning or ()])
+
     def _due_back(self, now: float, model: str) -> float:
         due = self._refused.get(model)
         if due is None:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
@@ -50,7 +50,9 @@
     ``turn`` tells why it may begin now: the store serves it at full speed (``free``),
     is tried for ``one more``, or is ``crowded``. ``under_way`` loads drew on the store,
     of ``full_speed`` that it is taken to serve. ``waiting`` calls of all entries wait
-    for the model, ``unserved`` ended without an answer."""
+    for the model, ``unserved`` ended without an answer, the first of them
+    ``unserved_s`` ago; ``callers`` wait or are expected back, and ``rate`` calls a
+    second have come lately."""
 
     event: ClassVar[str] = "store_load_asked"
     failure: ClassVar[bool] = False
@@ -63,6 +65,9 @@
     full_speed: int
     waiting: int
     unserved: float
+    unserved_s: float
+    callers: float | None
+    rate: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/order_demand.py
@@ -172,6 +172,7 @@
                     held.adapter_rate + want.adapter_rate * left,
                     held.unserved + want.unserved,
                     max(held.unserved_s, _aged(want, elapsed_s)),
+                    added(held.callers, want.callers),
                 )
         wished = {wish.model: wish.want for wish, _ in self._wishes.values()}
         return greater(merged, wished)
@@ -198,6 +199,16 @@
         return self._used_at.get((model, adapter), 0.0)
 
 
+def added(first: float | None, second: float | None) -> float | None:
+    """The sum of two counts, where None stands for one that wasn't told.
+
+    >>> added(None, 2.0), added(1.0, 2.0), added(None, None)
+    (2.0, 3.0, None)
+    """
+    told = [count for count in (first, second) if count is not None]
+    return sum(told) if told else None
+
+
 def _aged(want: Want, elapsed_s: float) -> float:
     """How long ago the first unserved call came, so long after it was told."""
     return want.unserved_s + elapsed_s if want.unserved else 0.0
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
@@ -44,6 +44,9 @@
     unserved: float = 0.0
     #: How long ago the first of these came. Seconds.
     unserved_s: float = 0.0
+    #: Callers who wait now or are expected back after a refusal, None if whoever told
+    #: the demand doesn't count them.
+    callers: float | None = None
 
     @property
     def awaited(self) -> float:
--- a/packages/bambootiller/src/bambootiller/gateway/load_asks.py
+++ b/packages/bambootiller/src/bambootiller/gateway/load_asks.py
@@ -154,4 +154,7 @@
         planner.store_loads,
         want.waiting,
         round(want.unserved, 1),
+        round(want.unserved_s, 1),
+        None if want.callers is None else round(want.callers, 1),
+        round(want.rate, 2),
     )
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -48,8 +48,9 @@
     def ask(self) -> None:
         """Count the call in the demand for its model."""
         now, service = self._relays.clock(), self._call.service
-        levels = self._relays.service(service).levels
-        self._weight = levels.weigh(now, level_of(self._call.route))
+        state = self._relays.service(service)
+        self._weight = state.levels.weigh(now, level_of(self._call.route))
+        state.returning.asked(self._call)
         demand = self._relays.engines.plans.demand(service)
         demand.asked(now, self._call.ask.model, self._weight)
 
@@ -203,8 +204,10 @@
         come_back = UNPLANNED_S if ready_in is None else ready_in
         detail = "no engine can load it" if ready_in is None else ""
         come_back = max(come_back, attempts.COME_BACK_S)
+        returning = self._relays.service(call.service).returning
+        back_in_s = returning.expected_in_s(call, now, come_back)
         demand = engines.plans.demand(call.service)
-        demand.refused(now, ask.model, come_back, self._weight)
+        demand.refused(now, ask.model, come_back, self._weight, back_in_s)
         engines.plans.due_adapters(call.service).refused(now, ask, come_back)
         plan = self._plan_seen(now, planned)
         return Refusal(Reason.COLD, come_back, detail, plan)
--- a/packages/bambootiller/src/bambootiller/gateway/relays.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -18,6 +18,7 @@
 from bambootiller_core.gateway.health import Health
 from bambootiller_core.gateway.incarnation import Incarnation
 from bambootiller_core.gateway.log_lines import BackendJudged
+from bambootiller_core.gateway.returning import Returning
 from bambootiller_core.gateway.service_levels import ServiceLevels
 
 #: Connections to one backend server where the configuration sets no limit.
@@ -35,6 +36,7 @@
     health: Health = field(default_factory=Health)
     budget: AttemptBudget | None = None
     levels: ServiceLevels = field(default_factory=ServiceLevels)
+    returning: Returning = field(default_factory=Returning)
 
 
 class Relays:
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -90,6 +90,7 @@
             adapter_calls_per_s=want.adapter_rate,
             unserved=want.unserved,
             unserved_ms=int(want.unserved_s * 1000),
+            callers=want.callers,
         )
         for model, want in wants.items()
     ]
@@ -112,6 +113,7 @@
         message.adapter_calls_per_s,
         message.unserved,
         message.unserved_ms / 1000,
+        message.callers if message.HasField("callers") else None,
     )
 
 
--- a/tests/gateway/cover/test_collecting.py
+++ b/tests/gateway/cover/test_collecting.py
@@ -120,6 +120,33 @@
             self.assertEqual(merged["tutor"].in_time_s, 2.0)
 
 
+class TestCallers(unittest.TestCase):
+    """Callers who wait or are expected back, as several tell them."""
+
+    def test_they_travel_with_the_demand_of_those_who_count_them(self):
+        wants = {"tutor": Want(0.5, callers=0.0), "poet": Want(0.5, callers=2.5)}
+        wants["clerk"] = Want(0.5)
+        self.assertEqual(wire.wants_of(wire.demand_messages(wants)), wants)
+
+    def test_those_of_all_entries_are_added_up(self):
+        say = EntriesSay()
+        say.told(1.0, "e1", {"tutor": Want(0.5, callers=2.0)}, {})
+        say.told(1.0, "e2", {"tutor": Want(0.5, callers=1.5)}, {})
+        say.told(1.0, "e3", {"tutor": Want(0.5)}, {})
+        self.assertEqual(say.wants()["tutor"].callers, 3.5)
+
+    def test_the_collector_that_knows_of_more_counts(self):
+        counted, other = Want(0.5, callers=2.0), Want(0.6)
+        for first, second in ((counted, other), (other, counted)):
+            merged = greater({"tutor": first}, {"tutor": second})
+            self.assertEqual(merged["tutor"].callers, 2.0)
+
+    def test_one_who_has_gone_is_told(self):
+        self.assertTrue(moved({"poet": Want(callers=1.0)}, {"poet": Want(callers=0.0)}))
+        told = {"poet": Want(callers=1.0)}
+        self.assertFalse(moved(told, {"poet": Want(callers=1.1)}))
+
+
 class TestConcerning(unittest.TestCase):
     def test_an_agent_hears_of_what_its_engine_holds_or_loads(self):
         loading = Loading("critic", 2.0, True)
--- /dev/null
+++ b/tests/gateway/cover/test_returning.py
@@ -0,0 +1,59 @@
+"""Callers who come back after a refusal."""
+
+import unittest
+
+from bambootiller_core.gateway.demand import DUE_BACK_LATE_S, Demand
+from bambootiller_core.gateway.returning import Returning
+from tests.gateway.common import samples
+
+
+def call(given_s, now=0.0, name="/a/"):
+    return samples.call(samples.route(prefix=name), now=now, deadline=given_s)
+
+
+class TestReturning(unittest.TestCase):
+    def setUp(self):
+        self.returning = Returning()
+        self.returning.asked(call(30.0))
+
+    def expected(self, given_s, told_s, held_s=0.0):
+        return self.returning.expected_in_s(call(given_s), held_s, told_s)
+
+    def test_a_caller_is_back_when_it_was_told_to_be(self):
+        self.assertEqual(self.expected(30.0, told_s=4.0), 4.0)
+
+    def test_but_stays_away_for_a_third_of_its_time_at_most(self):
+        self.assertEqual(self.expected(30.0, told_s=60.0), 10.0)
+        self.assertEqual(self.expected(30.0, told_s=60.0, held_s=12.0), 6.0)
+
+    def test_one_that_has_been_back_is_not_expected_again(self):
+        self.assertIsNone(self.expected(20.0, told_s=4.0))
+
+    def test_routes_differ_in_the_time_of_their_callers(self):
+        short = call(10.0, name="/b/")
+        self.returning.asked(short)
+        self.assertEqual(self.returning.expected_in_s(short, 0.0, 2.0), 2.0)
+
+
+class TestCallers(unittest.TestCase):
+    def setUp(self):
+        self.demand = Demand()
+        self.demand.asked(0.0, "tutor")
+
+    def callers(self, now):
+        return self.demand.wants(now, {}, {})["tutor"].callers
+
+    def test_those_who_wait_count_until_they_go(self):
+        self.demand.begin_waiting(0.0, "tutor", 1.5)
+        self.assertEqual(self.callers(9.0), 1.5)
+        self.demand.end_waiting(0.0, "tutor", 1.5)
+        self.assertEqual(self.callers(9.0), 0.0)
+
+    def test_refused_ones_count_until_they_should_be_back(self):
+        self.demand.refused(0.0, "tutor", 60.0, 2.0, returns_in_s=10.0)
+        self.assertEqual(self.callers(9.9), 2.0)
+        self.assertEqual(self.callers(10.1 + DUE_BACK_LATE_S), 0.0)
+
+    def test_those_who_are_not_expected_do_not_count(self):
+        self.demand.refused(0.0, "tutor", 60.0, 2.0)
+        self.assertEqual(self.callers(0.5), 0.0)
