--- a/tests/gateway/common/rare_replay.py
+++ b/tests/gateway/common/rare_replay.py
@@ -6,8 +6,9 @@
 there in time is refused, and returns once.
 """
 
+import math
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from bambootiller_core.gateway.demand import Demand
@@ -50,20 +51,55 @@
     arrived: float
     again: bool = True
     missed_adapter: bool = False
+    left_s: float = math.inf
+
+
+@dataclass(frozen=True)
+class Turn:
+    """A load from the store as it begins; ``callers`` are those of its model who wait
+    or are to come back, ``most`` those of the other model without a copy that has the
+    most."""
+
+    at: float
+    model: str
+    callers: int
+    most: int
+
+
+@dataclass(frozen=True)
+class Patience:
+    """How long callers wait for their model, and how much time they have; without a
+    limit they come back when they are told to, but within ``away_s``. Seconds."""
+
+    wait_s: float = PATIENCE_S
+    away_s: float = COME_BACK_MAX_S
+    time_s: float = math.inf
 
 
 class RareReplay:
     """One seeded trace.
 
     ``rates`` are calls a second by model, ``copied`` the models that have a copy at the
-    start. If there are ``adapters``, each call names one of so many.
+    start. If there are ``adapters``, each call names one of so many. ``shifts`` are
+    pairs of a time and the rates from then on.
     """
 
     def __init__(
-        self, seed, engines, rates, copied, load_s=2.5, adapters=0, store_loads=1
+        self,
+        seed,
+        engines,
+        rates,
+        copied,
+        load_s=2.5,
+        adapters=0,
+        store_loads=1,
+        patience=Patience(),
+        shifts=(),
     ):
         self._rng = random.Random(seed)
         self._rates = rates
+        self._shifts = list(shifts)
+        self._patience = patience
         self._adapters = adapters
         self._load_s = load_s
         self._store_loads = store_loads
@@ -87,8 +123,8 @@
         #: Times in which no load from the store was under way, though a caller had been
         #: refused within the last second for a model without any copy. Seconds.
         self.idle = []
-        #: The models that came from the store, and when each began.
-        self.fetched = []
+        #: The loads from the store, in the order in which they began.
+        self.turns = []
         self._plan = {}
 
     def run(self, seconds, losses=()):
@@ -98,6 +134,8 @@
         while self.now < seconds:
             while losses and losses[0][0] <= self.now:
                 self._lose(losses.pop(0)[1])
+            while self._shifts and self._shifts[0][0] <= self.now:
+                _, self._rates = self._shifts.pop(0)
             self._end_loads()
             self._arrive()
             self._serve_held()
@@ -137,7 +175,8 @@
                 adapter = ""
                 if self._adapters:
                     adapter = f"a{self._rng.randrange(self._adapters)}"
-                arrived.append(Caller(model, adapter, self.now))
+                left_s = self._patience.time_s
+                arrived.append(Caller(model, adapter, self.now, left_s=left_s))
         for caller in arrived:
             caller.arrived = self.now
             self.demand.asked(self.now, caller.model)
@@ -181,7 +220,8 @@
         return None
 
     def _is_in_time(self, caller):
-        left_s = caller.arrived + PATIENCE_S - self.now
+        wait_s = min(self._patience.wait_s, caller.left_s)
+        left_s = caller.arrived + wait_s - self.now
         holders = [engine for engine in self.engines if caller.model in engine.held]
         if holders:
             return min(engine.ends_at for engine in holders) - self.now < left_s
@@ -191,11 +231,19 @@
     def _refused(self, caller):
         load = self._plan.get(caller.model)
         ready_in_s = load.ready_in_s if load is not None else COME_BACK_MAX_S
-        come_back_s = min(max(0.2, ready_in_s), COME_BACK_MAX_S)
-        self.demand.refused(self.now, caller.model, come_back_s)
+        left_s = caller.left_s - (self.now - caller.arrived)
+        most_s = min(self._patience.away_s, left_s / 3)
+        come_back_s = min(max(0.2, ready_in_s), most_s)
+        expected_s = come_back_s if caller.again else None
+        self.demand.refused(
+            self.now, caller.model, come_back_s, returns_in_s=expected_s
+        )
         self._end(caller, served=False)
         if caller.again:
-            again = Caller(caller.model, caller.adapter, 0.0, again=False)
+            left_s -= come_back_s
+            again = Caller(
+                caller.model, caller.adapter, 0.0, again=False, left_s=left_s
+            )
             self._returning.append((self.now + come_back_s, again))
 
     def _end(self, caller, served):
@@ -272,7 +320,19 @@
         seconds = self._load_s if engine.from_store else DISK_S
         engine.ends_at = max(self.now, begins) + seconds
         if engine.from_store:
-            self.fetched.append((self.now, model))
+            self.turns.append(self._turn(model))
+
+    def _turn(self, model):
+        copied = {name for engine in self.engines for name in engine.copies}
+        coming = {engine.loading for engine in self.engines}
+        here = [caller.model for caller in self._waiting]
+        count = Counter(here + [caller.model for _, caller in self._returning])
+        others = [
+            count[name]
+            for name in self.spec.models
+            if name != model and name not in copied | coming
+        ]
+        return Turn(self.now, model, count[model], max(others, default=0))
 
     def _note_idle(self):
         if any(engine.loading and engine.from_store for engine in self.engines):
