A turn of the weight store goes to callers to be, not to those who have left

Cause: a turn takes effect 13 to 26 s after it is chosen, and models were put in order by their calls that ended without an answer since somebody was served. That count stays when the callers have gone. Class: a decision for 13 s by what was, an absence (of callers) that isn't read at all.

A sender that doesn't count callers is read as before, by what ended without an answer.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
@@ -21,9 +21,6 @@
 #: A model gets one more engine if all that hold it have so many calls, in units of what
 #: they serve at once: a step further and calls would be refused there.
 CROWDED = 0.8
-#: Each call for a model without any copy that ended without an answer counts as a wait
-#: of so long. Seconds.
-UNSERVED_S = 1.0
 #: How many weights of models are kept; a service has some hundred models.
 KEPT_WEIGHTS = 4096
 
@@ -96,19 +93,22 @@
     Those first whose calls a load from a copy can still serve in time, the soonest due
     before others: behind calls that are late in any case they would be late as well.
 
-    The others first come, first served: ordered by demand alone, later calls would
-    overtake those that were told to wait, until these have waited for nothing. Where
-    nobody has a copy most callers are refused at once, and a model with one caller who
-    can wait would go before another with a dozen; so they count as having waited, too.
+    The others with a copy first come, first served: ordered by demand alone, later
+    calls would overtake those that were told to wait, until these have waited for
+    nothing.
+
+    Where nobody has a copy most callers are refused at once, and the load is over long
+    after it was chosen. So it goes to those whom it will serve, by the time of the
+    store that it takes.
 
     Of what is wanted equally, as what nobody has asked for yet, the quickest to load
     goes first: the store's next turn comes sooner.
     """
-    in_time = copied and want.in_time_s >= spec.disk_s
-    waited_s = want.oldest_s
     if not copied:
-        waited_s = max(waited_s, UNSERVED_S * want.unserved)
-    first = want.in_time_s if in_time else -waited_s
+        worth = want.turn_value / spec.load_s
+        return rank, True, 0.0, -worth, spec.load_s, _tie(spec.name)
+    in_time = want.in_time_s >= spec.disk_s
+    first = want.in_time_s if in_time else -want.oldest_s
     return rank, not in_time, round(first, 1), -want.value, spec.load_s, _tie(spec.name)
 
 
@@ -134,15 +134,11 @@
     total_rate: float,
 ) -> tuple[Rank, ...]:
     """How soon a model is to be loaded; empty if it isn't to be."""
+    if not holders and not copied:
+        return _ranks_from_store(want, total_rate)
     if not holders and want.awaited:
         many = want.awaited >= MANY_WAITING
         return (Rank.MUCH_WAITED_FOR if many else Rank.WAITED_FOR,)
-    if not holders and not copied:
-        if want.rate > 0:
-            return (Rank.ASKED_FOR,)
-        # While calls come, an engine that fetches a model nobody asks for is kept from
-        # those that they ask for.
-        return (Rank.UNASKED,) if total_rate == 0 else ()
     if not want.rate:
         return ()
     if len(holders) == 1 and want.rate >= SECOND_COPY_SHARE * total_rate:
@@ -150,6 +146,18 @@
     return (Rank.SECOND_COPY,) if _crowded(holders, now) else ()
 
 
+def _ranks_from_store(want: Want, total_rate: float) -> tuple[Rank, ...]:
+    """The same of a model that only the weight store can bring."""
+    if want.expected:
+        many = want.overdue >= MANY_WAITING
+        return (Rank.MUCH_WAITED_FOR if many else Rank.WAITED_FOR,)
+    if want.rate > 0 or want.awaited:
+        return (Rank.ASKED_FOR,)
+    # While calls come, an engine that fetches a model nobody asks for is kept from
+    # those that they ask for.
+    return (Rank.UNASKED,) if total_rate == 0 else ()
+
+
 def _crowded(holders: Iterable[Backend], now: float) -> bool:
     """Whether every engine that holds a model is close to its most calls."""
     return bool(holders) and all(
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/want.py
@@ -12,6 +12,15 @@
 #: callers waited. So none is passed over for ever by others that are asked for more.
 #: Seconds.
 AGING_S = 4.0
+#: The calls to come that a load from the weight store is for, besides the callers who
+#: are there: as many as have come lately in this time. Seconds.
+FORESEEN_S = 5.0
+#: A model that nobody could be served of for this long is worth twice the store's time.
+#: So none waits for ever behind others that are asked for more. Seconds.
+TURN_AGING_S = 10.0
+#: A caller who is held for a second because its model is next counts as so many more:
+#: if another went first it would have waited for nothing.
+HELD_WORTH = 3.0
 #: What keeping a model is worth without any demand for it, so that of models nobody
 #: asks for the one that several engines hold goes first. Calls a second.
 LEAST_KEEP = 0.01
@@ -61,6 +70,35 @@
         """How much a load is worth, to compare models."""
         return self.rate + WAITING_WEIGHT * self.awaited
 
+    @property
+    def expected(self) -> float:
+        """The callers who are there for a load from the weight store that begins now:
+        those who wait, and those who come back. Where they weren't counted, the calls
+        that ended without an answer stand for them."""
+        if self.callers is None:
+            return max(self.waiting, self.unserved)
+        return self.callers
+
+    @property
+    def overdue(self) -> float:
+        """The same, and the more the longer nobody has been served."""
+        return self.expected * self._aging
+
+    @property
+    def turn_value(self) -> float:
+        """How much a turn of the weight store is worth for the model, to compare those
+        that no engine has a copy of.
+
+        It is for callers to be: those who have left count for nothing, however many
+        they were.
+        """
+        to_come = FORESEEN_S * self.rate
+        return self.overdue + to_come * self._aging + HELD_WORTH * self.oldest_s
+
+    @property
+    def _aging(self) -> float:
+        return 1.0 + self.unserved_s / TURN_AGING_S
+
     @property
     def value_of_one(self) -> float:
         """How much it matters that one engine keeps the model. Every further engine
