One load more is tried for callers who are there, not for those who have left

Cause: a trial decides the next turn a load's time early, and was made for eight calls that wait or had ended without an answer, by their weights: three or four refusals of a rare kind, of callers who may have gone.

Ruled out: no trial at all. It costs the store no time (a load of place two takes twice its time, as if it had waited) and is the only way to learn that a store of slow loads serves several; and only a trial while calls come can be of something that is asked for.

Change: eight callers who wait or are expected back. Test: failed before (cover/test_store_turns, test_it_is_not_tried_for_callers_who_have_left), with nine unserved calls and one caller; passes now.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -53,8 +53,8 @@
 EQUAL_DECIMALS = 1
 #: While calls come, one in so many engines may be in a load from the weight store.
 LONG_LOADS_PART = 2
-#: A load beyond what the store is known to serve is tried for so many calls: with
-#: fewer, another model may be asked for more by the time of its turn.
+#: A load beyond what the store is known to serve is tried for so many callers who are
+#: there: with fewer, another model may be asked for more by the time of its turn.
 TRIED_FOR = 2 * MANY_WAITING
 #: What is later than the best by more than this can't be equally good. Seconds; half
 #: of the last decimal and a little for rounding.
@@ -411,7 +411,7 @@
 def _pressing(want: Want) -> Pressing:
     if want.waiting >= MANY_WAITING:
         return Pressing.MOST
-    if max(want.waiting, want.unserved) >= TRIED_FOR:
+    if max(want.waiting, want.expected) >= TRIED_FOR:
         return Pressing.MUCH
     return Pressing.LITTLE
 
--- a/tests/gateway/cover/test_store_turns.py
+++ b/tests/gateway/cover/test_store_turns.py
@@ -79,6 +79,13 @@
     def test_it_waits_once_the_store_is_known(self):
         self.assertEqual(self.begun([5.0], tries=False), [])
 
+    def test_it_is_not_tried_for_callers_who_have_left(self):
+        """It kept an engine for 26 s, and was over after the last of them had gone."""
+        wants = {"clerk": Want(0.5, 0, unserved=9.0, callers=1.0)}
+        self.assertEqual(self.begun([5.0], wants), [])
+        wants = {"clerk": Want(0.5, 0, unserved=9.0, callers=8.0)}
+        self.assertEqual(self.begun([5.0], wants), ["clerk"])
+
     def test_it_is_not_tried_with_what_nobody_asks_for(self):
         self.assertEqual(self.begun([5.0], wants={}), [])
 
