The first look at the engines is counted from when the last was listed

Cause: the look lasts until no engine has been listed for a pause between two reads of the registry and a little; it began anew with each agent that was heard as well, which says nothing of engines that aren't listed.

Ruled out: a shorter pause.

Change: listing and hearing are timed apart; agents that stay silent are waited for as before. Test: cover/test_first_look, failed before, passes now.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/first_look.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/first_look.py
@@ -30,7 +30,10 @@
     def __init__(self) -> None:
         self._over = False
         self._known: tuple[int, int] = (0, 0)
-        self._grew_at: float | None = None
+        #: When the number of listed engines changed last, and when that or the number
+        #: of those heard did.
+        self._listed_at: float | None = None
+        self._changed_at: float | None = None
         self._began_at: float | None = None
 
     def is_over(
@@ -43,13 +46,15 @@
             return True
         heard = sum([backend.engine is not None for backend in backends])
         known = (len(backends), heard)
-        if self._grew_at is None or known != self._known:
-            self._known, self._grew_at = known, now
+        if self._listed_at is None or known[0] != self._known[0]:
+            self._listed_at = now
+        if self._changed_at is None or known != self._known:
+            self._known, self._changed_at = known, now
         if heard and self._began_at is None:
             self._began_at = now
-        still_s = now - self._grew_at
         all_heard = 0 < len(backends) == heard
-        is_still = still_s >= (quiet_s if all_heard else MOST_S)
+        all_known = all_heard and now - self._listed_at >= quiet_s
+        is_still = now - self._changed_at >= MOST_S
         lasts_s = now - self._began_at if self._began_at is not None else 0.0
-        self._over = is_still or lasts_s >= LONGEST_S
+        self._over = all_known or is_still or lasts_s >= LONGEST_S
         return self._over
--- a/tests/gateway/cover/test_first_look.py
+++ b/tests/gateway/cover/test_first_look.py
@@ -31,6 +31,13 @@
         self.assertFalse(self.over(1.8, heard("b1"), heard("b2")))
         self.assertTrue(self.over(2.0, heard("b1"), heard("b2")))
 
+    def test_it_waits_for_engines_to_be_listed_and_not_for_what_was_heard(self):
+        """The store's first load began seconds after all engines were known."""
+        silent = samples.backend("b2")
+        self.assertFalse(self.over(0.0, heard("b1"), silent))
+        self.assertFalse(self.over(QUIET_S - 0.1, heard("b1"), silent))
+        self.assertTrue(self.over(QUIET_S, heard("b1"), heard("b2")))
+
     def test_it_lasts_until_each_was_heard_but_not_for_ever(self):
         silent = samples.backend("b2")
         self.assertFalse(self.over(0.0, heard("b1"), silent))
