A load from the store is compared with its wait for a turn

Callers with half a minute were sent away for good.

Cause: where a load is over first was decided without the wait for the store's turn. A load from the store seemed sooner than the copy behind 13 s; the turn was then left to models without a copy, and the plan told its place in that queue. Class: what is scarce is weighed as if it were free.

Ruled out: keeping the store from all models with a copy. Where its turn is free it is sooner than an engine that is busy for long.

Change: the wait for the turn counts in the comparison.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -83,6 +83,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _Option:
+    """A load at an engine; ``ready_in_s`` leaves out its wait for the weight store."""
+
     place: Place
     ready_in_s: float
     from_store: bool
@@ -200,7 +202,8 @@
                 turns.took(rank)
                 plan[spec.name] = _waiting_load(spec, turns.queue.add(spec.load_s))
             return
-        option = self._best(spec, _as_option(rank, want))
+        begins, _ = turns.queue.when(spec.load_s, pressing)
+        option = self._best(spec, _as_option(rank, want), begins)
         if option is None:
             return
         ready, waits_for_store, turn = option.ready_in_s, False, None
@@ -348,8 +351,9 @@
             for place in self._places
         )
 
-    def _best(self, spec: ModelSpec, want: Want) -> _Option | None:
-        """Where a load of the model is over first, as far as that tells."""
+    def _best(self, spec: ModelSpec, want: Want, store_wait_s: float) -> _Option | None:
+        """Where a load of the model is over first, as far as that tells; one from the
+        weight store has to wait for its turn."""
         best: _Option | None = None
         best_s = float("inf")
         # Copies come first: a load from one rules most other engines out.
@@ -360,7 +364,8 @@
             if from_store and (spec.name, place.instance) in self._barred:
                 continue
             ready = place.free_in_s + seconds + ORDER_S
-            if ready > best_s + SURELY_LATER_S:
+            wait_s = max(0.0, store_wait_s) if from_store else 0.0
+            if ready + wait_s > best_s + SURELY_LATER_S:
                 # Before the costlier questions: half of all engines end here.
                 continue
             calls_kept = self._adapters.calls_kept(place, seconds)
@@ -370,7 +375,7 @@
             if victims is None:
                 continue
             ready += victims.wait_s
-            rated = ready
+            rated = ready + wait_s
             if seconds > LONG_LOAD_S:
                 rated += BLOCKED_S * self._blocked_by_load(place, victims)
                 at_risk = self._adapters.calls_at_risk(place, seconds)
--- a/tests/gateway/cover/test_store_turns.py
+++ b/tests/gateway/cover/test_store_turns.py
@@ -143,6 +143,35 @@
         self.assertEqual(self.begun(tutor=Want(2.0, 9)), ["tutor"])
 
 
+class TestCopiesBehindALongLoad(unittest.TestCase):
+    """Callers were told minutes, as from the store's queue, where their model's copy
+    lay at an engine that was free again in seconds."""
+
+    def plan(self, left_s, others, store_loads=1):
+        names = [f"m{number}" for number in range(others + 1)]
+        models = [samples.model(name, load_s=13.0) for name in ("tutor", *names)]
+        loading = Loading("m0", left_s, True)
+        backends = [
+            engine_backend(
+                "b1", loading=loading, busy=True, on_disk=frozenset({"tutor"})
+            ),
+            *(engine_backend(f"b{number}") for number in range(2, 8)),
+        ]
+        wants = dict.fromkeys(names[1:], Want(0.2, 1, callers=1.0))
+        wants["tutor"] = Want(0.5, 2, copies=1, callers=2.0)
+        spec = samples.engine(*models)
+        return Planner(spec, store_loads).plan(NOW, backends, wants)["tutor"]
+
+    def test_they_are_planned_where_they_lie(self):
+        load = self.plan(16.0, others=5)
+        self.assertEqual((load.instance, load.from_store), ("b1", False))
+        self.assertLess(load.ready_in_s, 18.0)
+
+    def test_the_store_is_used_where_it_is_sooner(self):
+        load = self.plan(40.0, others=0, store_loads=2)
+        self.assertTrue(load.from_store and load.ask_now)
+
+
 class TestPlansOfManyWaitingModels(unittest.TestCase):
     """Symptom: an entry of a large fleet spends a tenth of a core on its plans.
 
