A test of what an entry that refuses calls counts on

Cover for: the refusal passes on when the caller is expected, and a second try, which shows in the time that it has left, counts for nobody.

--- a/tests/gateway/cover/test_returning.py
+++ b/tests/gateway/cover/test_returning.py
@@ -1,9 +1,15 @@
 """Callers who come back after a refusal."""
 
 import unittest
+from unittest import mock
 
+from bambootiller.gateway.placing import Placing
+from bambootiller_core.gateway.calls import Progress
+from bambootiller_core.gateway.crash_ledger import Standing
 from bambootiller_core.gateway.demand import DUE_BACK_LATE_S, Demand
+from bambootiller_core.gateway.residency import PlannedLoad
 from bambootiller_core.gateway.returning import Returning
+from bambootiller_core.gateway.service_levels import ServiceLevels
 from tests.gateway.common import samples
 
 
@@ -57,3 +63,37 @@
     def test_those_who_are_not_expected_do_not_count(self):
         self.demand.refused(0.0, "tutor", 60.0, 2.0)
         self.assertEqual(self.callers(0.5), 0.0)
+
+
+class TestRefusedCalls(unittest.IsolatedAsyncioTestCase):
+    """What the entry that refuses a call counts on."""
+
+    async def callers(self, *given_s):
+        """Those counted after one call each with so much time has been refused."""
+        demand, relays = Demand(), mock.Mock()
+        relays.clock.return_value = 5.0
+        relays.knowledge.fleet.of_service.return_value = []
+        relays.quarantine.load_admission.return_value.standing = Standing.ADMITTED
+        relays.is_starting.return_value = False
+        relays.stop_by = None
+        relays.engines.plans.plan_for.return_value = PlannedLoad(
+            "tutor", "", 90.0, False, True
+        )
+        relays.engines.plans.demand.return_value = demand
+        state = relays.service.return_value
+        state.levels, state.returning = ServiceLevels(), Returning()
+        for seconds in given_s:
+            call = samples.call(
+                now=5.0, deadline=seconds, ask=samples.ask("tutor"), service="llm"
+            )
+            placing = Placing(relays, call, Progress())
+            placing.ask()
+            with mock.patch.object(Placing, "_plan_seen", return_value=None):
+                await placing.place()
+        return demand.wants(6.0, {}, {})["tutor"].callers
+
+    async def test_it_expects_the_caller_of_a_first_try(self):
+        self.assertEqual(await self.callers(30.0), 1.0)
+
+    async def test_it_expects_nobody_after_a_second_try(self):
+        self.assertEqual(await self.callers(30.0, 20.0), 1.0)
