A caller of a route whose timeout was shortened is still expected back

A second try is told from the longest time that calls of its route were given; where the operator shortens the route's timeout, every call would have counted as a second try from then on, nobody would be expected, and a turn of the weight store would go by the calls of the last seconds alone. The present timeout bounds it now. Test: failed before (None instead of 3.0), passes now.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/returning.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/returning.py
@@ -36,6 +36,9 @@
         """When the caller is back who is refused now, None if it isn't expected.
         Seconds."""
         longest_s = self._longest_s.get(call.route.name, 0.0)
+        if call.route.timeout_s is not None:
+            # The operator may have shortened it since.
+            longest_s = min(longest_s, call.route.timeout_s)
         if _given_s(call) < FIRST_TRY_SHARE * longest_s:
             return None
         return min(told_s, max(0.0, call.deadline - now) * MOST_SHARE_AWAY)
--- a/tests/gateway/cover/test_returning.py
+++ b/tests/gateway/cover/test_returning.py
@@ -13,8 +13,9 @@
 from tests.gateway.common import samples
 
 
-def call(given_s, now=0.0, name="/a/"):
-    return samples.call(samples.route(prefix=name), now=now, deadline=given_s)
+def call(given_s, now=0.0, name="/a/", **fields):
+    route = samples.route(prefix=name, **fields)
+    return samples.call(route, now=now, deadline=given_s)
 
 
 class TestReturning(unittest.TestCase):
@@ -35,6 +36,12 @@
     def test_one_that_has_been_back_is_not_expected_again(self):
         self.assertIsNone(self.expected(20.0, told_s=4.0))
 
+    def test_callers_of_a_route_whose_timeout_is_shortened_are_expected(self):
+        """All of them counted as second tries from then on."""
+        short = call(12.0, timeout_s=12.0)
+        self.returning.asked(short)
+        self.assertEqual(self.returning.expected_in_s(short, 0.0, 3.0), 3.0)
+
     def test_routes_differ_in_the_time_of_their_callers(self):
         short = call(10.0, name="/b/")
         self.returning.asked(short)
