A store that serves several is found out also where each model has few callers

Change: one more is also tried for a model that has callers and that nobody could be served of for four times its load: the queue is long then, whoever is first in it. Test: failed before ([] instead of clerk), passes now.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -56,6 +56,9 @@
 #: A load beyond what the store is known to serve is tried for so many callers who are
 #: there: with fewer, another model may be asked for more by the time of its turn.
 TRIED_FOR = 2 * MANY_WAITING
+#: Or for one that nobody could be served of for so many times its load: the queue for
+#: the store is long, whoever is first in it.
+TRIED_AFTER_LOADS = 4
 #: What is later than the best by more than this can't be equally good. Seconds; half
 #: of the last decimal and a little for rounding.
 SURELY_LATER_S = 0.06
@@ -195,7 +198,7 @@
         """Plan the load of one model, if there is one worth it; ``coming`` is one that
         is under way."""
         want = wants.get(spec.name, NO_WANT)
-        pressing = _pressing(want)
+        pressing = _pressing(spec, want)
         if self._must_wait_for_store(spec, pressing, turns.queue):
             admitted = turns.admit(rank, coming is not None)
             if admitted and self._has_room(spec, _as_option(rank, want)):
@@ -413,11 +416,13 @@
     return coming is None or option.ready_in_s + WORTH_S <= coming.ready_in_s
 
 
-def _pressing(want: Want) -> Pressing:
+def _pressing(spec: ModelSpec, want: Want) -> Pressing:
     if want.waiting >= MANY_WAITING:
         return Pressing.MOST
     if max(want.waiting, want.expected) >= TRIED_FOR:
         return Pressing.MUCH
+    if want.expected and want.unserved_s >= TRIED_AFTER_LOADS * spec.load_s:
+        return Pressing.MUCH
     return Pressing.LITTLE
 
 
--- a/tests/gateway/cover/test_store_turns.py
+++ b/tests/gateway/cover/test_store_turns.py
@@ -86,6 +86,15 @@
         wants = {"clerk": Want(0.5, 0, unserved=9.0, callers=8.0)}
         self.assertEqual(self.begun([5.0], wants), ["clerk"])
 
+    def test_it_is_tried_where_the_queue_is_long_for_good(self):
+        """A store that serves several would never be known to where each model has few
+        callers."""
+        few = {"unserved": 2.0, "callers": 1.0}
+        wants = {"clerk": Want(0.1, 0, unserved_s=20.0, **few)}
+        self.assertEqual(self.begun([5.0], wants), [])
+        wants = {"clerk": Want(0.1, 0, unserved_s=25.0, **few)}
+        self.assertEqual(self.begun([5.0], wants), ["clerk"])
+
     def test_it_is_not_tried_with_what_nobody_asks_for(self):
         self.assertEqual(self.begun([5.0], wants={}), [])
 
