An engine that has ended gives its turn of the weight store back at once

On the grown sites that store serves one load at a time.

Cause: the turn was given back when the registry dropped the engine or the engine was back, and until then its agent told entries the load as going on. An engine whose machine answers that nothing listens at its port has ended; that was read as silence like any other. Class: an absence that isn't a fact (silence) and one that is (no process) taken for the same.

Ruled out: giving it back for any silence; a cut-off engine loads on, and a second load would take twice its time.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -172,6 +172,11 @@
         self._late.engine_restarted()
         self._misnamed_until = float("-inf")
 
+    def engine_gone(self) -> None:
+        """The engine has ended, and its load with it. Told as going on, it would keep
+        the weight store's turn from others until the engine is back or dropped."""
+        self._load = None
+
     def next_order(self, now: float) -> EngineOrder | None:
         """The order to send now, if any."""
         if self._gate is not None:
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -248,7 +248,10 @@
                 self._events.emit(lines.DependencyLost("engine", report.detail))
                 self._words.engine_answers(False)
                 self._engine_gone()
-            if self._is_dropped():
+            if report.gone:
+                self._book.engine_gone()
+                self._turn.load_ended()
+            elif self._is_dropped():
                 self._turn.review(self._app.now(), load_goes_on=False)
             return QUIET_S
         self._reported_at = self._app.now()
--- a/packages/bambootiller/src/bambootiller/gateway/ports.py
+++ b/packages/bambootiller/src/bambootiller/gateway/ports.py
@@ -125,9 +125,11 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineSilent:
-    """The engine's report couldn't be read, and why."""
+    """The engine's report couldn't be read, and why; ``gone`` if nothing listens at its
+    port, so that no load goes on there."""
 
     detail: str
+    gone: bool = False
 
 
 class Engine(Protocol):
--- a/tests/adapter/failures/test_store_turns.py
+++ b/tests/adapter/failures/test_store_turns.py
@@ -41,14 +41,14 @@
         await self.wait_ready(entry)
         return entry
 
-    async def ask_for_all(self, entry):
+    async def ask_for_all(self, entry, pause_s=CALL_S):
         """Callers of all models, each of whom is refused and comes back."""
         number = 0
         while True:
             for model in MODELS:
                 number += 1
                 asyncio.create_task(self.call(entry, model, attempt=f"r-{number}"))
-            await asyncio.sleep(CALL_S)
+            await asyncio.sleep(pause_s)
 
     def under_way(self):
         return [load for load in self.weights.loads if load.ended is None]
@@ -98,3 +98,38 @@
             asking.cancel()
             beside = fleet.begun_beside_others()
             self.assertLessEqual(len(beside), MOST_TRIED, beside)
+
+
+class TestEngineThatIsGone(unittest.IsolatedAsyncioTestCase):
+    """The store served nobody for seconds after an engine had ended in its load: the
+    turn was kept until the registry dropped the engine, or the engine was back."""
+
+    AWAY_S = 6.0
+    #: Too few callers for one load more than the store is known to serve. Seconds.
+    CALL_S = 2.0
+    #: An agent reads its engine's report each quarter of a second, and the next load
+    #: takes a plan and a turn.
+    IDLE_S = 1.5
+
+    async def test_its_turn_is_free_at_once(self):
+        async with TurnsFleet() as fleet:
+            entry = await fleet.begin()
+            asking = asyncio.create_task(fleet.ask_for_all(entry, self.CALL_S))
+
+            async def one_under_way():
+                return len(fleet.under_way()) == 1
+
+            await until(one_under_way, "a load is under way")
+            (load,) = fleet.under_way()
+            replica = fleet.loading(load)
+            replica.down_s = self.AWAY_S
+            crash = asyncio.create_task(replica.crash())
+
+            async def another():
+                return any(other is not load for other in fleet.under_way())
+
+            await until(another, "another load is under way", pause_s=0.02)
+            idle_s = min(other.began for other in fleet.under_way()) - load.ended
+            asking.cancel()
+            await crash
+            self.assertLessEqual(idle_s, self.IDLE_S)
