A model whose engine never makes room is weighed for the store's turn like others

Callers saw: a model with a copy at an engine full of busy models was refused for ever, as it left each turn of the weight store to models without any copy.

Cause: it left the turn whatever its own callers were.

Change: where no load took place for as long as one takes from the store, the model is compared with those without a copy by Want.turn_value for the store's time, like them. Before that it leaves the turn as it did.

Test: test_one_whose_engine_never_has_room_is_not_passed_over_for_ever failed, passes now, and leaves KNOWN-RED.txt.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -158,7 +158,7 @@
         order = in_order(self._engine, now, known, copies, wants, plan)
         order = [item for item in order if item[0].size_mb <= self._engine.memory_mb]
         queue = self._store_queue(wants, store_ends)
-        turns = StoreTurns(queue, bool(store_ends), order, copies)
+        turns = StoreTurns(queue, bool(store_ends), order, copies, wants)
         for spec, rank in order:
             turns.come_to(spec.name)
             coming = plan.get(spec.name)
@@ -213,7 +213,7 @@
         if option.from_store:
             if not turns.admit(rank, coming is not None):
                 return
-            if spec.name in self._copies and turns.leaves_to_others():
+            if spec.name in self._copies and turns.leaves_to_others(spec):
                 _, ends = turn = turns.queue.when(spec.load_s)
                 if not self._moves(spec, ends, wants, plan):
                     plan[spec.name] = _waiting_load(spec, turn)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_turns.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_turns.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from bambootiller_core.gateway.config import ModelSpec
 from bambootiller_core.gateway.load_order import Rank
 from bambootiller_core.gateway.store_queue import StoreQueue
+from bambootiller_core.gateway.want import NO_WANT, Want
 
 #: A second copy keeps its engine from all other orders for seconds, so there is one
 #: such load at a time.
@@ -21,7 +22,8 @@
     """The store's queue, and who may join it.
 
     ``is_taken`` tells whether any load from the store is under way, ``order`` the
-    models of the plan in their order, ``copied`` those of which an engine has a copy.
+    models of the plan in their order, ``copied`` those of which an engine has a copy,
+    ``wants`` the demand for them.
 
     Example::
 
@@ -37,19 +39,24 @@
         is_taken: bool,
         order: Iterable[tuple[ModelSpec, Rank]],
         copied: Collection[str],
+        wants: Mapping[str, Want],
     ) -> None:
         self.queue = queue
         self._is_taken = is_taken
         self._second_copies = 0
+        self._wants = wants
         self._without_copy = {
-            spec.name
+            spec.name: self._worth(spec)
             for spec, rank in order
             if rank <= Rank.ASKED_FOR and spec.name not in copied
         }
 
+    def _worth(self, spec: ModelSpec) -> float:
+        return self._wants.get(spec.name, NO_WANT).turn_value / spec.load_s
+
     def come_to(self, name: str) -> None:
         """The model is planned next."""
-        self._without_copy.discard(name)
+        self._without_copy.pop(name, None)
 
     def admit(self, rank: Rank, is_coming: bool) -> bool:
         """Whether a load is worth the store's time; ``is_coming``: one of the same
@@ -65,11 +72,19 @@
             return not self._is_taken and self._second_copies < SECOND_COPY_LOADS
         return True
 
-    def leaves_to_others(self) -> bool:
+    def leaves_to_others(self, spec: ModelSpec) -> bool:
         """Whether models without any copy, which come later in the plan, need all that
         the store can begin now. One with a copy leaves it to them: the engine with the
-        copy has its turn later."""
-        return len(self._without_copy) >= max(1, self.queue.room())
+        copy has its turn later.
+
+        But not for ever: where that engine has made no room for as long as a load
+        takes, the model is weighed like the others.
+        """
+        others = self._without_copy.values()
+        if self._wants.get(spec.name, NO_WANT).unserved_s >= spec.load_s:
+            worth = self._worth(spec)
+            others = [other for other in others if other >= worth]
+        return len(others) >= max(1, self.queue.room())
 
     def took(self, rank: Rank) -> None:
         """A load draws on the store."""
