Entries log the limits that backend servers name, and show how many there are

What was missing: no line said that a backend server had named a limit, to which entry, nor when it ended, so 'nobody reads it' and 'each entry keeps to it by itself' looked the same in a log.

Change: the adapter decodes the header; an entry keeps the last word of each backend server and writes a line where it changes. That an answer names none counts only for a call that was sent after the last one that did, as answers on different connections overtake each other, and only where the call was served. No decision depends on it yet.

Ruled out: the agent's reading of reports, as a report need not name what answers do.

Before: no such line.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/__init__.py
@@ -14,6 +14,8 @@
 )
 from bambootiller_core.gateway.log_lines._beliefs import (
     BackendJudged,
+    BackendLimit,
+    BackendLimitUnreadable,
     BackendListed,
     BackendRemoved,
     BackendRestarted,
@@ -77,6 +79,8 @@
     "Answered",
     "AttemptFailed",
     "BackendJudged",
+    "BackendLimit",
+    "BackendLimitUnreadable",
     "BackendListed",
     "BackendRemoved",
     "BackendRestarted",
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_beliefs.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_beliefs.py
@@ -124,6 +124,30 @@
     latency_ms: int | None
 
 
+@dataclass(frozen=True, slots=True)
+class BackendLimit(LogLine):
+    """A backend server names another limit than before: ``per_s`` calls a second of all
+    instances together, none where it has ended. ``source``: "answer", or the peer that
+    told."""
+
+    event: ClassVar[str] = "backend_limit"
+
+    backend: str
+    per_s: float | None
+    before_per_s: float | None
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class BackendLimitUnreadable(LogLine):
+    """What a backend server names as its limit isn't one; the one before holds."""
+
+    event: ClassVar[str] = "backend_limit_unreadable"
+
+    backend: str
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class RequestQuarantined(LogLine):
     """A request is kept from all backend servers from now on: it ended those that ran
--- /dev/null
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/named_limits.py
@@ -0,0 +1,113 @@
+"""How many calls a second backend servers take, where they say so in their answers.
+
+A backend server that is short of something names a limit for the calls of all instances
+together. It holds until an answer to a later call names none. What was said is told
+among processes; of two words the later one holds, by the process that heard it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+#: What was said of a backend server that is gone, or no limit any more, is forgotten
+#: after this time. Seconds; longer than word of it is under way.
+KEPT_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """What a backend server said of its limit: ``per_s`` calls a second, None for no
+    limit. ``said_at`` is in seconds on this process's monotonic clock."""
+
+    instance: str
+    per_s: float | None
+    said_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitsNews:
+    """What was said since another version."""
+
+    limits: tuple[NamedLimit, ...]
+    version: int
+
+
+@dataclass(slots=True)
+class _Record:
+    limit: NamedLimit
+    version: int
+    source: str
+
+
+class NamedLimits:
+    """The last word of each backend server that has named a limit.
+
+    Example::
+
+        limits.said(NamedLimit("i-1", 1.9, now))
+        limits.per_s("i-1")    # 1.9
+        limits.said(NamedLimit("i-1", None, later))
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+        #: How many changes there have been that others may have to hear of.
+        self.version = 0
+
+    def said(self, limit: NamedLimit, source: str = "") -> bool:
+        """Take over a word, ``source`` being the peer that told of it; returns whether
+        another limit holds now."""
+        held = self._records.get(limit.instance)
+        if held is None:
+            if limit.per_s is None:
+                return False
+        elif limit.said_at <= held.limit.said_at:
+            if limit.per_s != held.limit.per_s and source:
+                # The peer hasn't heard the later word.
+                self._keep(held.limit, "")
+            return False
+        elif limit.per_s == held.limit.per_s:
+            held.limit = limit
+            return False
+        self._keep(limit, source)
+        return True
+
+    def per_s(self, instance: str) -> float | None:
+        """The limit that holds, in calls a second, None without one."""
+        record = self._records.get(instance)
+        return record.limit.per_s if record is not None else None
+
+    def in_force(self) -> dict[str, float]:
+        """The limits that hold, by backend server."""
+        return {
+            name: record.limit.per_s
+            for name, record in self._records.items()
+            if record.limit.per_s is not None
+        }
+
+    def news(self, since: int, but_from: str) -> LimitsNews:
+        """What was said since a version, but for what that peer told."""
+        found = tuple(
+            record.limit
+            for record in self._records.values()
+            if record.version > since
+            and (not record.source or record.source != but_from)
+        )
+        return LimitsNews(found, self.version)
+
+    def forget(self, now: float, is_known: Callable[[str], bool]) -> bool:
+        """Drop what is over; ``is_known`` tells whether a backend server is still
+        there. Returns whether a limit that held is gone."""
+        dropped = False
+        for name, record in list(self._records.items()):
+            if now - record.limit.said_at <= KEPT_S:
+                continue
+            if record.limit.per_s is None or not is_known(name):
+                dropped = dropped or record.limit.per_s is not None
+                del self._records[name]
+        return dropped
+
+    def _keep(self, limit: NamedLimit, source: str) -> None:
+        self.version += 1
+        self._records[limit.instance] = _Record(limit, self.version, source)
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -26,6 +26,7 @@
 from bambootiller.gateway.quarantine_records import QuarantineRecords
 from bambootiller.gateway.quotas import Quotas
 from bambootiller.gateway.relays import STARTING_S, Relays
+from bambootiller.gateway.server_limits import ServerLimits
 from bambootiller.gateway.standstills import Standstills
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller.settings import Address
@@ -96,6 +97,7 @@
             self._exchanger.is_open,
             lambda: app.now() - began < STARTING_S,
         )
+        self._limits = ServerLimits(events, app.now)
         self._customers = CustomerAudit(events)
         self._engines = Engines(
             app,
@@ -117,6 +119,7 @@
             self._standstills.ran,
             self._engines.quarantine,
             self._quotas,
+            self._limits,
         )
         self._records = QuarantineRecords(
             app, platform.kv, self._engines.quarantine, events
@@ -286,6 +289,11 @@
             "Requests that are kept from all backend servers",
             lambda: engines.quarantine.count,
         )
+        meters.level(
+            "backend_limits",
+            "Backend servers that name a limit",
+            lambda: self._limits.count,
+        )
         meters.level("engine_streams", "Streams to agents", engines.stream_count)
 
     def _register(self, server: object) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/ports.py
+++ b/packages/bambootiller/src/bambootiller/gateway/ports.py
@@ -104,6 +104,10 @@
     def judge(self, call: Call, head: AnswerHead) -> Verdict:
         """What an answer with this head is worth."""
 
+    def limit(self, head: AnswerHead) -> float | Unreadable | None:
+        """The calls a second that the backend server takes from all instances together,
+        None if it names no limit."""
+
     def returned(self, head: AnswerHead) -> list[Header]:
         """The headers of an answer that go to the caller."""
 
--- a/packages/bambootiller/src/bambootiller/gateway/relays.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -13,6 +13,7 @@
 from bambootiller.gateway.ports import Dialect
 from bambootiller.gateway.quarantine import Quarantine
 from bambootiller.gateway.quotas import Quotas
+from bambootiller.gateway.server_limits import ServerLimits
 from bambootiller.gateway.silence import Ran
 from bambootiller_core.gateway.attempts import COME_BACK_S, Reason, Refusal
 from bambootiller_core.gateway.budget import ASSUMED_ENTRIES, AttemptBudget
@@ -58,7 +59,9 @@
         ran: Ran,
         quarantine: Quarantine,
         quotas: Quotas,
+        limits: ServerLimits,
     ) -> None:
+        self.limits = limits
         self.quarantine = quarantine
         self.quotas = quotas
         self.knowledge = knowledge
--- a/packages/bambootiller/src/bambootiller/gateway/sending.py
+++ b/packages/bambootiller/src/bambootiller/gateway/sending.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bambootiller.gateway.connections import BackendConnection, ConnectionLost
-from bambootiller.gateway.ports import AnswerHead, Incoming, Verdict
+from bambootiller.gateway.ports import AnswerHead, Incoming, Unreadable, Verdict
 from bambootiller.gateway.relays import Relays
 from bambootiller.gateway.reporting import CallReport
 from bambootiller_core.gateway.calls import Call, Progress
@@ -30,8 +30,9 @@
         self._unread = call.ask is not None
         self.backend = backend
         self.conn = conn
-        #: The running time at which it went out.
+        #: The running time at which it went out, and the time by the clock.
         self.sent_at = relays.ran()
+        self.sent_at_clock = relays.clock()
         self._ran_before = progress.may_have_run
         self._last_event = progress.last_event
         backend.call_sent(*self._names())
@@ -130,6 +131,7 @@
         """
         relays, call, backend = self._relays, self._call, attempt.backend
         verdict = relays.dialect.judge(call, head)
+        self._note_limit(attempt, head, verdict)
         if verdict is Verdict.USELESS:
             raise ConnectionLost(f"useless answer of status {head.status}", False, True)
         if verdict not in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
@@ -145,6 +147,21 @@
         self.failed(backend)
         return True
 
+    def _note_limit(self, attempt: Attempt, head: AnswerHead, verdict: Verdict) -> None:
+        """Note what limit an answer names. That it names none counts only where the
+        call was served: what else answers may not know."""
+        backend, limits = attempt.backend, self._relays.limits
+        limit = self._relays.dialect.limit(head)
+        if isinstance(limit, Unreadable):
+            limits.unreadable(backend, limit.detail)
+        elif verdict is Verdict.MISDIRECTED:
+            # It may come from another backend server.
+            return
+        elif limit is not None:
+            limits.named(backend, limit)
+        elif verdict is Verdict.ANSWER and 200 <= head.status < 300:
+            limits.named_none(backend, attempt.sent_at_clock)
+
     def lost(self, attempt: Attempt, exc: ConnectionLost) -> None:
         """The run of an attempt is lost, as far as this entry can tell."""
         relays, backend, conn = self._relays, attempt.backend, attempt.conn
--- a/tests/adapter/common/entry.py
+++ b/tests/adapter/common/entry.py
@@ -13,6 +13,7 @@
 from bambootiller.gateway.quarantine import Quarantine
 from bambootiller.gateway.quotas import Quotas
 from bambootiller.gateway.relays import Relays
+from bambootiller.gateway.server_limits import ServerLimits
 from bambootiller_core.gateway.budget import AttemptBudget
 from bambootiller_core.gateway.demand import Demand
 from bambootiller_core.gateway.due_adapters import DueAdapters
@@ -127,6 +128,7 @@
             self.ran,
             Quarantine(self.knowledge, self.events, loop.time, lambda: None),
             self.quotas,
+            ServerLimits(self.events, loop.time),
         )
         # It has been running for a while: what it doesn't know, it won't learn soon.
         self.relays.began -= 60
--- a/tests/adapter/cover/test_dialect.py
+++ b/tests/adapter/cover/test_dialect.py
@@ -163,3 +163,18 @@
             with self.subTest(text=text):
                 found = self.read((b"x-token-usage", text)).tokens
                 self.assertEqual(found, tokens)
+
+
+class TestNamedLimit(unittest.TestCase):
+    def limit(self, *headers):
+        return PlatformDialect().limit(AnswerHead(200, headers))
+
+    def test_it_is_a_decimal_number(self):
+        self.assertEqual(self.limit((b"server-limit", b"1.9")), 1.9)
+        self.assertIsNone(self.limit((b"retry-after", b"1.9")))
+
+    def test_anything_else_is_told(self):
+        for text in (b"", b"many", b"-1", b"nan", b"inf"):
+            with self.subTest(text=text):
+                found = self.limit((b"server-limit", text))
+                self.assertIsInstance(found, Unreadable)
