--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -97,7 +97,7 @@
             self._exchanger.is_open,
             lambda: app.now() - began < STARTING_S,
         )
-        self._limits = ServerLimits(events, app.now)
+        self._server_limits = ServerLimits(events, app.now)
         self._customers = CustomerAudit(events)
         self._engines = Engines(
             app,
@@ -119,7 +119,7 @@
             self._standstills.ran,
             self._engines.quarantine,
             self._quotas,
-            self._limits,
+            self._server_limits,
         )
         self._records = QuarantineRecords(
             app, platform.kv, self._engines.quarantine, events
@@ -292,7 +292,7 @@
         meters.level(
             "backend_limits",
             "Backend servers that name a limit",
-            lambda: self._limits.count,
+            lambda: self._server_limits.count,
         )
         meters.level("engine_streams", "Streams to agents", engines.stream_count)
 
