A test of an engine in need that four entries go on calling as before

Real programs, four entries and three engines; the one engine that holds the model names 1.9 calls a second. From 3 s after that it got 160 in 4 s (16.4 allowed), and no other engine took its model over.

--- /dev/null
+++ b/tests/adapter/failures/test_named_limits.py
@@ -0,0 +1,113 @@
+"""Backend servers that name how many calls a second they take, with the real programs."""
+
+import asyncio
+import contextlib
+import unittest
+
+import aiohttp
+
+from tests.adapter.common.fleet import Fleet, until
+from tests.adapter.cover.test_documents import MODEL
+
+MODEL_NAME = MODEL["name"]
+LIMIT = 1.9
+#: How soon after it was first named a limit has to hold. Seconds.
+CONTACT_S = 3.0
+WINDOW_S = 4.0
+#: What may arrive in a window: one and a half times what the limit allows, and 5 more.
+ALLOWED = 1.5 * LIMIT * WINDOW_S + 5
+
+
+def fullest(arrivals, since):
+    """The most arrivals in a window that begins at ``since`` or later."""
+    times = [at for at in arrivals if at >= since]
+    counts = [sum(begin <= at < begin + WINDOW_S for at in times) for begin in times]
+    return max(counts, default=0)
+
+
+class LimitedFleet(Fleet):
+    """Entries before engines, of which the first holds the model."""
+
+    def __init__(self):
+        super().__init__()
+        self.entries, self.agents, self.statuses = [], [], []
+        self.named_at = None
+
+    async def begin(self, entries, engines=3, holders=1):
+        self.configure()
+        for number in range(engines):
+            models = (MODEL_NAME,) if number < holders else ()
+            host = f"127.0.0.{number + 2}"
+            replica = await self.replica(host, f"i-{number}", "llm", models)
+            replica.on_disk.add(MODEL_NAME)
+            replica.gap_s = 0.005
+            self.agents.append(await self.agent(f"a{number}", replica))
+        for number in range(entries):
+            self.entries.append(await self.entry(f"e{number}"))
+        for entry in self.entries:
+            await self.wait_ready(entry)
+            await until(lambda e=entry: self.is_served(e), "a call is served")
+        self.limited = self.replicas["i-0"]
+
+    async def is_served(self, entry):
+        status, _ = await self.call(entry, MODEL_NAME)
+        return status == 200
+
+    def name(self, per_s=LIMIT):
+        """The first engine is in need from now on."""
+        self.limited.limit = per_s
+        self.named_at = asyncio.get_running_loop().time()
+
+    @contextlib.asynccontextmanager
+    async def callers(self, entries, pause_s):
+        """A caller at each entry, who calls again after ``pause_s`` whatever came."""
+        calling = [
+            asyncio.create_task(self._keep_calling(entry, pause_s)) for entry in entries
+        ]
+        try:
+            yield
+        finally:
+            for task in calling:
+                task.cancel()
+
+    async def _keep_calling(self, entry, pause_s):
+        calls = set()
+        while True:
+            task = asyncio.create_task(self._call_once(entry))
+            calls.add(task)
+            task.add_done_callback(calls.discard)
+            await asyncio.sleep(pause_s)
+
+    async def _call_once(self, entry):
+        loop = asyncio.get_running_loop()
+        headers = {"X-Deadline-Ms": "3000"}
+        try:
+            status, _ = await self.call(entry, MODEL_NAME, headers=headers)
+        except (aiohttp.ClientError, TimeoutError):
+            status = None
+        self.statuses.append((loop.time(), status))
+
+    def served(self, since):
+        """The part of the calls that ended since then and were served."""
+        found = [status for at, status in self.statuses if at >= since]
+        return sum(status == 200 for status in found) / max(1, len(found))
+
+
+class TestNamedLimit(unittest.IsolatedAsyncioTestCase):
+    """Each entry went on as before: an engine that named 1.9 a second got ten times as
+    many calls."""
+
+    def assert_kept(self, fleet):
+        found = fullest(fleet.limited.arrivals, fleet.named_at + CONTACT_S)
+        self.assertLessEqual(found, ALLOWED)
+
+    async def test_all_entries_together_keep_it_and_others_take_the_rest(self):
+        async with LimitedFleet() as fleet:
+            await fleet.begin(entries=4)
+            async with fleet.callers(fleet.entries, 0.1):
+                await asyncio.sleep(1.0)
+                fleet.name()
+                await asyncio.sleep(CONTACT_S + 2 * WINDOW_S)
+            self.assert_kept(fleet)
+            served = fleet.served(fleet.named_at + CONTACT_S)
+            self.assertGreater(served, 0.95)
