Named limits are shared out call by call, by the allocator of quotas

What callers saw: an engine in need named 1.9 calls a second and got as many as before, so those it had were served ever more slowly.

Cause: no decision asked for the limit.

Ruled out: further attempts (the engines answered what they got).

Change: entries tell the limits to the collecting agents, which tell all entries; whatever is sent to such a backend server takes a permit, which the allocator of quotas grants like an advance. What the entry did for quotas is pulled out for both (allowances). Without a permit a call goes to another holder, waits if its turn comes in time, or is refused at once with the time of its turn; an engine short of room counts as crowded, so its models get a second holder.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
@@ -72,6 +72,7 @@
     KEY_CHANGED = "key_changed_hands"
     OVER_QUOTA = "over_quota"
     QUOTA_UNKNOWN = "quota_unknown"
+    LIMITED = "backend_limited"
 
 
 STATUS: dict[Reason, int] = {
@@ -93,6 +94,7 @@
     Reason.KEY_CHANGED: 503,
     Reason.OVER_QUOTA: 429,
     Reason.QUOTA_UNKNOWN: 503,
+    Reason.LIMITED: 503,
 }
 
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -92,6 +92,8 @@
     missing_since: float | None = None
     unreached_at: float = float("-inf")
     denied: dict[str, float] = field(default_factory=dict)
+    #: Until when it counts as short of room under the limit that it names.
+    short_until: float = float("-inf")
     #: The latest revision of its entry that couldn't be read.
     unreadable_at: int = 0
     listed: bool = True
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/load_order.py
@@ -159,8 +159,10 @@
 
 
 def _crowded(holders: Iterable[Backend], now: float) -> bool:
-    """Whether every engine that holds a model is close to its most calls."""
+    """Whether every engine that holds a model is close to its most calls, or to the
+    limit that it names."""
     return bool(holders) and all(
-        backend.occupied(now) >= CROWDED * max(1, backend.registered.slots)
+        now < backend.short_until
+        or backend.occupied(now) >= CROWDED * max(1, backend.registered.slots)
         for backend in holders
     )
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/named_limits.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/named_limits.py
@@ -7,12 +7,44 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
+from bambootiller_core.gateway.quota_terms import Limit
+
 #: What was said of a backend server that is gone, or no limit any more, is forgotten
 #: after this time. Seconds; longer than word of it is under way.
 KEPT_S = 60.0
+#: A backend server that takes less is called so often all the same, or nobody would
+#: hear when it takes calls again. Calls a second.
+LEAST_PER_S = 0.25
+#: What isn't sent is stored for so long, one call at least. Seconds.
+STORED_S = 0.5
+#: The time in which the first users' platform counts calls against a limit. Seconds.
+WINDOW_S = 4.0
+#: What stands before the backend server in the name of its limit.
+PREFIX = "backend server "
+
+
+def limit_name(instance: str) -> str:
+    """The name of a backend server's limit among all that are shared out."""
+    return PREFIX + instance
+
+
+def shared_limits(in_force: Mapping[str, float]) -> dict[str, Limit]:
+    """Named limits by their names, as they are shared out among the entries: call by
+    call, as a part of one would often be less than a call.
+
+    >>> shared_limits({"i-1": 1.5})["backend server i-1"].rate_per_s
+    1.5
+    """
+    return {limit_name(name): _limit(per_s) for name, per_s in in_force.items()}
+
+
+def _limit(per_s: float) -> Limit:
+    rate = max(per_s, LEAST_PER_S)
+    depth = max(1.0, rate * STORED_S)
+    return Limit(rate, depth, share_depth=0.0, span_s=WINDOW_S)
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,13 +118,14 @@
             if record.limit.per_s is not None
         }
 
-    def news(self, since: int, but_from: str) -> LimitsNews:
-        """What was said since a version, but for what that peer told."""
+    def news(self, since: int, own: bool, but_from: str) -> LimitsNews:
+        """What was said since a version; ``own`` leaves out what others told,
+        ``but_from`` what that peer did."""
         found = tuple(
             record.limit
             for record in self._records.values()
             if record.version > since
-            and (not record.source or record.source != but_from)
+            and not (record.source and (own or record.source == but_from))
         )
         return LimitsNews(found, self.version)
 
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -21,6 +21,7 @@
 from bambootiller.gateway.ports import Engine, EngineSilent, Platform
 from bambootiller.gateway.quarantine import Quarantine
 from bambootiller.gateway.quota_allocation import QuotaAllocation
+from bambootiller.gateway.server_limits import ServerLimits
 from bambootiller.gateway.standstills import Standstills
 from bambootiller.gateway.turn_holder import TurnHolder
 from bambootiller.rpc import bambootiller_pb2_grpc as api
@@ -101,6 +102,7 @@
         self._words = AgentWords(
             self._exchanger, events, app.now, self._wished, self._quarantine
         )
+        self._server_limits = ServerLimits(events, app.now, self._exchanger.poke)
         self._quotas = QuotaAllocation(
             app,
             platform.kv,
@@ -108,6 +110,7 @@
             lambda: platform.bounds.quota,
             self._exchanger.poke,
             lambda: self._words.hears_an_entry(),
+            self._server_limits,
         )
         self._book: OrderBook | None = None
         self._gate = TurnGate()
@@ -145,6 +148,7 @@
         app.spawn("store turn", self._turn.recall())
         app.spawn("engine", self._look_after())
         self._quarantine.start(app.timers, app.now())
+        self._server_limits.start(app.timers, app.now(), self._knowledge.fleet)
         self._events.emit(lines.Started("agent", app.settings.zone))
 
     async def drain(self, seconds: float) -> None:
@@ -168,10 +172,12 @@
 
     def _fill(self, update: Update, outgoing: Outgoing) -> None:
         self._words.fill(update, outgoing)
+        self._server_limits.fill(update, outgoing, own=False)
         self._quotas.fill(update, outgoing)
 
     def _received(self, update: Update, outgoing: Outgoing) -> None:
         self._words.received(update, outgoing)
+        self._server_limits.take(update, outgoing)
         self._quotas.received(update, outgoing)
 
     def _wished(self) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/engines.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engines.py
@@ -7,13 +7,14 @@
 
 from bambootiller.app import Application
 from bambootiller.gateway import wire
+from bambootiller.gateway.allowances import REVIEW_S as ALLOWANCES_REVIEW_S, Allowances
 from bambootiller.gateway.engine_plans import EnginePlans
 from bambootiller.gateway.engine_words import AgentSaid, Told
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.exchange import TELL_S, Exchanger, Outgoing, Update
 from bambootiller.gateway.knowledge import Knowledge
 from bambootiller.gateway.quarantine import Quarantine
-from bambootiller.gateway.quotas import REVIEW_S as QUOTAS_REVIEW_S, Quotas
+from bambootiller.gateway.server_limits import ServerLimits
 from bambootiller.rpc import bambootiller_pb2 as pb
 from bambootiller_core.gateway.collecting import collectors
 from bambootiller_core.gateway.crash_ledger import Standing
@@ -48,9 +49,9 @@
         exchanger: Exchanger,
         events: EventLog,
         agent_port: int,
-        quotas: Quotas,
+        allowances: Allowances,
     ) -> None:
-        self._quotas = quotas
+        self._allowances = allowances
         self._app = app
         self._knowledge = knowledge
         self._exchanger = exchanger
@@ -59,6 +60,7 @@
         self._links: dict[str, _Link] = {}
         self._collectors: dict[str, list[str]] = {}
         self.quarantine = Quarantine(knowledge, events, app.now, self._tell_collectors)
+        self.server_limits = ServerLimits(events, app.now, self._tell_limits)
         self.plans = EnginePlans(
             app, knowledge, self.wish, self._emit, self._admits_load
         )
@@ -71,9 +73,10 @@
         self._app.timers.every("figures", TELL_S, now, self._tell)
         self.plans.start(now)
         self.quarantine.start(self._app.timers, now)
-        self._quotas.start(self._app.timers, now)
+        self.server_limits.start(self._app.timers, now, self._knowledge.fleet)
+        self._allowances.start(self._app.timers, now)
         self._app.timers.every(
-            "allocator of quotas", QUOTAS_REVIEW_S, now, self._seek_allocator
+            "allocator", ALLOWANCES_REVIEW_S, now, self._seek_allocator
         )
 
     def _emit(self, line: LogLine) -> None:
@@ -187,8 +190,14 @@
         for host in self._collecting():
             self._exchanger.poke_at(self._address(host))
 
+    def _tell_limits(self) -> None:
+        self._tell_collectors()
+        allocator = self._allowances.allocator
+        if allocator is not None:
+            allocator.poke()
+
     def _seek_allocator(self, now: float) -> None:
-        if self._quotas.lacks_allocator:
+        if self._allowances.lacks_allocator:
             self._tell_collectors()
 
     def _collecting(self) -> set[str]:
@@ -198,8 +207,10 @@
     def _fill(self, host: str, update: Update, outgoing: Outgoing) -> None:
         if host in self._collecting():
             self.quarantine.fill(update, outgoing, own=True)
-            update.lacks_allocator = self._quotas.lacks_allocator
-        self._quotas.fill(update, outgoing)
+            update.lacks_allocator = self._allowances.lacks_allocator
+        if host in self._collecting() or outgoing is self._allowances.allocator:
+            self.server_limits.fill(update, outgoing, own=True)
+        self._allowances.fill(update, outgoing)
         link = self._links.get(host)
         backend = link and self._knowledge.fleet.get(link.instance)
         if not backend:
@@ -250,7 +261,8 @@
             outgoing.said = words
         if outgoing is not None:
             self.quarantine.take(update, outgoing)
-            self._quotas.take(update, outgoing)
+            self.server_limits.take(update, outgoing)
+            self._allowances.take(update, outgoing)
         if update.collected:
             self.plans.changed(self._app.now())
         source = outgoing.peer if outgoing is not None else update.sender
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -9,6 +9,7 @@
 from bambootiller import logs
 from bambootiller.app import Application
 from bambootiller.entry.httpserver import HttpServer
+from bambootiller.gateway.allowances import Allowances
 from bambootiller.gateway.bounded import HeadRefused, bounded_protocol
 from bambootiller.gateway.customer_audit import CustomerAudit
 from bambootiller.gateway.engines import Engines
@@ -26,7 +27,7 @@
 from bambootiller.gateway.quarantine_records import QuarantineRecords
 from bambootiller.gateway.quotas import Quotas
 from bambootiller.gateway.relays import STARTING_S, Relays
-from bambootiller.gateway.server_limits import ServerLimits
+from bambootiller.gateway.server_admission import ServerAdmission
 from bambootiller.gateway.standstills import Standstills
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller.settings import Address
@@ -90,14 +91,12 @@
             app.instance, self.knowledge, events, app.channels, ran
         )
         began = app.now()
-        self._quotas = Quotas(
+        allowances = Allowances(
             app.instance,
-            self.knowledge,
-            lambda: platform.bounds.quota,
             self._exchanger.is_open,
             lambda: app.now() - began < STARTING_S,
         )
-        self._server_limits = ServerLimits(events, app.now)
+        self._quotas = Quotas(self.knowledge, lambda: platform.bounds.quota, allowances)
         self._customers = CustomerAudit(events)
         self._engines = Engines(
             app,
@@ -105,8 +104,9 @@
             self._exchanger,
             events,
             places.agent_port,
-            self._quotas,
+            allowances,
         )
+        limits = self._engines.server_limits
         self._relays = Relays(
             self.knowledge,
             self._engines,
@@ -119,7 +119,8 @@
             self._standstills.ran,
             self._engines.quarantine,
             self._quotas,
-            self._server_limits,
+            limits,
+            ServerAdmission(limits, allowances, app.now),
         )
         self._records = QuarantineRecords(
             app, platform.kv, self._engines.quarantine, events
@@ -166,6 +167,7 @@
             app.spawn(f"http port {server.port}", server.serve())
         app.http_port = self._callers.port
         self._engines.start()
+        self._quotas.start(app.timers, app.now())
         self.knowledge.on_config(self._customers.configured)
         self._records.start()
         app.timers.every("gateway sweep", SWEEP_S, app.now(), self._relays.sweep)
@@ -292,7 +294,7 @@
         meters.level(
             "backend_limits",
             "Backend servers that name a limit",
-            lambda: self._server_limits.count,
+            lambda: len(engines.server_limits.in_force()),
         )
         meters.level("engine_streams", "Streams to agents", engines.stream_count)
 
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from bambootiller.gateway.relays import Relays
+from bambootiller.gateway.server_admission import Permit, Room
 from bambootiller_core.gateway import attempts, selection
 from bambootiller_core.gateway.attempts import Reason, Refusal
 from bambootiller_core.gateway.calls import Call, Progress
@@ -44,6 +47,11 @@
         self.candidates = 0
         self._weight = 1.0
         self._missed_adapter = False
+        #: What lets the call be sent to the backend server that was found.
+        self._permit: Permit | None = None
+        self._asked_at: set[str] = set()
+        #: The room under a named limit that the call waits for.
+        self._awaited: Room | None = None
 
     def ask(self) -> None:
         """Count the call in the demand for its model."""
@@ -56,17 +64,54 @@
 
     async def place(self) -> Backend | Refusal:
         """The backend server for the next attempt, or why there is none."""
+        self.release()
+        try:
+            while True:
+                found = await self._find()
+                if isinstance(found, Refusal) or await self._permitted(found):
+                    return found
+        finally:
+            self._wait_no_more()
+
+    def sent(self) -> None:
+        """The call was sent to the backend server that was found."""
+        permit, self._permit = self._permit, None
+        if permit is not None:
+            permit.used()
+
+    def release(self) -> None:
+        """It wasn't sent there, and won't be."""
+        permit, self._permit = self._permit, None
+        if permit is not None:
+            permit.give_back()
+
+    async def _find(self) -> Backend | Refusal:
         if self._call.ask is None:
-            return self._plain_place()
+            return await self._plain_place()
         return await self._engine_place()
 
+    async def _permitted(self, backend: Backend) -> bool:
+        admission = self._relays.admission
+        if not admission.is_limited(backend):
+            return True
+        if backend.instance not in self._asked_at:
+            self._asked_at.add(backend.instance)
+            admission.asked(backend)
+        self._permit = await admission.permit(backend)
+        return self._permit is not None
+
     def another(self) -> Backend | None:
-        """A backend server that the call wasn't sent to and that can take it now."""
+        """A backend server that the call wasn't sent to and that can take it now.
+
+        None that names a limit: the call would wait for a permit while its own is
+        silent.
+        """
         ask, now = self._call.ask, self._relays.clock()
         able = [
             backend
             for backend in self.untried()
-            if ask is None or backend.serves(now, ask.model, ask.adapter)
+            if (ask is None or backend.serves(now, ask.model, ask.adapter))
+            and not self._relays.admission.is_limited(backend)
         ]
         return self._choose(able)
 
@@ -85,24 +130,53 @@
 
     def _choose(self, candidates: list[Backend]) -> Backend | None:
         relays = self._relays
-        self.candidates = len(candidates)
+        open_ones = [
+            backend for backend in candidates if not relays.admission.is_closed(backend)
+        ]
+        self.candidates = len(open_ones)
         return selection.choose(
             relays.clock(),
             self._call,
-            candidates,
+            open_ones,
             self._health,
             relays.zone,
             relays.rng,
         )
 
-    def _plain_place(self) -> Backend | Refusal:
-        candidates = self.untried()
-        if not candidates:
-            return Refusal(Reason.NO_BACKEND, attempts.COME_BACK_S)
-        backend = self._choose(candidates)
-        if backend is None:
+    async def _plain_place(self) -> Backend | Refusal:
+        while True:
+            candidates = self.untried()
+            if not candidates:
+                return Refusal(Reason.NO_BACKEND, attempts.COME_BACK_S)
+            found = self._choose(candidates) or self._none_free(candidates)
+            if found is not None:
+                return found
+            await asyncio.sleep(LOOK_AGAIN_S)
+
+    def _none_free(self, candidates: list[Backend]) -> Refusal | None:
+        """Why none of the backend servers takes the call, or None to wait for room
+        under the limit that one of them names."""
+        now = self._relays.clock()
+        free = [
+            backend for backend in candidates if not selection.is_full(backend, now)
+        ]
+        room = self._relays.admission.room(free)
+        if room is None:
             return Refusal(Reason.OVERLOADED, attempts.COME_BACK_S)
-        return backend
+        due = min(self._call.next_event_due(self._progress), self._call.deadline)
+        begins = self._awaited is None and now + room.in_s < due - FIRST_EVENT_S
+        if begins and room.known:
+            self._awaited = room
+            self._relays.admission.begin_waiting(room)
+        if self._awaited is not None and room.known and now < due - FIRST_EVENT_S:
+            return None
+        detail = f"{room.instance} has room in {room.in_s:.2f} s"
+        return Refusal(Reason.LIMITED, max(room.in_s, attempts.COME_BACK_S), detail)
+
+    def _wait_no_more(self) -> None:
+        room, self._awaited = self._awaited, None
+        if room is not None:
+            self._relays.admission.end_waiting(room)
 
     async def _engine_place(self) -> Backend | Refusal:
         """An engine that holds the model and the adapter, waiting for one if need
@@ -148,7 +222,9 @@
         chosen = self._choose(with_adapter)
         if chosen is not None:
             return chosen
-        if with_adapter or now > self._call.first_event_due - FIRST_EVENT_S:
+        if with_adapter:
+            return self._none_free(with_adapter)
+        if now > self._call.first_event_due - FIRST_EVENT_S:
             return Refusal(Reason.OVERLOADED, attempts.COME_BACK_S)
         return self._await_adapter(now, began, holders)
 
--- a/packages/bambootiller/src/bambootiller/gateway/quota_allocation.py
+++ b/packages/bambootiller/src/bambootiller/gateway/quota_allocation.py
@@ -1,4 +1,5 @@
-"""Makes one agent the allocator of quotas, and has it answer the entries.
+"""Makes one agent the allocator of quotas and of the limits that backend servers name,
+and has it answer the entries.
 
 The allocator holds a key of the key-value service, bound to a lease that it renews. It
 answers while the lease holds by its own clock, which goes on while the instance is
@@ -18,9 +19,11 @@
 from bambootiller.gateway.boot_clock import boot_now
 from bambootiller.gateway.eventlog import EventLog
 from bambootiller.gateway.exchange import Outgoing, Update
+from bambootiller.gateway.server_limits import ServerLimits
 from bambootiller_core.gateway import quota_record
 from bambootiller_core.gateway.config import GatewayConfig
 from bambootiller_core.gateway.log_lines import DocumentUnreadable, QuotaAllocator
+from bambootiller_core.gateway.named_limits import shared_limits
 from bambootiller_core.gateway.quota_allocator import QuotaAllocator as Allocator
 from bambootiller_core.gateway.quota_messages import QuotaAnswer
 from bambootiller_core.gateway.quota_record import HOLDER_KEY, MEMBERS_KEY, Member
@@ -53,11 +56,13 @@
     """Lets an agent allocate quotas.
 
     ``poke`` has all peers told soon, ``hears_an_entry`` tells whether any entry has
-    been heard lately.
+    been heard lately; ``named`` are the limits of backend servers.
 
     Example::
 
-        allocation = QuotaAllocation(app, kv, events, terms, exchanger.poke, hears)
+        allocation = QuotaAllocation(
+            app, kv, events, terms, exchanger.poke, hears, named
+        )
         allocation.configured(config)
         allocation.received(update, outgoing)
     """
@@ -70,7 +75,10 @@
         terms: Callable[[], QuotaTerms],
         poke: Callable[[], None],
         hears_an_entry: Callable[[], bool],
+        named: ServerLimits,
     ) -> None:
+        self._named = named
+        named.on_change(self._limits_changed)
         self._app = app
         self._kv = kv
         self._events = events
@@ -101,7 +109,14 @@
     def configured(self, config: GatewayConfig) -> None:
         """A configuration has come into force."""
         self._config, self._limited_by = config, self._terms()
-        self._limits = limits_of(config.customers, self._limited_by)
+        self._limits_changed()
+
+    def _limits_changed(self) -> None:
+        customers = self._config.customers if self._config is not None else None
+        self._limits = {
+            **limits_of(customers, self._limited_by),
+            **shared_limits(self._named.in_force()),
+        }
         if self._limits and not self._looked_back:
             self._looked_back = True
             self._app.spawn("earlier allocator", self._give_up_earlier())
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -97,6 +97,7 @@
             decision = attempts.give_up(self._progress, timed_out=True)
             return self._finish(decision, "timed out")
         finally:
+            self._placing.release()
             if self._prepared is not None:
                 self._elsewhere.give_back(self._prepared)
             if self._admission is not None:
@@ -178,6 +179,7 @@
             if conn is None:
                 return Ended.NOT_SENT
             attempt = self._sender.send(backend, conn)
+            self._placing.sent()
         answered = False
         try:
             ended = await self._exchange(attempt)
--- a/packages/bambootiller/src/bambootiller/gateway/relays.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -13,6 +13,7 @@
 from bambootiller.gateway.ports import Dialect
 from bambootiller.gateway.quarantine import Quarantine
 from bambootiller.gateway.quotas import Quotas
+from bambootiller.gateway.server_admission import ServerAdmission
 from bambootiller.gateway.server_limits import ServerLimits
 from bambootiller.gateway.silence import Ran
 from bambootiller_core.gateway.attempts import COME_BACK_S, Reason, Refusal
@@ -60,8 +61,10 @@
         quarantine: Quarantine,
         quotas: Quotas,
         limits: ServerLimits,
+        admission: ServerAdmission,
     ) -> None:
         self.limits = limits
+        self.admission = admission
         self.quarantine = quarantine
         self.quotas = quotas
         self.knowledge = knowledge
--- /dev/null
+++ b/packages/bambootiller/src/bambootiller/gateway/server_admission.py
@@ -0,0 +1,141 @@
+"""Keeps the calls of all entries within the limits that backend servers name.
+
+Whatever is sent to such a backend server takes a permit first: one call of the limit,
+which the allocator shares out (:mod:`allowances`). Those that aren't there go to
+another backend server, wait if there is room in time, or are refused at once.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from bambootiller.gateway.allowances import Allowances, Shortage
+from bambootiller.gateway.server_limits import ServerLimits
+from bambootiller_core.gateway.fleet import Backend
+from bambootiller_core.gateway.named_limits import limit_name, shared_limits
+from bambootiller_core.gateway.quota_account import Spent
+
+KIND = "backend servers"
+#: What a call costs of a limit.
+CALL = 1.0
+#: A call waits no longer than this for the allocator's answer: another backend server
+#: may take it. Seconds.
+ANSWER_S = 0.2
+#: Where there is no room the allocator is asked again after this time at the latest, as
+#: others may ask for less by then. Seconds.
+PAUSE_S = 2.0
+#: The same where no allocator has answered, and when to come back then. Seconds.
+UNKNOWN_S = 0.5
+COME_BACK_S = 1.0
+#: A backend server that had no room counts as short of it for so long. Seconds.
+SHORT_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """When a backend server has room for a call, in seconds; ``known`` is whether an
+    allocator tells."""
+
+    instance: str
+    in_s: float
+    known: bool
+
+
+class Permit:
+    """What lets one call be sent to one backend server."""
+
+    def __init__(self, allowances: Allowances, name: str, spent: Spent) -> None:
+        self._allowances = allowances
+        self._name = name
+        self._spent: Spent | None = spent
+
+    def used(self) -> None:
+        """The call was sent."""
+        self._close(True)
+
+    def give_back(self) -> None:
+        """It wasn't, unless it was said before that it was."""
+        self._close(False)
+
+    def _close(self, sent: bool) -> None:
+        spent, self._spent = self._spent, None
+        if spent is not None:
+            self._allowances.ended(self._name, spent, sent)
+
+
+class ServerAdmission:
+    """The permits of one entry.
+
+    Example::
+
+        permit = await admission.permit(backend)
+        if permit is None: ...  # another backend server, or a refusal
+        permit.used()
+    """
+
+    def __init__(
+        self, limits: ServerLimits, allowances: Allowances, clock: Callable[[], float]
+    ) -> None:
+        self._limits = limits
+        self._allowances = allowances
+        self._clock = clock
+        self._waiting: Counter[str] = Counter()
+        limits.on_change(self._changed)
+
+    def _changed(self) -> None:
+        limits = shared_limits(self._limits.in_force())
+        self._allowances.limited(KIND, limits, PAUSE_S)
+
+    def is_limited(self, backend: Backend) -> bool:
+        """Whether the backend server names a limit."""
+        return self._limits.per_s(backend) is not None
+
+    def is_closed(self, backend: Backend) -> bool:
+        """Whether there is no use in trying for a permit now."""
+        name = limit_name(backend.instance)
+        return self.is_limited(backend) and self._allowances.dry_s(name, CALL) > 0
+
+    def asked(self, backend: Backend) -> None:
+        """A call would go to the backend server, if it may."""
+        if self.is_limited(backend):
+            self._allowances.asked_for(limit_name(backend.instance), CALL)
+
+    async def permit(self, backend: Backend) -> Permit | None:
+        """What lets a call be sent there now."""
+        name = limit_name(backend.instance)
+        found = await self._allowances.obtain(name, CALL, ANSWER_S)
+        if isinstance(found, Spent):
+            return Permit(self._allowances, name, found)
+        backend.short_until = self._clock() + SHORT_S
+        if found is Shortage.UNKNOWN:
+            self._allowances.pause(name, UNKNOWN_S)
+        else:
+            self._allowances.pause(name, ANSWER_S)
+        return None
+
+    def room(self, backends: Iterable[Backend]) -> Room | None:
+        """Where there is room first, behind the calls that wait for it already; None if
+        none of them names a limit."""
+        rooms = [
+            self._room(backend) for backend in backends if self.is_limited(backend)
+        ]
+        return min(rooms, key=lambda room: room.in_s, default=None)
+
+    def _room(self, backend: Backend) -> Room:
+        allowances, name = self._allowances, limit_name(backend.instance)
+        if allowances.allocator is None:
+            return Room(backend.instance, COME_BACK_S, known=False)
+        ahead = self._waiting[backend.instance]
+        in_s = allowances.dry_s(name, CALL) + ahead * allowances.next_in_s(name)
+        return Room(backend.instance, in_s, known=True)
+
+    def begin_waiting(self, room: Room) -> None:
+        """A call waits for room there."""
+        self._waiting[room.instance] += 1
+
+    def end_waiting(self, room: Room) -> None:
+        """It waits no more."""
+        self._waiting[room.instance] -= 1
+        self._waiting += Counter()
--- a/packages/bambootiller/src/bambootiller/gateway/server_limits.py
+++ b/packages/bambootiller/src/bambootiller/gateway/server_limits.py
@@ -1,17 +1,28 @@
-"""Keeps the limits that backend servers name, at one entry."""
+"""What one process knows of the limits that backend servers name.
+
+An entry hears them in answers, and tells the agents that collect the demand; those tell
+all entries, as with lost runs (:mod:`quarantine`).
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+from bambootiller.gateway import wire
 from bambootiller.gateway.eventlog import EventLog
-from bambootiller_core.gateway.fleet import Backend
+from bambootiller.gateway.exchange import Outgoing, Update
+from bambootiller_core.gateway.fleet import Backend, Fleet
 from bambootiller_core.gateway.log_lines import BackendLimit, BackendLimitUnreadable
 from bambootiller_core.gateway.named_limits import NamedLimit, NamedLimits
+from bambootiller_core.timers import TimerService
+
+FORGET_S = 20.0
 
 
 class ServerLimits:
-    """What one entry knows of named limits.
+    """The limits, as answers and other processes tell them.
+
+    ``poke`` tells peers soon what is new.
 
     Example::
 
@@ -19,15 +30,35 @@
         limits.named_none(backend, sent_at)
     """
 
-    def __init__(self, events: EventLog, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, events: EventLog, clock: Callable[[], float], poke: Callable[[], None]
+    ) -> None:
         self._events = events
         self._clock = clock
+        self._poke = poke
         self._limits = NamedLimits()
+        self._listeners: list[Callable[[], None]] = []
+
+    def start(self, timers: TimerService, now: float, fleet: Fleet) -> None:
+        """Begin to forget what is over."""
+
+        def forget(now: float) -> None:
+            if self._limits.forget(now, lambda name: fleet.get(name) is not None):
+                self._changed()
+
+        timers.every("forget named limits", FORGET_S, now, forget)
 
-    @property
-    def count(self) -> int:
-        """How many backend servers name a limit."""
-        return len(self._limits.in_force())
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` whenever other limits hold than before."""
+        self._listeners.append(listener)
+
+    def in_force(self) -> dict[str, float]:
+        """The limits that hold, in calls a second, by backend server."""
+        return self._limits.in_force()
+
+    def per_s(self, backend: Backend) -> float | None:
+        """The limit of a backend server, in calls a second, None without one."""
+        return self._limits.per_s(backend.instance)
 
     def named(self, backend: Backend, per_s: float) -> None:
         """An answer names a limit."""
@@ -41,8 +72,34 @@
         """An answer names something that isn't a limit; what held goes on."""
         self._events.emit(BackendLimitUnreadable(backend.instance, detail))
 
+    def fill(self, update: Update, outgoing: Outgoing, own: bool) -> None:
+        """Put into a message what its receiver hasn't been told yet; ``own`` leaves out
+        what others told, unless the receiver hasn't been told anything."""
+        told = outgoing.told.get("server limits")
+        if told == self._limits.version:
+            return
+        known = told is not None
+        news = self._limits.news(told or 0, own and known, outgoing.peer)
+        outgoing.told["server limits"] = news.version
+        now = self._clock()
+        for limit in news.limits:
+            wire.add_server_limit(update, limit, now)
+
+    def take(self, update: Update, outgoing: Outgoing) -> None:
+        """Take in what a peer tells."""
+        now = self._clock()
+        for message in update.server_limits:
+            self._said(wire.server_limit_of(message, now), outgoing.peer)
+
     def _said(self, limit: NamedLimit, source: str = "") -> None:
-        before = self._limits.per_s(limit.instance)
+        before, version = self._limits.per_s(limit.instance), self._limits.version
         if self._limits.said(limit, source):
             line = BackendLimit(limit.instance, limit.per_s, before, source or "answer")
             self._events.emit(line)
+            self._changed()
+        if self._limits.version != version:
+            self._poke()
+
+    def _changed(self) -> None:
+        for listener in self._listeners:
+            listener()
--- a/packages/bambootiller/src/bambootiller/gateway/wire.py
+++ b/packages/bambootiller/src/bambootiller/gateway/wire.py
@@ -8,6 +8,7 @@
 from bambootiller_core.gateway.crash_ledger import LostRun
 from bambootiller_core.gateway.engine_state import EngineState, Loading
 from bambootiller_core.gateway.incarnation import Incarnation
+from bambootiller_core.gateway.named_limits import NamedLimit
 from bambootiller_core.gateway.order_messages import Wish
 from bambootiller_core.gateway.quota_messages import (
     CustomerAsk,
@@ -168,6 +169,18 @@
     )
 
 
+def add_server_limit(update: pb.ResidencyUpdate, limit: NamedLimit, now: float) -> None:
+    """Put what a backend server said of its limit into a message."""
+    age_ms = max(0, round((now - limit.said_at) * 1000))
+    update.server_limits.add(instance=limit.instance, per_s=limit.per_s, age_ms=age_ms)
+
+
+def server_limit_of(message: pb.ServerLimit, now: float) -> NamedLimit:
+    """The same, received."""
+    per_s = message.per_s if message.HasField("per_s") else None
+    return NamedLimit(message.instance, per_s, now - message.age_ms / 1000)
+
+
 def put_quota_ask(update: pb.ResidencyUpdate, ask: QuotaAsk) -> None:
     """Put an ask for quotas into a message."""
     message = update.quota_ask
--- a/tests/adapter/common/entry.py
+++ b/tests/adapter/common/entry.py
@@ -8,11 +8,13 @@
 import json
 import random
 
+from bambootiller.gateway.allowances import Allowances
 from bambootiller.gateway.front import Front
 from bambootiller.gateway.knowledge import Knowledge
 from bambootiller.gateway.quarantine import Quarantine
 from bambootiller.gateway.quotas import Quotas
 from bambootiller.gateway.relays import Relays
+from bambootiller.gateway.server_admission import ServerAdmission
 from bambootiller.gateway.server_limits import ServerLimits
 from bambootiller_core.gateway.budget import AttemptBudget
 from bambootiller_core.gateway.demand import Demand
@@ -113,9 +115,9 @@
         self.engines = NoEngines()
         self._running = RunningTime(loop.time())
         self._ticking = loop.create_task(self._tick())
-        self.quotas = Quotas(
-            "e1", self.knowledge, QuotaTerms, lambda peer: True, lambda: False
-        )
+        allowances = Allowances("e1", lambda peer: True, lambda: False)
+        limits = ServerLimits(self.events, loop.time, lambda: None)
+        self.quotas = Quotas(self.knowledge, QuotaTerms, allowances)
         self.relays = Relays(
             self.knowledge,
             self.engines,
@@ -128,7 +130,8 @@
             self.ran,
             Quarantine(self.knowledge, self.events, loop.time, lambda: None),
             self.quotas,
-            ServerLimits(self.events, loop.time),
+            limits,
+            ServerAdmission(limits, allowances, loop.time),
         )
         # It has been running for a while: what it doesn't know, it won't learn soon.
         self.relays.began -= 60
--- a/tests/adapter/failures/test_named_limits.py
+++ b/tests/adapter/failures/test_named_limits.py
@@ -1,13 +1,16 @@
-"""Backend servers that name how many calls a second they take, with the real programs."""
+"""Backend servers that name how many calls a second they take, and real programs."""
 
 import asyncio
 import contextlib
+import signal
 import unittest
 
 import aiohttp
+from bambootiller_platform_standins.replica import StandinReplica
 
+from tests.adapter.common.entry import Bench
 from tests.adapter.common.fleet import Fleet, until
-from tests.adapter.cover.test_documents import MODEL
+from tests.adapter.cover.test_documents import MODEL, ROUTE, SERVICE
 
 MODEL_NAME = MODEL["name"]
 LIMIT = 1.9
@@ -111,3 +114,106 @@
             self.assert_kept(fleet)
             served = fleet.served(fleet.named_at + CONTACT_S)
             self.assertGreater(served, 0.95)
+
+    async def test_it_is_kept_while_entries_start_and_agents_stand_still(self):
+        async with LimitedFleet() as fleet:
+            await fleet.begin(entries=3, holders=2)
+            async with contextlib.AsyncExitStack() as calling:
+                await calling.enter_async_context(fleet.callers(fleet.entries, 0.05))
+                fleet.name()
+                await asyncio.sleep(CONTACT_S)
+                for agent in fleet.agents:
+                    agent.process.send_signal(signal.SIGSTOP)
+                    await asyncio.sleep(2.0)
+                    agent.process.send_signal(signal.SIGCONT)
+                later = await fleet.entry("later")
+                await fleet.wait_ready(later)
+                await calling.enter_async_context(fleet.callers([later], 0.05))
+                await asyncio.sleep(WINDOW_S)
+            self.assert_kept(fleet)
+            self.assertGreater(len(fleet.limited.arrivals), 0)
+
+    async def test_it_is_used_again_once_it_names_none(self):
+        async with LimitedFleet() as fleet:
+            await fleet.begin(entries=2, engines=1)
+            async with fleet.callers(fleet.entries, 0.1):
+                fleet.name()
+                await asyncio.sleep(CONTACT_S)
+                self.assertLess(fleet.served(fleet.named_at + 1.0), 0.5)
+                fleet.limited.limit = None
+                ended_at = asyncio.get_running_loop().time()
+                await asyncio.sleep(6.0)
+            self.assertGreater(fleet.served(ended_at + 3.0), 0.95)
+
+    async def test_calls_that_cannot_be_served_are_refused_at_once(self):
+        """The only engine is in need: those it doesn't take are told when to come
+        back."""
+        async with LimitedFleet() as fleet:
+            await fleet.begin(entries=2, engines=1)
+            async with fleet.callers(fleet.entries, 0.1):
+                fleet.name()
+                await asyncio.sleep(CONTACT_S + WINDOW_S)
+            self.assert_kept(fleet)
+            refused = [
+                line
+                for entry in fleet.entries
+                for line in entry.events("refused")
+                if line["reason"] == "backend_limited"
+            ]
+            self.assertGreater(len(refused), 10)
+            for line in refused:
+                self.assertGreaterEqual(line["come_back_s"], 0.25)
+
+    async def test_a_plain_service_is_kept_to_its_limit_too(self):
+        async with LimitedFleet() as fleet:
+            await fleet.begin(entries=3)
+            plain = {**ROUTE, "name": "p", "path-prefix": "/p/", "kind": "safe"}
+            fleet.configure(
+                version=2,
+                routes=[ROUTE, {**plain, "service": "plain"}],
+                services=[SERVICE, {"name": "plain"}],
+            )
+            fleet.limited = await fleet.replica("127.0.0.9", "p-1", "plain")
+            await fleet.replica("127.0.0.10", "p-2", "plain")
+            for entry in fleet.entries:
+                await until(lambda e=entry: self.plain_call(fleet, e), "it is served")
+            fleet.name()
+            end = fleet.named_at + CONTACT_S + WINDOW_S
+            statuses = []
+            while asyncio.get_running_loop().time() < end:
+                calls = [self.plain_call(fleet, entry) for entry in fleet.entries]
+                statuses += await asyncio.gather(*calls)
+                await asyncio.sleep(0.05)
+            self.assert_kept(fleet)
+            self.assertGreater(sum(statuses) / len(statuses), 0.99)
+
+    async def plain_call(self, fleet, entry):
+        status, _ = await fleet.call(entry, "", path="/p/x")
+        return status == 200
+
+
+class TestWithoutAllocator(unittest.IsolatedAsyncioTestCase):
+    """Nobody shares the limit out, so nothing may be sent there."""
+
+    async def asyncSetUp(self):
+        self.bench = Bench()
+        self.bench.configure()
+        self.limited = await self.bench.add(StandinReplica("i-1", "plain"))
+        self.limited.limit = LIMIT
+        self.assertEqual((await self.bench.call()).status, 200)
+
+    async def asyncTearDown(self):
+        await self.bench.close()
+
+    async def test_the_call_is_refused_at_once_and_never_runs(self):
+        began = asyncio.get_running_loop().time()
+        answer = await self.bench.call()
+        self.assertEqual((answer.status, answer.body), (503, b"backend_limited"))
+        self.assertLess(asyncio.get_running_loop().time() - began, 1.0)
+        self.assertEqual(len(self.limited.arrivals), 1)
+
+    async def test_another_backend_server_takes_it(self):
+        other = await self.bench.add(StandinReplica("i-2", "plain"))
+        statuses = [(await self.bench.call()).status for _ in range(20)]
+        self.assertEqual(statuses, [200] * 20)
+        self.assertEqual(len(other.arrivals), 20)
--- a/tests/gateway/common/samples.py
+++ b/tests/gateway/common/samples.py
@@ -1,6 +1,6 @@
 """Small configurations, backend servers and calls for tests of the gateway."""
 
-from bambootiller.gateway.quotas import Quotas
+from bambootiller.gateway.allowances import Allowances
 from bambootiller_core.gateway.calls import Call, ModelAsk
 from bambootiller_core.gateway.config import (
     CallKind,
@@ -15,7 +15,6 @@
 from bambootiller_core.gateway.engine_state import EngineState
 from bambootiller_core.gateway.fleet import Backend, Registered
 from bambootiller_core.gateway.log_lines import Refused
-from bambootiller_core.gateway.quota_terms import QuotaTerms
 
 HOST = "classes.example"
 
@@ -42,11 +41,9 @@
     )
 
 
-def quotas(known=None, clock=lambda: 0.0):
+def allowances(clock=lambda: 0.0):
     """Those of an entry that hears no allocator."""
-    return Quotas(
-        "e1", known, QuotaTerms, lambda peer: True, lambda: False, clock=clock
-    )
+    return Allowances("e1", lambda peer: True, lambda: False, clock)
 
 
 def plain_service(name="plain", **fields):
--- a/tests/gateway/cover/test_collecting.py
+++ b/tests/gateway/cover/test_collecting.py
@@ -187,7 +187,7 @@
         """
         sizes = []
         for count in (5, 500):
-            engines = Engines(App(), Known(), None, None, 7, samples.quotas())
+            engines = Engines(App(), Known(), None, None, 7, samples.allowances())
             fleet = engines._knowledge.fleet
             fleet.engine_told(10.0, samples.engine_state("b1", ("m0", "m1")))
             for number in range(count):
--- a/tests/gateway/failures/test_engines.py
+++ b/tests/gateway/failures/test_engines.py
@@ -60,7 +60,7 @@
         one table for all: each agent's word wiped out what the other service's agents
         had said, so plans were made on whichever spoke last.
         """
-        engines = Engines(App(), Known(), None, None, 7, samples.quotas())
+        engines = Engines(App(), Known(), None, None, 7, samples.allowances())
         engines.received(told("b1", {"poet": Want(rate=3.0, waiting=2)}))
         engines.received(told("b2", {"critic": Want(rate=1.0)}))
         self.assertEqual(engines.plans.wants_of_all("tutor", {})["poet"].waiting, 2)
@@ -68,7 +68,7 @@
         self.assertEqual(engines.plans.wants_of_all("judge", {})["critic"].rate, 1.0)
 
     def test_an_entrys_own_demand_counts_where_it_is_more(self):
-        engines = Engines(App(), Known(), None, None, 7, samples.quotas())
+        engines = Engines(App(), Known(), None, None, 7, samples.allowances())
         engines.received(told("b1", {"poet": Want(rate=3.0, waiting=2)}))
         merged = engines.plans.wants_of_all(
             "tutor", {"poet": Want(rate=1.0, waiting=5)}
@@ -89,7 +89,9 @@
         spec = samples.engine(samples.model("poet"), samples.model("critic"))
         service = samples.ServiceSpec("tutor", None, spec)
         self.known.config = samples.config(services=[service])
-        self.engines = Engines(self.app, self.known, None, None, 7, samples.quotas())
+        self.engines = Engines(
+            self.app, self.known, None, None, 7, samples.allowances()
+        )
         self.plans = []
         made = Planner.plan
 
--- a/tests/gateway/failures/test_silence.py
+++ b/tests/gateway/failures/test_silence.py
@@ -101,7 +101,7 @@
         self.streams = Streams()
         app = App(self.clock)
         self.engines = Engines(
-            app, self.known, self.streams, Events(), 7, samples.quotas()
+            app, self.known, self.streams, Events(), 7, samples.allowances()
         )
         self.stream = Stream("a1")
         self.streams.all.append(self.stream)
@@ -202,7 +202,7 @@
         self.clock = Clock()
         self.known = Known()
         self.engines = Engines(
-            App(self.clock), self.known, Streams(), Events(), 7, samples.quotas()
+            App(self.clock), self.known, Streams(), Events(), 7, samples.allowances()
         )
         self.backend = self.known.fleet.get("b1")
         self.known.fleet.engine_told(10.0, engine_state("b1", ("poet",)))
