Lost answers name the parts of the prompt that other requests may share

What was missing: a lost run's line named its whole request alone, so whether the runs that were lost in several ends of engines have a part in common, or only the route, looked the same in a log.

Change: answer_lost names the shared parts. No decision depends on them yet.

Before: no such field.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
@@ -11,13 +11,15 @@
 #: Taken off the time that a backend server is given, so that its own refusal at the
 #: deadline still reaches the caller. Seconds.
 DEADLINE_MARGIN_S = 0.01
+#: So many parts of a prompt are told apart; a caller may name thousands.
+MOST_SHARED_PARTS = 16
 
 
 @dataclass(frozen=True, slots=True)
 class ModelAsk:
     """What a call of an engine asks for.
 
-    ``prefix`` are the ids of the prompt's parts that other calls may share, in order.
+    ``prefix`` are the ids of the prompt's parts in order.
     """
 
     model: str
@@ -26,6 +28,12 @@
     max_tokens: int = 0
     prefix: tuple[str, ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The parts that other calls may have as well, the first of a long prompt; the
+        last part is the call's own."""
+        return self.prefix[:-1][:MOST_SHARED_PARTS]
+
 
 @dataclass(frozen=True, slots=True)
 class Call:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -191,8 +191,9 @@
 class AnswerLost(LogLine):
     """The connection that a call was sent on broke or brought nothing usable.
 
-    ``fingerprint`` is the same for each try of a request, ``progressed`` whether this
-    run had brought an event."""
+    ``fingerprint`` is the same for each try of a request, ``parts`` are those of its
+    prompt that others may have as well, ``progressed`` is whether this run had brought
+    an event."""
 
     event: ClassVar[str] = "answer_lost"
 
@@ -202,6 +203,7 @@
     reused: bool
     fingerprint: str = ""
     progressed: bool = False
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller/src/bambootiller/gateway/reporting.py
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -120,6 +120,7 @@
                 reused=reused,
                 fingerprint=self._call.fingerprint,
                 progressed=progressed,
+                parts=self._call.ask.shared_parts if self._call.ask else (),
             )
         )
 
--- a/tests/adapter/cover/test_dialect.py
+++ b/tests/adapter/cover/test_dialect.py
@@ -37,6 +37,7 @@
         self.assertEqual((found.ask.model, found.ask.adapter), ("tutor", "a3"))
         self.assertEqual((found.ask.prompt_tokens, found.ask.max_tokens), (1460, 80))
         self.assertEqual(found.ask.prefix, ("5c", "91", "e4"))
+        self.assertEqual(found.ask.shared_parts, ("5c", "91"))
         self.assertEqual((found.deadline_s, found.resume_after), (10.0, 12))
         self.assertEqual(found.target, b"/a/b?q=1")
 
