A test of requests with one bad part in common, of which no two are alike

Real programs, two entries and five engines; calls with the bad part each 0.4 s beside ten sound ones a second that share the first part.

--- /dev/null
+++ b/tests/adapter/failures/test_poison_parts.py
@@ -0,0 +1,111 @@
+"""Requests of which no two are alike, with one part of the prompt in common that ends
+each engine, at any entry and beside sound ones."""
+
+import asyncio
+import contextlib
+import itertools
+import unittest
+
+import aiohttp
+
+from tests.adapter.cover.test_documents import MODEL
+from tests.adapter.failures.test_poison_requests import PoisonedFleet
+
+MODEL_NAME = MODEL["name"]
+FIRST = "5c1e07a2"
+BAD = "badbad01"
+SOUND = ("91bd3f06", "91bd3f07", "91bd3f08")
+#: How soon after the fifth end all entries have to know. Seconds.
+CONTACT_S = 3.0
+#: What may reach engines later than that.
+ALLOWED_LATER = 3
+FIFTH = 5
+
+
+class PoisonPartFleet(PoisonedFleet):
+    """Callers of sound and of bad prompts at each entry."""
+
+    async def begin(self, entries=2, engines=5, bad=(BAD,), **fields):
+        await super().begin(entries, engines, **fields)
+        self.numbers = itertools.count()
+        self.outcomes = []
+        for replica in self.replicas.values():
+            replica.poison_parts = set(bad)
+            replica.events, replica.gap_s = 10, 0.03
+
+    async def send(self, entry, *middle):
+        """A call whose body and last part no other has; returns its status."""
+        number = next(self.numbers)
+        parts = (FIRST, *middle, f"{number:08x}")
+        headers = {
+            "X-Prompt-Prefix": ",".join(f"{part}:100" for part in parts),
+            "X-Deadline-Ms": "6000",
+        }
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            status, _ = await self.call(
+                entry,
+                MODEL_NAME,
+                attempt=f"q-{number}",
+                body=b"%d" % number,
+                headers=headers,
+            )
+            return status
+        return None
+
+    async def send_sound(self, entry, *middle):
+        status = await self.send(entry, *middle)
+        self.outcomes.append((asyncio.get_running_loop().time(), status))
+
+    async def press(self, seconds, bad_every_s, sound_every_s, bad=(BAD,)):
+        """Both kinds of calls for so long, by turns at all entries."""
+        loop = asyncio.get_running_loop()
+        entries, calls = itertools.cycle(self.entries), []
+        end, next_bad, bad_parts = loop.time() + seconds, 0.0, itertools.cycle(bad)
+        sound_parts = itertools.cycle(SOUND)
+        while loop.time() < end:
+            if loop.time() >= next_bad:
+                next_bad = loop.time() + bad_every_s
+                sending = self.send(next(entries), next(bad_parts), next(sound_parts))
+                calls.append(asyncio.create_task(sending))
+            sending = self.send_sound(next(entries), next(sound_parts))
+            calls.append(asyncio.create_task(sending))
+            await asyncio.sleep(sound_every_s)
+        await asyncio.gather(*calls)
+
+    def ends(self):
+        """When engines ended, in order."""
+        times = [at for item in self.replicas.values() for at in item.crash_times]
+        return sorted(times)
+
+    def arrivals_after(self, time):
+        """Poison requests that reached engines later than that."""
+        arrivals = [
+            at for item in self.replicas.values() for at in item.poison_arrivals
+        ]
+        return sum(at > time for at in arrivals)
+
+    def sound_served(self, since, until=float("inf")):
+        """The part of the sound calls that ended then and were served."""
+        found = [status for at, status in self.outcomes if since <= at < until]
+        return sum(status == 200 for status in found) / max(1, len(found))
+
+
+class TestPoisonPart(unittest.IsolatedAsyncioTestCase):
+    """Each was at its first end, so nobody held any back."""
+
+    def assert_kept_out(self, fleet, parts=1):
+        ends = fleet.ends()
+        if len(ends) >= FIFTH * parts:
+            known_at = ends[FIFTH * parts - 1] + CONTACT_S
+            later = fleet.arrivals_after(known_at)
+            self.assertLessEqual(later, ALLOWED_LATER * parts, len(ends))
+        # The last end is soon after the first.
+        self.assertLess(ends[-1] - ends[0], 2 * CONTACT_S * parts)
+
+    async def test_requests_with_it_reach_no_engine_after_some_ends(self):
+        async with PoisonPartFleet() as fleet:
+            await fleet.begin()
+            await fleet.press(20.0, bad_every_s=0.4, sound_every_s=0.1)
+            self.assert_kept_out(fleet)
+            known_at = fleet.ends()[-1] + 2 * CONTACT_S
+            self.assertGreater(fleet.sound_served(known_at), 0.9)
