Parts of prompts are suspects of a crash beside whole requests

What callers saw: calls that share a first part with bad ones were lost with the engines that these ended, and refused while the engines held nothing.

Cause: the ledger of crashes counted by whole requests, so requests of which no two are alike were each at their first crash.

Ruled out: that entries hear of it too late (no two had a name in common to be told of), another reason of the ends (at each just one lost run had brought no event).

Change: each lost run has its request and the shared parts of its prompt as suspects, kept, told, recorded and judged alike. A completion clears the parts for a minute; of a request and a part at the same crashes the request is held; of two parts that only came together, a request with one of them runs and tells.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
@@ -1,16 +1,21 @@
-"""Which requests end the backend servers that run them.
+"""Which requests end the backend servers that run them, and which parts of prompts.
 
 Such a request takes down one backend server with each try, and with it every other run
 there. It is kept from further ones after its third crash: a circuit breaker for one
-request. The ledger holds runs that were lost, by the request's fingerprint, from all
-entries; what ended a backend server can't be seen, so it has to be told from those that
-only ran beside it:
+request. Where a part of the prompt is what does it, the requests that have it differ;
+so each part that others may share is a suspect beside the whole request. The ledger
+holds runs that were lost, by the names of their suspects, from all entries; what ended
+a backend server can't be seen, so it has to be told from those that only ran beside it:
 
-- A request of which a run has completed is sound, whatever it was at.
+- A request of which a run has completed is sound, whatever it was at; and so are the
+  parts of its prompt, for as long as completions go on.
 - A lost run counts as a crash only if that start of the backend server ended with it,
   and for half if an event had come from it: a request that ends whatever begins to run
   it gets no further.
-- Crashes at which a quarantined request was count against no other.
+- Crashes at which a quarantined request was count against no other. Of a request and a
+  part that were at the same ones, the request is quarantined: fewer are kept out by it.
+- Of two parts that were at the same crashes either may be the cause. A request that has
+  one of them alone still runs, and tells which it is.
 - Requests that share crashes are run again one after the other (:data:`TURN_S`), so
   that the next crash tells them apart.
 
@@ -22,7 +27,7 @@
 import enum
 import heapq
 from collections import OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 
 from bambootiller_core.gateway.incarnation import Incarnation
@@ -50,8 +55,18 @@
 FINAL_S = 20.0
 #: Requests of which lost runs are kept. The least suspicious are forgotten first.
 MOST_REQUESTS = 1024
-#: Requests known to be sound, from the latest completions.
+#: Requests known to be sound, and as many parts, from the latest completions.
 MOST_SOUND = 4096
+#: A part is taken for sound so long after a request with it has completed. Seconds; it
+#: may end what runs it after a change of the weights.
+SOUND_PART_S = 60.0
+#: What stands before the id of a part in its name.
+PART = "part "
+
+
+def part_name(part: str) -> str:
+    """The name of a part of a prompt as a suspect."""
+    return PART + part
 
 
 class Fate(enum.Enum):
@@ -89,11 +104,19 @@
 @dataclass(frozen=True, slots=True)
 class Admission:
     """Whether a request may run, and in how many seconds to ask again if not.
-    ``crashes`` is how many count against it, unsettled ones included."""
+    ``crashes`` is how many count against the suspect ``name``, unsettled ones
+    included."""
 
     standing: Standing
     again_s: float = 0.0
     crashes: float = 0.0
+    name: str = ""
+
+    @property
+    def severity(self) -> tuple[int, float]:
+        """Of several, the one with the greatest decides."""
+        order = (Standing.ADMITTED, Standing.WAITS, Standing.QUARANTINED)
+        return order.index(self.standing), self.again_s
 
 
 ADMITTED = Admission(Standing.ADMITTED)
@@ -139,7 +162,9 @@
 
     def __init__(self) -> None:
         self._runs: dict[str, dict[Incarnation, _Record]] = {}
-        self._sound: OrderedDict[str, None] = OrderedDict()
+        #: Sound requests, and sound parts, by when that was known.
+        self._sound: OrderedDict[str, float] = OrderedDict()
+        self._sound_parts: OrderedDict[str, float] = OrderedDict()
         #: Sound requests that others may suspect, with the version and the source.
         self._cleared: OrderedDict[str, tuple[int, str]] = OrderedDict()
         #: Those of which it may still show what became of the backend server.
@@ -152,7 +177,7 @@
     def run_lost(self, run: LostRun, source: str = "") -> bool:
         """A run ended without an answer; returns whether that is news."""
         name = run.fingerprint
-        if name in self._sound:
+        if self._is_sound(name, run.lost_at):
             if source and name not in self._cleared:
                 self._clear(name, "")
             return False
@@ -169,13 +194,14 @@
         self._forget_least()
         return True
 
-    def completed(self, fingerprint: str, source: str = "") -> int:
+    def completed(self, fingerprint: str, source: str = "", now: float = 0.0) -> int:
         """A run of the request was answered whole; returns how many lost runs that
         explains."""
-        self._sound[fingerprint] = None
-        self._sound.move_to_end(fingerprint)
-        if len(self._sound) > MOST_SOUND:
-            self._sound.popitem(last=False)
+        sound = self._sound_parts if _is_part(fingerprint) else self._sound
+        sound[fingerprint] = now
+        sound.move_to_end(fingerprint)
+        if len(sound) > MOST_SOUND:
+            sound.popitem(last=False)
         lost = len(self._runs.pop(fingerprint, ()))
         if lost or (source and fingerprint not in self._cleared):
             self._clear(fingerprint, source)
@@ -205,24 +231,57 @@
         self._judge()
         return [self._told(name) for name in self._quarantined if name not in before]
 
-    def admission(self, now: float, fingerprint: str) -> Admission:
-        """Whether the request may run now."""
-        records = self._runs.get(fingerprint)
-        if not records:
-            return ADMITTED
+    def admission(self, now: float, *names: str) -> Admission:
+        """Whether a request with these suspects may run now."""
+        found = [
+            self._admission(now, name, names) for name in names if name in self._runs
+        ]
+        return max(found, key=lambda item: item.severity, default=ADMITTED)
+
+    def _admission(
+        self, now: float, fingerprint: str, names: Collection[str]
+    ) -> Admission:
         last_at = self._last_at(fingerprint)
         crashes = self._count(fingerprint, Fate.CRASHED, Fate.OPEN)
         left_s = last_at + QUARANTINE_S - now
-        if fingerprint in self._quarantined and left_s > 0:
-            return Admission(Standing.QUARANTINED, left_s, crashes)
+        quarantined = fingerprint in self._quarantined and left_s > 0
+        if quarantined and not self._tells_apart(fingerprint, names):
+            return Admission(Standing.QUARANTINED, left_s, crashes, fingerprint)
         if crashes >= MOST_CRASHES and self._count(fingerprint, Fate.OPEN):
-            return Admission(Standing.WAITS, LOOK_AGAIN_S, crashes)
+            return Admission(Standing.WAITS, LOOK_AGAIN_S, crashes, fingerprint)
         if crashes < SUSPECT_CRASHES:
             return ADMITTED
         wait_s = last_at + self._turn(fingerprint) * TURN_S - now
         if wait_s > 0:
-            return Admission(Standing.WAITS, wait_s, crashes)
-        return Admission(Standing.ADMITTED, 0.0, crashes)
+            return Admission(Standing.WAITS, wait_s, crashes, fingerprint)
+        return Admission(Standing.ADMITTED, 0.0, crashes, fingerprint)
+
+    def _tells_apart(self, part: str, names: Collection[str]) -> bool:
+        """Whether a part that the request doesn't have was at all crashes of the
+        quarantined one, so that a run of the request tells which of both it is."""
+        if not _is_part(part):
+            return False
+        crashes = self._crashes(part)
+        others = [name for name in self._runs if _is_part(name) and name not in names]
+        return any(
+            crashes.keys() <= found.keys()
+            and all(found[at] >= weight for at, weight in crashes.items())
+            for found in map(self._crashes, others)
+        )
+
+    def _crashes(self, name: str) -> dict[Incarnation, float]:
+        """How much each crash counts at which the suspect was."""
+        return {
+            incarnation: record.run.weight
+            for incarnation, record in self._runs[name].items()
+            if record.fate is Fate.CRASHED
+        }
+
+    def _is_sound(self, name: str, at: float) -> bool:
+        if not _is_part(name):
+            return name in self._sound
+        known_at = self._sound_parts.get(name)
+        return known_at is not None and at - known_at < SOUND_PART_S
 
     def news(self, since: int, own: bool, but_from: str) -> News:
         """What has been learnt since a version; ``own`` leaves out what others told,
@@ -329,15 +388,16 @@
             if crashes >= MOST_CRASHES:
                 # Of two that were at as many, the one that was at the latest: the other
                 # may have been kept from it.
-                suspects.append((-crashes, -self._last_at(name), name))
+                last_at = self._last_at(name)
+                suspects.append((-crashes, _is_part(name), -last_at, name))
         heapq.heapify(suspects)
         while suspects:
-            before, last_at, name = heapq.heappop(suspects)
+            before, is_part, last_at, name = heapq.heappop(suspects)
             crashes = self._count(name, Fate.CRASHED)
             if crashes < MOST_CRASHES:
                 continue
             if crashes < -before:
-                heapq.heappush(suspects, (-crashes, last_at, name))
+                heapq.heappush(suspects, (-crashes, is_part, last_at, name))
                 continue
             self._quarantined[name] = crashes
             self._explained |= {
@@ -363,6 +423,10 @@
         return Quarantined(name, self._quarantined[name], tuple(sorted(backends)))
 
 
+def _is_part(name: str) -> bool:
+    return name.startswith(PART)
+
+
 def _goes_out(version: int, source: str, since: int, own: bool, but_from: str) -> bool:
     if version <= since or (own and source):
         return False
--- a/packages/bambootiller/src/bambootiller/gateway/keeping_apart.py
+++ b/packages/bambootiller/src/bambootiller/gateway/keeping_apart.py
@@ -9,7 +9,7 @@
 from bambootiller_core.gateway import attempts
 from bambootiller_core.gateway.attempts import Reason, Refusal
 from bambootiller_core.gateway.calls import Call, Progress
-from bambootiller_core.gateway.crash_ledger import Admission, Standing
+from bambootiller_core.gateway.crash_ledger import PART, Admission, Standing
 
 #: A call is held no longer than this, and no more than this part of the time that it
 #: has left: a caller that would be refused in the end had better know at once. Seconds.
@@ -63,4 +63,6 @@
 def _refusal(reason: Reason, admission: Admission) -> Refusal:
     come_back_s = max(admission.again_s, attempts.COME_BACK_S)
     detail = f"{admission.crashes:g} crashes of backend servers"
+    if admission.name.startswith(PART):
+        detail = f"{admission.name}: {detail}"
     return Refusal(reason, come_back_s, detail)
--- a/packages/bambootiller/src/bambootiller/gateway/quarantine.py
+++ b/packages/bambootiller/src/bambootiller/gateway/quarantine.py
@@ -17,11 +17,13 @@
 from bambootiller_core.gateway.calls import Call
 from bambootiller_core.gateway.crash_evidence import fate_of
 from bambootiller_core.gateway.crash_ledger import (
+    ADMITTED,
     Admission,
     CrashLedger,
     Fate,
     LostRun,
     Standing,
+    part_name,
 )
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.incarnation import Incarnation
@@ -94,15 +96,16 @@
         if backend.registered.leaving:
             # It was about to end whatever ran there.
             return
-        self._lost(call.fingerprint, backend.incarnation, progressed)
+        self._lost(_names(call), backend.incarnation, progressed)
 
     def completed(self, call: Call) -> None:
         """A run of the call was answered whole."""
-        self._completed(call.fingerprint)
+        for name in _names(call):
+            self._completed(name)
 
     def load_lost(self, model: str, engine: Incarnation, seconds: float) -> None:
         """The engine stopped to answer ``seconds`` after the load of a model began."""
-        self._lost(LOAD + model, engine, seconds > LOAD_BEGINS_S)
+        self._lost((LOAD + model,), engine, seconds > LOAD_BEGINS_S)
 
     def load_completed(self, model: str) -> None:
         """The load of a model has ended well."""
@@ -115,7 +118,9 @@
 
     def admission(self, call: Call) -> Admission:
         """Whether the call may be sent to a backend server now."""
-        return self._ledger.admission(self._clock(), call.fingerprint)
+        if self._ledger.is_empty:
+            return ADMITTED
+        return self._ledger.admission(self._clock(), *_names(call))
 
     def admits(self, call: Call) -> bool:
         """Whether the call may be sent at once."""
@@ -123,7 +128,7 @@
 
     def suspects(self, call: Call) -> bool:
         """Whether runs of the request were lost and nothing has explained them yet."""
-        return bool(self._ledger.lost_runs(call.fingerprint))
+        return any(self._ledger.lost_runs(name) for name in _names(call))
 
     def fill(self, update: Update, outgoing: Outgoing, own: bool) -> None:
         """Put into a message what its receiver hasn't been told yet; ``own`` leaves out
@@ -147,7 +152,7 @@
         for message in update.lost_runs:
             self._ledger.run_lost(wire.lost_run_of(message, now), outgoing.peer)
         for fingerprint in update.sound:
-            lost_runs = self._ledger.completed(fingerprint, outgoing.peer)
+            lost_runs = self._ledger.completed(fingerprint, outgoing.peer, now)
             if lost_runs:
                 line = RequestCleared(fingerprint, lost_runs, outgoing.peer)
                 self._events.emit(line)
@@ -155,14 +160,17 @@
             self.settle(now)
             self._poke()
 
-    def _lost(self, name: str, incarnation: Incarnation, progressed: bool) -> None:
+    def _lost(
+        self, names: Iterable[str], incarnation: Incarnation, progressed: bool
+    ) -> None:
         now = self._clock()
-        if self._ledger.run_lost(LostRun(name, incarnation, progressed, now)):
+        runs = [LostRun(name, incarnation, progressed, now) for name in names]
+        if any([self._ledger.run_lost(run) for run in runs]):
             self.settle(now)
             self._poke()
 
     def _completed(self, name: str) -> None:
-        lost_runs = self._ledger.completed(name)
+        lost_runs = self._ledger.completed(name, now=self._clock())
         if lost_runs:
             self._events.emit(RequestCleared(name, lost_runs, "run"))
             self._poke()
@@ -181,3 +189,11 @@
             self._events.emit(RequestQuarantined(name, found.crashes, found.backends))
             if self._listener is not None and self._ledger.lost_one(name):
                 self._listener(name, self._ledger.lost_runs(name))
+
+
+def _names(call: Call) -> tuple[str, ...]:
+    """What may end the backend servers that run the call: its whole request, or a part
+    of its prompt that others may have as well."""
+    if call.ask is None:
+        return (call.fingerprint,)
+    return (call.fingerprint, *map(part_name, call.ask.shared_parts))
--- a/tests/adapter/failures/test_poison_parts.py
+++ b/tests/adapter/failures/test_poison_parts.py
@@ -109,3 +109,23 @@
             self.assert_kept_out(fleet)
             known_at = fleet.ends()[-1] + 2 * CONTACT_S
             self.assertGreater(fleet.sound_served(known_at), 0.9)
+
+    async def test_several_parts_at_once_are_kept_out(self):
+        bad = [f"badbad{number:02x}" for number in range(5)]
+        async with PoisonPartFleet() as fleet:
+            await fleet.begin(engines=6, bad=bad)
+            await fleet.press(25.0, bad_every_s=0.3, sound_every_s=0.1, bad=bad)
+            self.assert_kept_out(fleet, parts=len(bad))
+
+    async def test_an_entry_that_starts_later_keeps_it_out_and_serves_the_others(self):
+        async with PoisonPartFleet() as fleet:
+            await fleet.begin(entries=1)
+            await fleet.press(6.0, bad_every_s=0.4, sound_every_s=0.1)
+            ended = len(fleet.ends())
+            late = await fleet.entry("late")
+            await fleet.wait_ready(late)
+            fleet.entries = [late]
+            await fleet.press(5.0, bad_every_s=0.4, sound_every_s=0.1)
+            self.assertEqual(len(fleet.ends()), ended)
+            loop = asyncio.get_running_loop()
+            self.assertGreater(fleet.sound_served(loop.time() - 3.0), 0.9)
--- a/tests/gateway/cover/test_crash_ledger.py
+++ b/tests/gateway/cover/test_crash_ledger.py
@@ -7,11 +7,13 @@
     KEPT_S,
     MOST_REQUESTS,
     QUARANTINE_S,
+    SOUND_PART_S,
     TURN_S,
     CrashLedger,
     Fate,
     LostRun,
     Standing,
+    part_name,
 )
 from bambootiller_core.gateway.fleet import Fleet
 from bambootiller_core.gateway.incarnation import Incarnation
@@ -244,3 +246,78 @@
         self.begin()
         self.assertIs(self.fate(10.0 + LISTED_S), Fate.OPEN)
         self.assertIs(self.fate(10.1 + LISTED_S), Fate.SURVIVED)
+
+
+BAD, NEIGHBOUR, COMMON = map(part_name, ("bad", "neighbour", "common"))
+
+
+class TestParts(Case):
+    """Requests of which no two are alike were each at their first crash, whatever part
+    they had in common."""
+
+    def call_standing(self, *names, now=100.0):
+        return self.ledger.admission(now, *names).standing
+
+    def test_the_part_that_all_share_is_quarantined(self):
+        self.ledger.completed(COMMON, now=0.0)
+        for number in range(3):
+            self.crash(number, f"r{number}", COMMON, BAD)
+        self.assert_quarantined(BAD)
+        kept_out = self.call_standing("another", COMMON, BAD)
+        self.assertIs(kept_out, Standing.QUARANTINED)
+        self.assertIs(self.call_standing("another", COMMON), Standing.ADMITTED)
+
+    def test_a_part_is_sound_as_long_as_requests_with_it_complete(self):
+        self.ledger.completed(BAD, now=0.0)
+        for number in range(3):
+            self.crash(number, BAD, at=SOUND_PART_S - 1 + number)
+        self.assert_quarantined()
+        for number in range(3, 5):
+            self.crash(number, BAD, at=SOUND_PART_S + number)
+        self.assert_quarantined(BAD)
+
+    def test_one_that_completes_after_all_is_cleared(self):
+        for number in range(3):
+            self.crash(number, BAD)
+        self.ledger.completed(BAD, "a1", now=5.0)
+        self.assert_quarantined()
+
+    def test_a_request_that_explains_the_crashes_goes_before_its_parts(self):
+        for number in range(3):
+            self.crash(number, "p", BAD)
+        self.assert_quarantined("p")
+        self.assertIs(self.call_standing("another", BAD), Standing.ADMITTED)
+        self.crash(3, "another", BAD)
+        self.assert_quarantined(BAD)
+
+    def test_of_two_that_come_together_a_request_with_one_of_them_tells(self):
+        for number in range(3):
+            self.crash(number, f"r{number}", BAD, NEIGHBOUR)
+        both = self.call_standing("r9", BAD, NEIGHBOUR)
+        self.assertIs(both, Standing.QUARANTINED)
+        for part in (BAD, NEIGHBOUR):
+            self.assertIs(self.call_standing("r9", part), Standing.ADMITTED)
+        self.ledger.completed(NEIGHBOUR, now=10.0)
+        self.assert_quarantined(BAD)
+        self.assertIs(self.call_standing("r9", BAD), Standing.QUARANTINED)
+
+    def test_and_one_that_ends_another_tells_too(self):
+        for number in range(3):
+            self.crash(number, f"r{number}", BAD, NEIGHBOUR)
+        self.crash(3, "r9", BAD)
+        self.assertIs(self.call_standing("r9", BAD), Standing.QUARANTINED)
+        self.assertIs(self.call_standing("r9", NEIGHBOUR), Standing.ADMITTED)
+
+    def test_one_that_brings_events_first_is_kept_out_after_six_crashes(self):
+        for number in range(5):
+            self.crash(number, BAD, progressed=(BAD,))
+        self.assert_quarantined()
+        self.crash(5, BAD, progressed=(BAD,))
+        self.assertIs(self.call_standing("r9", BAD), Standing.QUARANTINED)
+
+    def test_several_at_once_are_told_apart(self):
+        bad = [part_name(f"bad{number}") for number in range(5)]
+        for number in range(15):
+            self.crash(number, f"r{number}", COMMON, bad[number % 5])
+            self.ledger.completed(COMMON, now=float(number))
+        self.assert_quarantined(*bad)
