Tests of answers that end with their connection

No test held that: a stream that ends behind its last event is whole, one that ends in an event or is reset goes on elsewhere, and one that can't doesn't look whole. Open: a stream whose backend server ends by an ordinary close between two events can't be told from one that has ended.

--- /dev/null
+++ b/tests/adapter/failures/test_unframed_answers.py
@@ -0,0 +1,86 @@
+"""Answers with neither a length nor chunks, which end with their connection."""
+
+import unittest
+
+from bambootiller_platform_standins.replica import StandinReplica
+
+from tests.adapter.common.entry import MODEL_NAME, Bench
+
+EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, 6)]
+WHOLE = b"".join(EVENTS)
+
+
+class TestUnframedStreams(unittest.IsolatedAsyncioTestCase):
+    """A stream that was broken off in an event could pass for one that had ended."""
+
+    async def asyncSetUp(self):
+        self.bench = Bench()
+        self.bench.configure()
+        for number in range(2):
+            replica = StandinReplica(f"i-{number}", "llm", (MODEL_NAME,))
+            await self.bench.add(replica)
+
+    async def asyncTearDown(self):
+        await self.bench.close()
+
+    def first_answer(self, *pieces, reset=False):
+        """The first answer of whoever gets the call first ends behind these bytes."""
+
+        def reply(replica):
+            def unframed(request):
+                for other in self.bench.replicas:
+                    other.next_replies.clear()
+                found = replica.answer(request, length=False, close=True)
+                found.pieces, found.reset = pieces, reset
+                return found
+
+            return unframed
+
+        for replica in self.bench.replicas:
+            replica.next_replies.append(reply(replica))
+
+    async def call(self):
+        return await self.bench.call(path=b"/a/x", x_model=MODEL_NAME)
+
+    def runs(self):
+        return sum(len(replica.runs) for replica in self.bench.replicas)
+
+    async def test_one_that_ends_behind_its_last_event_is_whole(self):
+        self.first_answer(*EVENTS)
+        answer = await self.call()
+        self.assertEqual((answer.body, answer.whole), (WHOLE, True))
+        self.assertEqual(self.runs(), 1)
+
+    async def test_one_that_ends_in_an_event_is_gone_on_with_elsewhere(self):
+        for cut in (
+            b"id",
+            b"id: 3",
+            b"id: 3\n",
+            b"id: 3\ndata: 3",
+            b"id: 3\ndata: 3\n",
+        ):
+            with self.subTest(cut=cut):
+                before = self.runs()
+                self.first_answer(*EVENTS[:2], cut)
+                answer = await self.call()
+                self.assertEqual((answer.body, answer.whole), (WHOLE, True))
+                self.assertEqual(self.runs() - before, 2)
+
+    async def test_one_that_is_reset_between_two_events_is_gone_on_with_too(self):
+        self.first_answer(*EVENTS[:2], reset=True)
+        answer = await self.call()
+        self.assertEqual((answer.body, answer.whole), (WHOLE, True))
+        self.assertEqual(self.runs(), 2)
+
+    async def test_one_that_cannot_be_gone_on_with_does_not_look_whole(self):
+        for replica in self.bench.replicas:
+
+            def unframed(request, replica=replica):
+                found = replica.answer(request, length=False, close=True)
+                found.pieces = (*EVENTS[:2], b"id: 3")
+                return found
+
+            replica.next_replies = [unframed] * 9
+        answer = await self.call()
+        self.assertFalse(answer.whole)
+        self.assertEqual(answer.body, b"".join(EVENTS[:2]))
