An entry that gets most callers has the connections for them

What callers would see: refusals while engines have places. Cause: an entry's connections to a backend server were bounded by the part of one entry in 24 (12 of 300, 10 and fewer on larger fleets), and where they were used up the backend server counted as out of reach, so later calls went elsewhere or were refused, too. Seen by reading, then in the test: one entry of 24, two engines with 8 places each, 20 calls at once: cannot_connect, 12 open.

Change: up to two connections for each call that the backend server serves at once, half of what it takes at most; connections that are used up say nothing of its health. Ruled out for now: moves off silent engines, which end their search by that judgement.

Before: the test fails.

--- a/packages/bambootiller/src/bambootiller/gateway/pools.py
+++ b/packages/bambootiller/src/bambootiller/gateway/pools.py
@@ -24,6 +24,11 @@
     """No connection was made, so nothing was sent."""
 
 
+class PoolExhausted(CannotConnect):
+    """This process has as many connections there as it may; that says nothing of the
+    backend server."""
+
+
 class ConnectionPool:
     """The kept connections to one backend server.
 
@@ -53,7 +58,7 @@
                 return conn
             self._drop(conn)
         if self.open >= self._most:
-            raise CannotConnect(f"{self.open} connections are open, the most allowed")
+            raise PoolExhausted(f"{self.open} connections are open, the most allowed")
         self.open += 1
         try:
             return await self._connect(min(CONNECT_S, timeout_s))
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -11,7 +11,7 @@
 from bambootiller.gateway.elsewhere import Elsewhere, Prepared, Stays
 from bambootiller.gateway.keeping_apart import KeepingApart
 from bambootiller.gateway.placing import LOOK_AGAIN_S, Placing
-from bambootiller.gateway.pools import CannotConnect
+from bambootiller.gateway.pools import CannotConnect, PoolExhausted
 from bambootiller.gateway.ports import AnswerHead, Incoming
 from bambootiller.gateway.quotas import Admission
 from bambootiller.gateway.relays import Relays
@@ -206,7 +206,8 @@
             pool = relays.pool(backend)
             return await pool.acquire(now, self._call.deadline - now, fresh=again)
         except CannotConnect as exc:
-            relays.unreached(self._call.service, backend)
+            if not isinstance(exc, PoolExhausted):
+                relays.unreached(self._call.service, backend)
             self.report.cannot_connect(backend, str(exc))
             progress.tried.append(backend.incarnation)
             return None
--- a/packages/bambootiller/src/bambootiller/gateway/relays.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -32,6 +32,12 @@
 STARTING_S = 1.5
 #: No entry has fewer than this, however many share the limit.
 LEAST_CONNECTIONS = 8
+#: An entry that gets most callers for a while may have so many connections for each
+#: call that a backend server serves at once, more than it sends it: those that are
+#: being made count too.
+CONNECTIONS_A_SLOT = 2
+#: But no more than this part of what the backend server takes.
+ONE_ENTRY_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -169,5 +175,7 @@
         service = config.services.get(backend.registered.service) if config else None
         if service is None or service.max_connections is None:
             return MOST_CONNECTIONS
-        share = service.max_connections // max(2, len(self.engines.plans.entries))
-        return max(LEAST_CONNECTIONS, share)
+        most = service.max_connections
+        share = most // max(2, len(self.engines.plans.entries))
+        wanted = CONNECTIONS_A_SLOT * backend.registered.slots
+        return max(LEAST_CONNECTIONS, share, min(wanted, int(ONE_ENTRY_SHARE * most)))
--- a/tests/adapter/failures/test_calls.py
+++ b/tests/adapter/failures/test_calls.py
@@ -466,3 +466,26 @@
         answer = await self.bench.call(path=b"/a/x", x_model=MODEL_NAME)
         self.assertEqual((answer.status, answer.whole), (200, True))
         self.assertEqual(len(silent), 1)
+
+
+class TestOneEntryThatGetsMostCallers(unittest.IsolatedAsyncioTestCase):
+    """Its part of the connections was that of any other entry: beyond it, engines with
+    places counted as out of reach and callers were refused."""
+
+    CALLS = 20
+
+    async def test_it_may_use_the_places_that_engines_have(self):
+        bench = Bench()
+        bench.configure()
+        bench.engines.plans.entries = tuple(f"e{number}" for number in range(24))
+        self.addAsyncCleanup(bench.close)
+        for number in range(2):
+            replica = StandinReplica(f"i-{number}", "llm", (MODEL_NAME,))
+            replica.gap_s = 0.1
+            await bench.add(replica)
+        calls = [
+            bench.call(path=b"/a/x", x_model=MODEL_NAME) for _ in range(self.CALLS)
+        ]
+        answers = await asyncio.gather(*calls)
+        self.assertEqual([answer.status for answer in answers], [200] * self.CALLS)
+        self.assertEqual(bench.events.of("cannot_connect"), [])
