An entry with more work than time turns a part of new connections away unread

What callers would see: each call at that entry waits for all others, later and later. Cause: an entry took every connection, whatever its loop had still to do. Ruled out: refusing calls that were read, as a read call counts as this entry's and costs the work.

Change: a loop that is 60 ms and more late (beyond 30 ms that are in order) three times in a row closes a growing part of new connections unread, 0.9 at most, and says that it isn't ready from a half on; callers go to other entries at once. A single standstill doesn't count.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_beliefs.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_beliefs.py
@@ -220,6 +220,17 @@
     away_ms: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Overloaded(LogLine):
+    """This entry has more work than time, and closes a part of the new connections
+    unread (``begins``), or takes all again. ``late_s`` is how late its loop was."""
+
+    event: ClassVar[str] = "overloaded"
+
+    begins: bool
+    late_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StoodStill(LogLine):
     """This process didn't look at its sockets for ``seconds``: it was starved of its
--- a/packages/bambootiller/src/bambootiller/gateway/bounded.py
+++ b/packages/bambootiller/src/bambootiller/gateway/bounded.py
@@ -44,16 +44,21 @@
 
 
 def bounded_protocol(
-    limits: Callable[[], CallLimits], refused: Refused, leaving: Callable[[], bool]
+    limits: Callable[[], CallLimits],
+    refused: Refused,
+    leaving: Callable[[], bool],
+    turns_away: Callable[[], bool] = lambda: False,
 ) -> type[HttpToolsProtocol]:
     """The server's protocol with the limits that are in force when a head comes;
     ``refused`` is told of each head that is left. While ``leaving`` holds, each
-    connection is closed with the answer on it."""
+    connection is closed with the answer on it; one for which ``turns_away`` holds when
+    it comes is closed unread."""
 
     class BoundedProtocol(_BoundedProtocol):
         get_limits = staticmethod(limits)
         on_refused = staticmethod(refused)
         is_leaving = staticmethod(leaving)
+        closes_unread = staticmethod(turns_away)
 
     return BoundedProtocol
 
@@ -64,6 +69,7 @@
     get_limits: Callable[[], CallLimits]
     on_refused: Refused
     is_leaving: Callable[[], bool]
+    closes_unread: Callable[[], bool]
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """A caller has connected, and is due to send something."""
@@ -74,6 +80,10 @@
         self._refused = False
         self._due: asyncio.TimerHandle | None = None
         self._expect(self.get_limits().idle_timeout_s)
+        if self.closes_unread():
+            # Whatever comes on it is dropped unread.
+            self._refused = True
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is down."""
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -34,6 +34,7 @@
 from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.budget import AttemptBudget
 from bambootiller_core.gateway.config import CallLimits
+from bambootiller_core.gateway.overload import Overload
 
 #: A leaving entry takes new calls for this long: the balancer has to miss its readiness
 #: twice, a second apart, before it sends no new connections. Seconds.
@@ -129,10 +130,18 @@
         self._front = Front(
             self._relays, own_pages, self.is_ready, lambda: self._leaving
         )
+        self._overload = Overload()
+        self._standstills.on_tick(self._ticked)
         protocol = bounded_protocol(
             self._limits, self._head_refused, lambda: self._leaving
         )
-        self._callers = HttpServer(self._front, places.callers, protocol)
+        for_callers = bounded_protocol(
+            self._limits,
+            self._head_refused,
+            lambda: self._leaving,
+            self._turns_away,
+        )
+        self._callers = HttpServer(self._front, places.callers, for_callers)
         #: One port may serve both.
         self._balancer = (
             HttpServer(self._front, places.ready, protocol)
@@ -203,10 +212,22 @@
         )
         self._events.emit(line)
 
+    def _ticked(self, late_s: float) -> None:
+        before = self._overload.share
+        self._overload.tick(late_s)
+        if bool(before) != bool(self._overload.share):
+            begins = not before
+            self._events.emit(lines.Overloaded(begins, round(late_s, 3)))
+
+    def _turns_away(self) -> bool:
+        return self._app.rng.random() < self._overload.share
+
     def is_ready(self) -> bool:
         """Whether the balancer may send new connections here."""
         if self.knowledge.config is None or self._leaving:
             return False
+        if not self._overload.is_ready:
+            return False
         if not any(True for _ in self.knowledge.fleet):
             return False
         # It would send on what the other entries have found to end engines.
@@ -296,6 +317,11 @@
             "Backend servers that name a limit",
             lambda: len(engines.server_limits.in_force()),
         )
+        meters.level(
+            "connections_turned_away_share",
+            "The part of new connections that is closed unread",
+            lambda: self._overload.share,
+        )
         meters.level("engine_streams", "Streams to agents", engines.stream_count)
 
     def _register(self, server: object) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/standstills.py
+++ b/packages/bambootiller/src/bambootiller/gateway/standstills.py
@@ -70,6 +70,7 @@
         self._app = app
         self._events = events
         self._running = RunningTime(app.now())
+        self._listeners: list[Callable[[float], None]] = []
         self.own_time = OwnTime(app.now, self._running.ran)
 
     def start(self) -> None:
@@ -78,6 +79,10 @@
         self._running.tick(now)
         self._app.timers.every("running time", TICK_S, now, self._tick)
 
+    def on_tick(self, listener: Callable[[float], None]) -> None:
+        """Call ``listener`` with how late each tick is, in seconds."""
+        self._listeners.append(listener)
+
     def ran(self) -> float:
         """How long the process has run. Seconds; only differences mean something."""
         return self._running.ran(self._app.now())
@@ -88,5 +93,7 @@
 
     def _tick(self, now: float) -> None:
         stood_still_s = self._running.tick(now)
+        for listener in self._listeners:
+            listener(stood_still_s)
         if stood_still_s >= TOLD_S:
             self._events.emit(StoodStill(round(stood_still_s, 3)))
--- /dev/null
+++ b/tests/adapter/failures/test_overload.py
@@ -0,0 +1,57 @@
+"""An entry that the balancer hands more connections than it can serve."""
+
+import asyncio
+import contextlib
+import unittest
+
+from bambootiller.entry.httpserver import HttpServer
+from bambootiller.gateway.bounded import bounded_protocol
+from bambootiller.settings import Address
+from bambootiller_core.gateway.config import CallLimits
+
+REQUEST = b"POST /a/x HTTP/1.1\r\nhost: classes.example\r\ncontent-length: 1\r\n\r\nx"
+
+
+class TestTurnedAway(unittest.IsolatedAsyncioTestCase):
+    """Read and then dropped, a call that may not be repeated would be lost."""
+
+    async def asyncSetUp(self):
+        self.calls, self.turns_away = 0, False
+        protocol = bounded_protocol(
+            CallLimits, lambda why: None, lambda: False, lambda: self.turns_away
+        )
+        self.server = HttpServer(self.app, Address("127.0.0.1", 0), protocol)
+        self.server.bind()
+        self.serving = asyncio.create_task(self.server.serve())
+
+    async def asyncTearDown(self):
+        await self.server.stop(1.0)
+        await self.serving
+
+    async def app(self, scope, receive, send):
+        self.calls += 1
+        start = {"type": "http.response.start", "status": 200, "headers": []}
+        await send(start)
+        await send({"type": "http.response.body", "body": b"done"})
+
+    async def connect(self):
+        return await asyncio.open_connection("127.0.0.1", self.server.port)
+
+    async def ask(self, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            writer.write(REQUEST)
+            async with asyncio.timeout(5.0):
+                return await reader.read(64)
+        return b""
+
+    async def test_a_new_connection_is_closed_unread(self):
+        self.turns_away = True
+        self.assertEqual(await self.ask(*await self.connect()), b"")
+        self.assertEqual(self.calls, 0)
+
+    async def test_one_that_was_taken_before_goes_on(self):
+        streams = await self.connect()
+        self.assertTrue((await self.ask(*streams)).startswith(b"HTTP/1.1 200"))
+        self.turns_away = True
+        self.assertTrue((await self.ask(*streams)).startswith(b"HTTP/1.1 200"))
+        self.assertEqual(self.calls, 2)
--- /dev/null
+++ b/tests/gateway/cover/test_overload.py
@@ -0,0 +1,37 @@
+"""Which part of new connections is turned away."""
+
+import unittest
+
+from bambootiller_core.gateway.overload import BUSY_S, MOST_SHARE, SUSTAINED, Overload
+
+
+class TestOverload(unittest.TestCase):
+    def setUp(self):
+        self.overload = Overload()
+
+    def ticks(self, count, late_s):
+        for _ in range(count):
+            self.overload.tick(late_s)
+
+    def test_a_pause_turns_nobody_away(self):
+        """An instance that was suspended took no caller when it was back."""
+        self.ticks(1, 8.0)
+        self.ticks(5, 0.0)
+        self.ticks(SUSTAINED - 1, 2 * BUSY_S)
+        self.assertEqual(self.overload.share, 0.0)
+        self.assertTrue(self.overload.is_ready)
+
+    def test_more_work_than_time_turns_away_more_and_more(self):
+        self.ticks(SUSTAINED, 2 * BUSY_S)
+        first = self.overload.share
+        self.assertGreater(first, 0.0)
+        self.ticks(4, 2 * BUSY_S)
+        self.assertGreater(self.overload.share, first)
+        self.ticks(40, 2 * BUSY_S)
+        self.assertEqual(self.overload.share, MOST_SHARE)
+        self.assertFalse(self.overload.is_ready)
+
+    def test_it_ends_with_the_work(self):
+        self.ticks(40, 2 * BUSY_S)
+        self.ticks(40, 0.0)
+        self.assertEqual(self.overload.share, 0.0)
