--- a/tests/adapter/failures/test_overload.py
+++ b/tests/adapter/failures/test_overload.py
@@ -21,7 +21,14 @@
         protocol = bounded_protocol(
             CallLimits, lambda why: None, lambda: False, lambda: self.turns_away
         )
-        self.server = HttpServer(self.app, Address("127.0.0.1", 0), protocol)
+
+        async def app(scope, receive, send):
+            self.calls += 1
+            start = {"type": "http.response.start", "status": 200, "headers": LENGTH}
+            await send(start)
+            await send({"type": "http.response.body", "body": b"done"})
+
+        self.server = HttpServer(app, Address("127.0.0.1", 0), protocol)
         self.server.bind()
         self.serving = asyncio.create_task(self.server.serve())
 
@@ -29,12 +36,6 @@
         await self.server.stop(1.0)
         await self.serving
 
-    async def app(self, scope, receive, send):
-        self.calls += 1
-        start = {"type": "http.response.start", "status": 200, "headers": LENGTH}
-        await send(start)
-        await send({"type": "http.response.body", "body": b"done"})
-
     async def connect(self):
         return await asyncio.open_connection("127.0.0.1", self.server.port)
 
