The soak names limits and sends requests with a bad part

The soak gets two faults and two checks: what a replica gets in 4 s under a limit that it names, and how many requests with a bad part reach engines 3 s after the fifth end, both by way of entries that were well.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,6 +19,10 @@
 #: begin later.
 MOST_CRASHES = 3
 MOST_LATE = 3
+#: The same of a part of prompts.
+MOST_PART_CRASHES = 5
+#: In which time calls are counted against a limit that a replica names. Seconds.
+WINDOW_S = 4.0
 #: Faults count for a call if they ended no longer before it: connections made while a
 #: path was injured may be lost later. Seconds.
 AFTERMATH_S = 3.0
@@ -35,6 +39,8 @@
     broken += _replicas(world, injuries)
     broken += _configs(world)
     broken += _poison(world, injuries)
+    broken += _poison_part(world, injuries)
+    broken += _limits(world, injuries)
     return broken
 
 
@@ -42,20 +48,69 @@
     """Only a few tries of a request reach engines later than a moment after the third
     of them ended with it, by way of entries that were well."""
     engines = world.all_replicas()
-    crashes = sorted(at for engine in engines for at in engine.crash_times)
-    if len(crashes) < MOST_CRASHES:
-        return
-    known_by = crashes[MOST_CRASHES - 1] + CONTACT_S
-    runs = [at for engine in engines for at in engine.poison_times if at > known_by]
-    late = [at for at in runs if _sent_by_a_sound_entry(world, injuries, at)]
-    if len(late) > MOST_LATE:
-        yield f"poison: {len(late)} late runs, {len(crashes)} engines ended"
+    crashes = [at for engine in engines for at in engine.crash_times]
+    runs = [at for engine in engines for at in engine.poison_times]
+    late = _late(crashes, MOST_CRASHES, runs, world.poisonings, injuries)
+    if late > MOST_LATE:
+        yield f"poison: {late} late runs, {len(crashes)} engines ended"
 
 
-def _sent_by_a_sound_entry(world, injuries, at):
+def _poison_part(world, injuries):
+    """The same of requests with a bad part, after the fifth end."""
+    engines = world.all_replicas()
+    crashes = [at for engine in engines for at in engine.part_crash_times]
+    runs = [at for engine in engines for at in engine.part_times]
+    late = _late(crashes, MOST_PART_CRASHES, runs, world.part_poisonings, injuries)
+    if late > MOST_LATE:
+        yield f"poison part: {late} late runs, {len(crashes)} engines ended"
+
+
+def _late(crashes, most, runs, attempts, injuries):
+    """How many runs were sent by entries that were well when all had to know."""
+    if len(crashes) < most:
+        return 0
+    known_by = sorted(crashes)[most - 1] + CONTACT_S
+    return sum(
+        at > known_by and _sent_by_a_sound_entry(attempts, injuries, at) for at in runs
+    )
+
+
+def _limits(world, injuries):
+    """What a replica gets under the limit that it names, by way of entries that were
+    well."""
+    for replica in world.all_replicas():
+        for began, ended, per_s in replica.named:
+            times = [
+                at
+                for at, attempt in replica.arrived
+                if began + CONTACT_S <= at < ended
+                and not _was_cut_off(replica, attempt, injuries, at)
+            ]
+            most = max((_within(times, at, WINDOW_S) for at in times), default=0)
+            if most > 1.5 * per_s * WINDOW_S + 5:
+                yield f"{replica.instance}: {most} calls in {WINDOW_S} s at {per_s}"
+
+
+def _within(times, begin, seconds):
+    return sum(begin <= at < begin + seconds for at in times)
+
+
+def _was_cut_off(replica, attempt, injuries, at):
+    """Whether the entry that sent the attempt, or its way there, was injured."""
+    entry = attempt.partition("-")[0]
+    name = replica.instance.rpartition("-")[0]
+    return any(
+        (entry in injury.on or (injury.name != "limit" and name in injury.on))
+        and injury.began <= at
+        and injury.ended + CONTACT_S >= at
+        for injury in injuries
+    )
+
+
+def _sent_by_a_sound_entry(attempts, injuries, at):
     senders = {
         attempt.entry
-        for attempt in world.poisonings
+        for attempt in attempts
         if attempt.sent_at <= at and at <= (attempt.ended_at or at)
     }
     return any(not _was_injured(entry, injuries, at) for entry in senders)
--- a/tests/soak/cover/test_checks.py
+++ b/tests/soak/cover/test_checks.py
@@ -23,6 +23,8 @@
         run = SimpleNamespace(headers={"x-request-attempt": made.id})
         fields = {"instance": "r-1", "overfull": [], "left_at": None, "run_times": []}
         fields |= {"crash_times": [], "poison_times": []}
+        fields |= {"part_crash_times": [], "part_times": []}
+        fields |= {"arrived": [], "named": []}
         found = SimpleNamespace(runs=[run] * runs, **{**fields, **replica})
         world = SimpleNamespace(
             ended=[],
@@ -30,6 +32,7 @@
             _programs=[],
             entries={},
             poisonings=poisonings,
+            part_poisonings=poisonings,
         )
         return check(world, [SimpleNamespace(attempts=[made])], list(injuries))
 
@@ -95,3 +98,15 @@
         self.assertIn("4 late runs", text)
         injury = Injury("pause", "e0", False, 105.0, 106.0)
         self.assertEqual(self.broken(made, injuries=[injury], **seen), [])
+
+    def test_calls_beyond_a_named_limit_are_found(self):
+        named = [(90.0, 110.0, 1.0)]
+        arrived = [(100.0 + number / 10, f"e0-0-{number}") for number in range(12)]
+        (text,) = self.broken(attempt(), named=named, arrived=arrived)
+        self.assertIn("12 calls in 4.0 s at 1.0", text)
+        self.assertEqual(self.broken(attempt(), named=named, arrived=arrived[:11]), [])
+        early = [(at - 8.0, name) for at, name in arrived]
+        self.assertEqual(self.broken(attempt(), named=named, arrived=early), [])
+        pause = Injury("pause", "e0", False, 98.0, 99.0)
+        found = self.broken(attempt(), named=named, arrived=arrived, injuries=[pause])
+        self.assertEqual(found, [])
--- a/tests/soak/failures/test_soak.py
+++ b/tests/soak/failures/test_soak.py
@@ -16,3 +16,13 @@
     async def test_a_request_that_ends_engines_is_kept_from_them(self):
         report = await soak(11, SECONDS, "out/soak", ("poison",), engines=3)
         self.assertEqual(report.broken, [], report)
+
+    async def test_a_limit_holds_among_entries_that_start_and_freeze(self):
+        faults = ("limit", "kill", "pause", "store")
+        report = await soak(21, SECONDS, "out/soak", faults, engines=3)
+        self.assertEqual(report.broken, [], report)
+
+    async def test_a_bad_part_is_kept_out_among_them_too(self):
+        faults = ("poison part", "kill", "pause", "store")
+        report = await soak(22, SECONDS, "out/soak", faults, engines=4)
+        self.assertEqual(report.broken, [], report)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 from bambootiller_platform_standins.store import Trouble
 
 from tests.soak.proxy import Mode
-from tests.soak.world import POISON, Client
+from tests.soak.world import POISON, POISON_PART, Client
 
 FAULTS = {}
 #: The faults of which the first seeds drew. A seed draws others if there are more to
@@ -128,6 +128,10 @@
     return "the poison request"
 
 
+def _poison_part(world, rng):
+    return "the poison part"
+
+
 def _store(world, rng):
     return "the store"
 
@@ -249,6 +253,31 @@
         await asyncio.sleep(rng.uniform(0.1, 0.8))
 
 
+@fault("poison part")
+@on(_poison_part)
+async def poison_part(world, target, rng):
+    """Requests with a part that ends engines, no two alike, come at any entry."""
+    for _ in range(rng.randint(8, 16)):
+        name = rng.choice(sorted(world.entries))
+        number = len(world.part_poisonings)
+        client = Client(world, name, f"part-{number}", rng)
+        body = b"part %d" % number
+        attempt = await client.call("stream", body, (POISON_PART,))
+        world.part_poisonings.append(attempt)
+        await client.close()
+        await asyncio.sleep(rng.uniform(0.1, 0.5))
+
+
+@fault("limit")
+@on(_replica)
+async def limit(world, target, rng):
+    """A replica names how many calls a second it takes."""
+    replica = world.replicas[target]
+    replica.name_limit(round(rng.uniform(0.5, 4.0), 1))
+    await asyncio.sleep(rng.uniform(4.0, 9.0))
+    replica.name_none()
+
+
 @fault("store")
 @on(_store)
 async def store(world, target, rng):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -21,6 +21,8 @@
 TIMEOUT_S = 4.0
 #: The body of a request that ends each engine that runs it.
 POISON = b"poison"
+#: The first part of each prompt, and one that ends each engine that runs it.
+FIRST_PART, POISON_PART = "f1157", "badbad"
 
 _MODELS = [{**MODEL, "name": name, "load-s": 1.0} for name in MODELS]
 _SERVICES = [
@@ -53,14 +55,24 @@
 class SoakReplica(StandinReplica):
     """Answers with the caller's id, so that an answer of somebody else's shows.
 
-    A poison request ends it; while it is down it closes each connection at once, as its
-    port may be needed by other faults meanwhile."""
+    A poison request or part ends it; while it is down it closes each connection at
+    once, as its port may be needed by other faults meanwhile.
+    """
 
     def __init__(self, *args):
         super().__init__(*args)
         self.poison = POISON
+        self.poison_parts = {POISON_PART}
         self.poison_times = []
         self.crash_times = []
+        #: The same of requests that have the bad part.
+        self.part_times = []
+        self.part_crash_times = []
+        self._ended_by_part = False
+        #: Calls that arrived, by time and id, and the limits that it named: from when,
+        #: until when, how many a second.
+        self.arrived = []
+        self.named = []
         self._down = False
         self.run_times = []
         self.left_at = None
@@ -70,7 +82,8 @@
 
     async def crash(self):
         self.crashes += 1
-        self.crash_times.append(asyncio.get_running_loop().time())
+        times = self.part_crash_times if self._ended_by_part else self.crash_times
+        times.append(asyncio.get_running_loop().time())
         self._down = True
         self.restart()
         await asyncio.sleep(self.down_s)
@@ -82,10 +95,30 @@
             raise ConnectionResetError
         return await super()._handle(request)
 
+    def _reply(self, request):
+        at = asyncio.get_running_loop().time()
+        self.arrived.append((at, request.headers.get("x-request-attempt", "")))
+        return super()._reply(request)
+
     def _poisoned(self, request):
-        self.poison_times.append(asyncio.get_running_loop().time())
+        by_part = request.body != POISON
+        times = self.part_times if by_part else self.poison_times
+        times.append(asyncio.get_running_loop().time())
+        if self._crashing is None or self._crashing.done():
+            self._ended_by_part = by_part
         return super()._poisoned(request)
 
+    def name_limit(self, per_s):
+        """Name a limit from now on."""
+        self.limit = per_s
+        self.named.append((asyncio.get_running_loop().time(), float("inf"), per_s))
+
+    def name_none(self):
+        """Name no limit any more."""
+        self.limit = None
+        began, _, per_s = self.named.pop()
+        self.named.append((began, asyncio.get_running_loop().time(), per_s))
+
     def answer(self, request, **fields):
         body = request.headers.get("x-request-attempt", "").encode()
         self.run_times.append(asyncio.get_running_loop().time())
@@ -117,8 +150,9 @@
         self.gone = []
         self.in_force = 0
         self.ended = []
-        #: The tries of the poison request.
+        #: The tries of the poison request, and requests with the bad part.
         self.poisonings = []
+        self.part_poisonings = []
         self._starts = 0
         self._ports = (quiet_port(), quiet_port())
 
@@ -320,8 +354,8 @@
             pause = 0.02 if attempt.status == 200 else 0.2
             await asyncio.sleep(min(attempt.come_back_s or pause, 1.0))
 
-    async def call(self, kind, body=b"b"):
-        """One call."""
+    async def call(self, kind, body=b"b", parts=()):
+        """One call; ``parts`` are those of its prompt behind the first."""
         loop = asyncio.get_running_loop()
         attempt_id = f"{self._name}-{self._number}-{len(self.attempts)}"
         attempt = Attempt(attempt_id, kind, self._name, loop.time())
@@ -330,6 +364,8 @@
         headers["X-Deadline-Ms"] = str(round(TIMEOUT_S * 1000))
         if kind == "stream":
             headers["X-Model"] = self._rng.choice(MODELS)
+            prompt = (FIRST_PART, *parts, attempt_id.encode().hex())
+            headers["X-Prompt-Prefix"] = ",".join(f"{part}:9" for part in prompt)
         listen = self._world.entries[self._name].form["listen"]["front"]
         url = f"http://{listen}/{kind}/x"
         try:
