--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -257,7 +257,7 @@
 @on(_poison_part)
 async def poison_part(world, target, rng):
     """Requests with a part that ends engines, no two alike, come at any entry."""
-    for _ in range(rng.randint(8, 16)):
+    for _ in range(rng.randint(24, 36)):
         name = rng.choice(sorted(world.entries))
         number = len(world.part_poisonings)
         client = Client(world, name, f"part-{number}", rng)
