Names of what an entry keeps of limits; one place for the kinds of limits

A reading of the diff: relays.limits and relays.admission said nothing of backend servers beside quotas and their admissions, and pauses of limits that were gone stayed in a table.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/quota_allocator.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/quota_allocator.py
@@ -1,5 +1,7 @@
 """Divides the limit of each customer among the entries, so that nothing is given twice.
 
+The limits that backend servers name are divided like those of customers.
+
 The allocator is the one process that may hand out parts of a limit. An entry holds a
 share of it, a part of rate and depth, for as long as :data:`quota_messages.SHARE_S`
 after it asked; what isn't held by anybody is the allocator's own bucket, from which it
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/quota_messages.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/quota_messages.py
@@ -1,4 +1,8 @@
-"""What entries ask of the allocator of quotas, and what it answers."""
+"""What entries ask of the allocator of quotas, and what it answers.
+
+A customer stands for each limit that is shared out: backend servers name limits too
+(:mod:`named_limits`).
+"""
 
 from __future__ import annotations
 
--- a/packages/bambootiller/src/bambootiller/gateway/allowances.py
+++ b/packages/bambootiller/src/bambootiller/gateway/allowances.py
@@ -80,6 +80,14 @@
     told_demand: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Kind:
+    """Limits that are told together."""
+
+    limits: Mapping[str, Limit]
+    pause_s: float
+
+
 class Allowances:
     """The accounts of all limits at one entry, by the names of the limits.
 
@@ -106,9 +114,10 @@
         self._is_starting = is_starting
         self.clock = clock
         self._books: dict[str, _Book] = {}
-        self._kinds: dict[str, Mapping[str, Limit]] = {}
-        self._pauses: dict[str, float] = {}
+        self._kinds: dict[str, _Kind] = {}
         self._limits: dict[str, Limit] = {}
+        #: For how long nothing is asked where there is no room.
+        self._pauses: dict[str, float] = {}
         self._allocator: Outgoing | None = None
         self._term = 0
         self._heard = 0
@@ -131,15 +140,12 @@
     ) -> None:
         """The limits of one kind are these from now on. Where there is no room, it is
         asked again after ``pause_s`` at most."""
-        self._kinds[kind] = dict(limits)
-        self._pauses.update(dict.fromkeys(limits, pause_s))
-        self._limits = {
-            name: limit
-            for of_kind in self._kinds.values()
-            for name, limit in of_kind.items()
-        }
+        self._kinds[kind] = _Kind(dict(limits), pause_s)
+        self._limits, self._pauses = {}, {}
+        for found in self._kinds.values():
+            self._limits.update(found.limits)
+            self._pauses.update(dict.fromkeys(found.limits, found.pause_s))
         for name in [name for name in self._books if name not in self._limits]:
-            self._pauses.pop(name, None)
             for waiter in self._books.pop(name).waiters:
                 # There is no limit any more.
                 _decide(waiter, Spent(0.0, 0.0))
@@ -176,7 +182,8 @@
 
     def shares(self, kind: str) -> dict[str, float]:
         """The parts of the limits of one kind that this entry holds."""
-        names = self._kinds.get(kind, {})
+        found = self._kinds.get(kind)
+        names = found.limits if found is not None else ()
         return {
             name: book.account.share
             for name, book in self._books.items()
--- a/packages/bambootiller/src/bambootiller/gateway/placing.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placing.py
@@ -91,7 +91,7 @@
         return await self._engine_place()
 
     async def _permitted(self, backend: Backend) -> bool:
-        admission = self._relays.admission
+        admission = self._relays.server_admission
         if not admission.is_limited(backend):
             return True
         if backend.instance not in self._asked_at:
@@ -111,7 +111,7 @@
             backend
             for backend in self.untried()
             if (ask is None or backend.serves(now, ask.model, ask.adapter))
-            and not self._relays.admission.is_limited(backend)
+            and not self._relays.server_admission.is_limited(backend)
         ]
         return self._choose(able)
 
@@ -131,7 +131,9 @@
     def _choose(self, candidates: list[Backend]) -> Backend | None:
         relays = self._relays
         open_ones = [
-            backend for backend in candidates if not relays.admission.is_closed(backend)
+            backend
+            for backend in candidates
+            if not relays.server_admission.is_closed(backend)
         ]
         self.candidates = len(open_ones)
         return selection.choose(
@@ -160,14 +162,14 @@
         free = [
             backend for backend in candidates if not selection.is_full(backend, now)
         ]
-        room = self._relays.admission.room(free)
+        room = self._relays.server_admission.room(free)
         if room is None:
             return Refusal(Reason.OVERLOADED, attempts.COME_BACK_S)
         due = min(self._call.next_event_due(self._progress), self._call.deadline)
         begins = self._awaited is None and now + room.in_s < due - FIRST_EVENT_S
         if begins and room.known:
             self._awaited = room
-            self._relays.admission.begin_waiting(room)
+            self._relays.server_admission.begin_waiting(room)
         if self._awaited is not None and room.known and now < due - FIRST_EVENT_S:
             return None
         detail = f"{room.instance} has room in {room.in_s:.2f} s"
@@ -176,7 +178,7 @@
     def _wait_no_more(self) -> None:
         room, self._awaited = self._awaited, None
         if room is not None:
-            self._relays.admission.end_waiting(room)
+            self._relays.server_admission.end_waiting(room)
 
     async def _engine_place(self) -> Backend | Refusal:
         """An engine that holds the model and the adapter, waiting for one if need
--- a/packages/bambootiller/src/bambootiller/gateway/relays.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relays.py
@@ -66,11 +66,11 @@
         ran: Ran,
         quarantine: Quarantine,
         quotas: Quotas,
-        limits: ServerLimits,
-        admission: ServerAdmission,
+        server_limits: ServerLimits,
+        server_admission: ServerAdmission,
     ) -> None:
-        self.limits = limits
-        self.admission = admission
+        self.server_limits = server_limits
+        self.server_admission = server_admission
         self.quarantine = quarantine
         self.quotas = quotas
         self.knowledge = knowledge
--- a/packages/bambootiller/src/bambootiller/gateway/sending.py
+++ b/packages/bambootiller/src/bambootiller/gateway/sending.py
@@ -150,7 +150,7 @@
     def _note_limit(self, attempt: Attempt, head: AnswerHead, verdict: Verdict) -> None:
         """Note what limit an answer names. That it names none counts only where the
         call was served: what else answers may not know."""
-        backend, limits = attempt.backend, self._relays.limits
+        backend, limits = attempt.backend, self._relays.server_limits
         limit = self._relays.dialect.limit(head)
         if isinstance(limit, Unreadable):
             limits.unreadable(backend, limit.detail)
