--- a/packages/bambootiller/src/bambootiller/gateway/server_admission.py
+++ b/packages/bambootiller/src/bambootiller/gateway/server_admission.py
@@ -94,8 +94,9 @@
 
     def is_closed(self, backend: Backend) -> bool:
         """Whether there is no use in trying for a permit now."""
-        name = limit_name(backend.instance)
-        return self.is_limited(backend) and self._allowances.dry_s(name, CALL) > 0
+        if not self.is_limited(backend):
+            return False
+        return self._allowances.dry_s(limit_name(backend.instance), CALL) > 0
 
     def asked(self, backend: Backend) -> None:
         """A call would go to the backend server, if it may."""
