What a peer hasn't been told yet is reckoned in one place

Now Untold (core) and Outgoing.untold do. No behaviour changes. 67 tests of the ledger, of limits, of messages and of real programs pass.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
@@ -31,6 +31,7 @@
 from dataclasses import dataclass
 
 from bambootiller_core.gateway.incarnation import Incarnation
+from bambootiller_core.gateway.telling import Untold
 
 #: A request is quarantined once this many crashes count against it.
 MOST_CRASHES = 3.0
@@ -137,7 +138,6 @@
 
     runs: tuple[LostRun, ...]
     sound: tuple[str, ...]
-    version: int
 
 
 @dataclass(slots=True)
@@ -283,20 +283,19 @@
         known_at = self._sound_parts.get(name)
         return known_at is not None and at - known_at < SOUND_PART_S
 
-    def news(self, since: int, own: bool, but_from: str) -> News:
-        """What has been learnt since a version; ``own`` leaves out what others told,
-        ``but_from`` what that peer did."""
+    def news(self, untold: Untold) -> News:
+        """What has been learnt that a peer hasn't been told."""
         runs = tuple(
             record.run
             for record in self._records()
-            if _goes_out(record.version, record.source, since, own, but_from)
+            if untold.covers(record.version, record.source)
         )
         sound = tuple(
             name
             for name, (version, source) in self._cleared.items()
-            if _goes_out(version, source, since, own, but_from)
+            if untold.covers(version, source)
         )
-        return News(runs, sound, self.version)
+        return News(runs, sound)
 
     def forget(self, now: float) -> None:
         """Drop lost runs past their time."""
@@ -425,9 +424,3 @@
 
 def _is_part(name: str) -> bool:
     return name.startswith(PART)
-
-
-def _goes_out(version: int, source: str, since: int, own: bool, but_from: str) -> bool:
-    if version <= since or (own and source):
-        return False
-    return not source or source != but_from
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/named_limits.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/named_limits.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from bambootiller_core.gateway.quota_terms import Limit
+from bambootiller_core.gateway.telling import Untold
 
 #: What was said of a backend server that is gone, or no limit any more, is forgotten
 #: after this time. Seconds; longer than word of it is under way.
@@ -57,14 +58,6 @@
     said_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class LimitsNews:
-    """What was said since another version."""
-
-    limits: tuple[NamedLimit, ...]
-    version: int
-
-
 @dataclass(slots=True)
 class _Record:
     limit: NamedLimit
@@ -118,16 +111,13 @@
             if record.limit.per_s is not None
         }
 
-    def news(self, since: int, own: bool, but_from: str) -> LimitsNews:
-        """What was said since a version; ``own`` leaves out what others told,
-        ``but_from`` what that peer did."""
-        found = tuple(
+    def news(self, untold: Untold) -> list[NamedLimit]:
+        """What was said that a peer hasn't been told."""
+        return [
             record.limit
             for record in self._records.values()
-            if record.version > since
-            and not (record.source and (own or record.source == but_from))
-        )
-        return LimitsNews(found, self.version)
+            if untold.covers(record.version, record.source)
+        ]
 
     def forget(self, now: float, is_known: Callable[[str], bool]) -> bool:
         """Drop what is over; ``is_known`` tells whether a backend server is still
--- a/packages/bambootiller/src/bambootiller/gateway/quarantine.py
+++ b/packages/bambootiller/src/bambootiller/gateway/quarantine.py
@@ -133,12 +133,10 @@
     def fill(self, update: Update, outgoing: Outgoing, own: bool) -> None:
         """Put into a message what its receiver hasn't been told yet; ``own`` leaves out
         what others told, unless the receiver hasn't been told anything."""
-        told = outgoing.told.get("quarantine")
-        if told == self._ledger.version:
+        untold = outgoing.untold("quarantine", self._ledger.version, own)
+        if untold is None:
             return
-        known = told is not None
-        news = self._ledger.news(told or 0, own and known, outgoing.peer)
-        outgoing.told["quarantine"] = news.version
+        news = self._ledger.news(untold)
         now = self._clock()
         for run in news.runs:
             wire.add_lost_run(update, run, now)
--- a/packages/bambootiller/src/bambootiller/gateway/server_limits.py
+++ b/packages/bambootiller/src/bambootiller/gateway/server_limits.py
@@ -75,14 +75,11 @@
     def fill(self, update: Update, outgoing: Outgoing, own: bool) -> None:
         """Put into a message what its receiver hasn't been told yet; ``own`` leaves out
         what others told, unless the receiver hasn't been told anything."""
-        told = outgoing.told.get("server limits")
-        if told == self._limits.version:
+        untold = outgoing.untold("server limits", self._limits.version, own)
+        if untold is None:
             return
-        known = told is not None
-        news = self._limits.news(told or 0, own and known, outgoing.peer)
-        outgoing.told["server limits"] = news.version
         now = self._clock()
-        for limit in news.limits:
+        for limit in self._limits.news(untold):
             wire.add_server_limit(update, limit, now)
 
     def take(self, update: Update, outgoing: Outgoing) -> None:
--- a/tests/gateway/cover/test_crash_ledger.py
+++ b/tests/gateway/cover/test_crash_ledger.py
@@ -17,6 +17,7 @@
 )
 from bambootiller_core.gateway.fleet import Fleet
 from bambootiller_core.gateway.incarnation import Incarnation
+from bambootiller_core.gateway.telling import Untold
 from tests.gateway.common.samples import engine_state, registered
 
 
@@ -165,16 +166,16 @@
         self.assertEqual(self.names(1, False, "e2"), ["q"])
 
     def names(self, *which):
-        return [run.fingerprint for run in self.ledger.news(*which).runs]
+        return [run.fingerprint for run in self.ledger.news(Untold(*which)).runs]
 
     def test_two_processes_that_tell_each_other_agree(self):
         other = CrashLedger()
         for number in range(2):
             self.crash(number, "p")
         other.run_lost(lost("p", 2))
-        for run in self.ledger.news(0, False, "b").runs:
+        for run in self.ledger.news(Untold(0, False, "b")).runs:
             other.run_lost(run, "a")
-        for run in other.news(0, False, "a").runs:
+        for run in other.news(Untold(0, False, "a")).runs:
             self.ledger.run_lost(run, "b")
         for ledger in (self.ledger, other):
             ledger.settle(1.0, crashed)
@@ -184,15 +185,15 @@
     def test_who_is_told_of_a_sound_request_tells_others(self):
         self.crash(1, "s")
         self.ledger.completed("s", source="e1")
-        self.assertEqual(self.ledger.news(0, False, "e2").sound, ("s",))
-        self.assertEqual(self.ledger.news(0, False, "e1").sound, ())
+        self.assertEqual(self.ledger.news(Untold(0, False, "e2")).sound, ("s",))
+        self.assertEqual(self.ledger.news(Untold(0, False, "e1")).sound, ())
         self.assertTrue(self.ledger.is_empty)
 
     def test_who_knows_better_answers_a_suspicion(self):
         self.ledger.completed("s")
-        self.assertEqual(self.ledger.news(0, False, "e1").sound, ())
+        self.assertEqual(self.ledger.news(Untold(0, False, "e1")).sound, ())
         self.ledger.run_lost(lost("s", 1), source="e1")
-        self.assertEqual(self.ledger.news(0, False, "e1").sound, ("s",))
+        self.assertEqual(self.ledger.news(Untold(0, False, "e1")).sound, ("s",))
 
 
 class TestFate(unittest.TestCase):
--- a/tests/gateway/cover/test_named_limits.py
+++ b/tests/gateway/cover/test_named_limits.py
@@ -3,6 +3,7 @@
 import unittest
 
 from bambootiller_core.gateway.named_limits import KEPT_S, NamedLimit, NamedLimits
+from bambootiller_core.gateway.telling import Untold
 
 
 class TestNamedLimits(unittest.TestCase):
@@ -32,18 +33,19 @@
     def test_news_leave_out_what_the_peer_told(self):
         self.say(1.9, 10.0)
         self.say(0.5, 10.0, "a1", "i-2")
-        everything = self.limits.news(0, False, "a2")
-        self.assertEqual({item.instance for item in everything.limits}, {"i-1", "i-2"})
-        for_teller = self.limits.news(0, False, "a1")
-        self.assertEqual([item.instance for item in for_teller.limits], ["i-1"])
-        self.assertEqual(self.limits.news(everything.version, False, "a2").limits, ())
+        everything = self.limits.news(Untold(0, False, "a2"))
+        self.assertEqual({item.instance for item in everything}, {"i-1", "i-2"})
+        for_teller = self.limits.news(Untold(0, False, "a1"))
+        self.assertEqual([item.instance for item in for_teller], ["i-1"])
+        since = Untold(self.limits.version, False, "a2")
+        self.assertEqual(self.limits.news(since), [])
 
     def test_a_peer_with_an_earlier_word_is_told_the_later_one(self):
         self.say(1.9, 10.0, "a1")
         version = self.limits.version
         self.assertFalse(self.say(None, 9.0, "a1"))
-        news = self.limits.news(version, True, "a1")
-        self.assertEqual([item.per_s for item in news.limits], [1.9])
+        news = self.limits.news(Untold(version, True, "a1"))
+        self.assertEqual([item.per_s for item in news], [1.9])
 
     def test_a_limit_lasts_as_long_as_its_backend_server_is_known(self):
         self.say(1.9, 10.0)
