--- a/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/crash_ledger.py
@@ -262,7 +262,14 @@
         if not _is_part(part):
             return False
         crashes = self._crashes(part)
-        others = [name for name in self._runs if _is_part(name) and name not in names]
+        if not crashes:
+            return False
+        one = next(iter(crashes))
+        others = [
+            name
+            for name, records in self._runs.items()
+            if one in records and _is_part(name) and name not in names
+        ]
         return any(
             crashes.keys() <= found.keys()
             and all(found[at] >= weight for at, weight in crashes.items())
