--- a/tests/gateway/failures/test_silence.py
+++ b/tests/gateway/failures/test_silence.py
@@ -7,7 +7,7 @@
 from bambootiller.gateway import wire
 from bambootiller.gateway.agent_words import ENTRY_HEARD_S, AgentWords, EntryWords
 from bambootiller.gateway.engines import Engines
-from bambootiller.gateway.exchange import Update
+from bambootiller.gateway.exchange import Outgoing, Update
 from bambootiller.gateway.knowledge import Changes
 from bambootiller.gateway.quarantine import Quarantine
 from bambootiller_core.gateway.collecting import moved
@@ -62,6 +62,7 @@
         self.sent += 1
 
     poke = soon
+    untold = Outgoing.untold
 
 
 class Streams:
