Review: case 1, a starting entry takes a removed replica for present

A peer's older document is applied after the list from which the replica is missing; nothing takes it away again.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,11 +1,13 @@
-"""A replica's entry is removed while the store cuts waiting watches now and then.
+"""Replicas leave shortly before a restarted entry reads their list.
 
-Symptom: entries send requests to the replica for longer than ``drain-ms``.
+Symptom: that entry sends requests to a replica that has left, for as long as the
+replica answers.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import sys
 import time
@@ -15,94 +17,133 @@
 from harness.client import Client
 from harness.world import BOUNDS, World
 
-#: The store cuts the watches that wait at this interval. Seconds.
-CUT_INTERVAL_S = 1.0
-#: How long it does so before the entry is removed. Seconds.
-CUTTING_S = 2.5
-#: How long the clients go on after the removal. Seconds.
-WATCHED_S = 5.0
-CLIENTS_PER_ENTRY = 4
-PAUSE_S = 0.05
+ROUNDS = 6
+REPLICAS = 4
+#: The replica's entry is removed this long before the expected read of the list: about
+#: half of the time for which the other entry may not have heard of it. Seconds.
+REMOVAL_BEFORE_LIST_S = 0.2
+#: From the restart to the end of a round. Seconds; within it the entry is in touch
+#: again, and a leaving replica still answers.
+ROUND_S = 7.0
+CLIENTS = 6
+PAUSE_S = 0.04
 DRAIN_S = BOUNDS["drain-ms"] / 1000
+CONTACT_S = BOUNDS["contact-ms"] / 1000
+REGISTRY = "servers/"
+
+
+class Fleet:
+    """The replicas of the plain service; a new one comes for each that leaves."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._numbers = itertools.count(1)
+        self.present = []
+
+    async def add(self) -> None:
+        """Start a replica."""
+        number = next(self._numbers)
+        name = f"i-p{number}"
+        host = f"127.0.22.{number}"
+        self.present.append(
+            await self._world.replica(host, name, deployment.PLAIN_SERVICE)
+        )
+
+    def leave(self):
+        """Remove the entry of the oldest replica, which goes on to answer."""
+        replica = self.present.pop(0)
+        self._world.remove_entry(replica)
+        return replica
 
 
 async def play(record: case.Record, trouble: bool) -> bool:
-    """Return whether the replica got nothing later than ``drain-ms``."""
+    """Return whether no replica got a request later than ``drain-ms``."""
     async with World(record) as world:
-        leaving = await _start(world)
+        fleet, entry, list_after_s = await _start(record, world)
+        current = {"front": entry.front}
         numbers = itertools.count(1)
         clients = [
-            asyncio.create_task(_call_often(record, program.front, numbers))
-            for program in world.programs
-            if "front" in program.settings["listen"]
-            for _ in range(CLIENTS_PER_ENTRY)
+            asyncio.create_task(_call_often(current, numbers)) for _ in range(CLIENTS)
         ]
-        await asyncio.sleep(4.0)
-        cuts = asyncio.create_task(_cut_watches(record, world)) if trouble else None
-        await asyncio.sleep(CUTTING_S)
-        world.remove_entry(leaving)
-        removed_at = time.monotonic()
-        record("entry removed", replica=leaving.instance)
-        await asyncio.sleep(WATCHED_S)
-        tasks = [*clients, cuts] if cuts is not None else clients
-        for task in tasks:
+        late = 0
+        for number in range(1, ROUNDS + 1):
+            await asyncio.sleep(1.5)
+            began = time.monotonic()
+            if trouble:
+                entry = world.restart(entry)
+                record("killed and restarted", round=number, name=entry.name)
+            await asyncio.sleep(list_after_s - REMOVAL_BEFORE_LIST_S)
+            left, left_at = fleet.leave(), time.monotonic()
+            record("entry removed", round=number, replica=left.instance)
+            await asyncio.sleep(ROUND_S - (time.monotonic() - began))
+            judged_from = max(left_at + DRAIN_S, began + CONTACT_S)
+            late += _judge(record, world, left, left_at, judged_from, began)
+            await fleet.add()
+        for task in clients:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        return _judge(record, leaving, removed_at)
+        await asyncio.gather(*clients, return_exceptions=True)
+        return not late
 
 
-async def _start(world: World):
+async def _start(record, world: World):
     world.configure(
-        [
-            deployment.stream_route("/n/"),
-            deployment.plain_route("/w/", "safe"),
-        ],
+        [deployment.stream_route("/n/"), deployment.plain_route("/w/", "safe")],
         deployment.services([deployment.model("m0")]),
     )
     engine = await world.replica(
         "127.0.21.1", "i-e1", deployment.ENGINE_SERVICE, ("m0",)
     )
-    leaving = await world.replica("127.0.22.1", "i-p1", deployment.PLAIN_SERVICE)
-    await world.replica("127.0.22.2", "i-p2", deployment.PLAIN_SERVICE)
+    fleet = Fleet(world)
+    for _ in range(REPLICAS):
+        await fleet.add()
     await world.start_entry("front-1", "127.0.11.1")
-    await world.start_entry("front-2", "127.0.11.2")
     await world.start_agent("side-1", engine)
     await world.wait_ready()
-    return leaving
-
-
-async def _call_often(record, address, numbers) -> None:
-    async with Client(address) as client:
-        while True:
-            number = next(numbers)
-            headers = {
-                "Host": deployment.HOST,
-                "X-Request-Attempt": f"{number:016x}",
-                "X-Deadline-Ms": "1500",
-            }
-            answer = await client.call("GET", f"/w/{number}", headers)
-            if answer.status != 200 or not answer.whole:
-                record("answer", number=number, status=answer.status)
-            await asyncio.sleep(PAUSE_S)
+    began = time.monotonic()
+    entry = await world.start_entry("front-2", "127.0.11.2")
+    await world.wait_ready()
+    read = [at for at in world.store.lists_read[REGISTRY] if at > began]
+    list_after_s = read[0] - began
+    record("a starting entry reads the list", after_s=f"{list_after_s:.3f}")
+    return fleet, entry, list_after_s
 
 
-async def _cut_watches(record, world: World) -> None:
+async def _call_often(current, numbers) -> None:
     while True:
-        record("watches cut", count=world.store.cut_watches())
-        await asyncio.sleep(CUT_INTERVAL_S)
+        with contextlib.suppress(OSError):
+            async with Client(current["front"]) as client:
+                await _use(client, numbers)
+        await asyncio.sleep(PAUSE_S)
 
 
-def _judge(record, leaving, removed_at: float) -> bool:
-    after = [at - removed_at for at in leaving.arrivals if at > removed_at]
-    late = [seconds for seconds in after if seconds > DRAIN_S]
+async def _use(client: Client, numbers) -> None:
+    """Send requests over one connection until it ends."""
+    while True:
+        number = next(numbers)
+        headers = {
+            "Host": deployment.HOST,
+            "X-Request-Attempt": f"{number:016x}",
+            "X-Deadline-Ms": "1500",
+        }
+        answer = await client.call("GET", f"/w/{number}", headers)
+        if not answer.whole or answer.headers.get("connection") == "close":
+            return
+        await asyncio.sleep(PAUSE_S)
+
+
+def _judge(record, world, left, left_at, judged_from, began) -> int:
+    after = [at for at in left.arrivals if at > left_at]
+    late = [at for at in after if at > judged_from]
+    reads = [at - began for at in world.store.lists_read[REGISTRY] if at > began]
     record(
-        "arrivals at the removed replica",
-        before=len(leaving.arrivals) - len(after),
+        "arrivals after the removal",
+        replica=left.instance,
+        list_read_s=",".join(f"{at:.3f}" for at in reads) or "never",
         after=len(after),
-        last_s=f"{max(after, default=0.0):.3f}",
-        later_than_drain=len(late),
+        last_s=f"{max(after, default=left_at) - left_at:.3f}",
+        late_in_touch=len(late),
     )
-    return not late
+    return len(late)
 
 
 if __name__ == "__main__":
--- a/review/harness/stores.py
+++ b/review/harness/stores.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from bambootiller_platform_standins.httpd import Reply, Request
 from bambootiller_platform_standins.store import StandinStore
@@ -19,6 +20,8 @@
         super().__init__()
         self._waiting: set[asyncio.Task] = set()
         self.watches_cut = 0
+        #: The times at which lists of a prefix were read, by prefix.
+        self.lists_read: dict[str, list[float]] = {}
 
     def cut_watches(self) -> int:
         """Cut the watches that wait now; return their number."""
@@ -29,6 +32,9 @@
         return len(waiting)
 
     async def _handle(self, request: Request) -> Reply:
+        if request.path.endswith("/kv-range"):
+            prefix = request.query["path-prefix"]
+            self.lists_read.setdefault(prefix, []).append(time.monotonic())
         if not request.path.endswith("/kv-watch"):
             return await super()._handle(request)
         task = asyncio.ensure_future(super()._handle(request))
--- a/review/harness/world.py
+++ b/review/harness/world.py
@@ -202,6 +202,13 @@
         self._entries.append(program)
         return program
 
+    def restart(self, program: Program) -> Program:
+        """Kill a program and start it again with its settings, as the platform does."""
+        program.end()
+        again = self._launch(program.settings, f"{program.name}-{len(self.programs)}")
+        self._entries = [again if item is program else item for item in self._entries]
+        return again
+
     async def start_agent(self, name: str, replica: StandinReplica) -> Program:
         """Start the agent on the machine of a replica."""
         host = replica.server.address.rpartition(":")[0]
@@ -244,8 +251,13 @@
             },
             **fields,
         }
+        return self._launch(settings, name)
+
+    def _launch(self, settings: dict, label: str) -> Program:
+        """Start the program of these settings; ``label`` names its files."""
+        name, role, host = settings["node-name"], settings["role"], settings["ip"]
         folder = Path(self._folder.name)
-        file, log = folder / f"{name}.json", folder / f"{name}.log"
+        file, log = folder / f"{label}.json", folder / f"{label}.log"
         file.write_text(json.dumps(settings))
         kept = {
             key: os.environ[key]
