Gateway: a document that a list no longer has isn't taken from a peer

What callers saw: after an entry's restart, calls went to a replica whose entry had been removed shortly before, for as long as the replica answered.

Cause: a document from a peer was compared only with the one held under its key. An entry that had read the list held nothing there, though it was complete up to a later revision; a peer that didn't know of the removal yet sent its old document, and nobody sent the removal, as the entry says that it has it. The same cause on a related path: a process that the store turns away takes over a peer's completeness, but a peer that has read a list since doesn't know what was removed before.

Ruled out: the entry's own watch, which rightly begins behind its list.

Change: DocumentTable. Up to the revision for which a process is complete, a document can only be a later version of one that is held. Processes report since when they hold all removals; a peer that isn't complete up to there is sent the keys (75 kB for 3,400 replicas, computed), and until then doesn't take over completeness.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/document_propagation.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/document_propagation.py
@@ -101,6 +101,8 @@
 
     def __init__(self) -> None:
         self._queued: dict[str, tuple[Changed, float]] = {}
+        #: The revision that the peer needs, and when the list is due, by prefix.
+        self._key_lists: dict[str, tuple[int, float]] = {}
         self._peer_revisions: Revisions | None = None
 
     def add(
@@ -120,6 +122,12 @@
         due_at = now + self_update_grace_s + (rank - 1) * STAGGER_S if rank else now
         self._queued[change.record.key] = (change, due_at)
 
+    def add_key_list(self, due_at: float, prefix: str, revision: int) -> None:
+        """Queue the list of keys under a prefix, which the peer needs unless it is
+        complete up to ``revision`` by then."""
+        if (self._peer_revisions or {}).get(prefix, -1) < revision:
+            self._key_lists[prefix] = (revision, due_at)
+
     def peer_has(self, revisions: Revisions) -> None:
         """Record the revisions that the peer reports, and drop documents that it
         has."""
@@ -127,6 +135,9 @@
         for key, (change, _) in list(self._queued.items()):
             if is_covered(revisions, change):
                 del self._queued[key]
+        for prefix, (revision, _) in list(self._key_lists.items()):
+            if revisions.get(prefix, -1) >= revision:
+                del self._key_lists[prefix]
 
     def peer_revision(self, key: str) -> int | None:
         """The revision up to which the peer has all documents of this key's part of the
@@ -146,15 +157,34 @@
         ready = [key for key, (_, due_at) in self._queued.items() if due_at <= now]
         return [self._queued.pop(key)[0] for key in ready]
 
+    def due_key_lists(self, now: float) -> list[str]:
+        """Remove and return the prefixes whose keys are to be sent now. A peer that
+        has nothing under a prefix is sent them with the documents."""
+        if self._peer_revisions is None:
+            return []
+        ready = [
+            prefix for prefix in self._key_lists if self._key_list_due_at(prefix) <= now
+        ]
+        for prefix in ready:
+            del self._key_lists[prefix]
+        return ready
+
+    def _key_list_due_at(self, prefix: str) -> float:
+        _, due_at = self._key_lists[prefix]
+        return due_at if prefix in self._peer_revisions else 0.0
+
     def next_due(self) -> float | None:
-        """When the next document is to be sent, None if none is queued or the peer
-        hasn't reported its revisions."""
-        if self._peer_revisions is None or not self._queued:
+        """When the next document or list of keys is to be sent, None if none is queued
+        or the peer hasn't reported its revisions."""
+        if self._peer_revisions is None:
             return None
-        return min(due_at for _, due_at in self._queued.values())
+        due = [due_at for _, due_at in self._queued.values()]
+        due += [self._key_list_due_at(prefix) for prefix in self._key_lists]
+        return min(due, default=None)
 
     @property
     def is_empty(self) -> bool:
         """Whether the peer has reported its revisions and lacks no document that is
         known here."""
-        return self._peer_revisions is not None and not self._queued
+        queued = self._queued or self._key_lists
+        return self._peer_revisions is not None and not queued
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -23,9 +23,12 @@
 from bambootiller_core.gateway.document_propagation import (
     AGENT_REPORT_GRACE_S,
     SELF_UPDATE_GRACE_S,
+    STAGGER_S,
     PeerQueue,
     agent_rank,
+    is_under,
 )
+from bambootiller_core.gateway.document_table import KeyList
 from bambootiller_core.gateway.log_lines import PeerHeard, PeerSilent
 from bambootiller_core.gateway.update_filter import UpdateFilter
 from bambootiller_core.ports import Changed, Record
@@ -93,6 +96,10 @@
         self.last_received_at = float("-inf")
         self.last_sent: dict[str, object] = {}
         self.report: object = None
+        #: The revision since which the peer holds all removals, by prefix.
+        self.removals_since: dict[str, int] = {}
+        #: The revisions of the lists of keys received from the peer, by prefix.
+        self.key_lists: dict[str, int] = {}
         #: Whether the peer retains what isn't sent again. A peer of an earlier version
         #: treats what isn't repeated as removed.
         self._peer_retains_state = False
@@ -102,17 +109,27 @@
         self._timer: asyncio.TimerHandle | None = None
         self._sent_at = float("-inf")
         now = self._loop.time()
-        for change in gateway_state.documents():
+        for change in gateway_state.table.documents():
             self._documents.add(now, change, rank=0)
 
+    def key_list(self, prefix: str) -> None:
+        """Queues the list of keys under a prefix, which the peer may lack."""
+        # Later than documents also at rank 0: most peers get the removals themselves or
+        # from a process that has them all.
+        delay_s = self._registry_grace_s() + self._rank() * STAGGER_S
+        revision = self._gateway_state.table.removals_since[prefix]
+        self._documents.add_key_list(self._loop.time() + delay_s, prefix, revision)
+        self._schedule_wakeup()
+
+    def _registry_grace_s(self) -> float:
+        return self._gateway_state.batch_delay_s + AGENT_REPORT_GRACE_S
+
     def document(self, change: Changed) -> None:
         """Queues a document that the peer may lack."""
         rank = self._rank()
         self_update_grace_s = SELF_UPDATE_GRACE_S
         if not self._gateway_state.is_configuration(change.record.key):
-            self_update_grace_s = (
-                self._gateway_state.batch_delay_s + AGENT_REPORT_GRACE_S
-            )
+            self_update_grace_s = self._registry_grace_s()
         self._documents.add(self._loop.time(), change, rank, self_update_grace_s)
         if rank:
             self._schedule_wakeup()
@@ -125,9 +142,13 @@
         self.peer = update.sender or self.peer
         self.last_received_at = self._loop.time()
         self._peer_retains_state = self._peer_retains_state or update.begins
+        self.removals_since.update(update.removals_since)
         if first or update.complete:
             self._documents.peer_has(dict(update.complete))
             self.send_later()
+        if first:
+            for prefix in self._gateway_state.table.removals_since:
+                self.key_list(prefix)
         if first and not self._documents.is_empty:
             self.send_now()
 
@@ -196,6 +217,7 @@
             self.last_sent.clear()
         if not self.last_sent:
             update.sender, update.begins = self._sender, True
+        self._fill_key_lists(update)
         for change in self._documents.due(self._loop.time()):
             record = change.record
             peer_has = self._documents.peer_revision(record.key)
@@ -206,16 +228,37 @@
                 value=record.value,
                 deleted=change.deleted,
             )
+        self._fill_completeness(update)
+        self._fill(update, self)
+        return update
+
+    def _fill_key_lists(self, update: Update) -> None:
+        now = self._loop.time()
+        table = self._gateway_state.table
+        for prefix in self._documents.due_key_lists(now):
+            listed = table.key_list(prefix)
+            update.key_lists.add(
+                prefix=prefix, revision=listed.revision, keys=listed.keys
+            )
+            # A document that was removed and written again with the same content was
+            # no news here, but the peer may have seen the removal.
+            for change in table.documents():
+                if is_under(change.record.key, prefix):
+                    self._documents.add(now, change, rank=0)
+
+    def _fill_completeness(self, update: Update) -> None:
+        table = self._gateway_state.table
         completeness = (
             self._gateway_state.completeness_version,
             self._documents.is_empty,
         )
         if self.last_sent.get("knows") != completeness:
             self.last_sent["knows"] = completeness
-            update.complete.update(self._gateway_state.complete)
+            update.complete.update(table.complete)
             update.whole = self._documents.is_empty
-        self._fill(update, self)
-        return update
+        if self.last_sent.get("removals_since") != table.removals_since:
+            self.last_sent["removals_since"] = dict(table.removals_since)
+            update.removals_since.update(table.removals_since)
 
 
 class _WatchedPeer:
@@ -263,6 +306,7 @@
         gateway_state.on_document(self._queue_document)
         gateway_state.on_complete(self.send_later)
         gateway_state.on_revision(self._send_revisions_later)
+        gateway_state.on_listed(self._queue_key_lists)
 
     def send_now(self) -> None:
         """Sends a message to all peers at once."""
@@ -407,15 +451,26 @@
         for document in update.documents:
             record = Record(document.key, document.value, document.revision)
             change = Changed(record, document.deleted)
-            self._gateway_state.apply_document(change, peer_stream.peer)
+            self._gateway_state.apply_document(change, peer_stream.peer, from_peer=True)
+        for key_list in update.key_lists:
+            listed = KeyList(key_list.prefix, key_list.revision, key_list.keys)
+            self._gateway_state.apply_key_list(listed, peer_stream.peer)
+            peer_stream.key_lists[listed.prefix] = listed.revision
         if update.whole:
-            self._gateway_state.mark_complete(update.complete)
+            self._gateway_state.peer_complete(
+                update.complete, peer_stream.removals_since, peer_stream.key_lists
+            )
         received(update, peer_stream)
 
     def _queue_document(self, change: Changed) -> None:
         for peer_stream in self._peer_streams:
             peer_stream.document(change)
 
+    def _queue_key_lists(self, prefix: str) -> None:
+        for peer_stream in self._peer_streams:
+            if peer_stream.peer:
+                peer_stream.key_list(prefix)
+
     def _send_revisions_later(self) -> None:
         for peer_stream in self._peer_streams:
             if peer_stream.to_entry:
--- a/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
+++ b/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
@@ -1,9 +1,10 @@
 """One gateway process's copy of the configuration and the registry.
 
 Documents arrive from watches of the key-value service and from peers. Both carry the
-service's revision, so the newer one wins whatever its source, and a document is never
-replaced by an older one. The last documents received stay in force while the service is
-unavailable."""
+service's revision, so the newer one wins whatever its source: a document is never
+replaced by an older one, nor does one come back that was removed
+(:mod:`bambootiller_core.gateway.document_table`). The last documents received stay in
+force while the service is unavailable."""
 
 from __future__ import annotations
 
@@ -18,6 +19,7 @@
 from bambootiller.gateway.stall_monitor import StallCheck
 from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.config import GatewayConfig, is_newer
+from bambootiller_core.gateway.document_table import DocumentTable, KeyList
 from bambootiller_core.gateway.fleet import (
     EXPIRY_GRACE_S,
     Backend,
@@ -67,11 +69,9 @@
         self._directory = directory
         self._events = events
         self._clock = clock
-        #: The revision up to which all documents have been received, by prefix or key.
-        self.complete: dict[str, int] = {}
-        #: How often ``complete`` has changed.
+        self.table = DocumentTable()
+        #: How often ``table.complete`` has changed.
         self.completeness_version = 0
-        self._records: dict[str, Changed] = {}
         self._registry_faults = RegistryFaults(self.fleet, events)
         self._listeners: list[Listener] = []
         self._config_keys: set[str] = set()
@@ -81,6 +81,7 @@
         self._config_listeners: list[Callable[[GatewayConfig], None]] = []
         self._complete_listeners: list[Callable[[], None]] = []
         self._revision_listeners: list[Callable[[], None]] = []
+        self._listed_listeners: list[Callable[[str], None]] = []
 
     def on_document(self, listener: Listener) -> None:
         """Call ``listener`` for each document whose content is new.
@@ -101,6 +102,11 @@
         arrived."""
         self._revision_listeners.append(listener)
 
+    def on_listed(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with the prefix when removals before some revision have
+        become unknown, as a list was applied."""
+        self._listed_listeners.append(listener)
+
     def is_configuration(self, key: str) -> bool:
         """Whether a configuration has been received under the key."""
         return key in self._config_keys
@@ -111,25 +117,21 @@
         if self.config is not None:
             listener(self.config)
 
-    def documents(self) -> list[Changed]:
-        """All documents held, including recent removals."""
-        return list(self._records.values())
-
-    def apply_document(self, change: Changed, source: str) -> bool:
-        """Apply a document unless it is older than the one held, and return whether it
-        was applied."""
+    def apply_document(
+        self, change: Changed, source: str, from_peer: bool = False
+    ) -> bool:
+        """Apply a document unless it is outdated, and return whether it was applied."""
         record = change.record
         if not self._registry_faults.can_forward(record, source):
             return False
-        held = self._records.get(record.key)
-        if held is not None and held.record.mod_revision >= record.mod_revision:
+        if not self.table.is_news(change):
             return False
-        self._records[record.key] = change
+        self.table.put(change)
         if change.deleted:
             self._on_removed(record, source)
             is_new = True
         else:
-            is_new = self._on_written(record, source)
+            is_new = self._on_written(record, source, from_peer)
         if is_new:
             for listener in self._listeners:
                 listener(change)
@@ -145,27 +147,44 @@
 
     def apply_listing(self, prefix: str, found: Found, source: str) -> None:
         """Apply all documents under a prefix; those that aren't listed are removed."""
-        keys = set()
         for record in found.records:
-            keys.add(record.key)
             self.apply_document(Changed(record), source)
-        for key, held in list(self._records.items()):
-            missing = key.startswith(prefix) and key not in keys and not held.deleted
-            if missing and held.record.mod_revision <= found.revision:
-                gone = Record(key, b"", found.revision)
-                self.apply_document(Changed(gone, deleted=True), source)
+        keys = [record.key for record in found.records]
+        self.apply_key_list(KeyList(prefix, found.revision, keys), source)
+        before = dict(self.table.removals_since)
+        self.table.listed(prefix, found.revision)
+        self.mark_complete({prefix: found.revision})
+        self._notify_listed(before)
+
+    def peer_complete(
+        self,
+        complete: Mapping[str, int],
+        removals_since: Mapping[str, int],
+        key_lists: Mapping[str, int],
+    ) -> None:
+        """Record that a peer that is complete up to these revisions has sent all its
+        documents; see :meth:`DocumentTable.accept_from_peer`."""
+        before = dict(self.table.removals_since)
+        accepted = self.table.accept_from_peer(complete, removals_since, key_lists)
+        self.mark_complete(accepted)
+        self._notify_listed(before)
+
+    def _notify_listed(self, before: Mapping[str, int]) -> None:
+        for prefix, revision in self.table.removals_since.items():
+            if revision != before.get(prefix):
+                for listener in self._listed_listeners:
+                    listener(prefix)
+
+    def apply_key_list(self, listed: KeyList, source: str) -> None:
+        """Remove the documents that aren't in a list of all keys under a prefix."""
+        for removal in self.table.removed_by(listed):
+            self.apply_document(removal, source)
 
     def mark_complete(self, complete: Mapping[str, int]) -> None:
         """Record that all documents up to these revisions have been applied. Each
         revision belongs to a prefix of keys or to one key."""
-        advanced = {
-            part: revision
-            for part, revision in complete.items()
-            if revision > self.complete.get(part, -1)
-        }
-        if not advanced:
+        if not self.table.advance(complete):
             return
-        self.complete.update(advanced)
         self.completeness_version += 1
         for listener in self._revision_listeners:
             listener()
@@ -189,7 +208,7 @@
         self._events.emit(line)
         self.changed.notify()
 
-    def _on_written(self, record: Record, source: str) -> bool:
+    def _on_written(self, record: Record, source: str, from_peer: bool) -> bool:
         """Apply a written document, and return whether it has to be forwarded."""
         config = self._directory.config(record)
         if config is not None:
@@ -212,7 +231,7 @@
         if registration is None:
             return True
         self._registry_faults.mark_readable(record.key)
-        return self._on_registration(registration, source)
+        return self._on_registration(registration, source, from_peer)
 
     def _on_config(
         self, config: GatewayConfig | Unreadable, record: Record, source: str
@@ -235,8 +254,10 @@
             listener(config)
         self.changed.notify()
 
-    def _on_registration(self, registration: Registration, source: str) -> bool:
-        """Apply a registration, and return whether its content is new."""
+    def _on_registration(
+        self, registration: Registration, source: str, from_peer: bool
+    ) -> bool:
+        """Apply a registration, and return whether it has to be forwarded."""
         held = self.fleet.get(registration.instance)
         before = held.registration if held is not None else None
         usability_before = self._usability(registration.instance)
@@ -268,7 +289,9 @@
             # Each backend server rewrites its registration about once a second. A write
             # without new content wakes no waiter and causes no new load plan.
             self.changed.notify()
-        return is_new
+        # A peer sends only the last of several changes. It may have the same content as
+        # the one held here, although other processes have seen a removal in between.
+        return is_new or from_peer
 
     def log_restart(self, before: Backend, source: str) -> None:
         """Log that a backend server has restarted; ``before`` is its state of the
@@ -373,7 +396,6 @@
             pause = RETRY_S
             self._on_regained(prefix)
             self._gateway_state.apply_listing(prefix, found, "store")
-            self._gateway_state.mark_complete({prefix: found.revision})
             await self._watch(prefix, found.revision + 1, is_needed)
 
     async def _watch(
@@ -391,7 +413,9 @@
                 return
             for change in batch:
                 self._gateway_state.apply_document(change, "store")
-                self._gateway_state.mark_complete({prefix: change.record.mod_revision})
+            # Several keys may change in one revision, so it is complete only here.
+            revision = max(change.record.mod_revision for change in batch)
+            self._gateway_state.mark_complete({prefix: revision})
             if not is_needed():
                 return
             await asyncio.sleep(self._batch_delay())
