--- a/packages/bambootiller-core/src/bambootiller_core/gateway/document_table.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/document_table.py
@@ -37,7 +37,7 @@
 
         if table.is_news(change):
             table.put(change)
-        table.advance({"servers/": 90})
+        table.advance({"registry/": 90})
     """
 
     def __init__(self) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -109,7 +109,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._sent_at = float("-inf")
         now = self._loop.time()
-        for change in gateway_state.table.documents():
+        for change in gateway_state.documents():
             self._documents.add(now, change, rank=0)
 
     def key_list(self, prefix: str) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
+++ b/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
@@ -117,6 +117,10 @@
         if self.config is not None:
             listener(self.config)
 
+    def documents(self) -> list[Changed]:
+        """All documents held, including recent removals."""
+        return self.table.documents()
+
     def apply_document(
         self, change: Changed, source: str, from_peer: bool = False
     ) -> bool:
