Gateway: the end of a watch is not an outage of the store

What callers saw: calls went to a replica whose entry had been removed, for as long as the store cut waiting watches.

Cause: each end of a watch counted as an outage, and the list that followed at once as the store's return. For 2.3 s from then on a removed registration is only marked as missing, as it may have expired; a cut every 2.3 s or sooner began that time anew. Any other outage did the same, also one that is too short for a registration to expire.

Ruled out: the batch delay of the watch (0.6 s); the watch of op/ alone is enough, so it isn't the registry's watch that misses the removal.

Change: a watch that ends is no outage unless it got no answer in time; the list that follows tells. Registrations are kept only after an outage of two heartbeat intervals or more, measured from the last answer; the interval is read from the settings. Lists that succeed while watches are refused at once are repeated with a growing pause.

--- a/packages/bambootiller-core/src/bambootiller_core/ports.py
+++ b/packages/bambootiller-core/src/bambootiller_core/ports.py
@@ -73,9 +73,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Unavailable:
-    """The service couldn't be reached or refused the call; it took no effect."""
+    """The service couldn't be reached or refused the call; it took no effect.
+
+    ``timed_out`` is set if a call that was sent got no answer in time. A watch that
+    ends otherwise may have been cut although the service is available.
+    """
 
     detail: str
+    timed_out: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
+++ b/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
@@ -11,7 +11,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from bambootiller.gateway.event_log import EventLog
 from bambootiller.gateway.ports import Bounds, Directory, Unreadable
@@ -43,6 +43,10 @@
 #: expired are written again within two seconds, and those still missing 0.3 s later
 #: count as removed (``fleet.EXPIRY_GRACE_S``). Seconds.
 RECOVERY_BATCH_DELAY_S = 0.25
+#: A registration expires after three heartbeat intervals without a renewal, and its
+#: last renewal may be one of them old when an outage begins. No outage that is shorter
+#: than this many intervals makes one expire.
+MIN_EXPIRY_HEARTBEATS = 2
 #: How often a paused watcher checks whether it is needed again. Seconds.
 IDLE_POLL_S = 0.5
 
@@ -375,7 +379,10 @@
         self._events = events
         self._clock = clock
         self._stall_check = StallCheck(clock, running_time)
-        self._unavailable_since: dict[str, float] = {}
+        self._outages: dict[str, _Outage] = {}
+        #: The time of the service's last answer about any prefix.
+        self._answered_at = float("-inf")
+        #: When an outage ended in which registrations may have expired.
         self._regained_at = float("-inf")
 
     async def follow(
@@ -397,10 +404,16 @@
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, RETRY_MAX_S)
                 continue
-            pause = RETRY_S
             self._on_regained(prefix)
             self._gateway_state.apply_listing(prefix, found, "store")
+            listed_at = self._clock()
             await self._watch(prefix, found.revision + 1, is_needed)
+            if self._clock() - listed_at >= RETRY_MAX_S:
+                pause = RETRY_S
+                continue
+            # The service may accept lists and refuse watches.
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, RETRY_MAX_S)
 
     async def _watch(
         self, prefix: str, revision: int, is_needed: Callable[[], bool]
@@ -409,12 +422,13 @@
         async for batch in self._kv.watch(prefix, revision):
             if isinstance(batch, Unavailable):
                 # After an outage, a removed registration counts as expired for a while,
-                # and its backend server keeps getting calls. A stall of this process
-                # isn't an outage: backend servers that left meanwhile would be sent
-                # calls during all that time.
-                if not self._stall_check.was_stalled(began):
+                # and its backend server keeps getting calls. A watch that is cut isn't
+                # an outage, and neither is a stall of this process: backend servers
+                # that left meanwhile would be sent calls during all that time.
+                if batch.timed_out and not self._stall_check.was_stalled(began):
                     self._on_lost(prefix, batch.detail)
                 return
+            self._answered_at = self._clock()
             for change in batch:
                 self._gateway_state.apply_document(change, "store")
             # Several keys may change in one revision, so it is complete only here.
@@ -436,14 +450,27 @@
         return pause
 
     def _on_lost(self, prefix: str, detail: str) -> None:
-        if prefix not in self._unavailable_since:
-            self._unavailable_since[prefix] = self._clock()
+        if prefix not in self._outages:
+            self._outages[prefix] = _Outage(self._clock(), self._answered_at)
             self._events.emit(lines.DependencyLost("store", f"{prefix}: {detail}"))
 
     def _on_regained(self, prefix: str) -> None:
-        since = self._unavailable_since.pop(prefix, None)
-        if since is not None:
-            self._regained_at = now = self._clock()
+        self._answered_at = now = self._clock()
+        outage = self._outages.pop(prefix, None)
+        if outage is None:
+            return
+        min_expiry_s = MIN_EXPIRY_HEARTBEATS * self._bounds().heartbeat_s
+        if now - outage.last_answer_at >= min_expiry_s:
+            self._regained_at = now
             self._gateway_state.fleet.store_returned(now)
-            away_ms = round((now - since) * 1000)
-            self._events.emit(lines.DependencyRegained("store", away_ms))
+        away_ms = round((now - outage.noticed_at) * 1000)
+        self._events.emit(lines.DependencyRegained("store", away_ms))
+
+
+@dataclass(frozen=True, slots=True)
+class _Outage:
+    """An outage of the key-value service: when it was noticed, and the time of the last
+    answer before."""
+
+    noticed_at: float
+    last_answer_at: float
--- a/packages/bambootiller/src/bambootiller/gateway/ports.py
+++ b/packages/bambootiller/src/bambootiller/gateway/ports.py
@@ -161,13 +161,15 @@
     """The platform's guarantees to its callers that the gateway has to keep.
 
     The ``retry_`` fields are the parameters of the retry budget. A backend server gets
-    no more calls from ``leaving_s`` seconds after it began to leave. ``quota`` is the
-    tolerance beyond a customer's quota."""
+    no more calls from ``leaving_s`` seconds after it began to leave, and renews its
+    registration every ``heartbeat_s`` seconds. ``quota`` is the tolerance beyond a
+    customer's quota."""
 
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
     leaving_s: float = 2.0
+    heartbeat_s: float = 1.2
     quota: QuotaTolerance = QuotaTolerance()
 
 
