Orders: a late order is left room for as long as the platform may be late

What callers saw: an engine that had restarted under its id was ordered to load 68.6 GB of 58 GB by an order 11.6 s late; it would have crashed with all its runs.

Cause: MAX_ORDER_DELAY_S was 10 s, the default of the product's own agents; the platform carries out an unanswered order up to 12 s later.

Ruled out: the count of accepted orders and the instance's name, which both hold for the late order.

Change: 12 s, and 1 s for an order that timed out on its way. The random orders are also played with 12 s; that test holds with the old bound, too.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/late_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/late_orders.py
@@ -7,7 +7,8 @@
 its model may exceed the memory, and the engine crashes.
 
 Copies of an order that was answered meanwhile count as well: for the new start they are
-as valid as the first.
+as valid as the first. So this record outlives a restart of the engine; all else that an
+agent knows of its engine ends with the start.
 """
 
 from __future__ import annotations
@@ -17,11 +18,14 @@
 
 from bambootiller_core.gateway.order_messages import EngineOrder, OrderKind
 
-#: Seconds after which an order can no longer arrive. The platform specifies only that
-#: it may take seconds; this equals the default time for which the product's own agents
-#: wait after a restart. Until then an order that leaves no room for a late one is
-#: postponed.
-MAX_ORDER_DELAY_S = 10.0
+#: The longest time after which an engine of the platform carries out an order that it
+#: hasn't answered. Seconds.
+MAX_EXECUTION_DELAY_S = 12.0
+#: An order that timed out may still be on its way to the engine. Seconds.
+MAX_TRANSIT_S = 1.0
+#: Until then an order that leaves no room for a late one is postponed. With a shorter
+#: time the late order would overfill an engine that has restarted. Seconds.
+MAX_ORDER_DELAY_S = MAX_EXECUTION_DELAY_S + MAX_TRANSIT_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/failures/test_orders.py
+++ b/tests/gateway/failures/test_orders.py
@@ -233,6 +233,15 @@
         self.request_load("clerk", now=now)
         self.assertEqual(self.book.next_order(now).model, "clerk")
 
+    def test_memory_is_reserved_until_the_latest_arrival(self):
+        """An order that was 12 s late, as the platform allows, overfilled an engine
+        that had restarted."""
+        self.send_unanswered_load(accepted=1)
+        self.report_restart(1.0, holdings=["poet"])
+        for now in (10.1, 11.9, 12.0):
+            self.request_load("clerk", now=now)
+            self.assertIsNone(self.book.next_order(now))
+
     def test_memory_is_reserved_though_a_repetition_was_answered(self):
         self.send_unanswered_load(accepted=1)
         self.book.reported(0.05, report(accepted=1, started_ms=1))
--- a/tests/gateway/randomised/test_orders.py
+++ b/tests/gateway/randomised/test_orders.py
@@ -19,6 +19,8 @@
 MEMORY_MB = 100.0
 ADAPTER_SLOTS = 3
 LOAD_S = 2.0
+#: The latest execution of an unanswered order, as the platform names it. Seconds.
+LATEST_S = 12.0
 
 
 class FakeEngine:
@@ -27,6 +29,7 @@
 
     def __init__(self, rng):
         self.rng = rng
+        self.latest_s = 9
         self.start = 0
         self.restart()
         self.late_orders = []
@@ -78,7 +81,8 @@
     def order(self, now, instance, order):
         draw = self.rng.random()
         if draw < 0.2:
-            self.late_orders.append((now + self.rng.uniform(0.1, 9), instance, order))
+            late_at = now + self.rng.uniform(0.1, self.latest_s)
+            self.late_orders.append((late_at, instance, order))
             return OrderAnswer.UNANSWERED
         answer = self.execute(now, instance, order)
         return OrderAnswer.UNANSWERED if draw < 0.3 else answer
@@ -141,7 +145,7 @@
         self.token += 1
 
 
-def simulate(seed, steps, engine_class=FakeEngine, restarts=0.01):
+def simulate(seed, steps, engine_class=FakeEngine, restarts=0.01, latest_s=9):
     rng = random.Random(seed)
     models = [
         samples.model(name, size, adapters=4, adapter_mb=ADAPTER_MB)
@@ -149,6 +153,7 @@
     ]
     spec = samples.engine(*models, memory_mb=MEMORY_MB, adapter_slots=ADAPTER_SLOTS)
     book, engine, now, loads = OrderBook(spec), engine_class(rng), 0.0, 0
+    engine.latest_s = latest_s
     for _ in range(steps):
         now += rng.uniform(0.0, 0.3)
         model = rng.choice(list(MODELS))
@@ -200,3 +205,10 @@
                 loads = simulate(seed, 300, SameNameEngine, restarts=0.05)
                 counting.add("gateway orders", 300)
                 self.assertGreater(loads, 5)
+
+    def test_orders_as_late_as_the_platform_allows_never_exceed_the_memory(self):
+        """An engine that had restarted was overfilled by an order 11.6 s late."""
+        for seed in range(profiles.scale(100, 4000)):
+            with self.subTest(seed=seed):
+                simulate(seed, 300, SameNameEngine, restarts=0.05, latest_s=LATEST_S)
+                counting.add("gateway orders", 300)
