Peer streams: a message that can't be built doesn't end a stream for good

What callers saw: nothing by itself; an entry whose stream to an agent has ended knows nothing of its engine and is asked for no loads, and a process that the store turns away follows nothing any more.

Cause: gRPC cancels a call whose messages can't be built. The side that had opened the stream took that for a cancellation of its own task and ended; no line said why, on either side.

Evidence: TestUnsendableUpdates, on: the side that opens doesn't do so again within 30 s (the test waits for the log line otherwise, which is new; there it waited 2 s instead). The serving side recovers there, too.

Change: only a cancellation of the task itself ends it. peer_stream_failed says which peer and why.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_state_changes.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_state_changes.py
@@ -206,6 +206,17 @@
     peer: str
 
 
+@dataclass(frozen=True, slots=True)
+class PeerStreamFailed(LogLine):
+    """A message to or from another process couldn't be built or processed, which ends
+    the stream."""
+
+    event: ClassVar[str] = "peer_stream_failed"
+
+    peer: str
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class DependencyLost(LogLine):
     """The store or the engine can't be reached, or gives unusable answers."""
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -29,7 +29,11 @@
     is_under,
 )
 from bambootiller_core.gateway.document_table import KeyList
-from bambootiller_core.gateway.log_lines import PeerHeard, PeerSilent
+from bambootiller_core.gateway.log_lines import (
+    PeerHeard,
+    PeerSilent,
+    PeerStreamFailed,
+)
 from bambootiller_core.gateway.update_filter import UpdateFilter
 from bambootiller_core.ports import Changed, Record
 
@@ -53,6 +57,8 @@
 #: Seconds.
 REOPEN_DELAY_S = 0.2
 MAX_REOPEN_DELAY_S = 1.0
+#: The longest description of a failure in a log line, in characters.
+MAX_DETAIL_CHARS = 200
 #: Changes within this time of each other are sent in one message. Seconds.
 BATCH_DELAY_S = 0.003
 
@@ -383,7 +389,7 @@
         self._peer_streams.add(peer_stream)
         reader = asyncio.create_task(self._read(requests, received, peer_stream))
         try:
-            async for update in peer_stream.updates():
+            async for update in self._updates(peer_stream):
                 if reader.done():
                     return
                 yield update
@@ -404,7 +410,7 @@
         )
         self._peer_streams.add(peer_stream)
         self._by_address[address] = peer_stream
-        call = self._channels.residency(address).Exchange(peer_stream.updates())
+        call = self._channels.residency(address).Exchange(self._updates(peer_stream))
         peer = _WatchedPeer(call, self._running_time)
         detector = SilenceDetector(peer, SILENCE_TIMEOUT_S, self._running_time)
         received_message = False
@@ -421,9 +427,10 @@
         except grpc.aio.AioRpcError:
             return received_message
         except asyncio.CancelledError:
-            # The read is cancelled either by silence, after which the stream is opened
-            # again, or from outside, which has to end this task.
-            if not peer.silent or asyncio.current_task().cancelling():
+            # The call is cancelled by silence or by a message that couldn't be built,
+            # after which the stream is opened again. Only a cancellation from outside
+            # has to end this task.
+            if asyncio.current_task().cancelling():
                 raise
             return received_message
         finally:
@@ -443,6 +450,22 @@
                 self._process(update, received, peer_stream)
         except (grpc.aio.AioRpcError, grpc.RpcError, asyncio.CancelledError):
             return
+        except Exception as exc:
+            self._log_failed(peer_stream, exc)
+
+    async def _updates(self, peer_stream: PeerStream) -> AsyncIterator[Update]:
+        """The messages to the peer. gRPC ends a stream whose messages can't be built
+        without saying why."""
+        try:
+            async for update in peer_stream.updates():
+                yield update
+        except Exception as exc:
+            self._log_failed(peer_stream, exc)
+            raise
+
+    def _log_failed(self, peer_stream: PeerStream, exc: Exception) -> None:
+        detail = f"{type(exc).__name__}: {exc}"[:MAX_DETAIL_CHARS]
+        self._events.emit(PeerStreamFailed(peer_stream.peer, detail))
 
     def _process(
         self, update: Update, received: HandleUpdate, peer_stream: PeerStream
