Registry and reports: numbers have a range

What callers saw: an entry of another writer that is sound but for such a number was used as a replica, and could hide the real one at its address; messages between processes that carried the number failed.

Cause: the types of numbers were validated, not their range (born, seq, cold-remaining-ms of an entry; born, seq, queued, running of an engine's report).

--- a/tests/adapter/failures/test_invalid_registry_entries.py
+++ b/tests/adapter/failures/test_invalid_registry_entries.py
@@ -40,10 +40,10 @@
     "slots": (None, "8", 0, -1, 10**9, 10**400, True, 1.5, float("nan"), []),
     "state": (None, "", "READY", "starting", 1, ["ready"]),
     "version": (None, 7, []),
-    "cold-remaining-ms": (None, "0", [], True),
-    "seq": (None, "4", 1.5, []),
+    "cold-remaining-ms": (None, "0", [], True, float("inf"), float("nan"), 10**400),
+    "seq": (None, "4", 1.5, [], -1, 10**30, 10**400),
     "models": (None, {}, "tutor", ["tutor"], [{}], [{"name": 1}], [None]),
-    "born": ("1700000000123", 17.5, True, []),
+    "born": ("1700000000123", 17.5, True, [], -1, 2**63, 10**30, 10**400),
 }
 MODEL_WITH_BAD_ADAPTERS = {"name": "tutor", "adapters": "a1"}
 
