Records: one that is nested or has a large number ends no process

What callers saw: all entries (quarantines) or agents (quotas, permits) end when they read such a record of another writer, and again at each start.

Cause: RecursionError and OverflowError weren't among the errors that make a record unreadable; an exception that nobody takes stops the process.

Change: such records are unreadable; a start has the range of a registration's, text has to be encodable.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/quarantine_record.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/quarantine_record.py
@@ -10,6 +10,8 @@
 from bambootiller_core.gateway.incarnation import Incarnation
 
 PREFIX = "bambootiller/quarantine/"
+#: No start of a backend server is later, in Unix milliseconds.
+MAX_STARTED_MS = 2**53
 
 
 def key_of(fingerprint: str) -> str:
@@ -43,7 +45,7 @@
     try:
         document = json.loads(value)
         runs = tuple(_run(key, item, now, unix_s) for item in document)
-    except (KeyError, TypeError) as exc:
+    except (KeyError, TypeError, OverflowError, RecursionError) as exc:
         raise ValueError(
             f"{key}: {value[:80]!r}; allowed: a list of lost runs"
         ) from exc
@@ -52,10 +54,15 @@
 
 def _run(key: str, item: dict, now: float, unix_s: float) -> LostRun:
     started_ms = item["started_ms"]
+    if started_ms is not None and not 0 <= int(started_ms) <= MAX_STARTED_MS:
+        raise ValueError(f"{key}: started_ms {started_ms}; allowed: 0 to 2**53")
+    instance = str(item["instance"])
+    # Messages to peers can't carry text that can't be encoded.
+    (key + instance).encode()
     return LostRun(
         fingerprint=key.removeprefix(PREFIX),
         incarnation=Incarnation(
-            str(item["instance"]), None if started_ms is None else int(started_ms)
+            instance, None if started_ms is None else int(started_ms)
         ),
         progressed=bool(item["progressed"]),
         lost_at=now - max(0.0, unix_s - float(item["lost_at"])),
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/quota_record.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/quota_record.py
@@ -13,6 +13,15 @@
 
 HOLDER_KEY = "bambootiller/quotas/allocator"
 MEMBERS_KEY = "bambootiller/quotas/members"
+#: What decoding a value that another program wrote may raise. Numbers may be too large
+#: and lists nested too deeply.
+_DECODING_ERRORS = (
+    ValueError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class UnreadableRecord(ValueError):
@@ -52,7 +61,7 @@
             str(name): Member(str(incarnation), _parts(ceilings))
             for name, (incarnation, ceilings) in document.items()
         }
-    except (ValueError, TypeError, AttributeError) as exc:
+    except _DECODING_ERRORS as exc:
         raise UnreadableRecord(f"invalid quota members: {type(exc).__name__}") from exc
 
 
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_permit_record.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_permit_record.py
@@ -38,7 +38,7 @@
         try:
             document = json.loads(value)
             return cls(str(document["holder"]), str(document["model"]))
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             return None
 
 
--- a/tests/adapter/failures/test_odd_values.py
+++ b/tests/adapter/failures/test_odd_values.py
@@ -6,9 +6,14 @@
 from bambootiller_platform_standins.httpd import Reply, Server
 
 from bambootiller.gateway.ports import ReportFailed
+from bambootiller_core.gateway import quarantine_record, quota_record
+from bambootiller_core.gateway.store_permit_record import StorePermitRecord
 from bambootiller_platform.engine import PlatformEngine
 
+DEEPLY_NESTED = b"[" * 100_000
 LARGE = (2**31, 2**63, 10**30, 10**400)
+KEY = f"{quarantine_record.PREFIX}f1"
+RUN = {"instance": "b1", "started_ms": 5, "progressed": False, "lost_at": 90.0}
 
 
 class TestReports(unittest.IsolatedAsyncioTestCase):
@@ -45,3 +50,29 @@
         """Each of many faults in a report was written to the log."""
         report = await self.read(models=[7] * 10_000)
         self.assertLess(len(report.detail), 200)
+
+
+class TestRecords(unittest.TestCase):
+    """A record of another writer ended each process that read it, at each start."""
+
+    def test_a_quarantine_record_is_unreadable(self):
+        for document in (
+            DEEPLY_NESTED,
+            *[json.dumps([{**RUN, "lost_at": number}]) for number in LARGE[3:]],
+            *[json.dumps([{**RUN, "started_ms": number}]) for number in LARGE[1:]],
+            json.dumps([{**RUN, "started_ms": float("inf")}]),
+            json.dumps([{**RUN, "instance": "\ud800"}]),
+        ):
+            with self.subTest(document=document[:80]), self.assertRaises(ValueError):
+                quarantine_record.decode(KEY, document, 100.0, 100.0)
+
+    def test_a_quota_record_is_unreadable(self):
+        for document in (
+            DEEPLY_NESTED,
+            json.dumps({"e1": ["a", {"c1": 10**400}]}).encode(),
+        ):
+            with self.assertRaises(quota_record.UnreadableRecord):
+                quota_record.decode(document)
+
+    def test_a_permit_record_is_unreadable(self):
+        self.assertIsNone(StorePermitRecord.decode(DEEPLY_NESTED))
