Headers: numbers that can't be converted

What callers saw: a 500 for token counts whose sum is infinite and for an event id of more than 4,300 digits; an answer was lost to a Keep-Alive time of 400 digits or more.

Cause: int() of an infinite float, of more digits than Python converts, and an int too large for a float.

--- a/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
+++ b/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
@@ -384,7 +384,7 @@
             for part in value.split(b","):
                 key, _, number = part.strip().partition(b"=")
                 if key.lower() == b"timeout" and number.strip().isdigit():
-                    return int(number) * KEEP_ALIVE_FRACTION
+                    return float(number) * KEEP_ALIVE_FRACTION
     return DEFAULT_KEEP_ALIVE_S
 
 
--- a/tests/adapter/failures/test_odd_values.py
+++ b/tests/adapter/failures/test_odd_values.py
@@ -5,15 +5,19 @@
 
 from bambootiller_platform_standins.httpd import Reply, Server
 
-from bambootiller.gateway.ports import ReportFailed
+from bambootiller.gateway.backend_connection import _Answer, _reuse_time_s
+from bambootiller.gateway.ports import Incoming, ReportFailed, Unreadable
 from bambootiller_core.gateway import quarantine_record, quota_record
 from bambootiller_core.gateway.store_permit_record import StorePermitRecord
+from bambootiller_platform.dialect import PlatformDialect
 from bambootiller_platform.engine import PlatformEngine
 
 DEEPLY_NESTED = b"[" * 100_000
 LARGE = (2**31, 2**63, 10**30, 10**400)
 KEY = f"{quarantine_record.PREFIX}f1"
 RUN = {"instance": "b1", "started_ms": 5, "progressed": False, "lost_at": 90.0}
+#: More digits than Python converts to a number.
+MANY_DIGITS = b"9" * 5000
 
 
 class TestReports(unittest.IsolatedAsyncioTestCase):
@@ -52,6 +56,34 @@
         self.assertLess(len(report.detail), 200)
 
 
+class TestHeaders(unittest.TestCase):
+    def read(self, *headers):
+        scope = {
+            "method": "GET",
+            "raw_path": b"/a/",
+            "query_string": b"",
+            "headers": [(b"host", b"h"), *headers],
+        }
+        return PlatformDialect().read(scope)
+
+    def test_token_counts_that_overflow_together_are_read(self):
+        """A caller got a 500 for numbers whose sum is infinite."""
+        incoming = self.read((b"x-token-usage", b"1e308,1e308"), (b"x-model", b"m0"))
+        self.assertIsInstance(incoming, Incoming)
+
+    def test_an_event_id_of_many_digits_is_rejected(self):
+        """A caller got a 500 for an id that can't be converted."""
+        self.assertIsInstance(self.read((b"last-event-id", MANY_DIGITS)), Unreadable)
+
+    def test_a_keep_alive_time_of_many_digits_is_read(self):
+        """The answer of a backend server was lost to the time for which its connection
+        may be reused."""
+        for digits in (MANY_DIGITS, b"9" * 400):
+            answer = _Answer()
+            answer.headers = [(b"keep-alive", b"timeout=" + digits)]
+            self.assertGreater(_reuse_time_s(answer), 0)
+
+
 class TestRecords(unittest.TestCase):
     """A record of another writer ended each process that read it, at each start."""
 
