Calls: one that no backend server runs ends with its caller

What callers saw: an unsafe request of a caller that had left ran 0.74 s later at another replica; a caller that had sent it again might have it run twice.

Cause: each non-idempotent call went on without its caller, also while it still waited for a connection, or after a replica had guaranteed that it didn't run.

Change: it goes on only while a backend server may be running it, and isn't sent again.

--- a/packages/bambootiller/src/bambootiller/gateway/http_front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_front.py
@@ -150,8 +150,10 @@
     ) -> Refusal | None:
         """Run the relay until it ends or the caller's connection does.
 
-        A non-idempotent call continues without its caller: cancelled halfway, it would
-        leave the caller's work in an unknown, partially executed state.
+        A non-idempotent call that a backend server is running continues without its
+        caller: cancelled halfway, it would leave the caller's work in an unknown,
+        partially executed state. One that isn't running ends: its caller may have sent
+        it again.
         """
         running = asyncio.ensure_future(relay.run())
         disconnect_watch = asyncio.ensure_future(_wait_for_disconnect(receive))
@@ -159,8 +161,10 @@
             await asyncio.wait(
                 (running, disconnect_watch), return_when=asyncio.FIRST_COMPLETED
             )
-            if not running.done() and not (call.may_rerun or call.is_stream):
-                await asyncio.wait((running,))
+            if not running.done():
+                is_running = relay.caller_left()
+                if is_running and not (call.may_rerun or call.is_stream):
+                    await asyncio.wait((running,))
             if running.done():
                 return running.result()
             relay.report.caller_gone(end.closed_by or None, end.detail)
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -111,6 +111,14 @@
         self._silence_detector: SilenceDetector | None = None
         self._admission: QuotaAdmission | None = None
         self._last_stay_reason: StayReason | None = None
+        self._is_running = False
+        self._caller_left = False
+
+    def caller_left(self) -> bool:
+        """Record that the caller has left: the call isn't sent again. Returns whether a
+        backend server is running it."""
+        self._caller_left = True
+        return self._is_running
 
     async def run(self) -> Refusal | None:
         """Serve the call. Returns a refusal if the gateway itself has to answer, or
@@ -196,8 +204,9 @@
             self._target = await self._way_back.take()
             if self._target is not None:
                 return SendAgain(progress.forwarded, costs_budget=True)
-        if isinstance(decision, SendAgain) and not self._may_retry(decision):
-            return attempts.give_up(progress)
+        if isinstance(decision, SendAgain):
+            if self._caller_left or not self._may_retry(decision):
+                return attempts.give_up(progress)
         return decision
 
     def _has_alternative(self, decision: Decision) -> bool:
@@ -234,6 +243,7 @@
                 return AttemptOutcome.NOT_SENT
             attempt = self._sender.send(backend, conn)
             self._placement.sent()
+        self._is_running = True
         answered = False
         try:
             ended = await self._receive_watched(attempt)
@@ -256,6 +266,7 @@
                 )
             raise
         finally:
+            self._is_running = False
             attempt.end(answered)
 
     async def _connect(self, backend: Backend) -> BackendConnection | None:
