--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -16,7 +16,8 @@
     waiting for their prefill, ``candidates`` the number of backend servers that could
     have been chosen. ``revision`` is the revision of its registration, ``standing`` its
     health state, ``agent_age_ms`` the age of its agent's last report, None without an
-    agent."""
+    agent. ``documents_age_ms`` is the time since any registration or configuration last
+    became known here, ``listed`` is False if only the agent has reported this start."""
 
     zone: str
     occupied: int
@@ -25,6 +26,8 @@
     standing: str
     agent_age_ms: int | None = None
     unread: int = 0
+    documents_age_ms: int | None = None
+    listed: bool | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_state_changes.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_state_changes.py
@@ -85,7 +85,8 @@
     dropped.
 
     ``started_ms`` and ``before_ms`` are the Unix milliseconds of the new and the
-    previous start; ``source`` is the store, a peer, or the engine's own report."""
+    previous start; ``source`` is the store, a peer, or the engine's own report.
+    ``was_leaving`` and ``leaving`` are whether the previous and the new start leave."""
 
     event: ClassVar[str] = "backend_restarted"
 
@@ -93,6 +94,8 @@
     started_ms: int
     before_ms: int
     source: str
+    was_leaving: bool
+    leaving: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +104,8 @@
 
     ``reason``: "removed" (the registration was removed), "missing_after_outage" (the
     registration hadn't come back some seconds after the store had). ``was_leaving``
-    distinguishes a planned leave from a loss."""
+    distinguishes a planned leave from a loss. ``kept`` is True if calls are sent there
+    for the time being, as the registration may have expired in an outage."""
 
     event: ClassVar[str] = "backend_removed"
 
@@ -110,6 +114,7 @@
     revision: int | None = None
     was_leaving: bool | None = None
     source: str | None = None
+    kept: bool | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
+++ b/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
@@ -76,6 +76,7 @@
         self.table = DocumentTable()
         #: How often ``table.complete`` has changed.
         self.completeness_version = 0
+        self._advanced_at: float | None = None
         self._registry_faults = RegistryFaults(self.fleet, events)
         self._listeners: list[Listener] = []
         self._config_keys: set[str] = set()
@@ -121,6 +122,14 @@
         if self.config is not None:
             listener(self.config)
 
+    def documents_age_s(self) -> float | None:
+        """The time since documents up to a higher revision last arrived, in seconds;
+        None before the first. Backend servers rewrite their registrations about once a
+        second, so more than that shows a delay on the way."""
+        if self._advanced_at is None:
+            return None
+        return self._clock() - self._advanced_at
+
     def documents(self) -> list[Changed]:
         """All documents held, including recent removals."""
         return self.table.documents()
@@ -193,6 +202,7 @@
         revision belongs to a prefix of keys or to one key."""
         if not self.table.advance(complete):
             return
+        self._advanced_at = self._clock()
         self.completeness_version += 1
         for listener in self._revision_listeners:
             listener()
@@ -210,8 +220,9 @@
         held = self.fleet.get(instance)
         was_leaving = held.registration.leaving if held is not None else None
         self.fleet.registry_removed(self._clock(), instance)
+        kept = self.fleet.get(instance) is not None
         line = lines.BackendRemoved(
-            instance, "removed", record.mod_revision, was_leaving, source
+            instance, "removed", record.mod_revision, was_leaving, source, kept
         )
         self._events.emit(line)
         self.changed.notify()
@@ -310,6 +321,8 @@
             current.registration.started_ms,
             before.registration.started_ms,
             source,
+            before.registration.leaving,
+            current.registration.leaving,
         )
         self._events.emit(line)
 
--- a/packages/bambootiller/src/bambootiller/gateway/reporting.py
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -36,6 +36,7 @@
         now = self._context.clock()
         health = self._context.service(self._call.service).health
         has_report = backend.engine is not None
+        documents_age_s = self._context.gateway_state.documents_age_s()
         self._chosen_at = now
         self._chosen_on = lines.BackendSnapshot(
             zone=backend.registration.zone,
@@ -45,6 +46,8 @@
             standing=health.standing(backend.incarnation).value,
             agent_age_ms=_ms(backend.agent_silence_s(now)) if has_report else None,
             unread=backend.engine_pending_prefills(now),
+            documents_age_ms=None if documents_age_s is None else _ms(documents_age_s),
+            listed=None if backend.listed else False,
         )
 
     def part_forwarded(self, now: float) -> None:
