--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_state_changes.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_state_changes.py
@@ -86,7 +86,8 @@
 
     ``started_ms`` and ``before_ms`` are the Unix milliseconds of the new and the
     previous start; ``source`` is the store, a peer, or the engine's own report.
-    ``was_leaving`` and ``leaving`` are whether the previous and the new start leave."""
+    ``was_leaving`` and ``leaving`` are whether the previous and the new start leave, as
+    far as an entry knows."""
 
     event: ClassVar[str] = "backend_restarted"
 
@@ -94,8 +95,8 @@
     started_ms: int
     before_ms: int
     source: str
-    was_leaving: bool
-    leaving: bool
+    was_leaving: bool | None = None
+    leaving: bool | None = None
 
 
 @dataclass(frozen=True, slots=True)
