Fleet: an agent's report doesn't undo what the registry says of a leave

What callers saw: requests went to a replica for as long as it answered (120 later than 2 s after its announcement, 122 where the report came first), or until 2.5 s after its removal (21). Cause: Fleet.engine_reported made a start that doesn't leave of a report, which knows nothing of leaving; an announcement read after it was dropped as one of an earlier start; its removal only began the grace for registrations that may have expired. Evidence: backend_restarted with was_leaving=true, leaving=false, then answered with listed=false in chosen_on. Change: until a start has a registration of its own, that of the start before stands for it, with its changes, its removal, its grace and whether it can be read. Ruled out: that the registry says it late (revisions in chosen_on).

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -11,6 +11,10 @@
 another start appears under the same name, from either source, a new :class:`Backend`
 replaces the old one. Whatever refers to the old one, such as a call that ran there,
 keeps that reference and doesn't change the new one.
+
+An agent that reports a start before the registry lists it says nothing about leaving:
+until the start has a registration of its own, that of the previous start applies to it,
+with its changes and its removal.
 """
 
 from __future__ import annotations
@@ -290,18 +294,30 @@
             self._add_start(now, record)
             return True
         if record.incarnation.precedes(held.incarnation):
-            return False
+            if held.listed:
+                return False
+            held.missing_since = None
+            return self._update_registration(held, replace(record, holdings={}))
         held.last_reported_at = now
         held.missing_since = None
-        held.listed = True
+        if not held.listed and record.started_ms is not None:
+            held.listed = True
+            held.registration = record
+            self._update_address(record)
+            return True
+        return self._update_registration(held, record)
+
+    def _update_registration(self, held: Backend, record: Registration) -> bool:
+        """Apply a later version of the registration that ``held`` has."""
         if record.revision < held.registration.revision:
             return False
         if held.registration.leaving and not record.leaving:
             # A leaving start never becomes available again; a delayed write would undo
             # the drain.
             return False
-        if record.started_ms is None:
-            record = replace(record, started_ms=held.registration.started_ms)
+        started_ms = held.registration.started_ms
+        if record.started_ms is None or not held.listed:
+            record = replace(record, started_ms=started_ms)
         held.registration = record
         self._update_address(record)
         return True
@@ -336,9 +352,7 @@
         """Record that the registry no longer lists the instance.
 
         Shortly after the store's return the backend server is only marked as missing:
-        the registration may have expired because heartbeats didn't reach the store. The
-        same goes for a start that the registry hasn't listed yet: the registration that
-        was removed belonged to the previous start.
+        the registration may have expired because heartbeats didn't reach the store.
         """
         held = self._backends.get(instance)
         if held is None:
@@ -347,7 +361,7 @@
             now - self._store_returned_at < EXPIRY_GRACE_S
             and not held.registration.leaving
         )
-        if expired or not held.listed:
+        if expired:
             if held.missing_since is None:
                 held.missing_since = now
             return
@@ -366,22 +380,17 @@
     def sweep(self, now: float) -> list[str]:
         """Drop backend servers that are still missing :data:`EXPIRY_GRACE_S` after the
         store's return; return their names."""
+        if now - self._store_returned_at < EXPIRY_GRACE_S:
+            return []
         missing = [
             backend.instance
             for backend in self._backends.values()
             if backend.missing_since is not None
-            and self._is_still_missing(now, backend)
         ]
         for instance in missing:
             self._drop(instance)
         return missing
 
-    def _is_still_missing(self, now: float, backend: Backend) -> bool:
-        since = self._store_returned_at
-        if not backend.listed:
-            since = max(since, backend.missing_since)
-        return now - since >= EXPIRY_GRACE_S
-
     def _update_address(self, record: Registration) -> None:
         last = self._backends.get(self._instance_by_address.get(record.address, ""))
         if last is None or last.registration.revision < record.revision:
@@ -422,10 +431,13 @@
         if backend is None:
             return False
         if backend.is_superseded_by(now, state.incarnation):
-            # The same address; whether it is leaving isn't known yet.
-            fields = {"started_ms": state.started_ms, "leaving": False, "holdings": {}}
-            found = replace(backend.registration, **fields)
+            found = replace(
+                backend.registration, started_ms=state.started_ms, holdings={}
+            )
+            previous = backend
             backend = self._add_start(now, found, listed=False)
+            backend.missing_since = previous.missing_since
+            backend.unreadable_revision = previous.unreadable_revision
         elif state.incarnation.precedes(backend.incarnation):
             return False
         elif backend.registration.started_ms is None:
--- a/tests/gateway/failures/test_restarts.py
+++ b/tests/gateway/failures/test_restarts.py
@@ -168,6 +168,11 @@
         self.restart(2.0, leaving=True)
         self.assert_unused()
 
+    def test_a_registration_that_cannot_be_read_still_counts(self):
+        self.fleet.registry_unreadable("b1", 2)
+        self.report_restart()
+        self.assert_unused()
+
     def test_removal_of_the_previous_registration_drops_it_at_once(self):
         """It was used for the time in which a registration may have expired, which is
         longer than a backend server that left may be used."""
