Calls: whether a backend server still accepts calls is asked at the sending

What callers saw: a call that waited for its connection was sent to a replica that had announced its leave or been removed meanwhile; a silent stream moved to one. Cause: what was known when the backend server was chosen wasn't asked again. A permit (0.2 s) and a connection (0.8 s of running time, more in a stall) come on top of the registry's pause (0.6 s), so the sum of what is each within 2 s isn't. Change: Fleet.accepts_calls, asked right before the sending, by failovers once they are connected and for the way back; the call is placed anew, or refused as not run, which is true. A new line, not_sent, says which and how long it waited. Class: a belief that is used later than it was formed.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -274,6 +274,27 @@
             and not backend.registration.leaving
         ]
 
+    def accepts_calls(self, now: float, backend: Backend) -> bool:
+        """Whether a call may be sent to this start now: it is still registered, and it
+        isn't leaving. To be asked right before the sending, as a call may have waited
+        since its backend server was chosen.
+        """
+        held = self._backends.get(backend.instance)
+        return (
+            held is not None
+            and held.incarnation == backend.incarnation
+            and held.readable
+            and not held.registration.leaving
+            and not self.is_expired(now, held)
+            and not self._is_address_reused(held)
+        )
+
+    def is_expired(self, now: float, backend: Backend) -> bool:
+        """Whether its registration is still missing :data:`EXPIRY_GRACE_S` after the
+        store's return."""
+        is_grace_over = now - self._store_returned_at >= EXPIRY_GRACE_S
+        return backend.missing_since is not None and is_grace_over
+
     def all_of_service(self, service: str) -> list[Backend]:
         """The backend servers of the service, including those that are leaving."""
         return [backend for backend in self if backend.registration.service == service]
@@ -380,12 +401,10 @@
     def sweep(self, now: float) -> list[str]:
         """Drop backend servers that are still missing :data:`EXPIRY_GRACE_S` after the
         store's return; return their names."""
-        if now - self._store_returned_at < EXPIRY_GRACE_S:
-            return []
         missing = [
             backend.instance
             for backend in self._backends.values()
-            if backend.missing_since is not None
+            if self.is_expired(now, backend)
         ]
         for instance in missing:
             self._drop(instance)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -256,6 +256,22 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class NotSent(LogLine):
+    """A call wasn't sent to the backend server that was chosen for it, as that has
+    begun to leave, ended or restarted since.
+
+    ``waited_ms`` is the time since the choice, ``leaving`` None if the backend server
+    isn't registered any more."""
+
+    event: ClassVar[str] = "not_sent"
+
+    request: str
+    backend: str
+    waited_ms: int
+    leaving: bool | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CallerGone(LogLine):
     """The caller's connection ended before its answer was complete.
--- a/packages/bambootiller/src/bambootiller/gateway/failover.py
+++ b/packages/bambootiller/src/bambootiller/gateway/failover.py
@@ -197,8 +197,11 @@
             if isinstance(backend, StayReason):
                 return StayReason.NO_CONNECTION if failed else backend
             conn = await self._connect_unless_resumed(backend, silent_conn, seen_count)
-            if conn is not None:
+            if conn is not None and self._context.accepts_calls(backend):
                 return FailoverTarget(backend, conn)
+            if conn is not None:
+                self._report.not_sent(backend)
+                self.release_target(FailoverTarget(backend, conn))
             if silent_conn.has_changed_since(seen_count):
                 return StayReason.RESUMED
             failed = True
--- a/packages/bambootiller/src/bambootiller/gateway/placement.py
+++ b/packages/bambootiller/src/bambootiller/gateway/placement.py
@@ -132,7 +132,11 @@
     def _in_service(self) -> list[Backend]:
         fleet, now = self._context.gateway_state.fleet, self._context.clock()
         backends = fleet.of_service(self._call.service)
-        return [backend for backend in backends if not backend.is_lost(now)]
+        return [
+            backend
+            for backend in backends
+            if not backend.is_lost(now) and not fleet.is_expired(now, backend)
+        ]
 
     def _choose(self, candidates: list[Backend]) -> Backend | None:
         context = self._context
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -241,6 +241,10 @@
             conn = target.conn if target else await self._connect(backend)
             if conn is None:
                 return AttemptOutcome.NOT_SENT
+            if not self._context.accepts_calls(backend):
+                self.report.not_sent(backend)
+                self._failover.release_target(FailoverTarget(backend, conn))
+                return AttemptOutcome.NOT_SENT
             attempt = self._sender.send(backend, conn)
             self._placement.sent()
         self._is_running = True
--- a/packages/bambootiller/src/bambootiller/gateway/relay_context.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay_context.py
@@ -130,6 +130,11 @@
         )
         self.events.emit(line)
 
+    def accepts_calls(self, backend: Backend) -> bool:
+        """Whether a call may be sent to a backend server now, whatever was known when
+        it was chosen."""
+        return self.gateway_state.fleet.accepts_calls(self.clock(), backend)
+
     def key_refusal(self, call: Call) -> Refusal | None:
         """Why an admitted call may no longer be sent: the configuration has changed and
         its key has been removed or belongs to another customer."""
--- a/packages/bambootiller/src/bambootiller/gateway/reporting.py
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -151,6 +151,19 @@
         request = self._call.request_id
         self._emit(lines.CannotConnect(request, backend.instance, detail))
 
+    def not_sent(self, backend: Backend) -> None:
+        """Logs that the call isn't sent to the backend server that was chosen for it,
+        as that accepts no calls any more."""
+        held = self._context.gateway_state.fleet.get(backend.instance)
+        self._emit(
+            lines.NotSent(
+                request=self._call.request_id,
+                backend=backend.instance,
+                waited_ms=_ms(self._context.clock() - self._chosen_at),
+                leaving=held.registration.leaving if held is not None else None,
+            )
+        )
+
     def cut(self, reason: str) -> None:
         """Logs that the caller's connection is closed, as its answer can't be
         completed."""
--- a/packages/bambootiller/src/bambootiller/gateway/way_back.py
+++ b/packages/bambootiller/src/bambootiller/gateway/way_back.py
@@ -84,8 +84,6 @@
         context, now = self._context, self._context.clock()
         return (
             self._call.deadline - now >= MIN_ATTEMPT_S
-            and context.gateway_state.fleet.is_current(backend.incarnation)
-            and backend.readable
-            and not backend.registration.leaving
+            and context.gateway_state.fleet.accepts_calls(now, backend)
             and not context.server_admission.is_limited(backend)
         )
