--- a/packages/bambootiller-core/src/bambootiller_core/ports.py
+++ b/packages/bambootiller-core/src/bambootiller_core/ports.py
@@ -147,7 +147,8 @@
     def watch(
         self, prefix: str, from_revision: int
     ) -> AsyncIterator[tuple[Changed, ...] | Unavailable]:
-        """Yield changes under ``prefix`` from a revision on, lastly ``Unavailable``."""
+        """Yield changes under ``prefix`` from a revision on, lastly ``Unavailable``. An
+        empty batch shows that the service is available."""
 
     async def close(self) -> None:
         """Release the connections."""
--- a/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
+++ b/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from bambootiller.gateway.event_log import EventLog
@@ -431,6 +431,7 @@
     async def _watch(
         self, prefix: str, revision: int, is_needed: Callable[[], bool]
     ) -> None:
+        """Apply changes until the watch ends or isn't needed."""
         began = self._stall_check.now()
         async for batch in self._kv.watch(prefix, revision):
             if isinstance(batch, Unavailable):
@@ -442,16 +443,22 @@
                     self._on_lost(prefix, batch.detail)
                 return
             self._answered_at = self._clock()
-            for change in batch:
-                self._gateway_state.apply_document(change, "store")
-            # Several keys may change in one revision, so it is complete only here.
-            revision = max(change.record.mod_revision for change in batch)
-            self._gateway_state.mark_complete({prefix: revision})
+            self._apply(prefix, batch)
             if not is_needed():
                 return
-            await asyncio.sleep(self._batch_delay())
+            if batch:
+                await asyncio.sleep(self._batch_delay())
             began = self._stall_check.now()
 
+    def _apply(self, prefix: str, batch: Sequence[Changed]) -> None:
+        if not batch:
+            return
+        for change in batch:
+            self._gateway_state.apply_document(change, "store")
+        # Several keys may change in one revision, so it is complete only here.
+        revision = max(change.record.mod_revision for change in batch)
+        self._gateway_state.mark_complete({prefix: revision})
+
     def _batch_delay(self) -> float:
         """The delay before the next read. It is short after the key-value service has
         come back: live backend servers would be dropped if their renewed registrations
--- a/tests/adapter/failures/test_leaving_replicas.py
+++ b/tests/adapter/failures/test_leaving_replicas.py
@@ -9,8 +9,13 @@
 from bambootiller_platform_standins.replica import StandinReplica
 from bambootiller_platform_standins.store import StandinStore
 
-from bambootiller.gateway.gateway_state import GatewayState, StoreWatcher
+from bambootiller.gateway.gateway_state import (
+    BATCH_DELAY_FRACTION,
+    GatewayState,
+    StoreWatcher,
+)
 from bambootiller.gateway.ports import Bounds
+from bambootiller_platform import store as store_module
 from bambootiller_platform.documents import PlatformDirectory
 from bambootiller_platform.store import PlatformKeyValue
 from bambootiller_standins.testing import eventually
@@ -258,6 +263,30 @@
         self.assertFalse(self.is_used())
 
 
+class TestSumOfDelays(unittest.TestCase):
+    """Guards against delays that are each within the bound for a leave, but not
+    together."""
+
+    #: The bound for a leave, and the time after which a process is in touch again, of
+    #: the platform's deployments. Seconds.
+    BOUNDS = ((2.0, 3.0), (3.0, 4.0), (4.0, 5.0))
+    #: An answer of a slow store. Seconds.
+    SLOW_ANSWER_S = 0.2
+
+    def test_a_leave_is_known_in_time(self):
+        for leaving_s, _ in self.BOUNDS:
+            known_s = BATCH_DELAY_FRACTION * leaving_s + self.SLOW_ANSWER_S
+            self.assertLess(known_s, leaving_s)
+
+    def test_a_silent_connection_is_replaced_before_the_process_is_in_touch(self):
+        silent_s = (
+            store_module.BUSY_WATCH_WAIT_MS / 1000 + store_module.WATCH_TIMEOUT_MARGIN_S
+        )
+        for leaving_s, contact_s in self.BOUNDS:
+            known_s = BATCH_DELAY_FRACTION * leaving_s + silent_s + self.SLOW_ANSWER_S
+            self.assertLess(known_s, contact_s)
+
+
 class TestLeaveDuringFailover(PausedStreamCase):
     """Guards against moving a silent stream to a replica that has left since it was
     chosen."""
--- a/tests/adapter/failures/test_stalls.py
+++ b/tests/adapter/failures/test_stalls.py
@@ -246,7 +246,7 @@
         store = background_loop.start_store()
         store.put("servers/i-1", json.dumps(SERVER).encode())
         short_timeouts = mock.patch.multiple(
-            store_module, WATCH_WAIT_MS=250, WATCH_TIMEOUT_MARGIN_S=0.1
+            store_module, BUSY_WATCH_WAIT_MS=250, WATCH_TIMEOUT_MARGIN_S=0.1
         )
         short_timeouts.start()
         self.addCleanup(short_timeouts.stop)
