Answers: what costs more than its bytes is parsed in turns

What callers saw: beside six answers of one faulty backend server, in chunks of one byte or in events of a few, calls to sound ones took 4.8 and 4.2 s instead of some ms, new connections were closed unread, and registrations and configurations were read late. Cause: all of a read (256 KiB) was parsed at once, 0.3 s for 43,690 chunks; only memory was bounded, not work. Change: a connection parses 256 parts at once, a stream forwards 256 events; the rest waits for its turn in a queue of the process, a step in 10 ms, and the connection isn't read meanwhile. Progress is recorded once for what is parsed together.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/events.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/events.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from typing import NamedTuple
 
 #: The event separators with a carriage return; most streams have none.
@@ -18,6 +19,8 @@
 _ID_LINE = re.compile(rb"(?:\A|[\r\n])[ \t\v\f]*id[ \t\v\f]*:([^\r\n]*)")
 #: A larger event is forwarded in parts, so that memory stays bounded.
 MAX_EVENT_BYTES = 1 << 20
+#: How much is searched for events at a time. Bytes.
+SLICE_BYTES = 2048
 
 
 class Event(NamedTuple):
@@ -68,6 +71,13 @@
             buffer.clear()
         return found
 
+    def feed_in_slices(self, data: bytes) -> Iterator[list[Event]]:
+        """The events that ``data`` completes, a bounded number of them at a time."""
+        for begin in range(0, len(data), SLICE_BYTES):
+            events = self.feed(data[begin : begin + SLICE_BYTES])
+            if events:
+                yield events
+
 
 def _split(data: bytes | bytearray, at: int, has_cr: bool) -> tuple[list[Event], int]:
     """The complete events in ``data``, and the offset where the last of them ends. The
--- a/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
+++ b/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
@@ -27,6 +27,7 @@
 
 from bambootiller.gateway.ports import AnswerHead
 from bambootiller.gateway.silence import RunningTimeSource, SilenceTimeout
+from bambootiller.gateway.work_queue import WorkQueue
 
 #: An idle connection is reused only within this fraction of the keep-alive timeout that
 #: the backend server states. Later, the server might close the connection while a call
@@ -48,6 +49,12 @@
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 #: Reading from the socket pauses while more than this is buffered. Bytes.
 MAX_UNREAD_BYTES = 256 * 1024
+#: How much is parsed between two checks of what it has cost. Bytes.
+SLICE_BYTES = 4096
+#: A connection parses no more parts of answers (heads, headers, chunks) at once; if
+#: more have been received, the others wait in the work queue. A part takes some
+#: microseconds.
+MAX_PARTS_AT_ONCE = 256
 #: How many answers to other calls are skipped before a connection is given up, and how
 #: many bytes of them in total.
 MAX_STRAY_ANSWERS = 4
@@ -73,11 +80,11 @@
 
 @dataclass(slots=True)
 class _Answer:
-    """An answer being read; ``data`` are the parts of its body not read yet."""
+    """An answer being read; ``data`` is the part of its body not read yet."""
 
     status: int = 0
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    data: deque[bytes] = field(default_factory=deque)
+    data: bytearray = field(default_factory=bytearray)
     has_head: bool = False
     complete: bool = False
     keep_alive: bool = True
@@ -86,8 +93,15 @@
 class BackendConnection(asyncio.Protocol):
     """One connection, which carries one call at a time."""
 
-    def __init__(self, running_time: RunningTimeSource) -> None:
+    def __init__(self, running_time: RunningTimeSource, work_queue: WorkQueue) -> None:
         self._running_time = running_time
+        self._work_queue = work_queue
+        #: Received bytes that haven't been parsed yet, and what ended the connection
+        #: behind them.
+        self._unparsed = b""
+        self._end_after_unparsed: Callable[[], None] | None = None
+        self._parts_parsed = 0
+        self._progressed = False
         #: The running time at which the answer last progressed, and how often it has.
         self.last_received_at = 0.0
         self.progress_count = 0
@@ -125,6 +139,39 @@
             self._unusable = True
             return
         self._received_any = True
+        waits_for_turn = bool(self._unparsed)
+        self._unparsed += data
+        if not waits_for_turn:
+            self._parse()
+
+    def _parse(self) -> None:
+        """Parse what has been received, up to a bounded number of parts; the rest waits
+        in the work queue, and nothing more is read meanwhile."""
+        self._parts_parsed = 0
+        received = memoryview(self._unparsed)
+        parsed = 0
+        while parsed < len(received) and self._parts_parsed < MAX_PARTS_AT_ONCE:
+            if not self._in_call or self._loss is not None:
+                parsed = len(received)
+                break
+            self._parse_slice(received[parsed : parsed + SLICE_BYTES])
+            parsed += SLICE_BYTES
+        self._unparsed = bytes(received[parsed:])
+        self._record_progress()
+        if self._unparsed:
+            self._work_queue.add(self._parse_when_due)
+        self._update_reading()
+        self._notify()
+
+    def _parse_when_due(self) -> None:
+        if not self._unparsed:
+            return
+        self._parse()
+        if not self._unparsed and self._end_after_unparsed is not None:
+            end, self._end_after_unparsed = self._end_after_unparsed, None
+            end()
+
+    def _parse_slice(self, data: memoryview) -> None:
         self._bytes_without_progress += len(data)
         try:
             self._parser.feed_data(data)
@@ -141,18 +188,42 @@
             )
             self._unusable = True
             self._transport.abort()
-        self._notify()
 
-    def _note_progress(self) -> None:
-        """Record that the answer has progressed. Received bytes alone don't show that
-        the backend server works: a head can go on forever, a byte at a time."""
+    def _mark_progress(self) -> None:
+        """Mark that the answer has progressed. Received bytes alone don't show that the
+        backend server works: a head can go on forever, a byte at a time."""
+        self._progressed = True
         self._bytes_without_progress = 0
+
+    def _record_progress(self) -> None:
+        """Record once for all parts parsed together that the answer has progressed."""
+        if not self._progressed:
+            return
+        self._progressed = False
         self.last_received_at = self._running_time()
         self.progress_count += 1
         self._silence_s = None
 
+    def _update_reading(self) -> None:
+        """Pause reading while too much is buffered or waits to be parsed."""
+        pause = self._unread_bytes > MAX_UNREAD_BYTES or bool(self._unparsed)
+        if pause == self._paused:
+            return
+        self._paused = pause
+        if pause:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def eof_received(self) -> bool:
         """The peer closes the connection, which ends an answer without a length."""
+        if self._unparsed:
+            self._end_after_unparsed = self._on_eof
+            return False
+        self._on_eof()
+        return False
+
+    def _on_eof(self) -> None:
         self._unusable = True
         if self._in_call and not self._is_complete():
             last = self._answers[-1] if self._answers else None
@@ -163,10 +234,22 @@
                     "the connection was closed before the answer's end", True
                 )
         self._notify()
-        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is closed."""
+        if not self._unparsed:
+            self._on_lost(exc)
+            return
+        before = self._end_after_unparsed
+
+        def end() -> None:
+            if before is not None:
+                before()
+            self._on_lost(exc)
+
+        self._end_after_unparsed = end
+
+    def _on_lost(self, exc: Exception | None) -> None:
         self._unusable = True
         if self._in_call and not self._is_complete():
             self._mark_lost(f"the connection was lost: {exc!r}", exc is None)
@@ -176,11 +259,13 @@
 
     def on_message_begin(self) -> None:
         """An answer begins; the relay decides which one belongs to the call."""
+        self._parts_parsed += 1
         if not self._answers or self._answers[-1].complete:
             self._answers.append(_Answer())
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header of the answer; trailers are dropped."""
+        self._parts_parsed += 1
         answer = self._answers[-1]
         if not answer.has_head:
             answer.headers.append((name.lower(), value))
@@ -193,24 +278,22 @@
             answer.headers.clear()
             return
         answer.has_head = True
-        self._note_progress()
+        self._mark_progress()
         answer.keep_alive = self._parser.should_keep_alive()
 
     def on_body(self, data: bytes) -> None:
-        """Buffer a part of the body, and pause reading if too much is buffered."""
-        self._note_progress()
-        self._answers[-1].data.append(data)
+        """Buffer a part of the body."""
+        self._parts_parsed += 1
+        self._mark_progress()
+        self._answers[-1].data += data
         self._unread_bytes += len(data)
-        if self._unread_bytes > MAX_UNREAD_BYTES and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
 
     def on_message_complete(self) -> None:
         """The answer is complete, unless it is an informational one."""
         answer = self._answers[-1]
         answer.complete = answer.has_head
         if answer.complete:
-            self._note_progress()
+            self._mark_progress()
 
     # -- for the relay
 
@@ -283,12 +366,10 @@
             if answer.complete:
                 return None
             await self._wait_for_more()
-        data = b"".join(answer.data)
+        data = bytes(answer.data)
         answer.data.clear()
         self._unread_bytes = 0
-        if self._paused:
-            self._paused = False
-            self._transport.resume_reading()
+        self._update_reading()
         return data
 
     def finish(self, now: float) -> bool:
@@ -299,6 +380,7 @@
             and self._is_complete()
             and self._answers[0].keep_alive
             and not self._unusable
+            and not self._unparsed
             and self._loss is None
             and not self._transport.is_closing()
         )
@@ -331,6 +413,8 @@
         if self._in_call and sock is not None and sock.fileno() >= 0:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
         self._in_call = False
+        self._unparsed = b""
+        self._end_after_unparsed = None
         self._transport.abort()
 
     def _is_complete(self) -> bool:
--- a/packages/bambootiller/src/bambootiller/gateway/connection_pool.py
+++ b/packages/bambootiller/src/bambootiller/gateway/connection_pool.py
@@ -15,6 +15,7 @@
 
 from bambootiller.gateway.backend_connection import BackendConnection
 from bambootiller.gateway.silence import RunningTimeSource, wait_running_time
+from bambootiller.gateway.work_queue import WorkQueue
 
 #: Timeout for establishing a connection. Seconds of running time.
 CONNECT_TIMEOUT_S = 0.8
@@ -33,13 +34,19 @@
     """The connections to one backend server.
 
     ``max_open`` limits the connections of this process, idle ones included, because a
-    backend server resets those beyond its limit for all clients together.
+    backend server resets those beyond its limit for all clients together. All pools of
+    a process share its ``work_queue``.
     """
 
     def __init__(
-        self, address: str, max_open: int, running_time: RunningTimeSource
+        self,
+        address: str,
+        max_open: int,
+        running_time: RunningTimeSource,
+        work_queue: WorkQueue | None = None,
     ) -> None:
         self._running_time = running_time
+        self._work_queue = work_queue or WorkQueue()
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
@@ -104,7 +111,7 @@
 
     async def _connect(self, timeout_s: float) -> BackendConnection:
         loop = asyncio.get_running_loop()
-        conn = BackendConnection(self._running_time)
+        conn = BackendConnection(self._running_time, self._work_queue)
         connecting = loop.create_connection(lambda: conn, self._host, self._port)
         try:
             await wait_running_time(
--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -56,6 +56,9 @@
 #: An answer up to this size is buffered before its first byte is sent to the caller. A
 #: larger one is streamed, so that an endless answer uses no more memory. Bytes.
 MAX_COLLECTED_BYTES = 1 << 20
+#: How many events of a stream are forwarded at once, if more have been received. A
+#: sound stream has fewer even after a pause.
+MAX_EVENTS_AT_ONCE = 256
 #: How much of the body of a backend server's refusal is read, and for how long, so that
 #: the connection can be reused. Bytes and seconds.
 MAX_REFUSAL_BYTES = 64 * 1024
@@ -466,16 +469,21 @@
             data = await self._read_or_fail_over(attempt, attempt.conn.chunk)
             if data is None:
                 break
-            events = splitter.feed(data)
-            if not events:
-                continue
-            if any(_is_oversized(event) for event in events):
-                raise ConnectionLost("an event exceeds the maximum size", False, True)
-            if first:
-                first = False
-                attempt.prefill_done()
-                self._record_health(attempt, head)
-            await self._forward_events(head, events)
+            at_once = 0
+            for events in splitter.feed_in_slices(data):
+                if any(_is_oversized(event) for event in events):
+                    raise ConnectionLost(
+                        "an event exceeds the maximum size", False, True
+                    )
+                if first:
+                    first = False
+                    attempt.prefill_done()
+                    self._record_health(attempt, head)
+                await self._forward_events(head, events)
+                at_once += len(events)
+                if at_once > MAX_EVENTS_AT_ONCE:
+                    at_once = 0
+                    await self._context.work_queue.turn()
         if splitter.remainder:
             raise ConnectionLost(
                 "the stream ended in the middle of an event", True, True
--- a/packages/bambootiller/src/bambootiller/gateway/relay_context.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay_context.py
@@ -16,6 +16,7 @@
 from bambootiller.gateway.server_admission import ServerAdmission
 from bambootiller.gateway.server_limits import ServerLimits
 from bambootiller.gateway.silence import RunningTimeSource
+from bambootiller.gateway.work_queue import WorkQueue
 from bambootiller_core.gateway.attempts import (
     DEFAULT_RETRY_AFTER_S,
     Refusal,
@@ -89,6 +90,8 @@
         self.started_at = clock()
         #: When a planned stop cuts off running calls, None if none has begun.
         self.stop_deadline: float | None = None
+        #: For what costs more than the bytes that caused it.
+        self.work_queue = WorkQueue()
         self._services: dict[str, ServiceState] = {}
         self._pools: dict[Incarnation, ConnectionPool] = {}
 
@@ -155,7 +158,10 @@
         if found is None:
             limit = self._connection_limit(backend)
             found = ConnectionPool(
-                backend.registration.address, limit, self.running_time
+                backend.registration.address,
+                limit,
+                self.running_time,
+                self.work_queue,
             )
             self._pools[backend.incarnation] = found
         return found
--- a/tests/adapter/failures/test_endless_answers.py
+++ b/tests/adapter/failures/test_endless_answers.py
@@ -6,11 +6,13 @@
 
 import psutil
 from bambootiller_platform_standins.httpd import Reply, Server
+from bambootiller_platform_standins.replica import StandinReplica
 
 from bambootiller.gateway.ports import ReportFailed
 from bambootiller_core.ports import Unavailable
 from bambootiller_platform.engine import PlatformEngine
 from bambootiller_platform.store import PlatformKeyValue
+from tests.adapter.common.entry import EntryHarness
 from tests.adapter.common.fleet import Fleet, wait_until
 
 BLOCK = b"a" * 65_536
@@ -34,6 +36,7 @@
     "a length": (SEALED + b"content-length: 999999999999\r\n\r\n", BLOCK),
     "a close": (SEALED + b"connection: close\r\n\r\n", BLOCK),
 }
+STREAMING = {"kind": "streaming", "resumable": False, "gap-aim-ms": 200}
 #: How much the memory of a process may grow while several of them arrive. Bytes.
 MAX_GROWTH_BYTES = 48 << 20
 PLAIN = {
@@ -160,6 +163,97 @@
             self.assertIn(status, (200, 504))
 
 
+class TestCostOfAnswers(unittest.IsolatedAsyncioTestCase):
+    """Guards against valid bytes of one backend server that keep the entry busy, so
+    that calls to others wait.
+
+    A body in chunks of one byte, or in events of a few, takes much more work than its
+    bytes show. The entry did all of that as soon as they arrived.
+    """
+
+    COSTLY = {
+        "chunks of a byte": ({}, CHUNKED, b"1\r\nx\r\n" * 20_000),
+        "small events": (STREAMING, EVENTS, b"data: 1\n\n" * 10_000),
+    }
+    #: A caller gives up an idempotent request that isn't read in this time. Seconds.
+    MAX_LATENCY_S = 1.0
+
+    async def test_calls_to_others_do_not_wait(self):
+        for name, (route_fields, bytes_before, endless) in self.COSTLY.items():
+            with self.subTest(name):
+                async with Fleet() as fleet:
+                    latencies = await self.latencies_beside(
+                        fleet,
+                        route_fields,
+                        Reply(bytes_before=bytes_before, endless=endless),
+                    )
+                self.assertLess(max(latencies), self.MAX_LATENCY_S)
+                self.assertGreater(len(latencies), 10)
+
+    async def latencies_beside(self, fleet, route_fields, reply, count=6):
+        """The latencies of calls to a sound backend server while another one answers
+        ``count`` calls with this reply. Seconds."""
+        faulty_route = {**PLAIN, **route_fields, "name": "p2", "path-prefix": "/f/"}
+        fleet.configure(
+            routes=[PLAIN, {**faulty_route, "service": "faulty"}],
+            services=[{"name": "plain"}, {"name": "faulty"}],
+            tenants=None,
+        )
+        await fleet.replica("127.0.0.2", "i-1", "plain")
+        faulty = await fleet.replica("127.0.0.3", "i-2", "faulty")
+        faulty.next_replies = [lambda request: reply] * count
+        entry = await fleet.entry("e0")
+        await fleet.wait_ready(entry)
+        faulty_calls = [
+            asyncio.create_task(fleet.call(entry, None, "/f/x", f"f-{number}"))
+            for number in range(count)
+        ]
+        latencies = []
+        clock = asyncio.get_running_loop().time
+        while not all(call.done() for call in faulty_calls):
+            began = clock()
+            status, _ = await fleet.call(entry, None, "/p/x", f"p-{len(latencies)}")
+            self.assertEqual(status, 200)
+            latencies.append(clock() - began)
+            await asyncio.sleep(0.02)
+        await asyncio.gather(*faulty_calls, return_exceptions=True)
+        return latencies
+
+
+class TestAnswersInSmallParts(unittest.IsolatedAsyncioTestCase):
+    """Guards against an answer that is cut because the work on it is spread over
+    time."""
+
+    BODY = b"x" * 4000
+
+    async def asyncSetUp(self):
+        self.harness = EntryHarness()
+        self.addAsyncCleanup(self.harness.close)
+        self.harness.configure(**{"max-attempts": 1})
+        self.replica = await self.harness.add(StandinReplica("i-1", "plain"))
+
+    async def answer_in_parts(self, sent_bytes):
+        """Call the replica, which closes its connection after so many bytes."""
+
+        def reply(request):
+            found = self.replica.answer(request, length=False, cut_at=sent_bytes)
+            # The empty chunk is the end of the body.
+            found.pieces = (b"x",) * len(self.BODY) + (b"",)
+            return found
+
+        self.replica.next_replies = [reply]
+        return await self.harness.call()
+
+    async def test_it_is_whole_though_the_connection_closes_behind_it(self):
+        answer = await self.answer_in_parts(sent_bytes=1_000_000)
+        self.assertEqual((answer.status, answer.body), (200, self.BODY))
+        self.assertTrue(answer.whole)
+
+    async def test_it_is_not_whole_without_its_end(self):
+        answer = await self.answer_in_parts(sent_bytes=20_000)
+        self.assertNotEqual(answer.status, 200)
+
+
 class TestReportsAndStoreCalls(unittest.IsolatedAsyncioTestCase):
     """Guards against memory exhaustion by endless reports and endless store answers.
 
