Planned stops: a call that has waited too long isn't sent any more

Cause: the time left was asked only when a call is read (and while it waits for a model), not when it is sent. Change: a call that hasn't run is refused with 503 if less than a typical stream's 3 s, or than its own time, is left; one that may have run is still sent again. Not changed: calls read up to 2.8 s after the signal are taken, as the balancer sends new connections until then. Before: TestCallsThatWaitDuringStop.test_it_is_refused_as_not_run failed (200, sent 2 s before the end). After: passes. Signals and changes in series during a stop (TestSignalsDuringStop) pass before and after: none cut.

--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -13,7 +13,7 @@
 from bambootiller.gateway.crash_isolation import CrashIsolation
 from bambootiller.gateway.failover import Failover, StayReason
 from bambootiller.gateway.failover_target import FailoverTarget
-from bambootiller.gateway.placement import RECHECK_S, Placement
+from bambootiller.gateway.placement import RECHECK_S, TYPICAL_STREAM_S, Placement
 from bambootiller.gateway.ports import AnswerHead, Incoming
 from bambootiller.gateway.quotas import QuotaAdmission
 from bambootiller.gateway.relay_context import RelayContext
@@ -26,6 +26,7 @@
     CutOff,
     Decision,
     Refusal,
+    RefusalReason,
     SendAgain,
 )
 from bambootiller_core.gateway.calls import Call, Progress
@@ -166,7 +167,11 @@
                 target = None
             found = target.backend if target else await self._placement.place()
             if not isinstance(found, Refusal) and not sent:
-                found = self._context.key_refusal(self._call) or found
+                found = (
+                    self._context.key_refusal(self._call)
+                    or self._stop_refusal()
+                    or found
+                )
             if isinstance(found, Refusal):
                 self._target = target
                 return self._refuse_unplaced(found)
@@ -184,6 +189,17 @@
             if not isinstance(decision, SendAgain):
                 return self._finish(decision, ended.value)
 
+    def _stop_refusal(self) -> Refusal | None:
+        """Why a call that hasn't run yet isn't sent any more: it has waited for so long
+        that the planned stop would cut it off, perhaps in the middle of its run."""
+        if self._progress.may_have_run or self._context.stop_deadline is None:
+            return None
+        now = self._context.clock()
+        needed_s = min(TYPICAL_STREAM_S, self._call.deadline - now)
+        if self._context.stop_deadline - now >= needed_s:
+            return None
+        return Refusal(RefusalReason.LEAVING, attempts.DEFAULT_RETRY_AFTER_S)
+
     def _refuse_unplaced(self, refusal: Refusal) -> Refusal:
         """The final answer of a call that gets no further attempt."""
         if self._progress.forwarded or self._progress.may_have_run:
--- a/tests/adapter/failures/test_planned_stops.py
+++ b/tests/adapter/failures/test_planned_stops.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import contextlib
+import signal
 import unittest
 
+from bambootiller_platform_standins.replica import StandinReplica
+
+from tests.adapter.common.entry import EntryHarness
 from tests.adapter.common.fleet import HOST, Fleet, wait_until
-from tests.adapter.cover.test_documents import MODEL
+from tests.adapter.cover.test_documents import MODEL, ROUTE, SERVICE
 
 MODEL_NAME = MODEL["name"]
 #: Far longer than closing a connection after an answer takes, and far shorter than
@@ -50,6 +54,101 @@
     await wait_until(reached, f"{count} streams run")
 
 
+class TestCallsThatWaitDuringStop(unittest.IsolatedAsyncioTestCase):
+    """Guards against a call that is cut without an answer at the end of a planned stop.
+
+    It arrived in time, then waited for a quota, a model or a permit, and was sent to a
+    backend server when there was no time left for its run.
+    """
+
+    #: Too little for a stream. Seconds.
+    LEFT_S = 2.0
+
+    async def asyncSetUp(self):
+        self.harness = EntryHarness()
+        self.addAsyncCleanup(self.harness.close)
+        self.harness.configure(kind="unsafe", **{"max-attempts": 2})
+        self.replica = await self.harness.add(StandinReplica("i-1", "plain"))
+
+    def stop_while_waiting(self):
+        """Have only ``LEFT_S`` of a planned stop left once a call has waited."""
+        admit = self.harness.quotas.admit
+
+        async def slow_admit(call):
+            loop = asyncio.get_running_loop()
+            self.harness.context.stop_deadline = loop.time() + self.LEFT_S
+            return await admit(call)
+
+        self.harness.quotas.admit = slow_admit
+
+    async def test_it_is_refused_as_not_run(self):
+        self.stop_while_waiting()
+        answer = await self.harness.call()
+        self.assertEqual((answer.status, answer.body), (503, b"leaving"))
+        self.assertIn(b"retry-after", answer.headers)
+        self.assertEqual(self.replica.runs, [])
+
+    async def test_it_is_served_if_it_has_to_end_before_the_stop_does(self):
+        self.stop_while_waiting()
+        answer = await self.harness.call(x_deadline_ms=1000)
+        self.assertEqual(answer.status, 200)
+
+    async def test_it_is_sent_again_if_it_may_have_run(self):
+        """Otherwise it would be refused as not run."""
+        self.harness.configure(kind="safe", **{"max-attempts": 2})
+        await self.harness.add(StandinReplica("i-2", "plain"))
+
+        lost = []
+
+        def lose_first(replica):
+            def reply(request):
+                if lost:
+                    return replica.answer(request)
+                lost.append(replica)
+                loop = asyncio.get_running_loop()
+                self.harness.context.stop_deadline = loop.time() + self.LEFT_S
+                return replica.answer(request, cut_at=0)
+
+            return reply
+
+        for replica in self.harness.replicas:
+            replica.next_replies = [lose_first(replica)]
+        answer = await self.harness.call()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(len(lost), 1)
+
+
+class TestSignalsDuringStop(unittest.IsolatedAsyncioTestCase):
+    async def test_a_run_is_answered_though_signals_and_changes_come_in_series(self):
+        """Guards against a second signal, or a change of the configuration, that cuts
+        what a stopping entry still serves."""
+        async with Fleet() as fleet:
+            unsafe = {**ROUTE, "name": "p", "path-prefix": "/p/", "kind": "unsafe"}
+            services = [SERVICE, {"name": "plain"}]
+            fields = {"routes": [{**unsafe, "service": "plain"}], "services": services}
+            fleet.configure(**fields)
+            replica = await fleet.replica("127.0.0.2", "i-1", "plain")
+
+            def slow(request):
+                found = replica.answer(request, gap_s=2.0)
+                found.pieces = (b"a", b"b")
+                return found
+
+            replica.next_replies = [slow]
+            entry = await fleet.entry("e1")
+            await fleet.wait_ready(entry)
+            calling = asyncio.ensure_future(fleet.call(entry, None, path="/p/x"))
+            await wait_running(replica, 1)
+            for version, signum in enumerate(
+                (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP), 2
+            ):
+                entry.process.send_signal(signum)
+                fleet.configure(version=version, **fields)
+                await asyncio.sleep(0.2)
+            self.assertEqual(await calling, (200, b"ab"))
+            self.assertEqual(await entry.stop(), 0)
+
+
 class TestPlannedStops(unittest.IsolatedAsyncioTestCase):
     async def test_the_port_for_callers_closes_and_the_balancers_goes_on_saying_no(
         self,
