Test of refused adapter callers: its stand-in for the fleet knows expired registrations

The mock answered the new question with a mock, which is true, so the only holder counted as gone and the test ended in a TypeError. What it checks is as before.

--- a/tests/gateway/failures/test_starvation.py
+++ b/tests/gateway/failures/test_starvation.py
@@ -139,6 +139,7 @@
         context = mock.Mock()
         context.clock.return_value = 5.0
         context.gateway_state.fleet.of_service.return_value = [holder]
+        context.gateway_state.fleet.is_expired.return_value = False
         context.engines.plans.adapter_prefetch.return_value = prefetch
         call = samples.call(
             now=5.0, model_request=samples.model_request("tutor", "x1"), service="llm"
