Soak: replicas that restart while they leave

A replica says that it leaves, ends, and serves again under its id with what it held, while its registration still says so.

--- a/tests/soak/failures/test_soak.py
+++ b/tests/soak/failures/test_soak.py
@@ -31,3 +31,9 @@
         """Streams not begun were given up as their engine's agent reported silence."""
         report = await soak(500, 12.0, "out/soak", ("config", "silence"))
         self.assertEqual(report.broken, [], report)
+
+    async def test_a_replica_that_restarts_while_it_leaves_gets_no_calls(self):
+        """The report of its agent undid its leave."""
+        faults = ("leave and restart",)
+        report = await soak(700, SECONDS, "out/soak", faults, engines=3)
+        self.assertEqual(report.broken, [], report)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -224,6 +224,14 @@
     await world.release(target)
 
 
+@fault("leave and restart")
+@on(_replica)
+async def leave_and_restart(world, target, rng):
+    """A replica says that it leaves, ends, and starts again under its id with what it
+    held. Its registration still says that it leaves."""
+    await world.leave_and_restart(target, rng.uniform(0.0, 1.5), rng.uniform(0.0, 0.3))
+
+
 @fault("garble")
 @on(_replica)
 async def garble(world, target, rng):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,6 +17,9 @@
 SIZE_MB = MODEL["weights-mb"]
 MEMORY_MB = SERVICE["engine"]["weights-mb"]
 EVENTS = 5
+#: How long a replica serves after it has restarted while it leaves. Seconds; calls are
+#: counted from 3 s after its announcement on.
+LEAVING_S = 5.0
 #: What the route gives a call. Seconds.
 TIMEOUT_S = 4.0
 #: The body of a request that ends each engine that runs it.
@@ -269,6 +272,23 @@
         await held.server.stop()
         await self._renew(name)
 
+    async def leave_and_restart(self, name, ends_after_s, down_s):
+        """A replica says that it leaves, ends soon, and serves again under its id until
+        it is replaced."""
+        held = self.replicas[name]
+        models = {model: set(adapters) for model, adapters in held.held.items()}
+        self.store.put(f"servers/{held.instance}", self._entry_of(name, "draining"))
+        held.left_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(ends_after_s)
+        await held.server.stop()
+        held.restart()
+        held.held.update(models)
+        await asyncio.sleep(down_s)
+        await held.server.start("127.0.0.1", held.server.port)
+        await asyncio.sleep(LEAVING_S)
+        await held.server.stop()
+        await self._renew(name)
+
     def all_replicas(self):
         """Those of now and those that have ended."""
         return [*self.replicas.values(), *self.gone]
