Callers: a body in thousands of tiny chunks is refused

What callers saw: while six callers sent bodies in chunks of one byte, calls of others took 1.8 s and some new connections were closed; also behind a 413 the rest was parsed for as long as it came. Change: above 4,096 chunks and one for each 64 bytes a body is refused with 413, what still comes is dropped unparsed; behind an answer the connection is closed. Before: test_callers_do_not_wait_for_a_costly_body and test_a_body_in_too_many_parts_is_refused failed.

--- a/packages/bambootiller/src/bambootiller/gateway/http_limits.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_limits.py
@@ -30,6 +30,11 @@
 #: An idle connection is kept open for this multiple of the configured idle timeout,
 #: for most of which callers may reuse it.
 KEEP_ALIVE_FACTOR = 1.1
+#: The most chunks of a request's body, beside one for each ``MIN_PART_BYTES`` of it.
+#: Each takes some microseconds, however few bytes it has, so a body of tiny chunks
+#: would hold up all other callers.
+MAX_SMALL_PARTS = 4096
+MIN_PART_BYTES = 64
 #: How long received data is read and dropped after a refusal. Seconds.
 LINGER_S = 1.0
 #: How long a timer of a connection is put off while received bytes wait to be read. The
@@ -48,6 +53,7 @@
 
 MALFORMED = HeadRefusal("bad_request", 400, "Bad Request")
 TOO_LARGE = HeadRefusal("head_too_large", 431, "Request Header Fields Too Large")
+TOO_MANY_PARTS = HeadRefusal("body_too_large", 413, "Content Too Large")
 TOO_SLOW = HeadRefusal("head_too_slow", 408, "Request Timeout")
 
 OnHeadRefused = Callable[[HeadRefusal], None]
@@ -99,7 +105,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """A caller has connected; start the idle timeout."""
         super().connection_made(transport)
-        self._head_bytes = 0
+        self._head_bytes = self._body_parts = self._body_bytes = 0
         self._reading_head = False
         self._in_message = False
         #: Set once a refusal is decided on; received bytes are dropped from then on.
@@ -155,7 +161,7 @@
     def on_message_begin(self) -> None:
         """A request begins; start the head's timeout."""
         self._reading_head = self._in_message = True
-        self._head_bytes = 0
+        self._head_bytes = self._body_parts = self._body_bytes = 0
         if not self._refused:
             self._set_timeout(self.get_limits().header_timeout_s)
         super().on_message_begin()
@@ -200,8 +206,19 @@
 
     def on_body(self, body: bytes) -> None:
         """A part of a body was received."""
-        if not self._refused:
+        if self._refused:
+            return
+        self._body_parts += 1
+        self._body_bytes += len(body)
+        if self._body_parts <= MAX_SMALL_PARTS + self._body_bytes // MIN_PART_BYTES:
             super().on_body(body)
+        elif self._receiving is None or self._receiving.response_started:
+            # The request has its answer; a second one would belong to none.
+            self._refused = True
+            self.transport.close()
+        else:
+            self._withdraw_receiving()
+            self._refuse(TOO_MANY_PARTS)
 
     def _answers_are_complete(self) -> bool:
         return self.cycle is None or self.cycle.response_complete
--- a/tests/adapter/failures/test_bad_input.py
+++ b/tests/adapter/failures/test_bad_input.py
@@ -125,6 +125,36 @@
         self.assertEqual(self.replica.runs, [])
         await self.assert_others_served()
 
+    async def test_a_body_in_too_many_parts_is_refused(self):
+        """Guards against a body in chunks of one byte, whose parsing holds up all other
+        callers."""
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+        few, many = (b"1\r\nb\r\n" * count for count in (900, 50_000))
+        reader, writer = await self.connect()
+        writer.write(HEAD + chunked + few + b"0\r\n\r\n")
+        self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\n"))
+        writer.close()
+        runs = len(self.replica.runs)
+        answer = await self.answer(HEAD + chunked + many)
+        self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+        self.assertIn(b" 413 ", answer)
+        self.assertEqual(len(self.replica.runs), runs)
+        await self.assert_others_served()
+
+    async def test_callers_do_not_wait_for_a_costly_body(self):
+        """Six callers sent bodies of tiny chunks; others waited for 1.8 s."""
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+        costly = HEAD + chunked + b"1\r\nb\r\n" * 200_000
+        sending = [asyncio.create_task(self.answer(costly)) for _ in range(6)]
+        clock = asyncio.get_running_loop().time
+        latencies = []
+        while not all(task.done() for task in sending):
+            began = clock()
+            await self.fleet.call(self.entry, "", "/p/ok", f"r-{len(latencies)}")
+            latencies.append(clock() - began)
+        await asyncio.gather(*sending)
+        self.assertLess(max(latencies), 1.0)
+
     async def test_ambiguous_lengths_smuggle_no_request(self):
         """Guards against request smuggling.
 
