--- a/packages/bambootiller/src/bambootiller/gateway/relay.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from bambootiller.gateway.answer_forwarder import AnswerForwarder, Send
 from bambootiller.gateway.attempt_sender import Attempt, AttemptSender
 from bambootiller.gateway.backend_connection import BackendConnection, ConnectionLost
 from bambootiller.gateway.connection_pool import CannotConnect, PoolExhausted
@@ -14,7 +15,7 @@
 from bambootiller.gateway.failover import Failover, StayReason
 from bambootiller.gateway.failover_target import FailoverTarget
 from bambootiller.gateway.placement import RECHECK_S, TYPICAL_STREAM_S, Placement
-from bambootiller.gateway.ports import AnswerHead, Incoming
+from bambootiller.gateway.ports import Incoming
 from bambootiller.gateway.quotas import QuotaAdmission
 from bambootiller.gateway.relay_context import RelayContext
 from bambootiller.gateway.reporting import CallReport
@@ -30,15 +31,8 @@
     SendAgain,
 )
 from bambootiller_core.gateway.calls import Call, Progress
-from bambootiller_core.gateway.events import (
-    MAX_EVENT_BYTES,
-    Event,
-    EventSplitter,
-)
 from bambootiller_core.gateway.fleet import Backend
 
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-
 #: A resumable stream fails over when nothing has been received for this fraction of
 #: the route's event timeout, or for this multiple of its maximum gap between events,
 #: whichever is longer.
@@ -54,12 +48,6 @@
 #: heard either, the instance may be gone. Seconds.
 MIN_LOSS_SILENCE_S = 2.5
 
-#: An answer up to this size is buffered before its first byte is sent to the caller. A
-#: larger one is streamed, so that an endless answer uses no more memory. Bytes.
-MAX_COLLECTED_BYTES = 1 << 20
-#: How many events of a stream are forwarded at once, if more have been received. A
-#: sound stream has fewer even after a pause.
-MAX_EVENTS_AT_ONCE = 256
 #: How much of the body of a backend server's refusal is read, and for how long, so that
 #: the connection can be reused. Bytes and seconds.
 MAX_REFUSAL_BYTES = 64 * 1024
@@ -88,7 +76,6 @@
     ) -> None:
         self._context = context
         self._call = call
-        self._send = send
         self._progress = Progress()
         self._service = context.service(call.service)
         self._placement = Placement(context, call, self._progress)
@@ -109,6 +96,15 @@
         self._crash_isolation = CrashIsolation(
             context, call, self._progress, self.report
         )
+        self._forwarder = AnswerForwarder(
+            context,
+            call,
+            self._progress,
+            self._sender,
+            self.report,
+            lambda attempt: self._read_or_fail_over(attempt, attempt.conn.chunk),
+            send,
+        )
         #: The target of the next attempt, if it was found while the previous attempt
         #: was still running.
         self._target: FailoverTarget | None = None
@@ -338,7 +334,7 @@
                     await _drain_refusal(conn)
             return AttemptOutcome.REFUSED
         self._way_back.close()
-        await self._forward_answer(attempt, head)
+        await self._forwarder.forward(attempt, head)
         if 200 <= head.status < 300:
             self._context.quarantine.completed(self._call)
         self.report.answered(attempt.backend, head.status)
@@ -426,125 +422,6 @@
             return max(timeout_s, call.route.max_event_gap_s * SILENCE_GAP_FACTOR)
         return max(0.05, (call.deadline - now) * 0.5)
 
-    async def _forward_answer(self, attempt: Attempt, head: AnswerHead) -> None:
-        is_events = self._call.is_stream and 200 <= head.status < 300
-        if is_events:
-            await self._forward_event_stream(attempt, head)
-            return
-        # Buffered before the first byte is sent: an answer that breaks off can then
-        # still be replaced by that of another backend server.
-        parts, size = [], 0
-        while (
-            data := await self._read_or_fail_over(attempt, attempt.conn.chunk)
-        ) is not None:
-            parts.append(data)
-            size += len(data)
-            if size > MAX_COLLECTED_BYTES:
-                await self._forward_large_answer(attempt, head, b"".join(parts))
-                return
-        self._record_health(attempt, head)
-        self.report.part_forwarded(self._context.clock())
-        await self._send_head(head)
-        await self._send({"type": "http.response.body", "body": b"".join(parts)})
-
-    async def _forward_large_answer(
-        self, attempt: Attempt, head: AnswerHead, data: bytes | None
-    ) -> None:
-        """Stream an answer that is too large to be buffered."""
-        self.report.part_forwarded(self._context.clock())
-        await self._send_head(head)
-        self._progress.forwarded = True
-        try:
-            while data is not None:
-                await self._send(
-                    {"type": "http.response.body", "body": data, "more_body": True}
-                )
-                data = await self._read_or_fail_over(attempt, attempt.conn.chunk)
-        except asyncio.CancelledError:
-            if self._context.clock() >= self._call.deadline:
-                # The body didn't end before the call's deadline.
-                self._sender.record_failure(attempt.backend)
-            raise
-        self._record_health(attempt, head)
-        await self._send({"type": "http.response.body", "body": b""})
-
-    def _record_health(self, attempt: Attempt, head: AnswerHead) -> None:
-        backend, now = attempt.backend, self._context.clock()
-        latency_s = self._context.running_time() - attempt.sent_running_time
-        if head.status >= 500:
-            self._service.health.failed(now, backend.incarnation)
-        else:
-            self._service.health.succeeded(now, backend.incarnation, latency_s)
-        self._context.review_health(self._call.service, backend.incarnation)
-
-    async def _forward_event_stream(self, attempt: Attempt, head: AnswerHead) -> None:
-        progress = self._progress
-        splitter = EventSplitter()
-        first = True
-        while True:
-            data = await self._read_or_fail_over(attempt, attempt.conn.chunk)
-            if data is None:
-                break
-            at_once = 0
-            for events in splitter.feed_in_slices(data):
-                if any(_is_oversized(event) for event in events):
-                    raise ConnectionLost(
-                        "an event exceeds the maximum size", False, True
-                    )
-                if first:
-                    first = False
-                    attempt.prefill_done()
-                    self._record_health(attempt, head)
-                await self._forward_events(head, events)
-                at_once += len(events)
-                if at_once > MAX_EVENTS_AT_ONCE:
-                    at_once = 0
-                    await self._context.work_queue.turn()
-        if splitter.remainder:
-            raise ConnectionLost(
-                "the stream ended in the middle of an event", True, True
-            )
-        if not progress.forwarded:
-            await self._send_head(head)
-        await self._send({"type": "http.response.body", "body": b""})
-
-    async def _forward_events(self, head: AnswerHead, events: list[Event]) -> None:
-        progress = self._progress
-        last, newest = self._sender.resume_after(), progress.last_event
-        for event in events:
-            if event.number is None:
-                continue
-            if last is not None and event.number <= last:
-                raise ConnectionLost(
-                    f"event {event.number} received after event {last}", False, True
-                )
-            last = newest = event.number
-        # Updated only after the loop: if one event is out of order none of the batch is
-        # forwarded, and a resumed run must still send those before it.
-        progress.last_event = newest
-        progress.forwarded_at = now = self._context.clock()
-        self.report.part_forwarded(now)
-        if not progress.forwarded:
-            await self._send_head(head)
-            progress.forwarded = True
-        data = b"".join([event.data for event in events])
-        await self._send(
-            {"type": "http.response.body", "body": data, "more_body": True}
-        )
-
-    async def _send_head(self, head: AnswerHead) -> None:
-        await self._send(
-            {
-                "type": "http.response.start",
-                "status": head.status,
-                "headers": self._context.dialect.response_headers(head),
-            }
-        )
-
-
-def _is_oversized(event: Event) -> bool:
-    return len(event.data) > MAX_EVENT_BYTES and event.number is None
-
 
 async def _drain_refusal(conn: BackendConnection) -> None:
     size = 0
