Fleet: which start's registration stands for one that only the agent has reported

Change: a start knows which start's registration it has. Earlier ones are ignored, later ones replace it, its own ends the loan, also where a clock was set back.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -76,8 +76,9 @@
 class Backend:
     """One start of a backend server as an entry sees it.
 
-    ``in_flight`` counts the entry's own calls. ``listed`` is False as long as only the
-    agent has reported this start, ``replaced`` is True once another start has replaced
+    ``in_flight`` counts the entry's own calls. ``registered`` is the start that its
+    registration belongs to: an earlier one as long as only the agent has reported this
+    start, None if it is this one. ``replaced`` is True once another start has replaced
     it. ``last_reported_at`` is the time of the latest report by the registry or the
     agent.
 
@@ -103,7 +104,7 @@
     throttled_until: float = float("-inf")
     #: The latest revision of its registration that couldn't be parsed.
     unreadable_revision: int = 0
-    listed: bool = True
+    registered: Incarnation | None = None
     replaced: bool = False
     last_reported_at: float = float("-inf")
     running_time: Callable[[float], float] = _identity
@@ -123,6 +124,11 @@
         """The start of the backend server that this is."""
         return self.registration.incarnation
 
+    @property
+    def listed(self) -> bool:
+        """Whether the registry lists this start, not only an earlier one."""
+        return self.registered is None
+
     def is_superseded_by(self, now: float, incarnation: Incarnation) -> bool:
         """Whether a report about ``incarnation`` means that this start has ended."""
         return incarnation.supersedes(self.incarnation, now - self.last_reported_at)
@@ -314,18 +320,17 @@
         if held is None or held.is_superseded_by(now, record.incarnation):
             self._add_start(now, record)
             return True
-        if record.incarnation.precedes(held.incarnation):
-            if held.listed:
-                return False
-            held.missing_since = None
-            return self._update_registration(held, replace(record, holdings={}))
-        held.last_reported_at = now
+        is_own = record.incarnation == held.incarnation
+        registered = held.registered or held.incarnation
+        if not is_own and record.incarnation.precedes(registered):
+            return False
         held.missing_since = None
-        if not held.listed and record.started_ms is not None:
-            held.listed = True
-            held.registration = record
-            self._update_address(record)
+        if registered.differs_from(record.incarnation):
+            held.registered = None if is_own else record.incarnation
+            self._set_registration(held, record)
             return True
+        if held.listed:
+            held.last_reported_at = now
         return self._update_registration(held, record)
 
     def _update_registration(self, held: Backend, record: Registration) -> bool:
@@ -336,15 +341,24 @@
             # A leaving start never becomes available again; a delayed write would undo
             # the drain.
             return False
-        started_ms = held.registration.started_ms
-        if record.started_ms is None or not held.listed:
-            record = replace(record, started_ms=started_ms)
+        self._set_registration(held, record)
+        return True
+
+    def _set_registration(self, held: Backend, record: Registration) -> None:
+        if record.started_ms is None:
+            record = replace(record, started_ms=held.registration.started_ms)
+        if not held.listed:
+            # An earlier start held other models.
+            started_ms = held.registration.started_ms
+            record = replace(record, started_ms=started_ms, holdings={})
         held.registration = record
         self._update_address(record)
-        return True
 
     def _add_start(
-        self, now: float, record: Registration, listed: bool = True
+        self,
+        now: float,
+        record: Registration,
+        registered: Incarnation | None = None,
     ) -> Backend:
         """Add a new start, and drop the state of the previous start under its name.
         Otherwise models that nothing holds any more would count as held."""
@@ -353,7 +367,10 @@
             before.replaced = True
             self._drop(record.instance)
         backend = self._backends[record.instance] = Backend(
-            record, listed=listed, last_reported_at=now, running_time=self._running_time
+            record,
+            registered=registered,
+            last_reported_at=now,
+            running_time=self._running_time,
         )
         self._update_address(record)
         return backend
@@ -454,7 +471,8 @@
                 backend.registration, started_ms=state.started_ms, holdings={}
             )
             previous = backend
-            backend = self._add_start(now, found, listed=False)
+            registered = previous.registered or previous.incarnation
+            backend = self._add_start(now, found, registered)
             backend.missing_since = previous.missing_since
             backend.unreadable_revision = previous.unreadable_revision
         elif state.incarnation.precedes(backend.incarnation):
--- a/tests/gateway/failures/test_restarts.py
+++ b/tests/gateway/failures/test_restarts.py
@@ -149,6 +149,22 @@
         self.fleet.registry_changed(2.0, registration(FIRST_MS, revision=3))
         self.assert_unused()
 
+    def test_a_write_of_a_start_before_the_registered_one_is_ignored(self):
+        self.fleet.store_returned(0.5)
+        self.fleet.registry_removed(0.5, "b1")
+        self.report_restart()
+        late = registration(FIRST_MS - 1, revision=3)
+        self.assertFalse(self.fleet.registry_changed(2.0, late))
+        self.assertEqual(self.fleet.sweep(0.5 + EXPIRY_GRACE_S), ["b1"])
+
+    def test_the_registration_of_a_start_in_between_counts(self):
+        self.fleet.registry_changed(0.5, self.leave)
+        self.report_restart()
+        between = registration(FIRST_MS + 1, revision=3)
+        self.assertTrue(self.fleet.registry_changed(2.0, between))
+        self.assertEqual(len(self.fleet.of_service("llm")), 1)
+        self.assertFalse(self.fleet.get("b1").listed)
+
     def test_a_registration_without_a_start_time_does_not_end_the_leave(self):
         self.fleet.registry_changed(0.5, self.leave)
         self.report_restart()
@@ -244,6 +260,10 @@
             )
         )
         self.assertEqual(self.fleet.get("b1").incarnation.started_ms, self.EARLIER_MS)
+        self.fleet.registry_changed(
+            TAKEOVER_SILENCE_S, registration(self.EARLIER_MS, revision=5)
+        )
+        self.assertTrue(self.fleet.get("b1").listed)
 
     def test_reports_of_the_current_start_extend_the_takeover_silence(self):
         self.fleet.engine_reported(
