--- a/tests/soak/failures/test_seeds_of_programs.py
+++ b/tests/soak/failures/test_seeds_of_programs.py
@@ -3,6 +3,7 @@
 import unittest
 
 from tests.soak.failures.seeds import again
+from tests.soak.faults import FOURTH_FAULTS
 
 
 class TestSeeds(unittest.IsolatedAsyncioTestCase):
@@ -19,3 +20,8 @@
         """The same, with a call whose outcome then wasn't known; later also a stopping
         entry that closed a connection on which a caller was sending."""
         await again(self, 146)
+
+    async def test_seed_544(self):
+        """A request ended an engine that was leaving, and the report of its next start
+        undid the leave."""
+        await again(self, 544, FOURTH_FAULTS)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -35,6 +35,7 @@
 SECOND_FAULTS = (*FIRST_FAULTS, "poison", "restart")
 #: And those next.
 THIRD_FAULTS = (*SECOND_FAULTS, "limit", "poison part")
+FOURTH_FAULTS = (*THIRD_FAULTS, "silence")
 
 
 def fault(name, planned=False):
