--- a/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
+++ b/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
@@ -51,9 +51,9 @@
 MAX_UNREAD_BYTES = 256 * 1024
 #: How much is parsed between two checks of what it has cost. Bytes.
 SLICE_BYTES = 4096
-#: A connection parses no more parts of answers (heads, headers, chunks) at once; if
-#: more have been received, the others wait in the work queue. A part takes some
-#: microseconds.
+#: A connection begins no further slice after so many parts of answers (heads, headers,
+#: chunks) at once; what has been received beyond waits in the work queue. A part takes
+#: some microseconds.
 MAX_PARTS_AT_ONCE = 256
 #: How many answers to other calls are skipped before a connection is given up, and how
 #: many bytes of them in total.
