--- /dev/null
+++ b/tests/misbehaving/__init__.py
@@ -0,0 +1,1 @@
+"""Callers that send without end, stop halfway, or never read."""
--- /dev/null
+++ b/tests/misbehaving/common/__init__.py
@@ -0,0 +1,1 @@
+"""What the tests of misbehaving callers share."""
--- /dev/null
+++ b/tests/misbehaving/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of failures that misbehaving callers have caused."""
