Trailers: their fields are dropped, and what surrounds a body is limited

What callers saw: four connections that sent trailer fields without end took 3.9 GB of an entry (3885 and 3890 MB peak where 160 are allowed; one field without end 385 MB), and a trailer's X-Request-Attempt replaced that of its request: the backend server's answer was taken for another call's, and none came within 40 s.

Cause: the HTTP server calls the same function for a field of the head and of a trailer, and appends both to the list that the request is read from. The limit on the head ends with the head, and nothing counted what follows.

Change: fields after the head are dropped (RFC 9110, 6.5.1). What a request has beside its head and body (trailer, chunk extensions) may take max-header-bytes, and 32 bytes for the framing of each part; beyond that 431. A caller within the limits of the configuration doesn't meet it. It bounds the causes alike: what isn't kept can't grow, and what the parser itself keeps, one field, ends with the limit.

--- a/packages/bambootiller/src/bambootiller/gateway/http_limits.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_limits.py
@@ -35,6 +35,10 @@
 #: would hold up all other callers.
 MAX_SMALL_PARTS = 4096
 MIN_PART_BYTES = 64
+#: The most bytes of a request beside its head and body, and beside
+#: ``max_header_bytes`` for a trailer: what each part of the body takes for the size and
+#: the ends of a chunk. Bytes.
+CHUNK_FRAMING_BYTES = 32
 #: How long received data is read and dropped after a refusal. Seconds.
 LINGER_S = 1.0
 #: How long a timer of a connection is put off while received bytes wait to be read. The
@@ -53,6 +57,9 @@
 
 MALFORMED = HeadRefusal("bad_request", 400, "Bad Request")
 TOO_LARGE = HeadRefusal("head_too_large", 431, "Request Header Fields Too Large")
+TRAILER_TOO_LARGE = HeadRefusal(
+    "trailer_too_large", 431, "Request Header Fields Too Large"
+)
 TOO_MANY_PARTS = HeadRefusal("body_too_large", 413, "Content Too Large")
 TOO_SLOW = HeadRefusal("head_too_slow", 408, "Request Timeout")
 
@@ -105,7 +112,8 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """A caller has connected; start the idle timeout."""
         super().connection_made(transport)
-        self._head_bytes = self._body_parts = self._body_bytes = 0
+        self._head_bytes = self._field_bytes = 0
+        self._body_parts = self._body_bytes = self._framing_bytes = 0
         self._reading_head = False
         self._in_message = False
         #: Set once a refusal is decided on; received bytes are dropped from then on.
@@ -146,12 +154,15 @@
         # belong to the next head.
         counts = self._reading_head or not self._in_message
         was_idle = self.timeout_keep_alive_task is not None
+        receiving, body_bytes = self._receiving, self._body_bytes
         super().data_received(data)
         if was_idle and not self._in_message and self._answers_are_complete():
             # Only a line end, which begins no request.
             self.timeout_keep_alive_task = self.loop.call_later(
                 self.timeout_keep_alive, self.timeout_keep_alive_handler
             )
+        if receiving is not None and receiving is self._receiving:
+            self._count_framing(len(data) - (self._body_bytes - body_bytes))
         if not self._reading_head or not counts:
             return
         self._head_bytes += len(data)
@@ -161,21 +172,29 @@
     def on_message_begin(self) -> None:
         """A request begins; start the head's timeout."""
         self._reading_head = self._in_message = True
-        self._head_bytes = self._body_parts = self._body_bytes = 0
+        self._head_bytes = self._field_bytes = 0
+        self._body_parts = self._body_bytes = self._framing_bytes = 0
         if not self._refused:
             self._set_timeout(self.get_limits().header_timeout_s)
         super().on_message_begin()
         self.scope["extensions"] = {CONNECTION_END: self._end}
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A field is complete, of the head or of a trailer.
+
+        The fields of a trailer are dropped. Merged into the head, they could change how
+        the request is read (RFC 9110, section 6.5.1), and a caller could send them
+        without end.
+        """
+        if self._reading_head:
+            self._field_bytes += len(name) + len(value) + HEADER_FRAMING_BYTES
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """A head is complete."""
         self._reading_head = False
         self._set_timeout(None)
-        size = len(self.url) + sum(
-            len(name) + len(value) + HEADER_FRAMING_BYTES
-            for name, value in self.headers
-        )
-        if size > self.get_limits().max_header_bytes:
+        if len(self.url) + self._field_bytes > self.get_limits().max_header_bytes:
             self._refuse(TOO_LARGE)
         if self._refused:
             return
@@ -212,13 +231,27 @@
         self._body_bytes += len(body)
         if self._body_parts <= MAX_SMALL_PARTS + self._body_bytes // MIN_PART_BYTES:
             super().on_body(body)
-        elif self._receiving is None or self._receiving.response_started:
+        else:
+            self._refuse_receiving(TOO_MANY_PARTS)
+
+    def _count_framing(self, size: int) -> None:
+        """Count bytes of the request that is being received beside its body."""
+        if self._refused:
+            return
+        self._framing_bytes += size
+        allowed = CHUNK_FRAMING_BYTES * (self._body_parts + 1)
+        if self._framing_bytes > self.get_limits().max_header_bytes + allowed:
+            self._refuse_receiving(TRAILER_TOO_LARGE)
+
+    def _refuse_receiving(self, refusal: HeadRefusal) -> None:
+        """Refuse the request whose body is being received."""
+        if self._receiving is None or self._receiving.response_started:
             # The request has its answer; a second one would belong to none.
             self._refused = True
             self.transport.close()
         else:
             self._withdraw_receiving()
-            self._refuse(TOO_MANY_PARTS)
+            self._refuse(refusal)
 
     def _answers_are_complete(self) -> bool:
         return self.cycle is None or self.cycle.response_complete
