Refused requests: what their callers send on is bounded in bytes and time

Cause: an answer before the end of its body left the connection open, and the parser dropped what came until the body ended, which it need not do. An announced length beyond the limit was read up to the limit first.

Change: whatever is answered before its body is complete has "connection: close" and ends in a lingering close (RFC 9112, 9.6): 1 s and 1 MiB are read and dropped, so that no reset discards the answer, then reading stops and the connection is closed. An announced length beyond the limit is refused before the body is read. Callers within the limits keep their connections: the answer to a complete request is unchanged.

--- a/packages/bambootiller/src/bambootiller/gateway/http_front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_front.py
@@ -122,8 +122,11 @@
             refusal = Refusal(RefusalReason.BAD_REQUEST, detail=incoming.detail)
             await self._refuse(send, incoming, refusal, arrived)
             return
+        max_body_bytes = config.limits.max_body_bytes
         try:
-            body = await _read_body(receive, config.limits.max_body_bytes)
+            if _announced_bytes(scope["headers"]) > max_body_bytes:
+                raise BodyTooLarge
+            body = await _read_body(receive, max_body_bytes)
         except BodyTooLarge:
             refusal = Refusal(RefusalReason.BODY_TOO_LARGE)
             await self._refuse(send, incoming, refusal, arrived)
@@ -322,6 +325,14 @@
         continue
 
 
+def _announced_bytes(headers: list[tuple[bytes, bytes]]) -> int:
+    """The length that the head gives for the body, 0 if it gives none."""
+    for name, value in headers:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return 0
+
+
 async def _read_body(receive: Receive, max_bytes: int) -> bytes:
     parts = []
     size = 0
--- a/packages/bambootiller/src/bambootiller/gateway/http_limits.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_limits.py
@@ -39,8 +39,10 @@
 #: ``max_header_bytes`` for a trailer: what each part of the body takes for the size and
 #: the ends of a chunk. Bytes.
 CHUNK_FRAMING_BYTES = 32
-#: How long received data is read and dropped after a refusal. Seconds.
+#: For how long and up to how many bytes received data is read and dropped after a
+#: refusal, so that its sender gets the answer. Seconds, bytes.
 LINGER_S = 1.0
+LINGER_BYTES = 1 << 20
 #: How long a timer of a connection is put off while received bytes wait to be read. The
 #: event loop reads them in its next turn, some milliseconds later. Seconds.
 UNREAD_DELAY_S = 0.02
@@ -101,6 +103,15 @@
     return LimitedProtocol
 
 
+class _AnswerTransport:
+    """The connection as one request's answer uses it; closing it calls ``close``."""
+
+    def __init__(self, transport: asyncio.Transport, close: Callable[[], None]) -> None:
+        self.write = transport.write
+        self.is_closing = transport.is_closing
+        self.close = close
+
+
 class _LimitedProtocol(HttpToolsProtocol):
     """A connection of a caller."""
 
@@ -118,11 +129,14 @@
         self._in_message = False
         #: Set once a refusal is decided on; received bytes are dropped from then on.
         self._refused = False
+        self._dropped_bytes = 0
         #: A refusal that waits for the end of the answers before it.
         self._put_off: HeadRefusal | None = None
         #: The request whose body is being received, and the one before it.
         self._receiving: RequestResponseCycle | None = None
         self._previous: RequestResponseCycle | None = None
+        #: Whether the connection stays open after the answer to the former.
+        self._keeps_alive = True
         self._end = ConnectionEnd()
         self._caller_closed = False
         self._timer: asyncio.TimerHandle | None = None
@@ -149,6 +163,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and count those of an unfinished head."""
         if self._refused:
+            self._drop(data)
             return
         # If the bytes begin inside a previous request it is unknown how many of them
         # belong to the next head.
@@ -201,13 +216,31 @@
         previous = self.cycle
         super().on_headers_complete()
         self._receiving, self._previous = self.cycle, previous
+        if self.cycle is not previous:
+            self._close_if_answered_early(self.cycle)
 
     def on_message_complete(self) -> None:
         """A request is complete; the next may begin."""
         self._in_message = False
-        if not self._refused:
-            super().on_message_complete()
-            self._receiving = self._previous = None
+        if self._refused:
+            return
+        receiving = self._receiving
+        if receiving is not None and not receiving.response_started:
+            receiving.keep_alive = self._keeps_alive
+        super().on_message_complete()
+        self._receiving = self._previous = None
+
+    def _close_if_answered_early(self, request: RequestResponseCycle) -> None:
+        """Have the connection closed if a request is answered before its body is
+        complete, instead of reading on for as long as its caller sends."""
+        self._keeps_alive, request.keep_alive = request.keep_alive, False
+        request.transport = _AnswerTransport(self.transport, self._close_after_answer)
+
+    def _close_after_answer(self) -> None:
+        if self._receiving is None:
+            self.transport.close()
+        else:
+            self._linger()
 
     def on_response_complete(self) -> None:
         """An answer is complete. Callers may reuse a connection for most of the idle
@@ -217,6 +250,8 @@
         super().on_response_complete()
         if self._put_off is not None:
             self._send_when_due(self._put_off)
+        elif self._refused:
+            self._unset_keepalive_if_required()
         elif self.is_leaving():
             # The head of a long answer may have been sent before the stop began,
             # without "connection: close". Left open, the connection would be closed
@@ -348,7 +383,19 @@
             "connection: close",
         )
         self.transport.write("\r\n".join(head).encode() + b"\r\n\r\n")
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close the connection, but not at once: data that the caller still sends would
+        be answered by a reset, which discards the answer before it is read."""
+        self._refused = True
+        self._set_timeout(None)
+        if self.transport.is_closing():
+            return
         self.transport.write_eof()
-        # If the connection were closed at once, data that the caller still sends would
-        # be answered by a reset, which discards the answer before it is read.
         self.loop.call_later(LINGER_S, self.transport.close)
+
+    def _drop(self, data: bytes) -> None:
+        self._dropped_bytes += len(data)
+        if self._dropped_bytes > LINGER_BYTES:
+            self.flow.pause_reading()
