Bodies: one that doesn't arrive within its call's time is answered 408

What callers saw: nothing, for ever; a connection whose body stops short of its end stayed open past the caller's deadline and the route's timeout, and a byte now and then kept it as open as none.

Cause: the timeout of the head ends with the head, and that of the call begins with the body's end; nothing bounds the time between.

Evidence: test_memory.test_they_are_ended, open 40 s after a deadline of 3 s on.

Change: the body has to arrive within the call's own time, the least of the caller's deadline, the route's timeout and 60 s. After that 408: nothing has run, and nothing will. No client within the limits meets it, as it couldn't be answered in time any more.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/attempts.py
@@ -59,6 +59,7 @@
     NO_ROUTE = "no_route"
     NO_BACKEND = "no_backend"
     BODY_TOO_LARGE = "body_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
     BAD_REQUEST = "bad_request"
     REFUSED_BY_BACKEND = "refused_by_backend"
     OVERLOADED = "overloaded"
@@ -81,6 +82,7 @@
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.NO_BACKEND: 503,
     RefusalReason.BODY_TOO_LARGE: 413,
+    RefusalReason.BODY_TOO_SLOW: 408,
     RefusalReason.BAD_REQUEST: 400,
     RefusalReason.REFUSED_BY_BACKEND: 503,
     RefusalReason.OVERLOADED: 503,
@@ -116,7 +118,7 @@
 
     @property
     def status(self) -> int:
-        """The HTTP status; 429 and 503 are used only if the call hasn't run."""
+        """The HTTP status; 408, 429 and 503 are used only if the call hasn't run."""
         return STATUS[self.reason]
 
 
--- a/packages/bambootiller/src/bambootiller/gateway/http_front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_front.py
@@ -126,11 +126,17 @@
         try:
             if _announced_bytes(scope["headers"]) > max_body_bytes:
                 raise BodyTooLarge
-            body = await _read_body(receive, max_body_bytes)
+            # Nothing of the call has run yet, so its time may end here.
+            async with asyncio.timeout(_body_timeout_s(config, incoming)):
+                body = await _read_body(receive, max_body_bytes)
         except BodyTooLarge:
             refusal = Refusal(RefusalReason.BODY_TOO_LARGE)
             await self._refuse(send, incoming, refusal, arrived)
             return
+        except TimeoutError:
+            refusal = Refusal(RefusalReason.BODY_TOO_SLOW, DEFAULT_RETRY_AFTER_S)
+            await self._refuse(send, incoming, refusal, arrived)
+            return
         # Read again: the configuration may have changed while the body was received.
         config = context.gateway_state.config
         call = self._build_call(config, incoming, arrived, body)
@@ -304,15 +310,21 @@
     return app
 
 
-def _time_limit_s(route: Route, incoming: Incoming) -> float:
+def _time_limit_s(route: Route | None, incoming: Incoming) -> float:
     times = [DEFAULT_TIMEOUT_S]
     if incoming.deadline_s is not None:
         times.append(incoming.deadline_s - ANSWER_MARGIN_S)
-    if route.timeout_s is not None:
+    if route is not None and route.timeout_s is not None:
         times.append(route.timeout_s)
     return max(0.0, min(times))
 
 
+def _body_timeout_s(config: GatewayConfig, incoming: Incoming) -> float:
+    """How long a call's body may take to arrive."""
+    route = config.match(incoming.host, incoming.path)
+    return _time_limit_s(route, incoming)
+
+
 def _crash_fingerprint(refusal: Refusal, call: Call | None) -> str | None:
     because_of_crashes = (RefusalReason.QUARANTINED, RefusalReason.ISOLATED)
     if call is None or refusal.reason not in because_of_crashes:
