Memory: what callers make an entry hold is bounded over all of them

What callers saw: an entry that ended for want of memory, and no answers until it was back.

Cause: each bound is one connection's or one request's; nothing bounds the sum. memory-mb stands in the settings file and nobody read it.

Change: one account (CallerMemory, no input or output) owns what callers may make the process hold: memory-mb less what the process needs. A connection, its heads, requests and bodies are charged by what they cost in memory, a request until its task has ended. If there is no room, connections that have received nothing for a second go first, then those that arrive more slowly than the one that asks; else that one is refused. A complete request may have been sent, so it stays. 503 with Retry-After before anything has run, so callers within the limits may return. Large requests share three quarters, so that ordinary ones always find room, and a single body of any allowed size is received. A large body is sent without joining it to its head, which had it in memory once more.

Ruled out: measuring the process's resident memory instead; the allocator keeps freed memory, so evictions wouldn't show, and all callers would go.

--- a/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
+++ b/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
@@ -59,6 +59,8 @@
 #: many bytes of them in total.
 MAX_STRAY_ANSWERS = 4
 MAX_STRAY_BYTES = 256 * 1024
+#: A call whose body is up to this size is sent in one piece. Bytes.
+MAX_JOINED_BYTES = 64 * 1024
 #: How much may be received without a complete head or a part of a body: heads,
 #: informational answers, trailers, chunk extensions. Bytes; guards against answers that
 #: send these endlessly.
@@ -308,7 +310,12 @@
         if self._transport.is_closing():
             self._mark_lost("the connection was closed while idle", True)
             return
-        self._transport.write(head + body)
+        if len(body) <= MAX_JOINED_BYTES:
+            self._transport.write(head + body)
+        else:
+            # Joined, a large body would be in memory once more.
+            self._transport.write(head)
+            self._transport.write(body)
 
     @property
     def has_waiting_reader(self) -> bool:
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -21,8 +22,10 @@
 )
 from bambootiller.gateway.gateway_state import GatewayState, StoreWatcher
 from bambootiller.gateway.http_front import HttpFront, pages
-from bambootiller.gateway.http_limits import HeadRefusal, limited_protocol
+from bambootiller.gateway.http_limits import limited_protocol
+from bambootiller.gateway.http_refusals import HeadRefusal
 from bambootiller.gateway.idle_loop import loop_idle_s
+from bambootiller.gateway.machine_limits import MachineLimits
 from bambootiller.gateway.meters import Meters
 from bambootiller.gateway.ports import Platform
 from bambootiller.gateway.quarantine_records import QuarantineRecords
@@ -33,6 +36,7 @@
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller.settings import Address
 from bambootiller_core.gateway import log_lines as lines
+from bambootiller_core.gateway.caller_memory import CallerMemory, Kind
 from bambootiller_core.gateway.config import CallLimits
 from bambootiller_core.gateway.overload import Overload
 from bambootiller_core.gateway.retry_budget import RetryBudget
@@ -81,6 +85,7 @@
         addresses: EntryAddresses,
         events: EventLog,
         meters: Meters,
+        machine: MachineLimits = MachineLimits(),
     ) -> None:
         self._app = app
         self._platform = platform
@@ -114,6 +119,7 @@
             allocator_client,
         )
         limits = self._engines.server_limits
+        self._caller_memory = CallerMemory(machine.caller_memory_bytes, app.now)
         self._context = RelayContext(
             self.gateway_state,
             self._engines,
@@ -147,6 +153,7 @@
             self._log_head_refusal,
             lambda: self._leaving,
             self._sheds_connection,
+            self._caller_memory,
         )
         self._caller_server = HttpServer(
             self._front, addresses.callers, caller_protocol
@@ -221,7 +228,7 @@
             model=None,
             reason=refusal.reason,
             status=refusal.status,
-            come_back_s=None,
+            come_back_s=refusal.retry_after_s,
             held_ms=0,
             detail="",
             config_version=config.version if config is not None else None,
@@ -349,6 +356,23 @@
             "Bytes of answers that the network hasn't taken yet",
             self._caller_server.unsent_bytes,
         )
+        memory = self._caller_memory
+        meters.add_gauge(
+            "caller_memory_limit_bytes",
+            "What callers may make this process hold",
+            lambda: memory.capacity,
+        )
+        for kind in Kind:
+            meters.add_gauge(
+                f"caller_memory_{kind.value}_bytes",
+                f"What callers make this process hold, of kind {kind.value}",
+                functools.partial(memory.held.__getitem__, kind),
+            )
+        meters.add_gauge(
+            "caller_memory_evictions",
+            "How often callers lost their place in favour of others",
+            lambda: memory.evictions,
+        )
         meters.add_gauge("engine_streams", "Streams to agents", engines.stream_count)
 
     def _register(self, server: object) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/http_limits.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_limits.py
@@ -14,15 +14,35 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from uvicorn._types import (
+    ASGI3Application,
+    ASGIReceiveCallable,
+    ASGISendCallable,
+    Scope,
+)
 from uvicorn.protocols.http.httptools_impl import (
     HttpToolsProtocol,
     RequestResponseCycle,
 )
 
+from bambootiller.gateway.connection_memory import ConnectionMemory
+from bambootiller.gateway.http_refusals import (
+    MALFORMED,
+    NO_MEMORY,
+    TOO_LARGE,
+    TOO_MANY_PARTS,
+    TOO_SLOW,
+    TRAILER_TOO_LARGE,
+    HeadRefusal,
+    OnHeadRefused,
+)
+from bambootiller_core.gateway.caller_memory import CallerMemory
 from bambootiller_core.gateway.config import CallLimits
 
 #: Counted per header beside its name and value: colon, space and line end. Bytes.
@@ -46,27 +66,6 @@
 #: How long a timer of a connection is put off while received bytes wait to be read. The
 #: event loop reads them in its next turn, some milliseconds later. Seconds.
 UNREAD_DELAY_S = 0.02
-
-
-@dataclass(frozen=True, slots=True)
-class HeadRefusal:
-    """Why a head was refused, and the status line that its sender gets."""
-
-    reason: str
-    status: int
-    phrase: str
-
-
-MALFORMED = HeadRefusal("bad_request", 400, "Bad Request")
-TOO_LARGE = HeadRefusal("head_too_large", 431, "Request Header Fields Too Large")
-TRAILER_TOO_LARGE = HeadRefusal(
-    "trailer_too_large", 431, "Request Header Fields Too Large"
-)
-TOO_MANY_PARTS = HeadRefusal("body_too_large", 413, "Content Too Large")
-TOO_SLOW = HeadRefusal("head_too_slow", 408, "Request Timeout")
-
-OnHeadRefused = Callable[[HeadRefusal], None]
-
 #: The ASGI scope's extension that holds the :class:`ConnectionEnd` of a request.
 CONNECTION_END = "bambootiller.connection_end"
 
@@ -88,17 +87,22 @@
     refused: OnHeadRefused,
     leaving: Callable[[], bool],
     sheds_connection: Callable[[], bool] = lambda: False,
+    memory: CallerMemory | None = None,
 ) -> type[HttpToolsProtocol]:
     """The server's protocol class with the limits that are in force when a head
     arrives; ``refused`` is called for each refused head. While ``leaving`` holds, each
     connection is closed after its answer. A new connection for which
-    ``sheds_connection`` holds is closed unread, to shed load."""
+    ``sheds_connection`` holds is closed unread, to shed load. ``memory`` bounds what
+    all connections hold; by default nothing does."""
+    if memory is None:
+        memory = CallerMemory(math.inf, time.monotonic)
 
     class LimitedProtocol(_LimitedProtocol):
         get_limits = staticmethod(limits)
         on_refused = staticmethod(refused)
         is_leaving = staticmethod(leaving)
         closes_unread = staticmethod(sheds_connection)
+        caller_memory = memory
 
     return LimitedProtocol
 
@@ -119,6 +123,7 @@
     on_refused: OnHeadRefused
     is_leaving: Callable[[], bool]
     closes_unread: Callable[[], bool]
+    caller_memory: CallerMemory
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """A caller has connected; start the idle timeout."""
@@ -140,8 +145,9 @@
         self._end = ConnectionEnd()
         self._caller_closed = False
         self._timer: asyncio.TimerHandle | None = None
+        self._held = ConnectionMemory(self.caller_memory, self._evict)
         self._set_timeout(self.get_limits().idle_timeout_s)
-        if self.closes_unread():
+        if not self._held.connect() or self.closes_unread():
             # Makes data_received drop whatever still arrives.
             self._refused = True
             transport.abort()
@@ -154,6 +160,9 @@
         else:
             self._end.closed_by = "caller" if self._caller_closed else "entry"
         super().connection_lost(exc)
+        for request, _ in self.pipeline:
+            self._held.release(request)
+        self._held.close()
 
     def eof_received(self) -> None:
         """The caller closes the connection."""
@@ -178,11 +187,43 @@
             )
         if receiving is not None and receiving is self._receiving:
             self._count_framing(len(data) - (self._body_bytes - body_bytes))
-        if not self._reading_head or not counts:
+        if not self._reading_head:
             return
-        self._head_bytes += len(data)
+        if counts:
+            self._head_bytes += len(data)
         if self._head_bytes > self.get_limits().max_header_bytes:
             self._refuse(TOO_LARGE)
+            return
+        size = max(self._head_bytes, self._field_bytes)
+        if not self._held.receive_head(size, len(self.headers)):
+            self._refuse(NO_MEMORY)
+
+    def _start_asgi_task(
+        self, cycle: RequestResponseCycle, app: ASGI3Application
+    ) -> None:
+        """Serve a request, and release what it held once its task ends, which may be
+        long after its connection has."""
+
+        async def serve(
+            scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
+        ) -> None:
+            try:
+                await app(scope, receive, send)
+            finally:
+                self._held.release(cycle)
+
+        super()._start_asgi_task(cycle, serve)
+
+    def _evict(self) -> None:
+        """Hold as little as possible, in favour of others."""
+        if self._reading_head:
+            self._refuse(NO_MEMORY)
+        elif self._receiving is not None:
+            self._refuse_receiving(NO_MEMORY)
+        else:
+            self._refused = True
+            self.transport.close()
+            self._held.close()
 
     def on_message_begin(self) -> None:
         """A request begins; start the head's timeout."""
@@ -191,6 +232,7 @@
         self._body_parts = self._body_bytes = self._framing_bytes = 0
         if not self._refused:
             self._set_timeout(self.get_limits().header_timeout_s)
+            self._held.begin_head()
         super().on_message_begin()
         self.scope["extensions"] = {CONNECTION_END: self._end}
 
@@ -211,12 +253,17 @@
         self._set_timeout(None)
         if len(self.url) + self._field_bytes > self.get_limits().max_header_bytes:
             self._refuse(TOO_LARGE)
+        elif not self._refused and not self._held.begin_request(
+            self._field_bytes, len(self.headers)
+        ):
+            self._refuse(NO_MEMORY)
         if self._refused:
             return
         previous = self.cycle
         super().on_headers_complete()
         self._receiving, self._previous = self.cycle, previous
         if self.cycle is not previous:
+            self._held.serve(self.cycle)
             self._close_if_answered_early(self.cycle)
 
     def on_message_complete(self) -> None:
@@ -229,6 +276,7 @@
             receiving.keep_alive = self._keeps_alive
         super().on_message_complete()
         self._receiving = self._previous = None
+        self._held.received()
 
     def _close_if_answered_early(self, request: RequestResponseCycle) -> None:
         """Have the connection closed if a request is answered before its body is
@@ -252,7 +300,9 @@
             self._send_when_due(self._put_off)
         elif self._refused:
             self._unset_keepalive_if_required()
-        elif self.is_leaving():
+        elif self._answers_are_complete() and not self._in_message:
+            self._held.idle()
+        if self.is_leaving() and self._put_off is None and not self._refused:
             # The head of a long answer may have been sent before the stop began,
             # without "connection: close". Left open, the connection would be closed
             # later, while the caller's next call is on its way.
@@ -264,10 +314,12 @@
             return
         self._body_parts += 1
         self._body_bytes += len(body)
-        if self._body_parts <= MAX_SMALL_PARTS + self._body_bytes // MIN_PART_BYTES:
-            super().on_body(body)
-        else:
+        if self._body_parts > MAX_SMALL_PARTS + self._body_bytes // MIN_PART_BYTES:
             self._refuse_receiving(TOO_MANY_PARTS)
+        elif not self._held.receive_body(self._receiving, len(body)):
+            self._refuse_receiving(NO_MEMORY)
+        else:
+            super().on_body(body)
 
     def _count_framing(self, size: int) -> None:
         """Count bytes of the request that is being received beside its body."""
@@ -344,6 +396,8 @@
         request = self._receiving
         if request is None or request.response_started:
             return
+        request.body = bytearray()
+        self._held.release(request)
         if any(request is waiting for waiting, _ in self.pipeline):
             self.pipeline.popleft()
         else:
@@ -365,6 +419,9 @@
             return
         self._refused = True
         self._set_timeout(None)
+        if self._reading_head:
+            self.headers.clear()
+        self._held.drop_head()
         self.on_refused(refusal)
         self._send_when_due(refusal)
 
@@ -377,12 +434,7 @@
         if self.transport.is_closing():
             return
         self._unset_keepalive_if_required()
-        head = (
-            f"HTTP/1.1 {refusal.status} {refusal.phrase}",
-            "content-length: 0",
-            "connection: close",
-        )
-        self.transport.write("\r\n".join(head).encode() + b"\r\n\r\n")
+        self.transport.write(refusal.answer())
         self._linger()
 
     def _linger(self) -> None:
