Connections: how many callers may have is bounded by the machine's descriptors

What callers saw: with 600 connections that send nothing, half a head or half a body, an entry whose machine has 400 descriptors held 619. On a machine that enforces it, the entry then reaches neither backend servers nor the store, and accepts nobody.

Cause: max-fds stands in the settings file and nobody read it; connections were bounded by nothing.

Change: callers may have 0.6 of the descriptors that aren't for files. If there are more, a new connection takes the place of the one that has been idle for longest, else of the one whose request has been arriving for longest; one whose request is being served stays open, and if all are, the new one is closed unread. The loop accepts 32 connections in a turn, so that a burst doesn't use up the descriptors before the first of them is counted; the kernel's queue keeps its length.

--- a/packages/bambootiller/src/bambootiller/entry/httpserver.py
+++ b/packages/bambootiller/src/bambootiller/entry/httpserver.py
@@ -18,6 +18,9 @@
 #: who close them. Closed from here, a request could be on its way. Seconds.
 KEEP_ALIVE_S = 75
 BACKLOG = 2048
+#: How many connections the loop accepts in one turn. Their protocols, which may close
+#: them for want of descriptors, have theirs only some turns later.
+ACCEPTED_PER_TURN = 32
 
 log = logs.logger("entry.http")
 
@@ -29,6 +32,12 @@
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        # The loop listens anew, with the number that it accepts in one turn.
+        for sock in sockets or ():
+            sock.listen(BACKLOG)
+
 
 class HttpServer:
     """The listening socket and the server on it.
@@ -60,7 +69,7 @@
             server_header=False,
             timeout_keep_alive=KEEP_ALIVE_S,
             timeout_graceful_shutdown=1,
-            backlog=BACKLOG,
+            backlog=ACCEPTED_PER_TURN,
         )
         self._server = _Server(config)
         self._listen = listen
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -36,6 +36,7 @@
 from bambootiller.rpc import bambootiller_pb2_grpc as api
 from bambootiller.settings import Address
 from bambootiller_core.gateway import log_lines as lines
+from bambootiller_core.gateway.caller_connections import CallerConnections
 from bambootiller_core.gateway.caller_memory import CallerMemory, Kind
 from bambootiller_core.gateway.config import CallLimits
 from bambootiller_core.gateway.overload import Overload
@@ -145,6 +146,7 @@
         self._overload = Overload()
         self._last_idle_s = 0.0
         self._stall_monitor.on_tick(self._on_tick)
+        self._caller_connections = CallerConnections(machine.caller_connections)
         protocol = limited_protocol(
             self._limits, self._log_head_refusal, lambda: self._leaving
         )
@@ -154,6 +156,7 @@
             lambda: self._leaving,
             self._sheds_connection,
             self._caller_memory,
+            self._caller_connections,
         )
         self._caller_server = HttpServer(
             self._front, addresses.callers, caller_protocol
@@ -373,6 +376,22 @@
             "How often callers lost their place in favour of others",
             lambda: memory.evictions,
         )
+        connections = self._caller_connections
+        meters.add_gauge(
+            "caller_connections_limit",
+            "How many connections callers may have",
+            lambda: connections.capacity,
+        )
+        meters.add_gauge(
+            "caller_connections",
+            "Connections of callers",
+            lambda: connections.count,
+        )
+        meters.add_gauge(
+            "caller_connections_evicted",
+            "Connections of callers that were closed in favour of others",
+            lambda: connections.evicted,
+        )
         meters.add_gauge("engine_streams", "Streams to agents", engines.stream_count)
 
     def _register(self, server: object) -> None:
--- a/packages/bambootiller/src/bambootiller/gateway/http_limits.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_limits.py
@@ -16,6 +16,7 @@
 import asyncio
 import math
 import select
+import sys
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -42,6 +43,7 @@
     HeadRefusal,
     OnHeadRefused,
 )
+from bambootiller_core.gateway.caller_connections import CallerConnections
 from bambootiller_core.gateway.caller_memory import CallerMemory
 from bambootiller_core.gateway.config import CallLimits
 
@@ -88,12 +90,16 @@
     leaving: Callable[[], bool],
     sheds_connection: Callable[[], bool] = lambda: False,
     memory: CallerMemory | None = None,
+    connections: CallerConnections | None = None,
 ) -> type[HttpToolsProtocol]:
     """The server's protocol class with the limits that are in force when a head
     arrives; ``refused`` is called for each refused head. While ``leaving`` holds, each
     connection is closed after its answer. A new connection for which
     ``sheds_connection`` holds is closed unread, to shed load. ``memory`` bounds what
-    all connections hold; by default nothing does."""
+    all connections hold, ``connections`` how many there are; by default nothing does.
+    """
+    if connections is None:
+        connections = CallerConnections(sys.maxsize)
     if memory is None:
         memory = CallerMemory(math.inf, time.monotonic)
 
@@ -103,6 +109,7 @@
         is_leaving = staticmethod(leaving)
         closes_unread = staticmethod(sheds_connection)
         caller_memory = memory
+        caller_connections = connections
 
     return LimitedProtocol
 
@@ -124,6 +131,7 @@
     is_leaving: Callable[[], bool]
     closes_unread: Callable[[], bool]
     caller_memory: CallerMemory
+    caller_connections: CallerConnections
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """A caller has connected; start the idle timeout."""
@@ -147,7 +155,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._held = ConnectionMemory(self.caller_memory, self._evict)
         self._set_timeout(self.get_limits().idle_timeout_s)
-        if not self._held.connect() or self.closes_unread():
+        self._counted = self.caller_connections.open(self._close_at_once)
+        if self._counted is None or not self._held.connect() or self.closes_unread():
             # Makes data_received drop whatever still arrives.
             self._refused = True
             transport.abort()
@@ -160,6 +169,8 @@
         else:
             self._end.closed_by = "caller" if self._caller_closed else "entry"
         super().connection_lost(exc)
+        if self._counted is not None:
+            self._counted.closed()
         for request, _ in self.pipeline:
             self._held.release(request)
         self._held.close()
@@ -214,6 +225,14 @@
 
         super()._start_asgi_task(cycle, serve)
 
+    def _close_at_once(self) -> None:
+        """Close the connection at once, in favour of a new one."""
+        self._refused = True
+        if self.transport.get_write_buffer_size():
+            self.transport.abort()
+        else:
+            self.transport.close()
+
     def _evict(self) -> None:
         """Hold as little as possible, in favour of others."""
         if self._reading_head:
@@ -233,6 +252,7 @@
         if not self._refused:
             self._set_timeout(self.get_limits().header_timeout_s)
             self._held.begin_head()
+            self._counted.receiving()
         super().on_message_begin()
         self.scope["extensions"] = {CONNECTION_END: self._end}
 
@@ -277,6 +297,7 @@
         super().on_message_complete()
         self._receiving = self._previous = None
         self._held.received()
+        self._counted.served()
 
     def _close_if_answered_early(self, request: RequestResponseCycle) -> None:
         """Have the connection closed if a request is answered before its body is
@@ -302,6 +323,7 @@
             self._unset_keepalive_if_required()
         elif self._answers_are_complete() and not self._in_message:
             self._held.idle()
+            self._counted.idle()
         if self.is_leaving() and self._put_off is None and not self._refused:
             # The head of a long answer may have been sent before the stop began,
             # without "connection: close". Left open, the connection would be closed
@@ -444,6 +466,7 @@
         self._set_timeout(None)
         if self.transport.is_closing():
             return
+        self._counted.idle()
         self.transport.write_eof()
         self.loop.call_later(LINGER_S, self.transport.close)
 
