Answers: those that wait in memory count, and a caller that takes none is cut

Cause: an answer is collected up to 1 MiB before it is forwarded, each of them alone; what the network doesn't take wasn't counted and was kept for ever, as closing a connection waits for its caller to read; and up to 512 KiB were buffered of each backend server's connection, 256 unread and 256 in the piece that exceeds it.

Change: collected and unsent answers are charged to the account of callers. While half of it is in use, answers are forwarded as they come instead of being collected, so that they are delivered all the same; unsent ones are evicted last. A caller that takes nothing of more than 64 KiB within the configuration's idle timeout is cut. Of a backend server's connection, 64 KiB are read at a time and kept unread.

--- a/packages/bambootiller/src/bambootiller/gateway/answer_forwarder.py
+++ b/packages/bambootiller/src/bambootiller/gateway/answer_forwarder.py
@@ -11,6 +11,7 @@
 from bambootiller.gateway.ports import AnswerHead
 from bambootiller.gateway.relay_context import RelayContext
 from bambootiller.gateway.reporting import CallReport
+from bambootiller_core.gateway.caller_memory import Hold, Kind
 from bambootiller_core.gateway.calls import Call, Progress
 from bambootiller_core.gateway.events import MAX_EVENT_BYTES, Event, EventSplitter
 
@@ -19,8 +20,11 @@
 Read = Callable[[Attempt], Awaitable[bytes | None]]
 
 #: An answer up to this size is buffered before its first byte is sent to the caller. A
-#: larger one is streamed, so that an endless answer uses no more memory. Bytes.
+#: larger one is streamed, so that an endless answer uses no more memory, and so is one
+#: for which there is no memory. Bytes.
 MAX_COLLECTED_BYTES = 1 << 20
+#: How often a buffered answer is in memory: in parts, and joined.
+COLLECTED_COPIES = 2
 #: How many events of a stream are forwarded at once, if more have been received. A
 #: sound stream has fewer even after a pause.
 MAX_EVENTS_AT_ONCE = 256
@@ -67,17 +71,30 @@
             return
         # Buffered before the first byte is sent: an answer that breaks off can then
         # still be replaced by that of another backend server.
+        hold = self._context.caller_memory.hold()
+        try:
+            data, is_whole = await self._collect(attempt, hold)
+        finally:
+            hold.release()
+        if not is_whole:
+            await self._forward_large_answer(attempt, head, data)
+            return
+        self._record_health(attempt, head)
+        self._report.part_forwarded(self._context.clock())
+        await self._send_head(head)
+        await self._send({"type": "http.response.body", "body": data})
+
+    async def _collect(self, attempt: Attempt, hold: Hold) -> tuple[bytes, bool]:
+        """Read an answer to its end, or as far as it can be buffered, and whether that
+        is its end."""
         parts, size = [], 0
         while (data := await self._read(attempt)) is not None:
             parts.append(data)
             size += len(data)
-            if size > MAX_COLLECTED_BYTES:
-                await self._forward_large_answer(attempt, head, b"".join(parts))
-                return
-        self._record_health(attempt, head)
-        self._report.part_forwarded(self._context.clock())
-        await self._send_head(head)
-        await self._send({"type": "http.response.body", "body": b"".join(parts)})
+            has_memory = hold.grow(Kind.COLLECTED, COLLECTED_COPIES * len(data))
+            if size > MAX_COLLECTED_BYTES or not has_memory:
+                return b"".join(parts), False
+        return b"".join(parts), True
 
     async def _forward_large_answer(
         self, attempt: Attempt, head: AnswerHead, data: bytes | None
--- a/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
+++ b/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
@@ -47,8 +47,9 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 2500
 #: SO_LINGER with a timeout of 0: closing sends a reset and drops unsent data.
 _LINGER_ZERO = struct.pack("ii", 1, 0)
-#: Reading from the socket pauses while more than this is buffered. Bytes.
-MAX_UNREAD_BYTES = 256 * 1024
+#: Reading from the socket pauses while more than this is buffered, and no more is read
+#: at a time. Bytes.
+MAX_UNREAD_BYTES = 64 * 1024
 #: How much is parsed between two checks of what it has cost. Bytes.
 SLICE_BYTES = 4096
 #: A connection begins no further slice after so many parts of answers (heads, headers,
@@ -131,6 +132,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The connection is established."""
         self._transport = transport
+        transport.max_size = MAX_UNREAD_BYTES
         sock = transport.get_extra_info("socket")
         if sock is not None:
             _enable_keepalive(sock)
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -135,6 +135,7 @@
             self._quotas,
             limits,
             ServerAdmission(limits, allocator_client, app.now),
+            self._caller_memory,
         )
         self._records = QuarantineRecords(
             app, platform.kv, self._engines.quarantine, events
--- a/packages/bambootiller/src/bambootiller/gateway/http_limits.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_limits.py
@@ -43,6 +43,7 @@
     HeadRefusal,
     OnHeadRefused,
 )
+from bambootiller.gateway.unsent_answer import UnsentAnswer
 from bambootiller_core.gateway.caller_connections import CallerConnections
 from bambootiller_core.gateway.caller_memory import CallerMemory
 from bambootiller_core.gateway.config import CallLimits
@@ -154,6 +155,12 @@
         self._caller_closed = False
         self._timer: asyncio.TimerHandle | None = None
         self._held = ConnectionMemory(self.caller_memory, self._evict)
+        self._unsent = UnsentAnswer(
+            transport,
+            self.caller_memory,
+            lambda: self.get_limits().idle_timeout_s,
+            self.loop,
+        )
         self._set_timeout(self.get_limits().idle_timeout_s)
         self._counted = self.caller_connections.open(self._close_at_once)
         if self._counted is None or not self._held.connect() or self.closes_unread():
@@ -169,6 +176,7 @@
         else:
             self._end.closed_by = "caller" if self._caller_closed else "entry"
         super().connection_lost(exc)
+        self._unsent.resumed()
         if self._counted is not None:
             self._counted.closed()
         for request, _ in self.pipeline:
@@ -225,6 +233,16 @@
 
         super()._start_asgi_task(cycle, serve)
 
+    def pause_writing(self) -> None:
+        """The network takes the answer more slowly than it is made."""
+        super().pause_writing()
+        self._unsent.paused()
+
+    def resume_writing(self) -> None:
+        """The network has taken most of the answer."""
+        self._unsent.resumed()
+        super().resume_writing()
+
     def _close_at_once(self) -> None:
         """Close the connection at once, in favour of a new one."""
         self._refused = True
--- a/packages/bambootiller/src/bambootiller/gateway/relay_context.py
+++ b/packages/bambootiller/src/bambootiller/gateway/relay_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -22,6 +23,7 @@
     Refusal,
     RefusalReason,
 )
+from bambootiller_core.gateway.caller_memory import CallerMemory
 from bambootiller_core.gateway.calls import Call
 from bambootiller_core.gateway.fleet import Backend
 from bambootiller_core.gateway.health import Health
@@ -73,7 +75,10 @@
         quotas: Quotas,
         server_limits: ServerLimits,
         server_admission: ServerAdmission,
+        caller_memory: CallerMemory | None = None,
     ) -> None:
+        #: What callers make this process hold; without one it isn't bounded.
+        self.caller_memory = caller_memory or CallerMemory(math.inf, clock)
         self.server_limits = server_limits
         self.server_admission = server_admission
         self.quarantine = quarantine
