Refused requests: reading goes on while an answer before them is in progress

Cause: the lingering close's bound on bytes also counted what arrives before the refusal is sent. Until then reading has to go on, as it shows whether the caller leaves.

Change: bytes count from the refusal on. Beside it: a new connection that is shed for overload is closed before it could take the place of another.

Left: such bytes are bounded by the time of the answer in progress only.

--- a/packages/bambootiller/src/bambootiller/gateway/http_limits.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_limits.py
@@ -44,7 +44,10 @@
     OnHeadRefused,
 )
 from bambootiller.gateway.unsent_answer import UnsentAnswer
-from bambootiller_core.gateway.caller_connections import CallerConnections
+from bambootiller_core.gateway.caller_connections import (
+    CallerConnection,
+    CallerConnections,
+)
 from bambootiller_core.gateway.caller_memory import CallerMemory
 from bambootiller_core.gateway.config import CallLimits
 
@@ -162,8 +165,10 @@
             self.loop,
         )
         self._set_timeout(self.get_limits().idle_timeout_s)
-        self._counted = self.caller_connections.open(self._close_at_once)
-        if self._counted is None or not self._held.connect() or self.closes_unread():
+        self._counted: CallerConnection | None = None
+        if not self.closes_unread():
+            self._counted = self.caller_connections.open(self._close_at_once)
+        if self._counted is None or not self._held.connect():
             # Makes data_received drop whatever still arrives.
             self._refused = True
             transport.abort()
@@ -489,6 +494,9 @@
         self.loop.call_later(LINGER_S, self.transport.close)
 
     def _drop(self, data: bytes) -> None:
+        if self._put_off is not None:
+            # Reading goes on, which shows if the caller leaves.
+            return
         self._dropped_bytes += len(data)
         if self._dropped_bytes > LINGER_BYTES:
             self.flow.pause_reading()
