Own interface: its callers have the same bounds

What callers see on `bambootillerd entry`, which the users' platform doesn't use: trailers without end took 4.1 GB, 300 bodies just short of their end 397 MB where 260 are allowed, a stranger's body was read on after its 401 (67 MB of each of 20), and 600 idle connections took 619 descriptors of 400.

Cause: the same as on the gateway; moreover the role gave the HTTP server no protocol of its own, so heads had no limit either.

Evidence: test_own_interface, 4 of 5 failed on; the fifth checks that an ordinary request is answered.

Refusals are counted as entry.unread.REASON.

After: 5 of 5. The tests' class for crowds is split so that both entries share it; its checks are unchanged.

--- a/packages/bambootiller/src/bambootiller/_settings_table.py
+++ b/packages/bambootiller/src/bambootiller/_settings_table.py
@@ -257,6 +257,20 @@
         default=512,
         roles=(ENTRY,),
     )
+    memory_mb: int = _row(
+        Whole(64, 1_000_000),
+        "Memory that the process may use. It bounds what callers make it hold.",
+        default=512,
+        roles=(ENTRY,),
+        units="MB",
+    )
+    max_descriptors: int = _row(
+        Whole(256, 1_000_000),
+        "Descriptors that the process may have open. It bounds how many connections "
+        "callers may have.",
+        default=4096,
+        roles=(ENTRY,),
+    )
     memory_headroom_bytes: int = _row(
         Size(0, 2**40),
         "Accelerator memory that the agent leaves free.",
--- a/packages/bambootiller/src/bambootiller/entry/role.py
+++ b/packages/bambootiller/src/bambootiller/entry/role.py
@@ -9,11 +9,17 @@
 from bambootiller.entry import httpapp
 from bambootiller.entry.arrivals import Arrivals
 from bambootiller.entry.health import Readiness
-from bambootiller.entry.httpserver import HttpServer
+from bambootiller.entry.httpserver import KEEP_ALIVE_S, HttpServer
 from bambootiller.entry.intake import Intake
 from bambootiller.entry.relay.driver import Cut
 from bambootiller.entry.relays import Relays
 from bambootiller.entry.routing import Routing
+from bambootiller.gateway.http_limits import limited_protocol
+from bambootiller.gateway.http_refusals import HeadRefusal
+from bambootiller.gateway.machine_limits import MachineLimits
+from bambootiller_core.gateway.caller_connections import CallerConnections
+from bambootiller_core.gateway.caller_memory import CallerMemory
+from bambootiller_core.gateway.config import CallLimits
 from bambootiller_core.membership import MemberView, Status
 from bambootiller_core.types import Role
 
@@ -82,13 +88,33 @@
             app.now,
         )
         http = httpapp.build(arrivals, relays, self.readiness, app.fail)
-        self._server = HttpServer(http, cfg.http_listen)
+        self._server = HttpServer(http, cfg.http_listen, self._protocol())
         self._server.bind()
         app.http_port = self._server.port
         app.membership.subscribe(self._member_changed)
         app.timers.every("entry sweep", SWEEP_S, app.now(), self._sweep)
         app.spawn("entry http", self._server.serve())
 
+    def _protocol(self) -> type[asyncio.Protocol]:
+        cfg = self._app.settings
+        limits = CallLimits(
+            max_body_bytes=cfg.max_body_bytes, idle_timeout_s=KEEP_ALIVE_S
+        )
+        machine = MachineLimits(cfg.memory_mb * 1e6, cfg.max_descriptors)
+        return limited_protocol(
+            lambda: limits,
+            self._count_refusal,
+            lambda: False,
+            memory=CallerMemory(machine.caller_memory_bytes, self._app.now),
+            connections=CallerConnections(machine.caller_connections),
+        )
+
+    def _count_refusal(self, refusal: HeadRefusal) -> None:
+        # Counted at all levels, logged only where somebody looks: a crowd would fill
+        # the log.
+        self._app.metrics.incr(f"entry.unread.{refusal.reason}")
+        log.debug("refused unread: {} {}", refusal.status, refusal.reason)
+
     async def drain(self, seconds: float) -> None:
         """Graceful shutdown: say so, keep serving, then end what can't be finished.
 
--- a/tests/misbehaving/common/crowd.py
+++ b/tests/misbehaving/common/crowd.py
@@ -22,7 +22,7 @@
 
     Example::
 
-        caller = await Caller.connect(entry)
+        caller = await Caller.connect(address)
         await caller.send(head(content_length=4 << 20), b"x" * 1000)
     """
 
@@ -35,9 +35,9 @@
         self.received = b""
 
     @classmethod
-    async def connect(cls, entry, receive_buffer_bytes=None):
-        """Connect to the port for callers."""
-        host, _, port = entry.document["listen"]["front"].rpartition(":")
+    async def connect(cls, address, receive_buffer_bytes=None):
+        """Connect to the address, HOST:PORT."""
+        host, _, port = address.rpartition(":")
         sock = socket.socket()
         sock.setblocking(False)
         if receive_buffer_bytes is not None:
