Tests: what callers hold is released, however their connections end

Afterwards nothing is held and no connection is counted. What leaked would be missing for good, until the entry refused everyone.

--- a/tests/adapter/common/served_entry.py
+++ b/tests/adapter/common/served_entry.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import contextlib
+import math
+import sys
 
 import httptools
 
 from bambootiller.entry.httpserver import HttpServer
 from bambootiller.gateway.http_limits import limited_protocol
 from bambootiller.settings import Address
+from bambootiller_core.gateway.caller_connections import CallerConnections
+from bambootiller_core.gateway.caller_memory import CallerMemory
 from bambootiller_core.gateway.config import CallLimits
 from bambootiller_core.timers import TimerService
 from tests.adapter.common.entry import EntryHarness
@@ -28,11 +32,23 @@
         answer = await caller.answer()
     """
 
+    #: What callers may make the entry hold, in bytes, and how many connections.
+    memory_bytes = math.inf
+    max_connections = sys.maxsize
+
     def __init__(self):
         super().__init__()
         self.refused_heads = []
+        self.context.caller_memory = CallerMemory(
+            self.memory_bytes, asyncio.get_running_loop().time
+        )
+        self.caller_connections = CallerConnections(self.max_connections)
         protocol = limited_protocol(
-            self._limits, self.refused_heads.append, lambda: self.leaving
+            self._limits,
+            self.refused_heads.append,
+            lambda: self.leaving,
+            memory=self.context.caller_memory,
+            connections=self.caller_connections,
         )
         self.server = HttpServer(self.front, Address("127.0.0.1", 0), protocol)
         self._serving = None
