--- a/packages/bambootiller/src/bambootiller/gateway/http_limits.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_limits.py
@@ -1,9 +1,9 @@
-"""Limits the size of a request's head and the time that a caller may take to send it.
+"""Limits what callers may send, how long they may take, and what they all hold.
 
-The HTTP server itself reads heads of any length and waits forever for the rest of one.
-A caller that sends an endless head, or opens thousands of connections and sends
-nothing, would exhaust the memory and file descriptors of an instance that serves
-others.
+The HTTP server itself reads heads, trailers and bodies of any length and waits forever
+for the rest of one. A caller that sends without end, or opens thousands of connections
+and sends nothing, would exhaust the memory and file descriptors of an instance that
+serves others.
 
 Example::
 
@@ -165,10 +165,11 @@
             self.loop,
         )
         self._set_timeout(self.get_limits().idle_timeout_s)
-        self._counted: CallerConnection | None = None
+        #: None if the connection is closed unread.
+        self._open_connection: CallerConnection | None = None
         if not self.closes_unread():
-            self._counted = self.caller_connections.open(self._close_at_once)
-        if self._counted is None or not self._held.connect():
+            self._open_connection = self.caller_connections.open(self._close_at_once)
+        if self._open_connection is None or not self._held.connect():
             # Makes data_received drop whatever still arrives.
             self._refused = True
             transport.abort()
@@ -182,8 +183,8 @@
             self._end.closed_by = "caller" if self._caller_closed else "entry"
         super().connection_lost(exc)
         self._unsent.resumed()
-        if self._counted is not None:
-            self._counted.closed()
+        if self._open_connection is not None:
+            self._open_connection.closed()
         for request, _ in self.pipeline:
             self._held.release(request)
         self._held.close()
@@ -275,7 +276,7 @@
         if not self._refused:
             self._set_timeout(self.get_limits().header_timeout_s)
             self._held.begin_head()
-            self._counted.receiving()
+            self._open_connection.receiving()
         super().on_message_begin()
         self.scope["extensions"] = {CONNECTION_END: self._end}
 
@@ -320,7 +321,7 @@
         super().on_message_complete()
         self._receiving = self._previous = None
         self._held.received()
-        self._counted.served()
+        self._open_connection.served()
 
     def _close_if_answered_early(self, request: RequestResponseCycle) -> None:
         """Have the connection closed if a request is answered before its body is
@@ -346,7 +347,7 @@
             self._unset_keepalive_if_required()
         elif self._answers_are_complete() and not self._in_message:
             self._held.idle()
-            self._counted.idle()
+            self._open_connection.idle()
         if self.is_leaving() and self._put_off is None and not self._refused:
             # The head of a long answer may have been sent before the stop began,
             # without "connection: close". Left open, the connection would be closed
@@ -437,7 +438,7 @@
             self._refuse(MALFORMED)
 
     def _withdraw_receiving(self) -> None:
-        """Take back a request whose body is malformed, unless its answer has begun."""
+        """Take back a request whose body is refused, unless its answer has begun."""
         request = self._receiving
         if request is None or request.response_started:
             return
@@ -489,7 +490,7 @@
         self._set_timeout(None)
         if self.transport.is_closing():
             return
-        self._counted.idle()
+        self._open_connection.idle()
         self.transport.write_eof()
         self.loop.call_later(LINGER_S, self.transport.close)
 
