--- a/packages/bambootiller/src/bambootiller/gateway/http_limits.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_limits.py
@@ -20,18 +20,15 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
-from uvicorn._types import (
-    ASGI3Application,
-    ASGIReceiveCallable,
-    ASGISendCallable,
-    Scope,
-)
 from uvicorn.protocols.http.httptools_impl import (
     HttpToolsProtocol,
     RequestResponseCycle,
 )
 
+from bambootiller.entry.exchange import Application, Receive, Send
+from bambootiller.gateway.answer_transport import AnswerTransport
 from bambootiller.gateway.connection_memory import ConnectionMemory
 from bambootiller.gateway.http_refusals import (
     MALFORMED,
@@ -118,15 +115,6 @@
     return LimitedProtocol
 
 
-class _AnswerTransport:
-    """The connection as one request's answer uses it; closing it calls ``close``."""
-
-    def __init__(self, transport: asyncio.Transport, close: Callable[[], None]) -> None:
-        self.write = transport.write
-        self.is_closing = transport.is_closing
-        self.close = close
-
-
 class _LimitedProtocol(HttpToolsProtocol):
     """A connection of a caller."""
 
@@ -223,15 +211,11 @@
         if not self._held.receive_head(size, len(self.headers)):
             self._refuse(NO_MEMORY)
 
-    def _start_asgi_task(
-        self, cycle: RequestResponseCycle, app: ASGI3Application
-    ) -> None:
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Application) -> None:
         """Serve a request, and release what it held once its task ends, which may be
         long after its connection has."""
 
-        async def serve(
-            scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
-        ) -> None:
+        async def serve(scope: dict[str, Any], receive: Receive, send: Send) -> None:
             try:
                 await app(scope, receive, send)
             finally:
@@ -327,7 +311,7 @@
         """Have the connection closed if a request is answered before its body is
         complete, instead of reading on for as long as its caller sends."""
         self._keeps_alive, request.keep_alive = request.keep_alive, False
-        request.transport = _AnswerTransport(self.transport, self._close_after_answer)
+        request.transport = AnswerTransport(self.transport, self._close_after_answer)
 
     def _close_after_answer(self) -> None:
         if self._receiving is None:
