--- a/tests/frame/cover/test_runner.py
+++ b/tests/frame/cover/test_runner.py
@@ -124,6 +124,11 @@
         self.assertEqual(entry.test, "tests.a.B.c")
         self.assertEqual(entry.issue, "issue 4")
 
+    def test_entries_of_some_issues_are_not_counted(self):
+        (issue,) = known_red.UNCOUNTED_ISSUES
+        count = known_red.MOST + 1
+        self.assertEqual(len(self.read(f"a | b | {issue}\n" * count)), count)
+
     def test_a_long_list_or_a_line_without_cause_is_refused(self):
         for text in ("a | b | c\n" * (known_red.MOST + 1), "a | | c\n", "a\n"):
             with self.subTest(text=text):
