Log lines: when a call was sent, and for how long a missing registration is kept

The record has no line that names the late request, and the lines of today can't tell the hypotheses apart: a call that timed out names neither the backend server nor when it was sent there, so one that was sent in time and read late looks like one that was sent late; a removed registration says that calls go on, but not until when.

Added, without any change of logic: sent_ms in answered, refused, cut and caller_gone, backend in refused and cut, kept_ms in backend_removed, grace_ms in dependency_regained.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/calls.py
@@ -106,13 +106,15 @@
     """The attempts of a call so far and what the caller has received.
 
     ``tried`` lists the backend servers of all attempts; ``sends`` counts the attempts
-    in which the call was sent over a connection. ``forwarded`` tells whether a part of
+    in which the call was sent over a connection, the last of them at ``last_sent_at``.
+    ``forwarded`` tells whether a part of
     an answer has been forwarded to the caller. ``last_event`` is the number of the last
     complete event forwarded, ``forwarded_at`` the time of that.
     """
 
     tried: list[Incarnation] = field(default_factory=list)
     sends: int = 0
+    last_sent_at: float | None = None
     may_have_run: bool = False
     forwarded: bool = False
     last_event: int | None = None
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/fleet.py
@@ -298,8 +298,7 @@
     def is_expired(self, now: float, backend: Backend) -> bool:
         """Whether its registration is still missing :data:`EXPIRY_GRACE_S` after the
         store's return."""
-        is_grace_over = now - self._store_returned_at >= EXPIRY_GRACE_S
-        return backend.missing_since is not None and is_grace_over
+        return backend.missing_since is not None and not self.grace_left_s(now)
 
     def all_of_service(self, service: str) -> list[Backend]:
         """The backend servers of the service, including those that are leaving."""
@@ -310,6 +309,11 @@
         missing."""
         self._store_returned_at = now
 
+    def grace_left_s(self, now: float) -> float:
+        """For how long a missing registration still counts as expired in the last
+        outage. Seconds; 0 if none does."""
+        return max(0.0, self._store_returned_at + EXPIRY_GRACE_S - now)
+
     def registry_changed(self, now: float, record: Registration) -> bool:
         """Apply a registration; returns False if a newer one is held.
 
@@ -395,11 +399,7 @@
         held = self._backends.get(instance)
         if held is None:
             return
-        expired = (
-            now - self._store_returned_at < EXPIRY_GRACE_S
-            and not held.registration.leaving
-        )
-        if expired:
+        if self.grace_left_s(now) and not held.registration.leaving:
             if held.missing_since is None:
                 held.missing_since = now
             return
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_requests.py
@@ -102,7 +102,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Answered(LogLine):
-    """A backend server's answer was forwarded completely."""
+    """A backend server's answer was forwarded completely. ``sent_ms`` is when the call
+    was last sent, in milliseconds after its arrival."""
 
     event: ClassVar[str] = "answered"
     failure: ClassVar[bool] = False
@@ -124,6 +125,7 @@
     adapter: str | None = None
     customer: str | None = None
     cost: float | None = None
+    sent_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,8 +153,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused(LogLine):
-    """The gateway gave its own final answer. ``fingerprint`` is set if lost runs of the
-    same request decided that; it is the same for all its attempts."""
+    """The gateway gave its own final answer.
+
+    ``fingerprint`` is set if lost runs of the same request decided that; it is the same
+    for all its attempts. ``backend`` is the backend server of the last attempt, and
+    ``sent_ms`` when the call was sent there, in milliseconds after its arrival: a
+    backend server may read a call much later than that."""
 
     event: ClassVar[str] = "refused"
 
@@ -173,6 +179,8 @@
     customer: str | None = None
     cost: float | None = None
     quota: QuotaSnapshot | None = None
+    backend: str | None = None
+    sent_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,6 +200,8 @@
     adapter: str | None = None
     customer: str | None = None
     cost: float | None = None
+    backend: str | None = None
+    sent_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -295,6 +305,7 @@
     cost: float | None = None
     closed_by: str | None = None
     detail: str = ""
+    sent_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_state_changes.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_state_changes.py
@@ -106,7 +106,8 @@
     ``reason``: "removed" (the registration was removed), "missing_after_outage" (the
     registration hadn't come back some seconds after the store had). ``was_leaving``
     distinguishes a planned leave from a loss. ``kept`` is True if calls are sent there
-    for the time being, as the registration may have expired in an outage."""
+    for the time being, at most ``kept_ms`` milliseconds, as the registration may have
+    expired in an outage."""
 
     event: ClassVar[str] = "backend_removed"
 
@@ -116,6 +117,7 @@
     was_leaving: bool | None = None
     source: str | None = None
     kept: bool | None = None
+    kept_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,12 +237,14 @@
 
 @dataclass(frozen=True, slots=True)
 class DependencyRegained(LogLine):
-    """The store or the engine answers again."""
+    """The store or the engine answers again. ``grace_ms`` is for how long missing
+    registrations now count as expired in the outage, None if they don't."""
 
     event: ClassVar[str] = "dependency_regained"
 
     dependency: str
     away_ms: int | None = None
+    grace_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller/src/bambootiller/gateway/attempt_sender.py
+++ b/packages/bambootiller/src/bambootiller/gateway/attempt_sender.py
@@ -40,6 +40,7 @@
             backend.prefill_queued()
         progress.tried.append(backend.incarnation)
         progress.sends += 1
+        progress.last_sent_at = self.sent_at_clock
         progress.may_have_run = True
 
     @property
--- a/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
+++ b/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
@@ -219,10 +219,17 @@
             return
         held = self.fleet.get(instance)
         was_leaving = held.registration.leaving if held is not None else None
-        self.fleet.registry_removed(self._clock(), instance)
+        now = self._clock()
+        self.fleet.registry_removed(now, instance)
         kept = self.fleet.get(instance) is not None
         line = lines.BackendRemoved(
-            instance, "removed", record.mod_revision, was_leaving, source, kept
+            instance,
+            "removed",
+            record.mod_revision,
+            was_leaving,
+            source,
+            kept,
+            round(self.fleet.grace_left_s(now) * 1000) if kept else None,
         )
         self._events.emit(line)
         self.changed.notify()
@@ -484,7 +491,8 @@
             self._regained_at = now
             self._gateway_state.fleet.store_returned(now)
         away_ms = round((now - outage.noticed_at) * 1000)
-        self._events.emit(lines.DependencyRegained("store", away_ms))
+        grace_ms = round(self._gateway_state.fleet.grace_left_s(now) * 1000)
+        self._events.emit(lines.DependencyRegained("store", away_ms, grace_ms or None))
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller/src/bambootiller/gateway/http_front.py
+++ b/packages/bambootiller/src/bambootiller/gateway/http_front.py
@@ -20,6 +20,7 @@
 from bambootiller.gateway.ports import Incoming, Unreadable
 from bambootiller.gateway.relay import AnswerTruncated, Relay
 from bambootiller.gateway.relay_context import RelayContext
+from bambootiller.gateway.reporting import CallReport
 from bambootiller_core.gateway.attempts import (
     DEFAULT_RETRY_AFTER_S,
     Refusal,
@@ -152,7 +153,7 @@
         end = scope.get("extensions", {}).get(CONNECTION_END)
         refusal = await self._run(relay, call, receive, end or ConnectionEnd())
         if refusal is not None:
-            await self._refuse(send, incoming, refusal, arrived, call)
+            await self._refuse(send, incoming, refusal, arrived, call, relay.report)
 
     async def _run(
         self, relay: Relay, call: Call, receive: Receive, end: ConnectionEnd
@@ -246,6 +247,7 @@
         refusal: Refusal,
         arrived: float,
         call: Call | None = None,
+        report: CallReport | None = None,
     ) -> None:
         context = self._context
         parsed = incoming if isinstance(incoming, Incoming) else None
@@ -272,6 +274,8 @@
             customer=call.customer.name if call and call.customer else None,
             cost=call.cost or None if call else None,
             quota=refusal.quota,
+            backend=report.last_backend() if report else None,
+            sent_ms=report.sent_ms() if report else None,
         )
         context.events.emit(line)
         body = refusal.reason.value.encode()
--- a/packages/bambootiller/src/bambootiller/gateway/reporting.py
+++ b/packages/bambootiller/src/bambootiller/gateway/reporting.py
@@ -76,6 +76,7 @@
                 first_ms=_ms(first_at - call.arrived),
                 total_ms=_ms(now - call.arrived),
                 longest_gap_ms=_ms(self._longest_gap_s),
+                sent_ms=self.sent_ms(),
                 config_version=self._config_version(),
                 chosen_on=self._chosen_on,
                 adapter=_adapter(call),
@@ -178,6 +179,8 @@
                 last_event=self._progress.last_event,
                 held_ms=_ms(self._context.clock() - call.arrived),
                 reason=reason,
+                backend=self.last_backend(),
+                sent_ms=self.sent_ms(),
                 adapter=_adapter(call),
                 customer=_customer(call),
                 cost=call.cost or None,
@@ -195,7 +198,8 @@
                 service=call.service,
                 kind=call.route.kind.value,
                 model=_model(call),
-                backend=progress.tried[-1].instance if progress.tried else None,
+                backend=self.last_backend(),
+                sent_ms=self.sent_ms(),
                 held_ms=_ms(self._context.clock() - call.arrived),
                 attempts=progress.sends,
                 last_event=progress.last_event,
@@ -207,6 +211,17 @@
             )
         )
 
+    def last_backend(self) -> str | None:
+        """The backend server of the last attempt, None before the first."""
+        tried = self._progress.tried
+        return tried[-1].instance if tried else None
+
+    def sent_ms(self) -> int | None:
+        """When the call was last sent, in milliseconds after its arrival; None if it
+        wasn't."""
+        sent_at = self._progress.last_sent_at
+        return None if sent_at is None else _ms(sent_at - self._call.arrived)
+
     def _emit(self, line: lines.LogLine) -> None:
         self._context.events.emit(line)
 
