Peers: registrations reach an entry that the store turns away in time

Cause: such an entry learns of a leave from peers alone. They wait for it to read the registry by itself, 0.6 s for its reader and 0.9 s for its report, after having paused 0.6 s between two reads themselves: 2.1 s at least, more by 0.15 s a rank. Class: bounds that hold alone and not together.

Now an entry that isn't answered says so at once, and peers send it registrations without that wait, in their order as before. Configurations keep it: they are large, and must not come from all peers together.

Ruled out: shorter waits for everybody, as then each leave would cross all streams.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/document_propagation.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/document_propagation.py
@@ -10,11 +10,16 @@
 between them (:data:`STAGGER_S`), so that the peer reports the document before most of
 them have sent it. Sent by all at once, a configuration would fill the peer's link, and
 the answers of calls would be delayed.
+
+A peer that the store doesn't answer reports that, and is sent registrations without
+waiting whether it reads them by itself: it has to learn within two seconds that a
+backend server leaves, and those that read the registry pause between two reads.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
 from functools import lru_cache
 
 from bambootiller_core import rendezvous
@@ -89,6 +94,21 @@
     return key == part or (part.endswith("/") and key.startswith(part))
 
 
+@dataclass(frozen=True, slots=True)
+class _QueuedDocument:
+    """A document that the peer may lack. It is sent at ``turn_at``, or
+    ``self_update_grace_s`` later if the peer may read it by itself."""
+
+    change: Changed
+    turn_at: float
+    self_update_grace_s: float
+
+    @property
+    def due_at(self) -> float:
+        """When it is to be sent."""
+        return self.turn_at + self.self_update_grace_s
+
+
 class PeerQueue:
     """The documents that one peer may lack.
 
@@ -100,7 +120,7 @@
     """
 
     def __init__(self) -> None:
-        self._queued: dict[str, tuple[Changed, float]] = {}
+        self._queued: dict[str, _QueuedDocument] = {}
         #: The revision that the peer needs, and when the list is due, by prefix.
         self._key_lists: dict[str, tuple[int, float]] = {}
         self._peer_revisions: Revisions | None = None
@@ -119,8 +139,20 @@
         ):
             # The peer has reported that already, and doesn't repeat it.
             return
-        due_at = now + self_update_grace_s + (rank - 1) * STAGGER_S if rank else now
-        self._queued[change.record.key] = (change, due_at)
+        if rank == 0:
+            self_update_grace_s, stagger_s = 0.0, 0.0
+        else:
+            stagger_s = (rank - 1) * STAGGER_S
+        self._queued[change.record.key] = _QueuedDocument(
+            change, now + stagger_s, self_update_grace_s
+        )
+
+    def skip_grace(self, is_skipped: Callable[[str], bool]) -> None:
+        """Don't wait any longer for the peer to read the queued documents whose keys
+        satisfy ``is_skipped`` by itself."""
+        for key, queued in self._queued.items():
+            if is_skipped(key):
+                self._queued[key] = replace(queued, self_update_grace_s=0.0)
 
     def add_key_list(self, due_at: float, prefix: str, revision: int) -> None:
         """Queue the list of keys under a prefix, which the peer needs unless it is
@@ -132,8 +164,8 @@
         """Record the revisions that the peer reports, and drop documents that it
         has."""
         self._peer_revisions = revisions
-        for key, (change, _) in list(self._queued.items()):
-            if is_covered(revisions, change):
+        for key, queued in list(self._queued.items()):
+            if is_covered(revisions, queued.change):
                 del self._queued[key]
         for prefix, (revision, _) in list(self._key_lists.items()):
             if revisions.get(prefix, -1) >= revision:
@@ -154,8 +186,8 @@
         has reported its revisions."""
         if self._peer_revisions is None:
             return []
-        ready = [key for key, (_, due_at) in self._queued.items() if due_at <= now]
-        return [self._queued.pop(key)[0] for key in ready]
+        ready = [key for key, queued in self._queued.items() if queued.due_at <= now]
+        return [self._queued.pop(key).change for key in ready]
 
     def due_key_lists(self, now: float) -> list[str]:
         """Remove and return the prefixes whose keys are to be sent now. A peer that
@@ -178,7 +210,7 @@
         or the peer hasn't reported its revisions."""
         if self._peer_revisions is None:
             return None
-        due = [due_at for _, due_at in self._queued.values()]
+        due = [queued.due_at for queued in self._queued.values()]
         due += [self._key_list_due_at(prefix) for prefix in self._key_lists]
         return min(due, default=None)
 
--- a/packages/bambootiller/src/bambootiller/gateway/exchange.py
+++ b/packages/bambootiller/src/bambootiller/gateway/exchange.py
@@ -112,6 +112,7 @@
         #: Whether the peer retains what isn't sent again. A peer of an earlier version
         #: treats what isn't repeated as removed.
         self._peer_retains_state = False
+        self._peer_lacks_store = False
         self._loop = asyncio.get_running_loop()
         self._wake = asyncio.Event()
         self._batching = False
@@ -138,7 +139,9 @@
         rank = self._rank()
         self_update_grace_s = SELF_UPDATE_GRACE_S
         if not self._gateway_state.is_configuration(change.record.key):
-            self_update_grace_s = self._registry_grace_s()
+            self_update_grace_s = (
+                0.0 if self._peer_lacks_store else self._registry_grace_s()
+            )
         self._documents.add(self._loop.time(), change, rank, self_update_grace_s)
         if rank:
             self._schedule_wakeup()
@@ -152,6 +155,7 @@
         self.last_received_at = self._loop.time()
         self._peer_retains_state = self._peer_retains_state or update.begins
         self.removals_since.update(update.removals_since)
+        self._record_store_access(update.lacks_store)
         if first or update.complete:
             self._documents.peer_has(dict(update.complete))
             self.send_later()
@@ -161,6 +165,18 @@
         if first and not self._documents.is_empty:
             self.send_now()
 
+    def _record_store_access(self, peer_lacks_store: bool) -> None:
+        """Record whether the store answers the peer. If it doesn't, the peer needs
+        registrations at once. A configuration may be large, so it isn't sent by all
+        peers together even then."""
+        begins = peer_lacks_store and not self._peer_lacks_store
+        self._peer_lacks_store = peer_lacks_store
+        if begins:
+            self._documents.skip_grace(
+                lambda key: not self._gateway_state.is_configuration(key)
+            )
+            self._schedule_wakeup()
+
     def update_filter(self, what: str, version: int, own: bool) -> UpdateFilter | None:
         """Selects the changes of ``what`` that the peer hasn't been sent; None if it
         has been sent ``version``. Records ``version`` as sent. ``own`` leaves out
@@ -241,6 +257,7 @@
         store_age_s = self._gateway_state.store_age_s()
         if store_age_s is not None:
             update.store_age_ms = min(MAX_STORE_AGE_MS, round(store_age_s * 1000))
+        update.lacks_store = self._gateway_state.lacks_store
         self._fill(update, self)
         return update
 
@@ -319,6 +336,7 @@
         gateway_state.on_complete(self.send_later)
         gateway_state.on_revision(self._send_revisions_later)
         gateway_state.on_listed(self._queue_key_lists)
+        gateway_state.on_store_access(self.send_now)
 
     def send_now(self) -> None:
         """Sends a message to all peers at once."""
--- a/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
+++ b/packages/bambootiller/src/bambootiller/gateway/gateway_state.py
@@ -94,6 +94,9 @@
         self._complete_listeners: list[Callable[[], None]] = []
         self._revision_listeners: list[Callable[[], None]] = []
         self._listed_listeners: list[Callable[[str], None]] = []
+        self._store_access_listeners: list[Callable[[], None]] = []
+        #: The key-value service doesn't answer this process.
+        self.lacks_store = False
 
     def on_document(self, listener: Listener) -> None:
         """Call ``listener`` for each document whose content is new.
@@ -119,6 +122,18 @@
         become unknown, as a list was applied."""
         self._listed_listeners.append(listener)
 
+    def on_store_access(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` whenever :attr:`lacks_store` changes."""
+        self._store_access_listeners.append(listener)
+
+    def set_lacks_store(self, lacks_store: bool) -> None:
+        """Set whether the key-value service doesn't answer this process."""
+        if lacks_store == self.lacks_store:
+            return
+        self.lacks_store = lacks_store
+        for listener in self._store_access_listeners:
+            listener()
+
     def is_configuration(self, key: str) -> bool:
         """Whether a configuration has been received under the key."""
         return key in self._config_keys
@@ -452,6 +467,8 @@
         pause = RETRY_S
         while True:
             if not is_needed():
+                # Peers send all documents.
+                self._gateway_state.set_lacks_store(False)
                 await asyncio.sleep(IDLE_POLL_S)
                 continue
             began = self._stall_check.now()
@@ -515,6 +532,7 @@
 
     def _on_lost(self, prefix: str, detail: str, sent_at: TimeReading) -> None:
         self._gateway_state.store_failed(sent_at)
+        self._gateway_state.set_lacks_store(True)
         if prefix not in self._lost_at:
             self._lost_at[prefix] = self._clock()
             self._events.emit(lines.DependencyLost("store", f"{prefix}: {detail}"))
@@ -524,6 +542,7 @@
         lost_at = self._lost_at.pop(prefix, None)
         if lost_at is None:
             return
+        self._gateway_state.set_lacks_store(bool(self._lost_at))
         now = self._clock()
         away_ms = round((now - lost_at) * 1000)
         grace_ms = round(self._gateway_state.fleet.grace_left_s(now) * 1000)
--- a/tests/adapter/failures/test_refused_entries.py
+++ b/tests/adapter/failures/test_refused_entries.py
@@ -8,6 +8,7 @@
 import aiohttp
 from bambootiller_platform_standins.httpd import Reply, Server
 
+from bambootiller.gateway.gateway_state import BATCH_DELAY_FRACTION
 from bambootiller.gateway.ports import Bounds
 from tests.adapter.common.fleet import Fleet, wait_until
 
@@ -45,10 +46,11 @@
     """Guards against calls to a replica that left, by an entry that the store alone
     turned away.
 
-    The entry took its own refusals for an outage in which registrations expire.
+    The entry took its own refusals for an outage in which registrations expire; and
+    while it was refused, its peers waited for it to read leaves by itself.
     """
 
-    #: The only calls of the store that are refused get this status.
+    #: With this status the store turns the entry away.
     STATUS = 429
 
     async def asyncSetUp(self):
@@ -119,12 +121,20 @@
         self.refusing.refuse(self.STATUS)
         await asyncio.sleep(REFUSED_S)
 
-    def remove(self):
-        """Have the replica leave without an announcement; returns when the store
-        acknowledged that."""
+    async def other_entry_begins_to_pause(self):
+        """Return when the other entry has just read the registry and pauses."""
+        await asyncio.sleep(LEAVING_S * BATCH_DELAY_FRACTION)
+        self.fleet.store.put("servers/i-2", self.fleet.replicas["i-2"].entry())
+        await asyncio.sleep(0.05)
+
+    def leave(self, announced):
+        """Have the replica leave; returns when the store acknowledged that."""
         for heartbeat in self.heartbeats.values():
             heartbeat.cancel()
-        self.fleet.store.remove("servers/i-1")
+        if announced:
+            self.fleet.store.put("servers/i-1", self.replica.entry("draining"))
+        else:
+            self.fleet.store.remove("servers/i-1")
         return asyncio.get_running_loop().time()
 
     async def late_arrivals(self, left_at):
@@ -137,4 +147,14 @@
         await self.refuse()
         self.refusing.status = None
         await asyncio.sleep(0.4)
-        self.assertEqual(await self.late_arrivals(self.remove()), [])
+        self.assertEqual(await self.late_arrivals(self.leave(announced=False)), [])
+
+    async def test_a_replica_is_removed_during_the_refusals(self):
+        await self.refuse()
+        await self.other_entry_begins_to_pause()
+        self.assertEqual(await self.late_arrivals(self.leave(announced=False)), [])
+
+    async def test_a_replica_announces_its_leave_during_the_refusals(self):
+        await self.refuse()
+        await self.other_entry_begins_to_pause()
+        self.assertEqual(await self.late_arrivals(self.leave(announced=True)), [])
--- a/tests/gateway/cover/test_document_propagation.py
+++ b/tests/gateway/cover/test_document_propagation.py
@@ -55,6 +55,16 @@
         self.queue.peer_has({"config/": 6})
         self.assertEqual(self.due(SELF_UPDATE_GRACE_S), ["config/x"])
 
+    def test_a_peer_that_does_not_read_by_itself_is_sent_it_without_the_grace(self):
+        """Guards against a leave that a peer without the store learns of too late."""
+        self.queue.peer_has({"config/": 6})
+        self.queue.add(0.0, change(), rank=1)
+        self.queue.add(0.0, change("registry/x"), rank=3)
+        self.queue.skip_grace(lambda key: key.startswith("registry/"))
+        self.assertEqual(self.queue.next_due(), 2 * STAGGER_S)
+        self.assertEqual(self.due(2 * STAGGER_S), ["registry/x"])
+        self.assertEqual(self.due(SELF_UPDATE_GRACE_S), ["config/x"])
+
     def test_parts_of_the_store_are_independent(self):
         self.queue.peer_has({"registry/": 90})
         self.queue.add(0.0, change(), rank=0)
