--- a/packages/bambootiller/src/bambootiller/agent/claimed_run.py
+++ b/packages/bambootiller/src/bambootiller/agent/claimed_run.py
@@ -15,6 +15,7 @@
 from bambootiller.agent.calls import Call
 from bambootiller.agent.claims import ClaimKeeper
 from bambootiller.agent.pieces import AnswerHead, Completed, Data, Final, Text
+from bambootiller.agent.refusals import backend_failed
 from bambootiller_core.claims import (
     Claimed,
     ClaimState,
@@ -22,6 +23,7 @@
     Replay,
     refusal,
 )
+from bambootiller_core.http_status import FINAL_STATUSES
 from bambootiller_core.invariants import ensure
 from bambootiller_core.outcomes import Executed
 from bambootiller_core.template import WhenStoreDown
@@ -70,6 +72,11 @@
     if call.is_model:
         text = answer.body.decode(errors="replace")
         await call.put(Text(text, answer.tokens))
+    elif answer.status not in FINAL_STATUSES:
+        # Earlier versions kept whatever the service had answered.
+        return backend_failed(
+            Executed.UNKNOWN, f"the kept answer has status {answer.status}"
+        )
     else:
         await call.put(AnswerHead(answer.status, answer.headers, replayed=True))
         if answer.body:
--- a/packages/bambootiller/src/bambootiller/agent/service_run.py
+++ b/packages/bambootiller/src/bambootiller/agent/service_run.py
@@ -15,6 +15,7 @@
 from bambootiller.agent.pieces import AnswerHead, Completed, Data, Final
 from bambootiller.agent.refusals import backend_failed, malformed
 from bambootiller.http_session import HttpSession
+from bambootiller_core.http_status import FINAL_STATUSES
 from bambootiller_core.outcomes import Executed
 
 #: They concern one connection, or are set anew here.
@@ -138,6 +139,11 @@
 
 
 async def _pass_on(call: Call, response: aiohttp.ClientResponse) -> Final:
+    if response.status not in FINAL_STATUSES:
+        return backend_failed(
+            Executed.UNKNOWN,
+            f"the service answered with status {response.status}; allowed: 200 to 599",
+        )
     headers = tuple(
         (name, value)
         for name, value in response.headers.items()
--- a/packages/bambootiller/src/bambootiller/entry/relay/driver.py
+++ b/packages/bambootiller/src/bambootiller/entry/relay/driver.py
@@ -28,6 +28,7 @@
 )
 from bambootiller.entry.routing import Routing
 from bambootiller.rpc import bambootiller_pb2 as pb
+from bambootiller_core.http_status import FINAL_STATUSES
 from bambootiller_core.outcomes import Code, Executed, Final, Refused
 from bambootiller_core.types import LoadFigures
 
@@ -237,9 +238,12 @@
         if kind == "chunk":
             return self._chunk(event.chunk)
         if kind == "head":
-            if self._core.head():
+            if event.head.status not in FINAL_STATUSES:
+                self._break(f"the answer has status {event.head.status}")
+            elif self._core.head():
                 return read_head(event.head)
-            self._break("the answer began twice")
+            else:
+                self._break("the answer began twice")
         if kind == "admitted":
             self._admitted(event.admitted)
         elif kind == "done":
--- a/tests/entry/failures/test_streams.py
+++ b/tests/entry/failures/test_streams.py
@@ -150,6 +150,26 @@
             await self.call("GET", "/services/push/archive")
         self.assertIn("payload", str(caught.exception).lower())
 
+    async def test_an_answer_whose_status_is_unset_is_fetched_anew(self):
+        """Guards against answering a caller with a status that the agent didn't set."""
+
+        async def begins_without_status(stream):
+            await stream.head(0)
+            await stream.data(b"rest")
+            await stream.done()
+
+        async def answers(stream):
+            await stream.head()
+            await stream.data(b"whole")
+            await stream.done()
+
+        self.scripts(begins_without_status, answers)
+        status, _, body = await self.call("GET", "/services/push/list")
+        self.assertEqual((status, body), (200, b"whole"))
+        first, second = self.requests
+        # Otherwise the test's client has sent the call again.
+        self.assertEqual(first.request_id, second.request_id)
+
     async def test_a_short_service_answer_that_is_cut_is_fetched_anew(self):
         """Symptom: a teacher's list of work breaks off after its first page.
 
