--- a/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
+++ b/packages/bambootiller/src/bambootiller/gateway/backend_connection.py
@@ -66,6 +66,9 @@
 #: informational answers, trailers, chunk extensions. Bytes; guards against answers that
 #: send these endlessly.
 MAX_BYTES_WITHOUT_PROGRESS = 64 * 1024
+#: The parser lets other versions through, and the protocols RTSP and ICE, whose status
+#: lines look the same.
+HTTP_VERSIONS = ("1.0", "1.1")
 
 
 class ConnectionLost(Exception):
@@ -177,6 +180,10 @@
 
     def _parse_slice(self, data: memoryview) -> None:
         self._bytes_without_progress += len(data)
+        if not self._answers and _begins_unlike_http(data):
+            self._unusable = True
+            self._mark_lost("the answer doesn't begin with HTTP", False)
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
@@ -277,6 +284,11 @@
     def on_headers_complete(self) -> None:
         """The head is complete; those of informational answers are dropped."""
         answer = self._answers[-1]
+        version = self._parser.get_http_version()
+        if version not in HTTP_VERSIONS:
+            self._unusable = True
+            self._mark_lost(f"the answer is of HTTP/{version}", False)
+            return
         answer.status = self._parser.get_status_code()
         if 100 <= answer.status < 200:
             answer.headers.clear()
@@ -450,6 +462,12 @@
             self._waiter.set_result(None)
 
 
+def _begins_unlike_http(data: memoryview) -> bool:
+    """Whether the first bytes of an answer are those of another protocol."""
+    first = bytes(data).lstrip(b"\r\n")[:1]
+    return first not in (b"", b"H")
+
+
 def _enable_keepalive(sock: socket.socket) -> None:
     """Configure the kernel to close a connection whose peer silently disappeared.
 
--- a/tests/adapter/failures/test_odd_status_lines.py
+++ b/tests/adapter/failures/test_odd_status_lines.py
@@ -21,6 +21,12 @@
     "HTTP/1.1 2000 X",
     "HTTP/1.1 -200 X",
     "HTTP/1.1 abc X",
+    "HTTP/0.9 200 OK",
+    "HTTP/2.0 200 OK",
+    "HTTP/3.0 200 OK",
+    "RTSP/1.0 200 OK",
+    "ICE/1.0 200 OK",
+    "SIP/2.0 200 OK",
 )
 NOT_EXECUTED = {"X-Not-Executed": "1"}
 
