--- a/packages/bambootiller-core/src/bambootiller_core/gateway/document_propagation.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/document_propagation.py
@@ -147,11 +147,11 @@
             change, now + stagger_s, self_update_grace_s
         )
 
-    def skip_grace(self, is_skipped: Callable[[str], bool]) -> None:
-        """Don't wait any longer for the peer to read the queued documents whose keys
-        satisfy ``is_skipped`` by itself."""
+    def skip_grace(self, matches: Callable[[str], bool]) -> None:
+        """Send the queued documents whose keys match without waiting for the peer to
+        read them by itself."""
         for key, queued in self._queued.items():
-            if is_skipped(key):
+            if matches(key):
                 self._queued[key] = replace(queued, self_update_grace_s=0.0)
 
     def add_key_list(self, due_at: float, prefix: str, revision: int) -> None:
