Log lines: why an agent doesn't start a load, and how long the store had been idle

New: store_load_declined of an agent with its reason, once for as long as the load is requested; idle_s in store_load_asked. No decision reads either yet.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/entry_reports.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/entry_reports.py
@@ -136,6 +136,10 @@
         request."""
         return self._requested_by.get((model, adapter), "")
 
+    def requested_models(self) -> list[str]:
+        """The models that are currently requested, apart from requests for adapters."""
+        return [model for model, adapter in self._load_requests if not adapter]
+
     def load_requests(self) -> list[LoadRequest]:
         """The current requests: urgent ones first; among these the one whose calls are
         in time with the shortest time left, and then the one whose calls have waited
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
@@ -55,7 +55,8 @@
     number of calls of all entries that wait for the model, ``unserved`` that of calls
     that ended without an answer, the first of them ``unserved_s`` ago. ``callers`` are
     waiting or expected to retry, and ``rate`` is the recent number of calls a
-    second."""
+    second. ``idle_s`` is for how long no load had been reading from the store as far as
+    the entry knows; None if none has been observed yet."""
 
     event: ClassVar[str] = "store_load_asked"
     failure: ClassVar[bool] = False
@@ -71,6 +72,7 @@
     unserved_s: float
     callers: float | None
     rate: float
+    idle_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +87,19 @@
     backend: str
 
 
+@dataclass(frozen=True, slots=True)
+class StoreLoadDeclined(LogLine):
+    """An agent can't start a load from the weight store that an entry has requested;
+    ``reason`` is one of :class:`bambootiller_core.gateway.declined_loads.DeclineReason`.
+    """
+
+    event: ClassVar[str] = "store_load_declined"
+    failure: ClassVar[bool] = False
+
+    model: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class StoreTurn(LogLine):
     """The outcome of an agent's attempt to acquire one of the ``turns`` permits of the
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -23,6 +23,7 @@
 from dataclasses import dataclass, replace
 
 from bambootiller_core.gateway.config import EngineSpec, ModelSpec
+from bambootiller_core.gateway.declined_loads import DeclinedLoad, DeclineReason
 from bambootiller_core.gateway.demand_collection import merge_max
 from bambootiller_core.gateway.engine_state import EngineState, Loading
 from bambootiller_core.gateway.entry_reports import EntryReports
@@ -101,6 +102,9 @@
         self._late_orders = LateOrders()
         self._wrong_instance_until = float("-inf")
         self.fenced = False
+        #: The requested load from the weight store that couldn't start at the last
+        #: decision.
+        self.declined: DeclinedLoad | None = None
 
     @property
     def report(self) -> EngineReport | None:
@@ -190,6 +194,12 @@
 
     def next_order(self, now: float) -> EngineOrder | None:
         """The order to send now, or None."""
+        order = self._choose_order(now)
+        if not self._needs_report:
+            self.declined = self._find_declined(now, order)
+        return order
+
+    def _choose_order(self, now: float) -> EngineOrder | None:
         if self._gate is not None:
             self._gate.blocked_load = None
         report = self._report
@@ -222,6 +232,42 @@
                 return order
         return None
 
+    def _find_declined(
+        self, now: float, order: EngineOrder | None
+    ) -> DeclinedLoad | None:
+        """The first requested load from the store that isn't about to start."""
+        report = self._report
+        if report is None or (self._gate is not None and self._gate.blocked_load):
+            return None
+        self._entry_reports.expire(now)
+        for model in self._entry_reports.requested_models():
+            if model in report.holdings or report.has_copy(model):
+                continue
+            if model in self._engine.models and not self._is_starting(model, order):
+                return DeclinedLoad(model, self._decline_reason(now))
+        return None
+
+    def _is_starting(self, model: str, order: EngineOrder | None) -> bool:
+        """Whether the model is being loaded, or is next to be."""
+        if self._load is not None and self._load.model == model:
+            return True
+        pending = self._pending_load
+        if pending is not None and pending.request.model == model:
+            return True
+        if order is not None and model in (order.model, order.wanted_for):
+            return True
+        acquiring = self._gate.acquiring if self._gate is not None else None
+        return acquiring is not None and acquiring.model == model
+
+    def _decline_reason(self, now: float) -> DeclineReason:
+        if now < self._wrong_instance_until:
+            return DeclineReason.OTHER_INSTANCE
+        if self._unconfirmed is not None:
+            return DeclineReason.ORDER_UNANSWERED
+        if self._report.busy or self._load is not None or self._unloading is not None:
+            return DeclineReason.ORDER_IN_PROGRESS
+        return DeclineReason.NO_ROOM
+
     def uses_store(self) -> bool:
         """Whether a load from the weight store is in progress, may be in progress, or
         has models unloaded to make room for it."""
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_concurrency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_concurrency.py
@@ -117,6 +117,14 @@
         self._may_probe = True
         self._group: _Group | None = None
         self._tracked: dict[_Key, _TrackedLoad] = {}
+        self._last_tracked_at: float | None = None
+
+    def idle_s(self, now: float) -> float | None:
+        """For how long no load has been in progress, in seconds; None if none has been
+        observed yet."""
+        if self._last_tracked_at is None:
+            return None
+        return max(0.0, now - self._last_tracked_at)
 
     @property
     def allows_probe(self) -> bool:
@@ -163,6 +171,8 @@
                 self._start_tracking(
                     now, key, engine.models[loading.model].load_s, loading
                 )
+        if self._tracked:
+            self._last_tracked_at = now
         self._load_is_overdue = any(
             now - tracked.started_at > tracked.nominal_s
             for tracked in self._tracked.values()
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -28,6 +28,7 @@
 from bambootiller_core.gateway import log_lines as lines
 from bambootiller_core.gateway.config import EngineSpec, GatewayConfig
 from bambootiller_core.gateway.copies import copies_changed
+from bambootiller_core.gateway.declined_loads import DeclinedLoad
 from bambootiller_core.gateway.engine_state import EngineState
 from bambootiller_core.gateway.incarnation import Incarnation
 from bambootiller_core.gateway.model_demand import Demand
@@ -132,6 +133,7 @@
         self._silent_since: float | None = None
         #: The load that the engine was last ordered to do, until it has ended.
         self._loading: _ActiveLoad | None = None
+        self._declined: DeclinedLoad | None = None
         self._reported_at = 0.0
         self._add_gauges(meters)
         app.add_servicer(self._register)
@@ -327,12 +329,22 @@
         if self._token is None:
             return IDLE_POLL_S
         order = book.next_order(self._app.now())
+        self._record_declined(book.declined)
         if order is None:
             self._permit_holder.acquire(self._app.now())
             return BUSY_POLL_S if report.busy else IDLE_POLL_S
         await self._send_order(order, book.report.instance)
         return AFTER_ORDER_POLL_S
 
+    def _record_declined(self, declined: DeclinedLoad | None) -> None:
+        """Logs a load that can't start, once for as long as it is requested."""
+        if declined == self._declined:
+            return
+        self._declined = declined
+        if declined is not None:
+            line = lines.StoreLoadDeclined(declined.model, declined.reason.value)
+            self._events.emit(line)
+
     def _is_unlisted(self) -> bool:
         """Whether the registry, as far as this agent knows it, doesn't list the engine
         any more."""
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -237,7 +237,12 @@
             loads = self._load_requester.from_copies(plan, demands)
             if self._is_discovery_complete(now, service.name, backends):
                 loads += self._load_requester.from_store(
-                    now, service.name, planner, plan, total_demands
+                    now,
+                    service.name,
+                    planner,
+                    plan,
+                    total_demands,
+                    concurrency.idle_s(now),
                 )
             self._load_requester.send_requests(
                 loads, demands, total_demands, planner.store_loads
--- a/packages/bambootiller/src/bambootiller/gateway/load_requester.py
+++ b/packages/bambootiller/src/bambootiller/gateway/load_requester.py
@@ -100,9 +100,11 @@
         planner: Planner,
         plan: Mapping[str, PlannedLoad],
         total_demands: Mapping[str, Demand],
+        idle_s: float | None = None,
     ) -> list[PlannedLoad]:
         """The loads from the weight store that this entry requests, selected from the
-        ``plan`` that ``planner`` has made."""
+        ``plan`` that ``planner`` has made. ``idle_s`` is for how long the store has
+        served no load, None if it hasn't served any yet."""
         if not self.is_responsible_for_store(service):
             return []
         planned = [
@@ -116,7 +118,7 @@
             self._emit(StoreLoadNotBegun(service, load.model, load.instance))
         for load in requests.newly_requested:
             demand = total_demands.get(load.model, NO_DEMAND)
-            self._emit(_store_load_line(service, load, planner, demand))
+            self._emit(_store_load_line(service, load, planner, demand, idle_s))
         return chosen
 
     def send_requests(
@@ -165,7 +167,11 @@
 
 
 def _store_load_line(
-    service: str, load: PlannedLoad, planner: Planner, demand: Demand
+    service: str,
+    load: PlannedLoad,
+    planner: Planner,
+    demand: Demand,
+    idle_s: float | None,
 ) -> StoreLoadAsked:
     return StoreLoadAsked(
         service,
@@ -179,4 +185,5 @@
         round(demand.unserved_s, 1),
         None if demand.callers is None else round(demand.callers, 1),
         round(demand.rate, 2),
+        None if idle_s is None else round(idle_s, 2),
     )
--- a/packages/bambootiller/src/bambootiller/gateway/meters.py
+++ b/packages/bambootiller/src/bambootiller/gateway/meters.py
@@ -397,6 +397,11 @@
     meters.store_loads_asked.labels(line.turn).inc()
 
 
+@counts(lines.StoreLoadDeclined)
+def _store_load_declined(meters: Meters, line: lines.StoreLoadDeclined) -> None:
+    meters.store_loads_asked.labels("declined").inc()
+
+
 @counts(lines.StoreLoadNotBegun)
 def _store_load_not_begun(meters: Meters, line: lines.StoreLoadNotBegun) -> None:
     meters.store_loads_asked.labels("not begun").inc()
