Load plans: no load from the weight store at an engine that doesn't respond

Cause: the planner took each engine whose agent reports as a target for loads. An agent that reports that its engine doesn't respond (silent) was one of them, so the load was requested there, and the absence of a report for half a second had to show what the agent had said long before: i-2c8e4dd59c, silent since 7.45, asked at 8.75; i-4bdee97edf, silent since 7.37, asked at 9.37.

Change: Planner._may_use_store, for the choice of an engine and for room.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/log_lines/_orders.py
@@ -89,9 +89,9 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreLoadDeclined(LogLine):
-    """An agent can't start a load from the weight store that an entry has requested;
-    ``reason`` is one of :class:`bambootiller_core.gateway.declined_loads.DeclineReason`.
-    """
+    """An agent can't start a load from the weight store that an entry has requested.
+
+    ``reason`` is the value of a :class:`.declined_loads.DeclineReason`."""
 
     event: ClassVar[str] = "store_load_declined"
     failure: ClassVar[bool] = False
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/residency.py
@@ -379,12 +379,23 @@
         """Whether some engine could make room for a load from the store."""
         return any(
             spec.name not in load_target.held
-            and (spec.name, load_target.instance) not in self._cooling_down
+            and self._may_use_store(spec, load_target)
             and self._adapters.blocked_calls(load_target, spec.load_s) <= demand.value
             and load_target.victims(self._engine, spec, demand, spec.load_s) is not None
             for load_target in self._load_targets
         )
 
+    def _may_use_store(self, spec: ModelSpec, load_target: LoadTarget) -> bool:
+        """Whether the engine may load the model from the weight store.
+
+        An engine that doesn't respond can't start the load, and the store would be idle
+        until another engine is asked. Its copies remain planned there: it may be back
+        sooner than the store would serve their models.
+        """
+        if load_target.backend.engine.silent:
+            return False
+        return (spec.name, load_target.instance) not in self._cooling_down
+
     def _best_option(
         self, spec: ModelSpec, demand: Demand, store_wait_s: float
     ) -> _Option | None:
@@ -399,7 +410,7 @@
             if load_target.planned_loads > 2 or spec.name in load_target.held:
                 continue
             seconds, from_store = load_target.load_time(spec)
-            if from_store and (spec.name, load_target.instance) in self._cooling_down:
+            if from_store and not self._may_use_store(spec, load_target):
                 continue
             ready = load_target.free_after_s + seconds + ORDER_OVERHEAD_S
             wait_s = max(0.0, store_wait_s) if from_store else 0.0
