Weight store: an agent declines a load that it can't start, and another is asked

Cause: the reply to a request was a report of the load, and its absence for 0.5 s was read as a refusal. The agent knows at its next step that it won't start the load.

Change: the engine's state names the declined model (declined, field 18), sent at once like other changes that entries decide on. The asking entry drops a request that is declined, or whose engine doesn't respond or take orders any more, and the pair has its cooldown as before. An agent of an earlier version never declines; then the half second holds.

Ruled out: a shorter timeout, which would drop loads that are about to start.

Before: of test_unavailable_engines the two tests of TestDeclinedLoads that name an engine at once fail without the entry's side.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/engine_state.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/engine_state.py
@@ -28,7 +28,8 @@
     entries have under way there; the key MODEL/ADAPTER counts those of an adapter.
     ``keep_values`` is how much it matters to all entries together that a resident model
     stays. If ``silent``, the engine doesn't answer its agent, and the other fields are
-    from its last answer.
+    from its last answer. ``declined`` is the model whose load from the weight store an
+    entry requests and the agent can't start now, empty if there is none.
     """
 
     instance: str
@@ -45,6 +46,7 @@
     in_use: Mapping[str, int] = field(default_factory=dict)
     silent: bool = False
     started_ms: int | None = None
+    declined: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -341,6 +341,7 @@
             keep_values=keep_values(holdings, self.demands()),
             in_use=self._entry_reports.in_use(),
             started_ms=report.started_ms,
+            declined=self.declined.model if self.declined is not None else "",
         )
 
     def _order_accepted(self, now: float, order: EngineOrder) -> None:
--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_load_requests.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_load_requests.py
@@ -51,7 +51,7 @@
         #: The loads that the last call of :meth:`choose` requested for the first time.
         self.newly_requested: list[PlannedLoad] = []
         #: The requests that the last call of :meth:`choose` dropped, as their agents
-        #: hadn't started the load in time.
+        #: declined the load or hadn't started it in time.
         self.expired: list[PlannedLoad] = []
         #: Probes (loads beyond the store's known concurrency) whose outcome is open,
         #: and whether their agents have reported them.
@@ -64,12 +64,15 @@
         planned: Iterable[PlannedLoad],
         is_reported: Callable[[PlannedLoad], bool],
         is_listed: Callable[[PlannedLoad], bool] = lambda load: True,
+        is_declined: Callable[[PlannedLoad], bool] = lambda load: False,
     ) -> list[PlannedLoad]:
         """Return the loads to request now.
 
         ``planned`` are the loads for which the store has a permit. ``is_reported``
         tells whether the agent has reported the load, so that the plan counts it as
-        under way; ``is_listed`` whether the registry lists the load's engine.
+        under way; ``is_listed`` whether the registry lists the load's engine;
+        ``is_declined`` whether it is known that the load doesn't start there, so that
+        there is nothing to wait for.
         """
         self._review_probes(now, is_reported, is_listed)
         planned = [load for load in planned if self._may_request(now, load)]
@@ -79,6 +82,7 @@
             request
             for request in unreported
             if now - request.requested_at <= REPORT_TIMEOUT_S
+            and not is_declined(request.load)
         ]
         self.expired = [
             request.load for request in unreported if request not in self._requests
--- a/packages/bambootiller/src/bambootiller/gateway/agent_updates.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent_updates.py
@@ -313,6 +313,7 @@
         or last_sent.holdings != state.holdings
         or last_sent.busy != state.busy
         or last_sent.orderable != state.orderable
+        or last_sent.declined != state.declined
         or (last_sent.loading is None) != (state.loading is None)
     )
 
--- a/packages/bambootiller/src/bambootiller/gateway/load_requester.py
+++ b/packages/bambootiller/src/bambootiller/gateway/load_requester.py
@@ -112,7 +112,11 @@
         ]
         requests = self._store_requests.setdefault(service, StoreLoadRequests())
         chosen = requests.choose(
-            now, planned, self._is_reported_loading, self._is_listed
+            now,
+            planned,
+            self._is_reported_loading,
+            self._is_listed,
+            lambda load: self._is_declined(now, load),
         )
         for load in requests.expired:
             self._emit(StoreLoadNotBegun(service, load.model, load.instance))
@@ -146,6 +150,15 @@
     def _is_listed(self, load: PlannedLoad) -> bool:
         return self._fleet.get(load.instance) is not None
 
+    def _is_declined(self, now: float, load: PlannedLoad) -> bool:
+        """Whether the engine can't start the load, by its agent's report."""
+        backend = self._fleet.get(load.instance)
+        if backend is None or backend.engine is None:
+            return True
+        if backend.engine.silent or not backend.accepts_orders(now):
+            return True
+        return backend.engine.declined == load.model
+
     def _is_reported_loading(self, load: PlannedLoad) -> bool:
         backend = self._fleet.get(load.instance)
         if backend is None or backend.engine is None:
--- a/packages/bambootiller/src/bambootiller/gateway/message_codec.py
+++ b/packages/bambootiller/src/bambootiller/gateway/message_codec.py
@@ -37,6 +37,7 @@
         in_use=state.in_use,
         keep_values=state.keep_values,
         started_ms=state.started_ms,
+        declined=state.declined,
     )
     if state.loading is not None:
         message.loading = state.loading.model
@@ -75,6 +76,7 @@
         in_use=dict(message.in_use),
         keep_values=dict(message.keep_values),
         started_ms=started_ms,
+        declined=message.declined,
     )
 
 
--- a/tests/gateway/failures/test_unavailable_engines.py
+++ b/tests/gateway/failures/test_unavailable_engines.py
@@ -2,9 +2,21 @@
 
 import unittest
 
+from bambootiller.gateway.engine_plans import EnginePlans
+from bambootiller_core.gateway.declined_loads import DeclineReason
+from bambootiller_core.gateway.demand_collection import planners
+from bambootiller_core.gateway.initial_discovery import MAX_STALL_S
 from bambootiller_core.gateway.model_demand import Demand
+from bambootiller_core.gateway.order_messages import (
+    EngineReport,
+    LoadRequest,
+    OrderAnswer,
+)
+from bambootiller_core.gateway.orders import OrderBook
 from bambootiller_core.gateway.residency import Planner
 from tests.gateway.common import samples
+from tests.gateway.cover.test_engine_plans import ENTRIES, SERVICE, App
+from tests.gateway.failures.test_store_load_requests import GatewayStateWithStore
 
 ENGINES = 6
 LOAD_S = 13.2
@@ -42,3 +54,119 @@
             with self.subTest(model=number):
                 model = f"m{number}"
                 self.assertFalse(self.planned_load(model, {model}).from_store)
+
+
+class TestDeclinedLoads(unittest.TestCase):
+    """Failure: an agent that couldn't start a requested load didn't reply, and the
+    store was idle until the request expired."""
+
+    def setUp(self):
+        instances = planners(ENTRIES)
+        self.requested = []
+        for instance in instances:
+            self.start(instance)
+            if self.requested:
+                return
+        self.fail("no entry requests the load")
+
+    def start(self, instance):
+        """Starts an entry, and reports a model that no engine has."""
+        self.app = App(instance)
+        self.gateway_state = GatewayStateWithStore(self.app)
+        self.plans = EnginePlans(self.app, self.gateway_state, self.record_request)
+        self.plans.entries = ENTRIES
+        self.plans.make_plans(self.app.at)
+        self.app.at += MAX_STALL_S + 0.1
+        for number in range(6):
+            self.report(f"b{number}")
+        self.make_plans()
+        self.requested.clear()
+        self.make_plans()
+
+    def record_request(self, backend, load_request):
+        self.requested.append(backend.instance)
+
+    def report(self, instance, **fields):
+        state = samples.engine_state(instance, **fields)
+        self.gateway_state.fleet.engine_reported(self.app.at, state)
+
+    def make_plans(self):
+        demands = {"m1": Demand(0.5, 2)}
+        self.plans.totals_reported(self.app.at, SERVICE, "10.0.0.1", demands)
+        self.plans.make_plans(self.app.at)
+
+    def plan_for(self, seconds):
+        """Lets the entry make plans, 0.1 s apart; returns the last engine asked."""
+        self.requested.clear()
+        for _ in range(round(seconds / 0.1)):
+            self.app.at += 0.1
+            self.make_plans()
+        return self.requested[-1]
+
+    def test_another_engine_is_asked_at_once(self):
+        first = self.requested[-1]
+        self.app.at += 0.05
+        self.report(first, declined="m1")
+        self.assertNotEqual(self.plan_for(0.2), first)
+
+    def test_another_engine_is_asked_at_once_if_it_does_not_respond(self):
+        first = self.requested[-1]
+        self.app.at += 0.05
+        self.report(first, silent=True)
+        self.assertNotEqual(self.plan_for(0.2), first)
+
+    def test_a_load_that_is_not_declined_is_awaited(self):
+        first = self.requested[-1]
+        self.report(first, declined="m2")
+        self.assertEqual(self.plan_for(0.3), first)
+
+
+class TestReasonsForDeclining(unittest.TestCase):
+    """Failure: no line showed why an agent didn't start a requested load."""
+
+    def setUp(self):
+        models = [samples.model(name) for name in ("m1", "m2")]
+        spec = samples.engine(*models, memory_mb=50.0)
+        self.book = OrderBook(spec)
+
+    def report(self, now, holdings=(), **fields):
+        held = {name: frozenset() for name in holdings}
+        self.book.reported(now, EngineReport("b1", held, 0, **fields))
+
+    def declined(self, now, model="m1"):
+        self.book.load_requested(now, LoadRequest(model))
+        order = self.book.next_order(now)
+        declined = self.book.declined
+        self.assertEqual(self.book.state(now).declined, declined and declined.model)
+        return order, declined.reason
+
+    def test_an_order_without_an_answer(self):
+        self.report(0.0)
+        self.book.load_requested(0.0, LoadRequest("m2"))
+        order = self.book.next_order(0.0)
+        self.book.order_sent(order)
+        self.book.answered(0.0, order, OrderAnswer.UNANSWERED)
+        self.report(0.1)
+        repeated, reason = self.declined(0.1)
+        self.assertEqual(repeated, order)
+        self.assertIs(reason, DeclineReason.ORDER_UNANSWERED)
+
+    def test_another_order(self):
+        self.report(0.0, busy=True)
+        self.assertEqual(self.declined(0.0), (None, DeclineReason.ORDER_IN_PROGRESS))
+
+    def test_a_model_that_was_just_loaded(self):
+        self.report(0.0)
+        self.book.load_requested(0.0, LoadRequest("m2"))
+        order = self.book.next_order(0.0)
+        self.book.order_sent(order)
+        self.book.answered(0.0, order, OrderAnswer.ACCEPTED)
+        self.report(0.3, ["m2"])
+        self.assertEqual(self.declined(0.3), (None, DeclineReason.NO_ROOM))
+
+    def test_a_load_that_starts_is_not_declined(self):
+        self.report(0.0)
+        self.book.load_requested(0.0, LoadRequest("m1"))
+        self.assertEqual(self.book.next_order(0.0).model, "m1")
+        self.assertIsNone(self.book.declined)
+        self.assertEqual(self.book.state(0.0).declined, "")
