Weight store: a load that another instance refuses gives its permit back at once

Cause: an engine had crashed and was back under another name that the registry didn't list yet. Its agent took the store's only permit at 9.84 s, the engine refused the order as another instance (9.85 s), and the permit was held for the half second in which an order may still be on its way. The refusal says that no load starts there. A load for which room was being made was kept waiting in the same way.

Change: on that answer the agent releases the permit, and the order book drops the load that it made room for. An order without an answer keeps the permit, as the load may have started; the second test guards that.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -306,6 +306,7 @@
             self.fenced = True
         if answer is OrderAnswer.OTHER_INSTANCE:
             self._wrong_instance_until = now + WRONG_INSTANCE_COOLDOWN_S
+            self._pending_load = None
         if self._unloading == order.model:
             self._unloading = None
 
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -436,6 +436,8 @@
         self._events.emit(line)
         if answer is OrderAnswer.CONFLICT:
             await self._settle_conflict(order)
+        elif answer is OrderAnswer.OTHER_INSTANCE:
+            self._permit_holder.load_ended()
 
     async def _settle_conflict(self, order: EngineOrder) -> None:
         report = await self._engine.report()
--- a/packages/bambootiller/src/bambootiller/gateway/store_permit_holder.py
+++ b/packages/bambootiller/src/bambootiller/gateway/store_permit_holder.py
@@ -181,7 +181,7 @@
             self._close_gate()
 
     def load_ended(self) -> None:
-        """Releases the permit, as the load from the store has ended."""
+        """Releases the permit, as the load from the store has ended or can't start."""
         if self._gate.is_open:
             self._close_gate()
 
--- a/tests/gateway/failures/test_unavailable_engines.py
+++ b/tests/gateway/failures/test_unavailable_engines.py
@@ -1,7 +1,9 @@
 """Loads from the weight store that are requested of engines that can't start them."""
 
 import unittest
+from unittest import mock
 
+from bambootiller.gateway.agent import GatewayAgent
 from bambootiller.gateway.engine_plans import EnginePlans
 from bambootiller_core.gateway.declined_loads import DeclineReason
 from bambootiller_core.gateway.demand_collection import planners
@@ -11,10 +13,13 @@
     EngineReport,
     LoadRequest,
     OrderAnswer,
+    OrderKind,
 )
 from bambootiller_core.gateway.orders import OrderBook
 from bambootiller_core.gateway.residency import Planner
+from tests.common.fakekv import FakeKeyValue
 from tests.gateway.common import samples
+from tests.gateway.cover import test_store_permit_holder as permits
 from tests.gateway.cover.test_engine_plans import ENTRIES, SERVICE, App
 from tests.gateway.failures.test_store_load_requests import GatewayStateWithStore
 
@@ -170,3 +175,51 @@
         self.assertEqual(self.book.next_order(0.0).model, "m1")
         self.assertIsNone(self.book.declined)
         self.assertEqual(self.book.state(0.0).declined, "")
+
+
+class TestRefusedStoreLoad(unittest.IsolatedAsyncioTestCase):
+    """Failure: an engine that had restarted under another name refused the order of a
+    load, and its agent kept the store's only permit for half a second."""
+
+    def gateway_agent(self, agent, answer):
+        """Returns the gateway's agent over the parts of a test's agent; its engine
+        replies to each order with ``answer``."""
+        found = GatewayAgent.__new__(GatewayAgent)
+        found._app, found._book, found._events = agent.app, agent.book, agent.events
+        found._permit_holder = agent.holder
+        found._updates, found._engine = mock.Mock(), mock.AsyncMock()
+        found._engine.order.return_value = answer
+        found._token, found._reported_at, found._loading = 1, agent.app.at, None
+        return found
+
+    async def test_its_permit_is_free_at_once(self):
+        kv = FakeKeyValue()
+        first, second = permits.Agent(kv, "a1"), permits.Agent(kv, "a2")
+        order = await first.request_load()
+        self.assertIsNone(await second.request_load("m2"))
+        refused = self.gateway_agent(first, OrderAnswer.OTHER_INSTANCE)
+        await refused._send_order(order, "a1")
+        await first.app.settle()
+        second.app.at += 1.0
+        self.assertIsNotNone(await second.request_load("m2"))
+
+    async def test_a_load_that_may_have_started_keeps_it(self):
+        kv = FakeKeyValue()
+        first, second = permits.Agent(kv, "a1"), permits.Agent(kv, "a2")
+        order = await first.request_load()
+        await self.gateway_agent(first, OrderAnswer.UNANSWERED)._send_order(order, "a1")
+        await first.app.settle()
+        self.assertIsNone(await second.request_load("m2"))
+
+    def test_no_room_is_made_for_it_any_more(self):
+        spec = samples.engine(samples.model("m1"), memory_mb=50.0)
+        book = OrderBook(spec)
+        held = EngineReport("b1", {"old": frozenset()}, 0)
+        book.reported(0.0, held)
+        with mock.patch.object(book, "_order_for_model") as order_for_model:
+            order_for_model.return_value = book._order(0.0, OrderKind.UNLOAD, "old", "")
+            book._pending_load = mock.Mock()
+            order = book.next_order(0.0)
+            book.order_sent(order)
+            book.answered(0.0, order, OrderAnswer.OTHER_INSTANCE)
+        self.assertFalse(book.uses_store())
