Weight store: no probe beside a load that was lost with its engine

Cause: the load lost at 8.67 s still counted at the store, as its end at 17.9 s explains both times exactly (1 and 2 loads under way at their starts). To the estimate it was over, so a probe was allowed beside the next load.

Change: after a load whose end nobody has reported no probe starts until the load would have ended by itself.

Not settled: whether the next load should wait for that end as well.

Before: the new test fails. After: passes.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/store_concurrency.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/store_concurrency.py
@@ -240,8 +240,12 @@
         )
         if end_reported and unseen_s <= SIMULTANEOUS_S:
             self._learn_from(tracked)
-        elif tracked.position > self.loads:
-            self._probe_not_before = now + PROBE_RETRY_S
+            return
+        # The store may still be serving the load of an engine that has crashed.
+        probe_at = tracked.started_at + self._expected_s(tracked)
+        if tracked.position > self.loads:
+            probe_at = now + PROBE_RETRY_S
+        self._probe_not_before = max(self._probe_not_before, probe_at)
 
     def _reported_loads(
         self, now: float, backends: Iterable[Backend], engine: EngineSpec
--- a/tests/gateway/cover/test_store_concurrency.py
+++ b/tests/gateway/cover/test_store_concurrency.py
@@ -150,6 +150,19 @@
         store.run(PROBE_RETRY_S)
         self.assertTrue(store.concurrency.allows_probe)
 
+    def test_no_probe_starts_beside_a_load_that_may_still_be_under_way(self):
+        """Symptom: after the crash of an engine in its load, the next load and a probe
+        took two and three times their time."""
+        store = FixedDurationStore(full_speed_loads=1, loads=1)
+        store.start_load("b0")
+        store.run(0.3 * LOAD_S)
+        store.names.remove("b0")
+        del store.ends["b0"]
+        store.run(0.1 * LOAD_S)
+        self.assertFalse(store.concurrency.allows_probe)
+        store.run(0.7 * LOAD_S)
+        self.assertTrue(store.concurrency.allows_probe)
+
     def test_no_further_probe_is_allowed_before_the_last_has_a_result(self):
         """The load beside the probe had ended and the probe wasn't late yet."""
         store = FixedDurationStore(full_speed_loads=1, loads=1)
