Discovery of engines: it ends as soon as no engine is missing

Change: the entry that asks for loads from the store counts these records twice a second until its discovery is complete. Once as many engines have reported as agents are registered, it is. Records of agents that are gone make the count too high; then the wait is as long as before.

Ruled out: a shorter wait, which shows to give the turn to a model whose only copy hasn't been reported yet; the settings, which don't name agents.

Before: nothing to call (test_it_ends_once_no_engine_is_missing, test_it_is_prefetched_at_once_if_all_agents_have_reported).

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/initial_discovery.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/initial_discovery.py
@@ -8,6 +8,9 @@
 
     discovery = InitialDiscovery()
     if discovery.is_complete(now, backends, quiet_s=1.2): ...
+
+Each engine has an agent, and each agent registers when it starts. Once as many engines
+have reported as agents are registered, there is none left to wait for.
 """
 
 from __future__ import annotations
@@ -37,14 +40,24 @@
         self._changed_at: float | None = None
         self._first_report_at: float | None = None
 
+    @property
+    def complete(self) -> bool:
+        """Whether the discovery is complete."""
+        return self._complete
+
     def is_complete(
-        self, now: float, backends: Collection[Backend], quiet_s: float
+        self,
+        now: float,
+        backends: Collection[Backend],
+        quiet_s: float,
+        none_missing: bool = False,
     ) -> bool:
         """Whether the engines are known well enough to load from the weight store.
 
         This is so if all listed engines have reported and none has been listed for
-        ``quiet_s`` seconds, if nothing new has become known for :data:`MAX_STALL_S`, or
-        if :data:`MAX_DISCOVERY_S` have passed since the first report.
+        ``quiet_s`` seconds or, with ``none_missing``, no further ones exist; if nothing
+        new has become known for :data:`MAX_STALL_S`; or if :data:`MAX_DISCOVERY_S` have
+        passed since the first report.
         """
         if self._complete:
             return True
@@ -57,7 +70,8 @@
         if reported and self._first_report_at is None:
             self._first_report_at = now
         all_reported = 0 < len(backends) == reported
-        is_settled = all_reported and now - self._listed_changed_at >= quiet_s
+        is_quiet = now - self._listed_changed_at >= quiet_s
+        is_settled = all_reported and (none_missing or is_quiet)
         is_stalled = now - self._changed_at >= MAX_STALL_S
         elapsed_s = (
             now - self._first_report_at if self._first_report_at is not None else 0.0
--- a/packages/bambootiller/src/bambootiller/gateway/agent.py
+++ b/packages/bambootiller/src/bambootiller/gateway/agent.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from bambootiller.app import Application
+from bambootiller.gateway.agent_census import HOLDERS_PREFIX
 from bambootiller.gateway.agent_updates import AgentUpdates
 from bambootiller.gateway.allocator_election import AllocatorElection
 from bambootiller.gateway.event_log import EventLog
@@ -51,8 +52,6 @@
 AFTER_ORDER_POLL_S = 0.002
 #: Interval between two attempts to obtain a fencing token. Seconds.
 TOKEN_RETRY_S = 0.5
-#: Prefix of the keys at which the holders of fencing tokens are recorded.
-HOLDERS_PREFIX = "bambootiller/holders/"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -85,6 +85,7 @@
         self._store_concurrency = StoreConcurrencyByService()
         self._adapter_prefetch: dict[str, AdapterPrefetch] = {}
         self._discoveries: dict[str, InitialDiscovery] = {}
+        self._agent_count: Callable[[], int | None] = lambda: None
         self._scheduler = PlanScheduler(
             self._plan_due,
             self._plan_for_waiting,
@@ -99,6 +100,19 @@
         """Starts to make plans."""
         self._scheduler.start(self._app.timers, now)
 
+    def count_agents_by(self, agent_count: Callable[[], int | None]) -> None:
+        """Sets the source of the number of registered agents."""
+        self._agent_count = agent_count
+
+    def needs_agent_count(self) -> bool:
+        """Whether this entry requests loads from a weight store whose engines it is
+        still discovering."""
+        return any(
+            not self._discovery(service.name).complete
+            and self._load_requester.is_responsible_for_store(service.name)
+            for service in self._engine_services()
+        )
+
     def changed(self, now: float) -> None:
         """Has the plans updated soon, as something that they depend on has changed."""
         self._scheduler.changed(now)
@@ -396,6 +410,22 @@
     ) -> bool:
         """Whether this entry has heard of all engines that may hold copies of models
         since it started."""
-        discovery = self._discoveries.setdefault(service, InitialDiscovery())
+        discovery = self._discovery(service)
         quiet_s = self._gateway_state.batch_delay_s + REGISTRY_READ_DELAY_S
-        return discovery.is_complete(now, backends, quiet_s)
+        none_missing = not discovery.complete and self._all_agents_reported()
+        return discovery.is_complete(now, backends, quiet_s, none_missing)
+
+    def _discovery(self, service: str) -> InitialDiscovery:
+        return self._discoveries.setdefault(service, InitialDiscovery())
+
+    def _all_agents_reported(self) -> bool:
+        """Whether as many engines have reported as agents are registered."""
+        agent_count = self._agent_count()
+        if agent_count is None:
+            return False
+        fleet = self._gateway_state.fleet
+        return agent_count <= sum(
+            backend.engine is not None
+            for service in self._engine_services()
+            for backend in fleet.all_of_service(service.name)
+        )
--- a/packages/bambootiller/src/bambootiller/gateway/entry.py
+++ b/packages/bambootiller/src/bambootiller/gateway/entry.py
@@ -10,6 +10,7 @@
 from bambootiller import logs
 from bambootiller.app import Application
 from bambootiller.entry.httpserver import HttpServer
+from bambootiller.gateway.agent_census import AgentCensus
 from bambootiller.gateway.allocator_client import AllocatorClient
 from bambootiller.gateway.customer_audit import CustomerAudit
 from bambootiller.gateway.engines import Engines
@@ -141,6 +142,9 @@
             ServerAdmission(limits, allocator_client, app.now),
             self._caller_memory,
         )
+        plans = self._engines.plans
+        self._census = AgentCensus(app, platform.kv, plans.needs_agent_count)
+        plans.count_agents_by(lambda: self._census.count)
         self._records = QuarantineRecords(
             app, platform.kv, self._engines.quarantine, events
         )
@@ -203,6 +207,7 @@
         self._quotas.start(app.timers, app.now())
         self.gateway_state.on_config(self._customers.configured)
         self._records.start()
+        self._census.start()
         app.timers.every(
             "gateway sweep", SWEEP_INTERVAL_S, app.now(), self._context.sweep
         )
--- a/tests/gateway/cover/test_initial_discovery.py
+++ b/tests/gateway/cover/test_initial_discovery.py
@@ -55,6 +55,15 @@
             )
         )
 
+    def test_it_ends_once_no_engine_is_missing(self):
+        """The first load from the store started 1.2 s after all engines were known, and
+        the last of the day ended after its callers had left."""
+        both = reported_backend("b1"), reported_backend("b2")
+        self.assertFalse(self.is_complete_after(0.0, *both))
+        self.assertTrue(
+            self.discovery.is_complete(0.1, both, QUIET_S, none_missing=True)
+        )
+
     def test_it_lasts_until_each_engine_reported_but_not_for_ever(self):
         silent = samples.backend("b2")
         self.assertFalse(self.is_complete_after(0.0, reported_backend("b1"), silent))
@@ -159,6 +168,28 @@
         self.run_for(3.0)
         self.assertEqual(self.load_requests, [])
 
+    def test_it_is_prefetched_at_once_if_all_agents_have_reported(self):
+        self.plans.count_agents_by(lambda: 1)
+        self.run_for(0.2)
+        self.assertEqual(set(self.load_requests), {"tutor"})
+
+    def test_it_is_not_prefetched_while_an_agent_has_not_reported(self):
+        self.plans.count_agents_by(lambda: 2)
+        self.run_for(0.4)
+        self.gateway_state.register(self.app.at, "b2", "10.0.0.2:1")
+        self.run_for(0.4)
+        self.assertEqual(self.load_requests, [])
+
+    def test_agents_that_are_gone_do_not_delay_it(self):
+        self.plans.count_agents_by(lambda: 5)
+        self.run_for(1.2)
+        self.assertEqual(set(self.load_requests), {"tutor"})
+
+    def test_agents_are_counted_until_the_engines_are_known(self):
+        self.assertTrue(self.plans.needs_agent_count())
+        self.run_for(1.2)
+        self.assertFalse(self.plans.needs_agent_count())
+
     def test_a_model_without_a_copy_is_prefetched_soon(self):
         self.run_for(0.8)
         self.assertEqual(self.load_requests, [])
