Declined loads: an order for an adapter that goes first declines nothing

Only a step without an order, or one that repeats an order without an answer, declines now; while room is made for another load the reason is the order in progress.

Before: test_an_order_for_an_adapter_is_sent_first fails. After: passes.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/orders.py
@@ -235,25 +235,29 @@
     def _find_declined(
         self, now: float, order: EngineOrder | None
     ) -> DeclinedLoad | None:
-        """The first requested load from the store that isn't about to start."""
+        """The first requested load from the store that isn't about to start. A new
+        order may be for an adapter, and the load be next."""
         report = self._report
-        if report is None or (self._gate is not None and self._gate.blocked_load):
+        if report is None or (order is not None and order != self._unconfirmed):
+            return None
+        if self._gate is not None and self._gate.blocked_load is not None:
             return None
         self._entry_reports.expire(now)
         for model in self._entry_reports.requested_models():
             if model in report.holdings or report.has_copy(model):
                 continue
-            if model in self._engine.models and not self._is_starting(model, order):
+            if model in self._engine.models and not self._is_starting(model):
                 return DeclinedLoad(model, self._decline_reason(now))
         return None
 
-    def _is_starting(self, model: str, order: EngineOrder | None) -> bool:
+    def _is_starting(self, model: str) -> bool:
         """Whether the model is being loaded, or is next to be."""
         if self._load is not None and self._load.model == model:
             return True
         pending = self._pending_load
         if pending is not None and pending.request.model == model:
             return True
+        order = self._unconfirmed
         if order is not None and model in (order.model, order.wanted_for):
             return True
         acquiring = self._gate.acquiring if self._gate is not None else None
@@ -264,7 +268,7 @@
             return DeclineReason.OTHER_INSTANCE
         if self._unconfirmed is not None:
             return DeclineReason.ORDER_UNANSWERED
-        if self._report.busy or self._load is not None or self._unloading is not None:
+        if self._report.busy or self._load or self._unloading or self._pending_load:
             return DeclineReason.ORDER_IN_PROGRESS
         return DeclineReason.NO_ROOM
 
--- a/tests/gateway/failures/test_unavailable_engines.py
+++ b/tests/gateway/failures/test_unavailable_engines.py
@@ -169,6 +169,13 @@
         self.report(0.3, ["m2"])
         self.assertEqual(self.declined(0.3), (None, DeclineReason.NO_ROOM))
 
+    def test_an_order_for_an_adapter_is_sent_first(self):
+        self.report(0.0, ["m2"])
+        self.book.load_requested(0.0, LoadRequest("m2", "a1"))
+        self.book.load_requested(0.0, LoadRequest("m1"))
+        self.assertEqual(self.book.next_order(0.0).adapter, "a1")
+        self.assertIsNone(self.book.declined)
+
     def test_a_load_that_starts_is_not_declined(self):
         self.report(0.0)
         self.book.load_requested(0.0, LoadRequest("m1"))
