Discovery of engines: a count of no agents is no evidence

Read in the diff before any play: where the store has no agent's record yet, as many engines have reported as agents are registered with the first report, and the discovery would have ended with most engines unknown.

Before: test_a_count_of_none_ends_no_discovery fails. After: passes.

--- a/packages/bambootiller-core/src/bambootiller_core/gateway/initial_discovery.py
+++ b/packages/bambootiller-core/src/bambootiller_core/gateway/initial_discovery.py
@@ -4,13 +4,13 @@
 Until then a model whose only copy is at an engine that hasn't reported yet seems to
 have no copy at all, and would needlessly be loaded from the weight store.
 
+Each engine has an agent, and each agent registers when it starts. Once as many engines
+have reported as agents are registered, there is none left to wait for.
+
 Example::
 
     discovery = InitialDiscovery()
     if discovery.is_complete(now, backends, quiet_s=1.2): ...
-
-Each engine has an agent, and each agent registers when it starts. Once as many engines
-have reported as agents are registered, there is none left to wait for.
 """
 
 from __future__ import annotations
--- a/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
+++ b/packages/bambootiller/src/bambootiller/gateway/engine_plans.py
@@ -419,9 +419,10 @@
         return self._discoveries.setdefault(service, InitialDiscovery())
 
     def _all_agents_reported(self) -> bool:
-        """Whether as many engines have reported as agents are registered."""
+        """Whether as many engines have reported as agents are registered. If none is
+        registered yet, nothing is known of how many there are."""
         agent_count = self._agent_count()
-        if agent_count is None:
+        if not agent_count:
             return False
         fleet = self._gateway_state.fleet
         return agent_count <= sum(
--- a/tests/gateway/cover/test_initial_discovery.py
+++ b/tests/gateway/cover/test_initial_discovery.py
@@ -180,6 +180,11 @@
         self.run_for(0.4)
         self.assertEqual(self.load_requests, [])
 
+    def test_a_count_of_none_ends_no_discovery(self):
+        self.plans.count_agents_by(lambda: 0)
+        self.run_for(0.4)
+        self.assertEqual(self.load_requests, [])
+
     def test_agents_that_are_gone_do_not_delay_it(self):
         self.plans.count_agents_by(lambda: 5)
         self.run_for(1.2)
