--- a/review/harness-2/engine.py
+++ b/review/harness-2/engine.py
@@ -36,6 +36,14 @@
         self.gap_s = 0.02
         #: How long a prompt is read before the first event.
         self.prefill_s = 0.02
+        #: Prompt parts, and bodies, that crash it when it begins to answer; it is back
+        #: after ``crash_down_s``.
+        self.bad_parts: set[str] = set()
+        self.bad_bodies: set[bytes] = set()
+        self.crash_down_s = 2.0
+        #: When such requests arrived, and when one of them crashed it.
+        self.bad_arrivals: list[float] = []
+        self.crash_times: list[float] = []
         self._timer: asyncio.TimerHandle | None = None
         self.up = True
         self.server = Server(self._handle)
@@ -97,6 +105,11 @@
             return await self._on_order(json.loads(request.body))
         return await self._run(request)
 
+    def _is_bad(self, request: Request) -> bool:
+        parts = request.headers.get("x-prompt-prefix", "").split(",")[:-1]
+        found = {part.partition(":")[0] for part in parts}
+        return bool(found & self.bad_parts) or request.body in self.bad_bodies
+
     def _report(self) -> dict:
         return {
             "stage": "unified",
@@ -118,8 +131,17 @@
         model = request.headers.get("x-model", "").partition("/")[0]
         if model not in self.held:
             return Reply(421, {"X-Not-Executed": "1", "X-Request-Attempt": attempt})
+        bad = self._is_bad(request)
+        if bad:
+            self.bad_arrivals.append(time.monotonic())
+            self.record(f"{self.instance}: {attempt} arrives, which crashes it")
         # A request begins to run with its first token.
         await asyncio.sleep(self.prefill_s)
+        if bad and self.up:
+            self.crash_times.append(time.monotonic())
+            self.up = False
+            self._crashing = asyncio.create_task(self.power_loss(self.crash_down_s))
+            return Reply(silent=True)
         self.runs.append(attempt)
         self.record(f"{self.instance}: runs {attempt} ({model})")
         first = int(request.headers.get("last-event-id", 0)) + 1
