--- a/review/8/case.py
+++ b/review/8/case.py
@@ -16,7 +16,7 @@
 MODEL = "m0"
 ENGINES = 6
 CONTACT_S = world.BOUNDS["contact-ms"] / 1000
-#: The parts that all prompts begin with, as those of a long conversation or document do,
+#: The parts that all prompts begin with, as those of a long conversation do,
 #: a sound part, and the part that crashes replicas.
 FIRST_PARTS = [f"5c1e07{number:02x}" for number in range(17)]
 SOUND_PART, BAD_PART = "91bd3f06", "e4402b7d"
@@ -57,8 +57,7 @@
         "X-Model": MODEL,
         "X-Token-Usage": "600,60",
         "X-Prompt-Prefix": ",".join(
-            [f"{name}:20" for name in FIRST_PARTS]
-            + [f"{part}:60", f"{number:08x}:200"]
+            [f"{name}:20" for name in FIRST_PARTS] + [f"{part}:60", f"{number:08x}:200"]
         ),
         "X-Deadline-Ms": "4000",
     }
--- a/review/harness-2/engine.py
+++ b/review/harness-2/engine.py
@@ -165,7 +165,9 @@
             self.late_sent.set()
             return Reply(silent=True)
         status = self._accept(order)
-        self.record(f"{self.instance}: {text}, token {order['fencing-token']}: {status}")
+        self.record(
+            f"{self.instance}: {text}, token {order['fencing-token']}: {status}"
+        )
         return Reply(status)
 
     def _late(self, order: dict, text: str) -> None:
